--- a/internal/chart/chart_test.go
+++ b/internal/chart/chart_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestEveryChartIsSound(t *testing.T) {
-	for _, name := range []string{"task", "job", "request", "host", "lease"} {
+	for _, name := range []string{"task", "job", "request", "host", "lease", "run"} {
 		c, err := chart.Load(name)
 		require.NoError(t, err)
 		require.NotEmpty(t, c.States())
--- /dev/null
+++ b/internal/entry/answer.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollencroft/internal/flow"
+	"pollencroft/internal/peer"
+	"pollencroft/internal/sched"
+	"pollencroft/internal/store"
+)
+
+// UnknownMessageError tells that this kind of host does not take a message.
+type UnknownMessageError struct{}
+
+func (*UnknownMessageError) Error() string { return "message is not for this host" }
+
+// NoLeadError tells that no host is known to lead.
+type NoLeadError struct{}
+
+func (*NoLeadError) Error() string { return "no host leads" }
+
+// answer answers a peer.
+func (h *Host) answer(ctx context.Context, m peer.Message) (any, error) {
+	switch m := m.(type) {
+	case peer.Hand:
+		h.mu.Lock()
+		t := h.leading
+		h.mu.Unlock()
+		if t != nil {
+			t.take(m.First, m.Records)
+		}
+		return nil, nil
+	case peer.AskState:
+		return h.localState(m.ID), nil
+	case peer.Sync:
+		return h.syncReply(), nil
+	case peer.Advise:
+		ctx, cancel := context.WithTimeout(ctx, m.Within.Duration)
+		defer cancel()
+		good, err := h.advise(ctx, m.Step, m.Workers)
+		return peer.AdviseReply{Good: good}, err
+	case peer.StoreCall:
+		return storeReply(h.store.Direct(ctx, m.Call)), nil
+	case peer.Succeed:
+		h.wg.Go(func() { h.claim("the lead leaves") })
+		return nil, nil
+	default:
+		return nil, &UnknownMessageError{}
+	}
+}
+
+// NoPolicyError tells that the settings name no policy service.
+type NoPolicyError struct{}
+
+func (*NoPolicyError) Error() string { return "settings name no policy service" }
+
+func (h *Host) advise(ctx context.Context, step string, workers []string) (map[string]string, error) {
+	if h.policy == nil {
+		return nil, &NoPolicyError{}
+	}
+	return h.policy.Ask(ctx, step, workers)
+}
+
+func (h *Host) localState(id string) peer.StateReply {
+	h.mu.Lock()
+	t := h.leading
+	h.mu.Unlock()
+	if t == nil {
+		return peer.StateReply{}
+	}
+	state, known := t.state(id)
+	return peer.StateReply{Lead: true, Known: known, State: string(state)}
+}
+
+// stateOf asks the lead for a job's state.
+func (h *Host) stateOf(ctx context.Context, id string) (flow.State, bool, error) {
+	if r := h.localState(id); r.Lead {
+		return flow.State(r.State), r.Known, nil
+	}
+	h.mu.Lock()
+	lead := h.lead
+	h.mu.Unlock()
+	if lead == "" || lead == h.cfg.Name {
+		return "", false, &NoLeadError{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, askWait)
+	defer cancel()
+	var r peer.StateReply
+	if err := h.peers.Ask(ctx, lead, peer.AskState{ID: id}, &r); err != nil {
+		return "", false, err
+	}
+	if !r.Lead {
+		return "", false, &NoLeadError{}
+	}
+	return flow.State(r.State), r.Known, nil
+}
+
+// syncReply leaves out what only a lead that the store serves can vouch for.
+func (h *Host) syncReply() peer.SyncReply {
+	h.mu.Lock()
+	t := h.leading
+	hosts := make(map[string]string, len(h.hosts))
+	for n, a := range h.hosts {
+		hosts[n] = a.String()
+	}
+	h.mu.Unlock()
+	if t == nil || h.now().Sub(h.store.Good()) > readyAfter {
+		return peer.SyncReply{}
+	}
+	pending := t.pending()
+	h.mu.Lock()
+	h.pending = pending
+	h.mu.Unlock()
+	return peer.SyncReply{Lead: true, Term: t.number, Pending: pending, Hosts: hosts}
+}
+
+// relay has peers make calls to the store.
+type relay struct{ h *Host }
+
+// mostPeers is how many peers are asked for one call: with one failure domain
+// lost and a third of the hosts turned away, one of three is served.
+const mostPeers = 3
+
+// Peers lists the peers to ask.
+func (r relay) Peers() []string {
+	all := r.h.others()
+	return all[:min(len(all), mostPeers)]
+}
+
+// Do has a peer make the call.
+func (r relay) Do(ctx context.Context, name string, c store.Call) (store.Answer, error) {
+	var got peer.StoreReply
+	err := r.h.peers.Ask(ctx, name, peer.StoreCall{Call: c}, &got)
+	var unreached *peer.UnreachedError
+	switch {
+	case errors.As(err, &unreached):
+		return store.Answer{}, &store.RefusedError{Op: c.Op, Reason: err.Error()}
+	case err != nil:
+		return store.Answer{}, &store.UnansweredError{Op: c.Op, Cause: err}
+	}
+	return got.Answer, failureOf(c, got)
+}
+
+// Names of the store's failures between hosts.
+const (
+	failRefused  = "refused"
+	failUnsure   = "unanswered"
+	failFenced   = "fenced"
+	failMoved    = "moved"
+	failTrimmed  = "trimmed"
+	failNotKnown = "bad"
+)
+
+func storeReply(a store.Answer, err error) peer.StoreReply {
+	r := peer.StoreReply{Answer: a}
+	if err == nil {
+		return r
+	}
+	r.Reason = err.Error()
+	var refused *store.RefusedError
+	var unsure *store.UnansweredError
+	var fenced *store.FencedError
+	var moved *store.MovedError
+	var trimmed *store.TrimmedError
+	switch {
+	case errors.As(err, &refused):
+		r.Failure = failRefused
+	case errors.As(err, &unsure):
+		r.Failure = failUnsure
+	case errors.As(err, &fenced):
+		r.Failure, r.Number = failFenced, fenced.Epoch
+	case errors.As(err, &moved):
+		r.Failure, r.Number = failMoved, moved.End
+	case errors.As(err, &trimmed):
+		r.Failure, r.Number = failTrimmed, trimmed.First
+	default:
+		r.Failure = failNotKnown
+	}
+	return r
+}
+
+func failureOf(c store.Call, r peer.StoreReply) error {
+	switch r.Failure {
+	case "":
+		return nil
+	case failRefused:
+		return &store.RefusedError{Op: c.Op, Reason: r.Reason}
+	case failFenced:
+		return &store.FencedError{Epoch: r.Number}
+	case failMoved:
+		return &store.MovedError{End: r.Number}
+	case failTrimmed:
+		return &store.TrimmedError{First: r.Number}
+	case failNotKnown:
+		return &store.BadError{Op: c.Op, Reason: r.Reason}
+	default:
+		return &store.UnansweredError{Op: c.Op, Cause: &store.BadError{Op: c.Op, Reason: r.Reason}}
+	}
+}
+
+// longestAdvice bounds a question to the policy service that a peer asks.
+const longestAdvice = 10 * time.Second
+
+// ask has a host, perhaps this one, ask the policy service.
+func (h *Host) ask(ctx context.Context, a sched.Ask) sched.Advised {
+	ctx, cancel := context.WithTimeout(ctx, min(a.Within, longestAdvice))
+	defer cancel()
+	if a.Host == h.cfg.Name {
+		good, err := h.advise(ctx, a.Step, a.Workers)
+		return h.advised(a, good, err)
+	}
+	var r peer.AdviseReply
+	m := peer.Advise{Step: a.Step, Workers: a.Workers}
+	m.Within.Duration = a.Within
+	err := h.peers.Ask(ctx, a.Host, m, &r)
+	return h.advised(a, r.Good, err)
+}
+
+func (h *Host) advised(a sched.Ask, good map[string]string, err error) sched.Advised {
+	if err != nil {
+		h.count("advice.failed")
+		h.log.Warn("advice: no answer.", "step", a.Step, "host", a.Host, "err", err)
+	}
+	return sched.Advised{Step: a.Step, Host: a.Host, Good: good, Failed: err != nil}
+}
--- /dev/null
+++ b/internal/entry/callers.go
@@ -0,0 +1,236 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+	"github.com/rcrowley/go-metrics"
+
+	"pollencroft/internal/flow"
+	"pollencroft/internal/store"
+	"pollencroft/platform"
+)
+
+const (
+	// deadlineHeader says how long the caller waits, in milliseconds.
+	deadlineHeader = "X-Deadline-Ms"
+	// usualDeadline is for callers that do not say it.
+	usualDeadline = 3 * time.Second
+	// answerTime is left for the answer's way back.
+	answerTime = 150 * time.Millisecond
+	// usualBody bounds a body until the table says how much it may have.
+	usualBody = 256 << 10
+	// again is when a caller that was turned away may come back, in seconds: a
+	// store that is away stays so for seconds, and a second is the least that the
+	// header can say.
+	again = "1"
+)
+
+func (h *Host) callers() http.Handler {
+	r := chi.NewRouter()
+	r.HandleFunc("/*", h.serveCaller)
+	return r
+}
+
+func (h *Host) serveCaller(w http.ResponseWriter, r *http.Request) {
+	h.mu.Lock()
+	t := h.table
+	h.mu.Unlock()
+	if t == nil {
+		h.refuse(w, http.StatusServiceUnavailable, "", "no table yet")
+		return
+	}
+	q, id, ok := t.Find(r.Host, r.URL.Path)
+	if !ok {
+		h.refuse(w, http.StatusNotFound, "", "no such queue")
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
+	defer cancel()
+	switch {
+	case id == "" && r.Method == http.MethodGet:
+		h.mu.Lock()
+		n := h.pending[q.Name]
+		h.mu.Unlock()
+		reply(w, http.StatusOK, platform.PendingBody(n))
+	case !platform.JobID(id):
+		h.refuse(w, http.StatusNotFound, id, "no job's id")
+	case r.Method == http.MethodPost:
+		h.submit(ctx, w, r, q, id)
+	case r.Method == http.MethodGet:
+		h.tell(ctx, w, id)
+	case r.Method == http.MethodDelete:
+		h.cancelJob(ctx, w, id)
+	default:
+		h.refuse(w, http.StatusMethodNotAllowed, id, r.Method)
+	}
+}
+
+func deadline(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.Header.Get(deadlineHeader))
+	if err != nil || ms <= 0 {
+		return usualDeadline - answerTime
+	}
+	return max(time.Duration(ms)*time.Millisecond-answerTime, answerTime)
+}
+
+func reply(w http.ResponseWriter, code int, body []byte) {
+	w.Header()["Content-Type"] = []string{"application/json"}
+	w.Header()["Content-Length"] = []string{strconv.Itoa(len(body))}
+	w.WriteHeader(code)
+	// A caller that is gone needs no answer.
+	_, _ = w.Write(body)
+}
+
+// refuse answers with the reason and, where coming back helps, when.
+func (h *Host) refuse(w http.ResponseWriter, code int, id, reason string) {
+	h.count("caller.refused." + strconv.Itoa(code))
+	h.log.Info("caller: refused.", "id", id, "code", code, "reason", reason)
+	if code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests {
+		w.Header().Set("Retry-After", again)
+	}
+	b, err := json.Marshal(map[string]string{"error": reason})
+	if err != nil {
+		h.log.Error("caller: reason cannot be encoded.", "err", err)
+	}
+	reply(w, code, b)
+}
+
+// submit stores a job. Only a store that certainly did nothing makes it refused.
+func (h *Host) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, q flow.Queue, id string) {
+	most := h.mostBody()
+	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
+	if err != nil {
+		h.refuse(w, http.StatusBadRequest, id, "body ends too early")
+		return
+	}
+	if int64(len(body)) > most {
+		h.refuse(w, http.StatusRequestEntityTooLarge, id, "body is too large")
+		return
+	}
+	spec, err := platform.ParseJob(id, q, body)
+	if err != nil {
+		h.refuse(w, http.StatusBadRequest, id, err.Error())
+		return
+	}
+	b, err := json.Marshal(spec)
+	if err != nil {
+		h.refuse(w, http.StatusBadRequest, id, err.Error())
+		return
+	}
+	began := h.now()
+	err = h.inbox.put(ctx, store.Record{Key: id, Value: b})
+	metrics.GetOrRegisterTimer("caller.store", h.metrics).Update(h.now().Sub(began))
+	var refused *store.RefusedError
+	switch {
+	case err == nil:
+		h.accepted(id)
+		h.log.Info("caller: accepted.", "id", id, "queue", q.Name)
+		reply(w, http.StatusOK, []byte("{}"))
+	case errors.As(err, &refused):
+		h.refuse(w, http.StatusServiceUnavailable, id, "not stored: "+refused.Reason)
+	default:
+		h.refuse(w, http.StatusGatewayTimeout, id, "not known whether it is stored")
+	}
+}
+
+func (h *Host) mostBody() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.table != nil && h.table.MaxBody > 0 {
+		return h.table.MaxBody
+	}
+	return usualBody
+}
+
+func (h *Host) accepted(id string) {
+	h.count("caller.accepted")
+	h.mu.Lock()
+	h.recent[id] = h.now()
+	h.mu.Unlock()
+}
+
+// isRecent tells whether this host accepted the job lately.
+func (h *Host) isRecent(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, ok := h.recent[id]
+	return ok
+}
+
+func (h *Host) tell(ctx context.Context, w http.ResponseWriter, id string) {
+	state, known, err := h.stateOf(ctx, id)
+	switch {
+	case err != nil && h.isRecent(id), err == nil && !known && h.isRecent(id):
+		reply(w, http.StatusOK, platform.StateBody(flow.Queued))
+	case err != nil:
+		h.refuse(w, http.StatusServiceUnavailable, id, "no lead answers: "+err.Error())
+	case !known:
+		h.refuse(w, http.StatusGone, id, "no such job")
+	default:
+		reply(w, http.StatusOK, platform.StateBody(state))
+	}
+}
+
+// cancelJob stores that a job is to stop. While no lead answers it is stored
+// without asking whether there is such a job: one that is not is never started.
+func (h *Host) cancelJob(ctx context.Context, w http.ResponseWriter, id string) {
+	state, known, err := h.stateOf(ctx, id)
+	if err == nil && !known && !h.isRecent(id) {
+		h.refuse(w, http.StatusGone, id, "no such job")
+		return
+	}
+	if err == nil && known && state.Final() {
+		reply(w, http.StatusOK, []byte("{}"))
+		return
+	}
+	err = h.inbox.put(ctx, store.Record{Key: id + cancelMark, Value: []byte("1")})
+	var refused *store.RefusedError
+	switch {
+	case err == nil:
+		h.log.Info("caller: cancelled.", "id", id)
+		reply(w, http.StatusOK, []byte("{}"))
+	case errors.As(err, &refused):
+		h.refuse(w, http.StatusServiceUnavailable, id, "not stored: "+refused.Reason)
+	default:
+		h.refuse(w, http.StatusGatewayTimeout, id, "not known whether it is stored")
+	}
+}
+
+// readyAfter is how long ago the store may have answered a host that is ready.
+const readyAfter = 2 * time.Second
+
+// ready tells whether callers are served here: a host without a way to the
+// store can accept nothing, and callers do better at another one.
+func (h *Host) ready() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table != nil && !h.leaving && h.lead != "" && h.now().Sub(h.store.Good()) < readyAfter
+}
+
+func (h *Host) readiness() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/*", func(w http.ResponseWriter, _ *http.Request) {
+		if h.ready() {
+			reply(w, http.StatusOK, []byte("{}"))
+			return
+		}
+		reply(w, http.StatusServiceUnavailable, []byte("{}"))
+	})
+	return r
+}
+
+func (h *Host) figures() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain")
+		metrics.WriteOnce(h.metrics, w)
+	})
+	return r
+}
--- /dev/null
+++ b/internal/entry/claim.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollencroft/internal/flow"
+	"pollencroft/internal/sched"
+	"pollencroft/internal/store"
+)
+
+// stateTopic holds the progress of jobs under their ids, written by the lead
+// alone, and claimKey, under which a term begins.
+const (
+	stateTopic = "state"
+	claimKey   = "lead"
+)
+
+// claimWait bounds one try to lead.
+const claimWait = 4 * time.Second
+
+// LostClaimError tells that another host began the same term.
+type LostClaimError struct{ Term int64 }
+
+func (e *LostClaimError) Error() string {
+	return "term " + strconv.FormatInt(e.Term, 10) + " is another host's"
+}
+
+// claim tries to begin a term.
+func (h *Host) claim(why string) {
+	if !h.claims.TryLock() {
+		return
+	}
+	defer h.claims.Unlock()
+	h.mu.Lock()
+	busy := h.leading != nil || h.leaving
+	h.mu.Unlock()
+	if busy {
+		return
+	}
+	ctx, cancel := context.WithTimeout(h.ctx, claimWait)
+	defer cancel()
+	t, err := h.begin(ctx)
+	if err != nil {
+		h.count("lead.claim.failed")
+		h.log.Warn("lead: claim failed.", "why", why, "err", err)
+		return
+	}
+	h.count("lead.claimed")
+	h.log.Info("lead: term begins.", "term", t.number, "why", why, "jobs", t.jobs, "from", t.next)
+	h.announce(ctx, t.number)
+}
+
+// begin fences off all former leads and reads what they left.
+//
+// The term is the epoch of the appends to stateTopic. It is one more than the
+// log's end, which only rises, so it is above all former ones; two hosts that
+// saw the same end would share it, and each reads back whose claim was stored.
+func (h *Host) begin(ctx context.Context) (*term, error) {
+	a, err := h.store.Do(ctx, store.Call{Op: store.Newest, Topic: stateTopic})
+	if err != nil {
+		return nil, errors.Wrap(err, "read the log's end")
+	}
+	number := a.End + 1
+	mine := h.memberName() + " " + strconv.FormatInt(h.now().UnixNano(), 36)
+	a, err = h.store.Do(ctx, store.Call{
+		Op: store.Append, Topic: stateTopic, Keyed: true, Epoch: number, Records: []store.Record{{Key: claimKey, Value: []byte(mine)}},
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "begin a term")
+	}
+	back, err := h.store.Do(ctx, store.Call{Op: store.Read, Topic: stateTopic, From: a.Offset})
+	if err != nil {
+		return nil, errors.Wrap(err, "read the claim back")
+	}
+	if len(back.Records) == 0 || string(back.Records[0].Value) != mine {
+		return nil, &LostClaimError{Term: number}
+	}
+	states, _, err := store.Table(ctx, h.store, stateTopic)
+	if err != nil {
+		return nil, errors.Wrap(err, "read progress")
+	}
+	asks, next, err := store.Table(ctx, h.store, jobsTopic)
+	if err != nil {
+		return nil, errors.Wrap(err, "read jobs")
+	}
+	return h.lead1(number, states, asks, next), nil
+}
+
+// restored is what the store says of all jobs.
+type restored struct {
+	jobs    []*flow.Job
+	fresh   []flow.Spec
+	cancels []string
+	beat    time.Time
+}
+
+// restore puts specs and progress together. A record that cannot be read is
+// told and left: its job cannot be guessed.
+func (h *Host) restore(states, asks []store.Record) restored {
+	var r restored
+	progress := map[string][]byte{}
+	for _, s := range states {
+		switch s.Key {
+		case claimKey:
+		case sched.BeatKey:
+			if ms, err := strconv.ParseInt(string(s.Value), 10, 64); err == nil {
+				r.beat = time.UnixMilli(ms)
+			}
+		default:
+			progress[s.Key] = s.Value
+		}
+	}
+	for _, a := range asks {
+		if id, ok := strings.CutSuffix(a.Key, cancelMark); ok {
+			r.cancels = append(r.cancels, id)
+			continue
+		}
+		var spec flow.Spec
+		if err := json.Unmarshal(a.Value, &spec); err != nil {
+			h.log.Error("lead: job cannot be read.", "id", a.Key, "offset", a.Offset, "err", err)
+			continue
+		}
+		b, ok := progress[a.Key]
+		if !ok {
+			r.fresh = append(r.fresh, spec)
+			continue
+		}
+		j, err := flow.Restore(spec, b, h.now())
+		if err != nil {
+			h.log.Error("lead: progress cannot be read.", "id", a.Key, "err", err)
+			continue
+		}
+		r.jobs = append(r.jobs, j)
+	}
+	return r
+}
--- /dev/null
+++ b/internal/entry/follow.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollencroft/internal/sched"
+	"pollencroft/internal/store"
+	"pollencroft/platform"
+)
+
+const (
+	// followWait is how long a read waits for records. It bounds how long a
+	// connection that has gone silent delays a new table: the table has to be in
+	// force within two seconds.
+	followWait = 1300 * time.Millisecond
+	// followRetry is the pause after a read that failed.
+	followRetry = 200 * time.Millisecond
+)
+
+// follow hands all records of a topic to read, the newest of each key first.
+func (h *Host) follow(topic string, read func([]store.Record)) {
+	for h.ctx.Err() == nil {
+		all, from, err := store.Table(h.ctx, h.store, topic)
+		if err != nil {
+			wait(h.ctx, followRetry)
+			continue
+		}
+		read(all)
+		h.followFrom(topic, from, read)
+	}
+}
+
+// followFrom returns when records were deleted and the topic has to be read anew.
+func (h *Host) followFrom(topic string, from int64, read func([]store.Record)) {
+	for h.ctx.Err() == nil {
+		a, err := h.store.Do(h.ctx, store.Call{Op: store.Read, Topic: topic, From: from, Wait: followWait})
+		var trimmed *store.TrimmedError
+		switch {
+		case errors.As(err, &trimmed):
+			return
+		case err != nil:
+			wait(h.ctx, followRetry)
+			continue
+		}
+		if len(a.Records) > 0 {
+			read(a.Records)
+		}
+		from += int64(len(a.Records))
+	}
+}
+
+// readTable takes the newest table. A version below the one in force is a
+// record that was read twice, and is passed over: the table never goes back.
+func (h *Host) readTable(all []store.Record) {
+	for _, r := range all {
+		if r.Key != platform.TableKey || len(r.Value) == 0 {
+			continue
+		}
+		t, err := platform.ParseTable(r.Value)
+		if err != nil {
+			h.log.Error("table: record cannot be read.", "offset", r.Offset, "err", err)
+			continue
+		}
+		h.setTable(&t)
+	}
+}
+
+func (h *Host) setTable(t *platform.Table) {
+	h.mu.Lock()
+	old := h.table
+	if old != nil && t.Version <= old.Version {
+		h.mu.Unlock()
+		return
+	}
+	h.table = t
+	lead := h.leading
+	h.mu.Unlock()
+	h.log.Info("table: in force.", "version", t.Version, "queues", len(t.Routes))
+	if lead != nil {
+		lead.step(queuesOf(t))
+	}
+}
+
+func queuesOf(t *platform.Table) sched.Queues {
+	ev := sched.Queues{Version: t.Version}
+	for _, r := range t.Routes {
+		ev.All = append(ev.All, r.Queue)
+	}
+	return ev
+}
+
+// leadRecord tells who leads.
+type leadRecord struct {
+	Name string `json:"name"`
+	Term int64  `json:"term"`
+}
+
+const (
+	// leadTopic tells all hosts who leads, under leadKey.
+	leadTopic = "lead"
+	leadKey   = "0"
+)
+
+func (h *Host) readLead(all []store.Record) {
+	for _, r := range all {
+		var l leadRecord
+		if r.Key != leadKey || json.Unmarshal(r.Value, &l) != nil {
+			continue
+		}
+		h.setLead(l)
+	}
+}
+
+func (h *Host) setLead(l leadRecord) {
+	h.mu.Lock()
+	if l.Term <= h.term {
+		h.mu.Unlock()
+		return
+	}
+	h.lead, h.term = l.Name, l.Term
+	t := h.leading
+	h.mu.Unlock()
+	h.log.Info("lead: another term.", "host", l.Name, "term", l.Term)
+	if t != nil && t.number < l.Term {
+		t.end("a later term began")
+	}
+}
+
+// announce tells all hosts that this one leads.
+func (h *Host) announce(ctx context.Context, term int64) {
+	l := leadRecord{Name: h.cfg.Name, Term: term}
+	h.setLead(l)
+	b, err := json.Marshal(l)
+	if err != nil {
+		h.log.Error("lead: cannot be announced.", "err", err)
+		return
+	}
+	if _, err := h.store.Do(ctx, store.Call{Op: store.Append, Topic: leadTopic, Keyed: true, Records: []store.Record{{Key: leadKey, Value: b}}}); err != nil {
+		h.log.Warn("lead: announcement has no answer.", "term", term, "err", err)
+	}
+}
--- /dev/null
+++ b/internal/entry/host.go
@@ -0,0 +1,255 @@
+// Package entry is one entry host on the users' platform: it takes jobs from
+// callers, stores them, and with luck leads the workers. Every host is the same
+// and keeps nothing; what must last lies in the platform's store.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"pollencroft/internal/peer"
+	"pollencroft/internal/sched"
+	"pollencroft/internal/store"
+	"pollencroft/platform"
+)
+
+// Host is one entry host.
+type Host struct {
+	cfg     Settings
+	log     *slog.Logger
+	now     func() time.Time
+	life    string
+	store   *store.Routed
+	workers *platform.Workers
+	policy  *platform.Policy
+	peers   *peer.Clients
+	metrics metrics.Registry
+	inbox   *inbox
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	servers []*http.Server
+
+	mu    sync.Mutex
+	table *platform.Table
+	// hosts are the entry hosts by name; lead is the one that leads, in term.
+	hosts map[string]netip.AddrPort
+	lead  string
+	term  int64
+	// pending is how many jobs of each queue wait, as the lead said last.
+	pending map[string]int
+	// leading is the term that this host leads; nil when it does not.
+	leading *term
+	// claims is held while the host tries to lead.
+	claims  sync.Mutex
+	leaving bool
+	recent  map[string]time.Time
+}
+
+// New returns a host that is not started.
+func New(cfg Settings, log *slog.Logger, now func() time.Time) (*Host, error) {
+	c := platform.New()
+	h := &Host{
+		cfg: cfg, log: log, now: now, life: strconv.FormatInt(now().UnixNano(), 36), workers: platform.NewWorkers(c),
+		peers: peer.NewClients(map[string]netip.AddrPort{}), metrics: metrics.NewRegistry(),
+		hosts: map[string]netip.AddrPort{cfg.Name: cfg.Listen.Peer}, pending: map[string]int{}, recent: map[string]time.Time{},
+	}
+	if cfg.Policy != "" {
+		addr, err := netip.ParseAddrPort(cfg.Policy)
+		if err != nil {
+			return nil, errors.Wrap(err, "read address of the policy service")
+		}
+		h.policy = platform.NewPolicy(c, addr)
+	}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	h.store = store.NewRouted(platform.NewStore(c, cfg.Store), relay{h}, now, h.storeLost)
+	h.inbox = newInbox(h)
+	return h, nil
+}
+
+func (h *Host) count(name string) { metrics.GetOrRegisterCounter(name, h.metrics).Inc(1) }
+
+func (h *Host) storeLost(ok bool, err error) {
+	if ok {
+		h.log.Info("store: answers this host again.")
+		return
+	}
+	h.count("store.lost")
+	h.log.Warn("store: does not serve this host.", "err", err)
+}
+
+// Start listens and begins to follow the platform.
+func (h *Host) Start() error {
+	h.log.Info("entry: start.", "host", h.cfg.Name, "life", h.life, "domain", h.cfg.Domain)
+	var lc net.ListenConfig
+	open := func(addr netip.AddrPort) (net.Listener, error) {
+		ln, err := lc.Listen(h.ctx, "tcp", addr.String())
+		return ln, errors.Wrapf(err, "listen on %s", addr)
+	}
+	lnPeer, err := open(h.cfg.Listen.Peer)
+	if err != nil {
+		return err
+	}
+	srv := peer.NewServer(h.answer)
+	h.wg.Go(func() { srv.Serve(h.ctx, lnPeer) })
+	if err := h.listen(open); err != nil {
+		return err
+	}
+	h.wg.Go(func() { h.follow(platform.TableTopic, h.readTable) })
+	h.wg.Go(func() { h.follow(leadTopic, h.readLead) })
+	h.wg.Go(h.member)
+	h.wg.Go(h.sync)
+	h.wg.Go(h.inbox.run)
+	return nil
+}
+
+func (h *Host) listen(open func(netip.AddrPort) (net.Listener, error)) error {
+	type listener struct {
+		addr    netip.AddrPort
+		handler http.Handler
+	}
+	all := []listener{{h.cfg.Listen.Caller, h.callers()}, {h.cfg.Listen.Ready, h.readiness()}}
+	if h.cfg.Listen.Metrics.IsValid() {
+		all = append(all, listener{h.cfg.Listen.Metrics, h.figures()})
+	}
+	for _, l := range all {
+		ln, err := open(l.addr)
+		if err != nil {
+			return err
+		}
+		s := &http.Server{
+			Handler: l.handler, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait,
+			ErrorLog: slog.NewLogLogger(h.log.Handler(), slog.LevelDebug),
+		}
+		h.servers = append(h.servers, s)
+		h.wg.Go(func() { _ = s.Serve(ln) })
+	}
+	return nil
+}
+
+// Bounds of a caller's connection.
+const (
+	// headerWait is as long as the table's limits allow a head to take.
+	headerWait = 3 * time.Second
+	// idleWait is longer than callers keep connections open between requests.
+	idleWait = 30 * time.Second
+)
+
+// Reload takes note of changed settings. Addresses hold until the next start.
+func (h *Host) Reload(cfg Settings, err error) {
+	if err != nil {
+		h.log.Error("entry: changed settings cannot be used.", "err", err)
+		return
+	}
+	h.log.Info("entry: reload.", "host", cfg.Name)
+}
+
+const (
+	// leaveWait is how long a stopping host goes on serving after it has turned
+	// not ready: two looks of the balancer, a second apart, and what was on its
+	// way then.
+	leaveWait = 2500 * time.Millisecond
+	// lastWait is how long requests under way have after that; a stop in all has
+	// to fit the platform's grace.
+	lastWait = 1500 * time.Millisecond
+)
+
+// Stop ends the host in good order: another one leads, callers go elsewhere,
+// what is under way is answered.
+func (h *Host) Stop() {
+	h.log.Info("entry: planned stop.", "host", h.cfg.Name)
+	h.mu.Lock()
+	h.leaving = true
+	t := h.leading
+	h.mu.Unlock()
+	if t != nil {
+		t.end("planned stop")
+	}
+	h.leave(t)
+	grace := time.Duration(h.cfg.Times.Grace)
+	wait(h.ctx, min(leaveWait, max(grace-lastWait-time.Second, 0)))
+	ctx, cancel := context.WithTimeout(h.ctx, lastWait)
+	for _, s := range h.servers {
+		if err := s.Shutdown(ctx); err != nil {
+			h.log.Warn("entry: connections were still open.", "err", err)
+		}
+	}
+	cancel()
+	h.cancel()
+	h.peers.Close()
+	h.log.Info("entry: stopped.", "host", h.cfg.Name)
+}
+
+// leave gives up the host's place among the others and asks one to lead.
+func (h *Host) leave(t *term) {
+	ctx, cancel := context.WithTimeout(h.ctx, time.Second)
+	defer cancel()
+	if t != nil {
+		for _, p := range h.others() {
+			if h.peers.Tell(ctx, p, peer.Succeed{Term: t.number}) == nil {
+				break
+			}
+		}
+	}
+	if _, err := h.store.Do(ctx, store.Call{Op: store.Leave, Group: group, Member: h.memberName()}); err != nil {
+		h.log.Warn("entry: cannot leave the group.", "err", err)
+	}
+}
+
+// wait sleeps; false when ctx has ended.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// others lists the other hosts' names, those of the own failure domain first:
+// bytes between failure domains are dear.
+func (h *Host) others() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var near, far []string
+	for _, n := range slices.Sorted(maps.Keys(h.hosts)) {
+		switch {
+		case n == h.cfg.Name:
+		case h.lead == n:
+			near = append([]string{n}, near...)
+		default:
+			far = append(far, n)
+		}
+	}
+	return append(near, far...)
+}
+
+// setHosts replaces the entry hosts.
+func (h *Host) setHosts(all map[string]netip.AddrPort) {
+	all[h.cfg.Name] = h.cfg.Listen.Peer
+	h.mu.Lock()
+	h.hosts = all
+	t := h.leading
+	h.mu.Unlock()
+	for n, a := range all {
+		if n != h.cfg.Name {
+			h.peers.Set(n, a)
+		}
+	}
+	if t != nil {
+		t.step(sched.Hosts{Names: slices.Sorted(maps.Keys(all))})
+	}
+}
--- /dev/null
+++ b/internal/entry/inbox.go
@@ -0,0 +1,147 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollencroft/internal/peer"
+	"pollencroft/internal/store"
+)
+
+// jobsTopic holds what callers asked for: specs of jobs under their ids, and
+// cancellations under the id with cancelMark. Any host appends to it.
+const (
+	jobsTopic  = "jobs"
+	cancelMark = "!"
+)
+
+// inbox stores what callers hand in, many in one append while one is under way.
+type inbox struct {
+	h    *Host
+	asks chan ask
+}
+
+type ask struct {
+	ctx    context.Context
+	record store.Record
+	done   chan error
+}
+
+const (
+	// mostAsks is how many may wait for the next append; more are turned away.
+	mostAsks = 512
+	// mostBytes keeps one append below the store's bound on a call.
+	mostBytes = 1 << 20
+	// againAfter is the pause before an append without an answer is repeated.
+	againAfter = 60 * time.Millisecond
+)
+
+func newInbox(h *Host) *inbox { return &inbox{h: h, asks: make(chan ask, mostAsks)} }
+
+// put stores a record. After a store.RefusedError it is certain that it is not
+// stored and never will be; after another error nobody knows.
+func (b *inbox) put(ctx context.Context, r store.Record) error {
+	a := ask{ctx: ctx, record: r, done: make(chan error, 1)}
+	select {
+	case b.asks <- a:
+	default:
+		return &store.RefusedError{Op: store.Append, Reason: "too many wait"}
+	}
+	select {
+	case err := <-a.done:
+		return err
+	case <-ctx.Done():
+		return &store.UnansweredError{Op: store.Append, Cause: ctx.Err()}
+	}
+}
+
+func (b *inbox) run() {
+	for {
+		select {
+		case <-b.h.ctx.Done():
+			return
+		case a := <-b.asks:
+			b.store(b.gather(a))
+		}
+	}
+}
+
+func (b *inbox) gather(first ask) []ask {
+	all := []ask{first}
+	size := len(first.record.Value)
+	for size < mostBytes {
+		select {
+		case a := <-b.asks:
+			all = append(all, a)
+			size += len(a.record.Value)
+		default:
+			return all
+		}
+	}
+	return all
+}
+
+// store appends until there is an answer or nobody waits any more. An append
+// that is repeated says the same under the same keys.
+func (b *inbox) store(all []ask) {
+	records := make([]store.Record, len(all))
+	for i, a := range all {
+		records[i] = a.record
+	}
+	unsure := false
+	for {
+		got, err := b.h.store.Do(b.h.ctx, store.Call{Op: store.Append, Topic: jobsTopic, Keyed: true, Records: records})
+		if err == nil {
+			b.h.hand(got.Offset, records)
+			finish(all, nil)
+			return
+		}
+		var refused *store.RefusedError
+		if errors.As(err, &refused) && !unsure {
+			finish(all, err)
+			return
+		}
+		unsure = true
+		if b.h.ctx.Err() != nil || !waited(all) {
+			finish(all, &store.UnansweredError{Op: store.Append, Cause: err})
+			return
+		}
+		wait(b.h.ctx, againAfter)
+	}
+}
+
+func finish(all []ask, err error) {
+	for _, a := range all {
+		a.done <- err
+	}
+}
+
+func waited(all []ask) bool {
+	for _, a := range all {
+		if a.ctx.Err() == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// hand tells the lead what is stored, so that it need not look.
+func (h *Host) hand(first int64, records []store.Record) {
+	h.mu.Lock()
+	lead, t := h.lead, h.leading
+	h.mu.Unlock()
+	switch {
+	case t != nil:
+		t.take(first, records)
+	case lead != "" && lead != h.cfg.Name:
+		h.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(h.ctx, askWait)
+			defer cancel()
+			if err := h.peers.Tell(ctx, lead, peer.Hand{First: first, Records: records}); err != nil {
+				h.log.Warn("inbox: lead was not told.", "host", lead, "err", err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/entry/settings.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Settings are those of one entry host on the users' platform. Unknown keys are
+// passed over: the platform adds to what it tells.
+type Settings struct {
+	Name   string `toml:"name"`
+	Domain string `toml:"domain"`
+	// Listen are the addresses that the host serves.
+	Listen struct {
+		Caller  netip.AddrPort `toml:"caller"`
+		Ready   netip.AddrPort `toml:"ready"`
+		Peer    netip.AddrPort `toml:"peer"`
+		Metrics netip.AddrPort `toml:"metrics"`
+	} `toml:"listen"`
+	// Store is the platform's store, Policy the service that decides which
+	// workers may run a step; it may be missing.
+	Store  netip.AddrPort `toml:"store"`
+	Policy string         `toml:"policy"`
+	// Memory is the most that the process may use, in MiB.
+	Memory int64 `toml:"memory"`
+	// Times bound what is done; each is a duration such as "900ms".
+	Times struct {
+		// Lease is the longest lease that workers give.
+		Lease Duration `toml:"lease"`
+		// Stop is how long a run may take to stop.
+		Stop Duration `toml:"stop"`
+		// Grace is how long a planned stop of this host may take.
+		Grace Duration `toml:"grace"`
+		// Keep is how long the state of an ended job is told.
+		Keep Duration `toml:"keep"`
+	} `toml:"times"`
+	Log string `toml:"log"`
+}
+
+// Duration is a time in a settings file.
+type Duration time.Duration
+
+// UnmarshalText reads a duration such as 1.5s.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	*d = Duration(v)
+	return errors.Wrap(err, "read duration")
+}
+
+// FieldError names a key that is missing or out of bounds.
+type FieldError struct{ Path, Key, Reason string }
+
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("%s: %s: %s", e.Path, e.Key, e.Reason)
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	var s Settings
+	if err := toml.Unmarshal(b, &s); err != nil {
+		return Settings{}, &FieldError{Path: path, Key: "file", Reason: err.Error()}
+	}
+	return s, s.check(path)
+}
+
+func (s Settings) check(path string) error {
+	missing := func(key string) error { return &FieldError{Path: path, Key: key, Reason: "is missing"} }
+	switch {
+	case s.Name == "":
+		return missing("name")
+	case s.Domain == "":
+		return missing("domain")
+	case !s.Listen.Caller.IsValid():
+		return missing("listen.caller")
+	case !s.Listen.Ready.IsValid():
+		return missing("listen.ready")
+	case !s.Listen.Peer.IsValid():
+		return missing("listen.peer")
+	case !s.Store.IsValid():
+		return missing("store")
+	}
+	if s.Policy != "" {
+		if _, err := netip.ParseAddrPort(s.Policy); err != nil {
+			return &FieldError{Path: path, Key: "policy", Reason: err.Error()}
+		}
+	}
+	times := map[string]Duration{"times.lease": s.Times.Lease, "times.stop": s.Times.Stop, "times.grace": s.Times.Grace, "times.keep": s.Times.Keep}
+	for key, d := range times {
+		if d <= 0 {
+			return &FieldError{Path: path, Key: key, Reason: "has to be more than 0s"}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/term.go
@@ -0,0 +1,379 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollencroft/internal/flow"
+	"pollencroft/internal/sched"
+	"pollencroft/internal/store"
+	"pollencroft/platform"
+)
+
+// term is the time for which this host leads. It carries the scheduler core's
+// actions to the store and the workers, and their answers back.
+type term struct {
+	h      *Host
+	number int64
+	jobs   int
+	ctx    context.Context
+	cancel context.CancelFunc
+	kick   chan struct{}
+
+	mu   sync.Mutex
+	core *sched.Sched
+	over bool
+	// seq numbers the appends; next is the first offset of jobsTopic that was
+	// not taken, gap tells that later ones were.
+	seq  int64
+	next int64
+	gap  bool
+	// listed are the workers by life, as the store has them.
+	listed map[string]sched.Worker
+}
+
+const (
+	// pollEvery is how often the lead looks for jobs that no host told it of: a
+	// host that stored one may have died before it could.
+	pollEvery = 700 * time.Millisecond
+	// serversEvery is how often the workers' entries are read: a leaving worker
+	// must get no work after two seconds.
+	serversEvery = 400 * time.Millisecond
+	// appendAgain is the pause before an append is repeated.
+	appendAgain = 100 * time.Millisecond
+	// orderWait bounds an order to a worker, whose answer takes a millisecond or
+	// two; a busy lead takes some tens more.
+	orderWait = 500 * time.Millisecond
+)
+
+// lead1 starts a term from what the store holds.
+func (h *Host) lead1(number int64, states, asks []store.Record, next int64) *term {
+	r := h.restore(states, asks)
+	limits := sched.DefaultLimits
+	limits.Lease = min(limits.Lease, time.Duration(h.cfg.Times.Lease)*95/100)
+	limits.StopGrace = time.Duration(h.cfg.Times.Stop)
+	limits.Keep = time.Duration(h.cfg.Times.Keep) * 5 / 4
+	t := &term{
+		h: h, number: number, jobs: len(r.jobs) + len(r.fresh), kick: make(chan struct{}, 1), next: next, listed: map[string]sched.Worker{},
+		core: sched.New(limits, number, r.jobs, r.beat), seq: 1,
+	}
+	t.ctx, t.cancel = context.WithCancel(h.ctx)
+	h.mu.Lock()
+	h.leading = t
+	table := h.table
+	names := slices.Sorted(maps.Keys(h.hosts))
+	h.mu.Unlock()
+	if table != nil {
+		t.step(queuesOf(table))
+	}
+	t.step(sched.Hosts{Names: names})
+	for _, spec := range r.fresh {
+		t.step(sched.Submit{Spec: spec})
+	}
+	for _, id := range r.cancels {
+		t.step(sched.Cancel{ID: id})
+	}
+	h.wg.Go(t.servers)
+	h.wg.Go(t.poll)
+	h.wg.Go(t.ticks)
+	return t
+}
+
+// end gives up the term; nothing more is ordered under it.
+func (t *term) end(why string) {
+	t.mu.Lock()
+	over := t.over
+	t.over = true
+	t.mu.Unlock()
+	if over {
+		return
+	}
+	t.cancel()
+	t.h.mu.Lock()
+	if t.h.leading == t {
+		t.h.leading = nil
+	}
+	if t.h.lead == t.h.cfg.Name {
+		t.h.lead = ""
+	}
+	t.h.mu.Unlock()
+	t.h.log.Info("lead: term ends.", "term", t.number, "why", why)
+}
+
+// step feeds the core and carries out what it says.
+func (t *term) step(ev sched.Event) {
+	t.mu.Lock()
+	if t.over {
+		t.mu.Unlock()
+		return
+	}
+	acts := t.core.Step(t.h.now(), ev)
+	var changes []sched.Change
+	seq := t.seq
+	for _, a := range acts {
+		if a, ok := a.(sched.Append); ok {
+			changes = a.Changes
+			t.seq++
+		}
+	}
+	t.mu.Unlock()
+	if changes != nil {
+		t.h.wg.Go(func() { t.append(seq, changes) })
+	}
+	for _, a := range acts {
+		t.carry(a)
+	}
+	select {
+	case t.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (t *term) carry(a sched.Action) {
+	switch a := a.(type) {
+	case sched.Append:
+	case sched.Hold:
+		t.h.wg.Go(func() { t.hold(a) })
+	case sched.Start:
+		t.h.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(t.ctx, orderWait)
+			defer cancel()
+			got := t.h.workers.Start(ctx, a)
+			t.h.count("start." + got.String())
+			t.step(sched.Started{Task: a.Task, Run: a.Run, Worker: a.To.Life, Outcome: got})
+		})
+	case sched.Stop:
+		t.h.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(t.ctx, orderWait)
+			defer cancel()
+			got := t.h.workers.Stop(ctx, a)
+			t.h.count("stop." + got.String())
+			t.step(sched.Stopped{Task: a.Task, Run: a.Run, Worker: a.To.Life, Outcome: got})
+		})
+	case sched.Pace:
+		t.h.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(t.ctx, orderWait)
+			defer cancel()
+			t.h.count("pace." + t.h.workers.Pace(ctx, a).String())
+		})
+	case sched.Ask:
+		t.h.wg.Go(func() { t.step(t.h.ask(t.ctx, a)) })
+	case sched.Forget:
+		t.h.wg.Go(func() { t.forget(a.ID) })
+	case sched.Depose:
+		t.end("worker " + a.Worker + " obeys a later term")
+	case sched.Note:
+		t.h.log.Info("sched: "+a.What+".", "id", a.ID, "worker", a.Worker, "run", a.Run, "term", t.number, "detail", a.Detail)
+	}
+}
+
+func (t *term) hold(a sched.Hold) {
+	ctx, cancel := context.WithTimeout(t.ctx, a.Wait+orderWait)
+	defer cancel()
+	sent := t.h.now()
+	got := t.h.workers.Hold(ctx, a)
+	got.Sent, got.Received = sent, t.h.now()
+	t.step(got)
+}
+
+// append stores changes under the term's fence. It is repeated under the same
+// number until it is answered: the store carries a number out once.
+func (t *term) append(seq int64, changes []sched.Change) {
+	c := store.Call{Op: store.Append, Topic: stateTopic, Keyed: true, Epoch: t.number, Seq: seq}
+	for _, ch := range changes {
+		c.Records = append(c.Records, store.Record{Key: ch.Key, Value: ch.Value})
+	}
+	for t.ctx.Err() == nil {
+		_, err := t.h.store.Do(t.ctx, c)
+		var refused *store.RefusedError
+		var unsure *store.UnansweredError
+		switch {
+		case err == nil:
+			t.step(sched.Appended{})
+			return
+		case errors.As(err, &refused), errors.As(err, &unsure):
+			wait(t.ctx, appendAgain)
+		default:
+			t.end("append: " + err.Error())
+			return
+		}
+	}
+}
+
+// forget drops an ended job from the store.
+func (t *term) forget(id string) {
+	drop := func(topic string, keys ...string) {
+		c := store.Call{Op: store.Append, Topic: topic, Keyed: true}
+		for _, k := range keys {
+			c.Records = append(c.Records, store.Record{Key: k})
+		}
+		if _, err := t.h.store.Do(t.ctx, c); err != nil {
+			t.h.log.Warn("lead: ended job is not dropped.", "id", id, "err", err)
+		}
+	}
+	drop(jobsTopic, id, id+cancelMark)
+}
+
+// ticks steps the core when it is due, and gives up a term that the store does
+// not serve: a successor may have begun by then, which counts on it.
+func (t *term) ticks() {
+	for t.ctx.Err() == nil {
+		t.mu.Lock()
+		due := t.core.Due()
+		t.mu.Unlock()
+		timer := time.NewTimer(max(due.Sub(t.h.now()), time.Millisecond))
+		select {
+		case <-t.ctx.Done():
+		case <-t.kick:
+			timer.Stop()
+			continue
+		case <-timer.C:
+		}
+		if t.h.now().Sub(t.h.store.Good()) > sched.GiveUp {
+			t.end("the store does not answer")
+			return
+		}
+		t.step(sched.Tick{})
+	}
+}
+
+// take takes what callers asked for, as it is stored from offset first on. What
+// was taken before is known to the core by its id.
+func (t *term) take(first int64, records []store.Record) {
+	t.mu.Lock()
+	if first <= t.next {
+		t.next = max(t.next, first+int64(len(records)))
+	} else {
+		t.gap = true
+	}
+	t.mu.Unlock()
+	for _, r := range records {
+		t.takeOne(r)
+	}
+}
+
+func (t *term) takeOne(r store.Record) {
+	if id, ok := strings.CutSuffix(r.Key, cancelMark); ok {
+		if len(r.Value) > 0 {
+			t.step(sched.Cancel{ID: id})
+		}
+		return
+	}
+	if len(r.Value) == 0 {
+		return
+	}
+	var spec flow.Spec
+	if err := json.Unmarshal(r.Value, &spec); err != nil {
+		t.h.log.Error("lead: job cannot be read.", "id", r.Key, "err", err)
+		return
+	}
+	t.step(sched.Submit{Spec: spec})
+}
+
+// poll reads what no host told of.
+func (t *term) poll() {
+	for wait(t.ctx, pollEvery) {
+		t.mu.Lock()
+		from := t.next
+		t.mu.Unlock()
+		a, err := t.h.store.Do(t.ctx, store.Call{Op: store.Read, Topic: jobsTopic, From: from})
+		var trimmed *store.TrimmedError
+		switch {
+		case errors.As(err, &trimmed):
+			t.reread()
+			continue
+		case err != nil:
+			continue
+		}
+		if len(a.Records) > 0 {
+			t.take(from, a.Records)
+		}
+	}
+}
+
+// reread takes all jobs again after old records were deleted.
+func (t *term) reread() {
+	all, from, err := store.Table(t.ctx, t.h.store, jobsTopic)
+	if err != nil {
+		t.h.log.Warn("lead: jobs cannot be read.", "err", err)
+		return
+	}
+	for _, r := range all {
+		t.takeOne(r)
+	}
+	t.mu.Lock()
+	t.next = max(t.next, from)
+	t.mu.Unlock()
+}
+
+// servers follows the workers' entries.
+func (t *term) servers() {
+	for t.ctx.Err() == nil {
+		all, from, err := store.Table(t.ctx, t.h.store, platform.ServersTopic)
+		if err != nil {
+			wait(t.ctx, followRetry)
+			continue
+		}
+		clear(t.listed)
+		t.entries(all)
+		t.serversFrom(from)
+	}
+}
+
+func (t *term) serversFrom(from int64) {
+	for wait(t.ctx, serversEvery) {
+		a, err := t.h.store.Do(t.ctx, store.Call{Op: store.Read, Topic: platform.ServersTopic, From: from})
+		var trimmed *store.TrimmedError
+		switch {
+		case errors.As(err, &trimmed):
+			return
+		case err != nil:
+			continue
+		}
+		from += int64(len(a.Records))
+		if len(a.Records) > 0 {
+			t.entries(a.Records)
+		}
+	}
+}
+
+// entries applies changed entries. One that cannot be read names no worker.
+func (t *term) entries(all []store.Record) {
+	for _, r := range all {
+		if len(r.Value) == 0 {
+			delete(t.listed, r.Key)
+			continue
+		}
+		w, err := platform.ParseWorker(r.Key, r.Value)
+		if err != nil {
+			delete(t.listed, r.Key)
+			t.h.log.Info("servers: entry passed over.", "offset", r.Offset, "err", err)
+			continue
+		}
+		t.listed[r.Key] = w
+	}
+	ev := sched.Workers{}
+	for _, id := range slices.Sorted(maps.Keys(t.listed)) {
+		ev.All = append(ev.All, t.listed[id])
+	}
+	t.step(ev)
+}
+
+func (t *term) state(id string) (flow.State, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.State(id)
+}
+
+func (t *term) pending() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.Pending()
+}
--- /dev/null
+++ b/internal/flow/record.go
@@ -0,0 +1,129 @@
+package flow
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// record is what must survive of a job beside its spec: which tasks are done,
+// where a run may be, and how far it got.
+type record struct {
+	State  State         `json:"s"`
+	Began  int64         `json:"b"`
+	Number int64         `json:"n"`
+	Next   int           `json:"x,omitempty"`
+	Rounds []roundRecord `json:"r,omitempty"`
+	Ended  int64         `json:"e,omitempty"`
+}
+
+type roundRecord struct {
+	Index int            `json:"i,omitempty"`
+	Steps [][]taskRecord `json:"s"`
+}
+
+// taskRecord leaves out tasks that never ran.
+type taskRecord struct {
+	Index  int    `json:"i"`
+	Done   bool   `json:"d,omitempty"`
+	Run    int    `json:"r,omitempty"`
+	Worker string `json:"w,omitempty"`
+	Fails  int    `json:"f,omitempty"`
+	Saved  string `json:"c,omitempty"`
+}
+
+// RecordError tells that a stored record cannot be read.
+type RecordError struct {
+	Key   string
+	Cause error
+}
+
+func (e *RecordError) Error() string {
+	return "record of " + e.Key + " cannot be read: " + e.Cause.Error()
+}
+
+// Unwrap returns the decoder's error.
+func (e *RecordError) Unwrap() error { return e.Cause }
+
+// Record encodes the job's progress.
+func (j *Job) Record() []byte {
+	rec := record{State: j.State, Began: j.Began.UnixMilli(), Number: j.Number, Next: j.Next}
+	if j.State.Final() {
+		rec.Ended = j.Ended.UnixMilli()
+	}
+	for _, n := range slices.Sorted(maps.Keys(j.Rounds)) {
+		rr := roundRecord{Index: n}
+		for _, s := range j.Rounds[n].Stages {
+			rr.Steps = append(rr.Steps, s.records())
+		}
+		rec.Rounds = append(rec.Rounds, rr)
+	}
+	// Only plain values: this cannot fail.
+	b, _ := json.Marshal(rec)
+	return b
+}
+
+func (s *Stage) records() []taskRecord {
+	var all []taskRecord
+	for i, t := range s.Tasks {
+		if t.Run == 0 && t.State != Done {
+			continue
+		}
+		tr := taskRecord{Index: i, Done: t.State == Done, Run: t.Run, Fails: t.Fails}
+		if t.State != Done {
+			tr.Saved = t.Saved
+		}
+		if t.Out() {
+			tr.Worker = t.Worker
+		}
+		all = append(all, tr)
+	}
+	return all
+}
+
+// Restore brings a job back from its spec and its record. A task whose run may
+// be at a worker is Inherited until that worker was read.
+func Restore(spec Spec, b []byte, now time.Time) (*Job, error) {
+	var rec record
+	if err := json.Unmarshal(b, &rec); err != nil {
+		return nil, &RecordError{Key: spec.ID, Cause: errors.Wrap(err, "decode")}
+	}
+	j := New(spec, rec.Number, time.UnixMilli(rec.Began))
+	j.Next = rec.Next
+	for _, rr := range rec.Rounds {
+		j.open(rr.Index, now).restore(rr, now)
+	}
+	j.State, j.Shown = rec.State, rec.State
+	if rec.State.Final() {
+		j.Ended = time.UnixMilli(rec.Ended)
+	}
+	return j, nil
+}
+
+func (r *Round) restore(rr roundRecord, now time.Time) {
+	for i, all := range rr.Steps {
+		if i >= len(r.Stages) {
+			return
+		}
+		for _, tr := range all {
+			if tr.Index < len(r.Stages[i].Tasks) {
+				r.Stages[i].Tasks[tr.Index].restore(tr, now)
+			}
+		}
+	}
+}
+
+func (t *Task) restore(tr taskRecord, now time.Time) {
+	t.Run, t.Fails, t.Saved = tr.Run, tr.Fails, tr.Saved
+	switch {
+	case tr.Done:
+		t.State = Done
+		t.Step.Done++
+	case tr.Worker != "":
+		t.Worker = tr.Worker
+		t.Move(adopt, now)
+	}
+}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -10,6 +10,7 @@
 	"pollencroft/internal/ledger"
 	"pollencroft/internal/member"
 	"pollencroft/internal/share"
+	"pollencroft/internal/store"
 	"pollencroft/internal/trail"
 )
 
@@ -155,3 +156,67 @@
 func UnsureJob(code int, id, reason string) JobReply {
 	return JobReply{Status: job.Status{ID: id}, Code: code, Outcome: cell.Unknown, Reason: reason}
 }
+
+// Hand tells the lead of jobs and cancellations that are stored from offset
+// First on; it has no answer.
+type Hand struct {
+	First   int64
+	Records []store.Record
+}
+
+// AskState asks the lead for a job's state; the answer is a StateReply.
+type AskState struct{ ID string }
+
+// StateReply tells a job's state. With Lead false the answering host does not
+// lead and knows nothing.
+type StateReply struct {
+	Lead, Known bool
+	State       string
+}
+
+// Sync asks the lead for what every host tells callers; the answer is a
+// SyncReply.
+type Sync struct{ From string }
+
+// SyncReply is what every host tells callers: how many jobs of each queue wait,
+// and which hosts there are.
+type SyncReply struct {
+	Lead    bool
+	Term    int64
+	Pending map[string]int
+	Hosts   map[string]string
+}
+
+// Advise asks a host to ask the policy service; the answer is an AdviseReply.
+type Advise struct {
+	Step    string
+	Workers []string
+	Within  cell.Duration
+}
+
+// AdviseReply holds a ticket for each worker that may run the step.
+type AdviseReply struct{ Good map[string]string }
+
+// StoreCall asks a host to make a call to the store that does not serve the
+// sender; the answer is a StoreReply.
+type StoreCall struct{ Call store.Call }
+
+// StoreReply is the store's answer; with Failure set, its refusal.
+type StoreReply struct {
+	Answer  store.Answer
+	Failure string `json:",omitempty"`
+	Reason  string `json:",omitempty"`
+	// Number is what the failure tells: an offset or an epoch.
+	Number int64 `json:",omitempty"`
+}
+
+// Succeed asks a host to take over from the sender, who leaves; it has no
+// answer.
+type Succeed struct{ Term int64 }
+
+func (Hand) method() string      { return "hand" }
+func (AskState) method() string  { return "state" }
+func (Sync) method() string      { return "sync" }
+func (Advise) method() string    { return "advise" }
+func (StoreCall) method() string { return "store" }
+func (Succeed) method() string   { return "succeed" }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -44,6 +44,12 @@
 	Slots{},
 	Records{},
 	Listed{},
+	Hand{},
+	AskState{},
+	Sync{},
+	Advise{},
+	StoreCall{},
+	Succeed{},
 }
 
 var types = func() map[string]reflect.Type {
@@ -176,6 +182,23 @@
 	return &Clients{addrs: addrs, conns: map[lane]*link{}, dial: dialTCP}
 }
 
+// Set says where a peer is reached from now on. A host that comes back at
+// another address keeps its name.
+func (c *Clients) Set(name string, addr netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.addrs[name] == addr {
+		return
+	}
+	c.addrs[name] = addr
+	for at, conn := range c.conns {
+		if at.name == name {
+			conn.close()
+			delete(c.conns, at)
+		}
+	}
+}
+
 // Through sets how connections are made. It must be called before the first
 // message.
 func (c *Clients) Through(d func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)) {
--- /dev/null
+++ b/internal/sched/advice.go
@@ -0,0 +1,298 @@
+package sched
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"pollencroft/internal/flow"
+)
+
+// advice is what the policy service said of one step.
+type advice struct {
+	// good holds the ticket of each worker that may run the step; a ticket that
+	// ran out still tells that the worker may. bad are those that may not, ever.
+	good map[string]ticket
+	bad  map[string]bool
+	// asked is when the question under way was sent, to host, about named.
+	asked time.Time
+	host  string
+	named []string
+	gives time.Time
+	again time.Time
+	valid time.Duration
+	queue string
+}
+
+type ticket struct {
+	text  string
+	until time.Time
+}
+
+// host is an entry host that can ask the policy service, which takes one
+// question of each host at a time.
+type host struct {
+	// busy is until when the questions that it was given take; long tells of one
+	// for a queue that is not the most urgent.
+	busy time.Time
+	long bool
+	// bad is until when it is not asked because a question failed there.
+	bad time.Time
+}
+
+const (
+	// margin is how long before a ticket runs out it is used no more: a start
+	// has to be stored and sent in that time.
+	margin = 250 * time.Millisecond
+	// overdue is how long after its expected time a question is given up.
+	overdue = 1500 * time.Millisecond
+	// mostNamed is how many workers one question may name.
+	mostNamed = 100
+	// spare is by how much more workers are named than the tasks need by the
+	// measured share of good ones.
+	spare = 1.3
+	// firstRate is the share of good workers before any was measured, and
+	// rateWeight the weight of a new measurement.
+	firstRate  = 0.5
+	rateWeight = 0.1
+	// urgentHosts is the share of the hosts that is kept free of long questions.
+	urgentHosts = 0.4
+	// restAfter is how long a host whose question failed gets none.
+	restAfter = time.Second
+)
+
+func (s *Sched) setHosts(ev Hosts) {
+	for _, n := range ev.Names {
+		if _, ok := s.hosts[n]; !ok {
+			s.hosts[n] = &host{}
+		}
+	}
+	for n := range s.hosts {
+		if !slices.Contains(ev.Names, n) {
+			delete(s.hosts, n)
+		}
+	}
+}
+
+// ticket returns the ticket with which a task may start on a worker; false if
+// there is none that holds. Queues without advice need none.
+func (s *Sched) ticket(t *flow.Task, w *worker) (string, bool) {
+	if s.queue(t.Job).Advice == nil {
+		return "", true
+	}
+	a, ok := s.advice[t.Step]
+	if !ok {
+		return "", false
+	}
+	got, ok := a.good[w.Life]
+	if !ok || !s.now.Before(got.until) {
+		return "", false
+	}
+	return got.text, true
+}
+
+func (s *Sched) dropTicket(t *flow.Task, w *worker) {
+	if a, ok := s.advice[t.Step]; ok {
+		if got, ok := a.good[w.Life]; ok {
+			got.until = time.Time{}
+			a.good[w.Life] = got
+		}
+	}
+}
+
+// consider asks the policy service about a step of which n tasks wait.
+func (s *Sched) consider(r ready, p *pool, n int) {
+	a, ok := s.advice[r.stage]
+	if !ok {
+		a = &advice{good: map[string]ticket{}, bad: map[string]bool{}}
+		s.advice[r.stage] = a
+	}
+	if !a.asked.IsZero() || s.now.Before(a.again) {
+		return
+	}
+	named := s.worthNaming(r, a, p, n)
+	if len(named) == 0 {
+		return
+	}
+	cost := r.queue.Advice.Cost(len(named))
+	name := s.askable(r.queue, cost)
+	if name == "" {
+		return
+	}
+	h := s.hosts[name]
+	if h.busy.Before(s.now) {
+		h.busy = s.now
+	}
+	h.busy = h.busy.Add(cost)
+	h.long = s.long(r.queue)
+	a.asked, a.host, a.named, a.gives = s.now, name, named, h.busy.Add(overdue)
+	a.valid, a.queue = r.queue.Advice.Valid, r.queue.Name
+	s.do(Ask{Host: name, Step: r.stage.Tasks[0].Name.StepName(), Workers: named, Within: a.gives.Sub(s.now)})
+}
+
+// worthNaming lists workers that have room for the step and may be allowed, the
+// best first, and as many as the tasks need.
+func (s *Sched) worthNaming(r ready, a *advice, p *pool, n int) []string {
+	type candidate struct {
+		life  string
+		tasks int
+		known bool
+		cost  float64
+	}
+	var all []candidate
+	for _, w := range p.workers {
+		if a.bad[w.Life] || !s.fits(r, r.tasks[0], w) {
+			continue
+		}
+		got, known := a.good[w.Life]
+		if known && s.now.Before(got.until) {
+			// It has a ticket and was passed over for another reason.
+			continue
+		}
+		all = append(all, candidate{life: w.Life, tasks: r.hold(w), known: known, cost: s.cost(r, w)})
+	}
+	slices.SortFunc(all, func(a, b candidate) int {
+		switch {
+		case a.known != b.known && a.known:
+			return -1
+		case a.known != b.known:
+			return 1
+		case a.cost < b.cost:
+			return -1
+		case a.cost > b.cost:
+			return 1
+		default:
+			return 0
+		}
+	})
+	rate, ok := s.rates[r.queue.Name]
+	if !ok {
+		rate = firstRate
+	}
+	want := float64(n) * spare
+	var named []string
+	for _, c := range all {
+		if want <= 0 || len(named) == mostNamed {
+			break
+		}
+		named = append(named, c.life)
+		if c.known {
+			want -= float64(c.tasks)
+			continue
+		}
+		want -= rate * float64(c.tasks)
+	}
+	return named
+}
+
+// hold is how many of the step's tasks a worker has room for.
+func (r ready) hold(w *worker) int {
+	st := r.stage.Spec
+	free, room := w.free(), st.Room()
+	n := int64(len(r.tasks))
+	if room.CPU > 0 {
+		n = min(n, free.CPU/room.CPU)
+	}
+	if room.Mem > 0 {
+		n = min(n, free.Mem/room.Mem)
+	}
+	if st.Apart > 0 {
+		n = min(n, int64(st.Apart-w.count(r.stage)))
+	}
+	return int(max(n, 1))
+}
+
+// long tells whether a queue is not among the most urgent ones.
+func (s *Sched) long(q flow.Queue) bool {
+	for _, other := range s.queues {
+		if other.Rank < q.Rank {
+			return true
+		}
+	}
+	return false
+}
+
+// askable chooses the host for a question; none if all would keep it waiting.
+// Long questions go to idle hosts only, and never to all: an urgent one would
+// wait behind them at every host.
+func (s *Sched) askable(q flow.Queue, cost time.Duration) string {
+	long := s.long(q)
+	busy := 0
+	best := ""
+	for n, h := range s.hosts {
+		if h.long && h.busy.After(s.now) {
+			busy++
+		}
+		if s.now.Before(h.bad) || long && h.busy.After(s.now) {
+			continue
+		}
+		if best == "" || h.busy.Before(s.hosts[best].busy) || h.busy.Equal(s.hosts[best].busy) && n < best {
+			best = n
+		}
+	}
+	most := max(len(s.hosts)-int(math.Ceil(urgentHosts*float64(len(s.hosts)))), 1)
+	if long && busy >= most {
+		return ""
+	}
+	return best
+}
+
+func (s *Sched) advised(ev Advised) {
+	for st, a := range s.advice {
+		if a.asked.IsZero() || a.host != ev.Host || st.Tasks[0].Name.StepName() != ev.Step {
+			continue
+		}
+		s.answer(a, ev)
+	}
+	if h, ok := s.hosts[ev.Host]; ok {
+		if ev.Failed {
+			h.bad = s.now.Add(restAfter)
+		}
+	}
+}
+
+func (s *Sched) answer(a *advice, ev Advised) {
+	a.asked = time.Time{}
+	if ev.Failed {
+		s.do(Note{ID: ev.Step, What: "advice failed", Detail: ev.Host})
+		return
+	}
+	fresh, good := 0, 0
+	for _, life := range a.named {
+		text, ok := ev.Good[life]
+		_, known := a.good[life]
+		if !known {
+			fresh++
+		}
+		switch {
+		case ok:
+			a.good[life] = ticket{text: text, until: s.now.Add(a.valid - margin)}
+			if !known {
+				good++
+			}
+		default:
+			a.bad[life] = true
+		}
+	}
+	if fresh > 0 {
+		rate, ok := s.rates[a.queue]
+		if !ok {
+			rate = firstRate
+		}
+		s.rates[a.queue] = max(rate+rateWeight*(float64(good)/float64(fresh)-rate), 0.05)
+	}
+	s.do(Note{ID: ev.Step, What: "advice", Detail: ev.Host})
+}
+
+// watchAdvice gives up questions that took too long.
+func (s *Sched) watchAdvice() {
+	for st, a := range s.advice {
+		if !a.asked.IsZero() && s.now.After(a.gives) {
+			a.asked = time.Time{}
+			if h, ok := s.hosts[a.host]; ok {
+				h.bad = s.now.Add(restAfter)
+			}
+			s.do(Note{ID: st.Tasks[0].Name.StepName(), What: "advice took too long", Detail: a.host})
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/gang.go
@@ -0,0 +1,98 @@
+package sched
+
+import (
+	"slices"
+
+	"pollencroft/internal/cell"
+	"pollencroft/internal/flow"
+)
+
+// fillGang places all tasks of a step or none. A gang of which a part started
+// would wait for the rest with its room taken, and end alone.
+func (s *Sched) fillGang(r ready, p *pool, keep int64) {
+	tasks := r.stage.Tasks
+	if len(r.tasks) < len(tasks) {
+		// Members of the last run are still on their way out.
+		return
+	}
+	need := r.stage.Spec.Room().CPU * int64(len(tasks))
+	if need > p.free-keep {
+		p.free -= need
+		return
+	}
+	put := s.gangRoom(r, p.workers)
+	if put == nil {
+		if r.queue.Advice != nil {
+			s.consider(r, p, len(tasks))
+		}
+		p.free -= need
+		return
+	}
+	run, saved := 0, ""
+	for _, t := range tasks {
+		run, saved = max(run, t.Run), max(saved, t.Saved)
+	}
+	for i, t := range tasks {
+		// One member's checkpoint is every member's.
+		t.Saved = saved
+		s.assign(t, put[i], run+1)
+	}
+}
+
+// gangRoom finds a worker for each member; nil if there is not room for all.
+func (s *Sched) gangRoom(r ready, workers []*worker) []*worker {
+	if r.stage.Spec.SameRack {
+		racks := map[string][]*worker{}
+		for _, w := range workers {
+			racks[w.Rack] = append(racks[w.Rack], w)
+		}
+		for _, in := range racks {
+			if put := s.gangOn(r, in); put != nil {
+				return put
+			}
+		}
+	}
+	return s.gangOn(r, workers)
+}
+
+func (s *Sched) gangOn(r ready, workers []*worker) []*worker {
+	st := r.stage.Spec
+	room := make(map[*worker]cell.Size, len(workers))
+	count := map[*worker]int{}
+	var able []*worker
+	for _, w := range workers {
+		if _, ok := s.ticket(r.tasks[0], w); ok && s.fits(r, r.tasks[0], w) {
+			able = append(able, w)
+			room[w] = w.free()
+		}
+	}
+	slices.SortFunc(able, func(a, b *worker) int { return int(room[b].CPU - room[a].CPU) })
+	put := make([]*worker, 0, len(r.stage.Tasks))
+	for range r.stage.Tasks {
+		i := slices.IndexFunc(able, func(w *worker) bool {
+			return st.Room().Fits(room[w]) && (st.Apart == 0 || w.count(r.stage)+count[w] < st.Apart)
+		})
+		if i < 0 {
+			return nil
+		}
+		w := able[i]
+		room[w] = room[w].Sub(st.Room())
+		count[w]++
+		put = append(put, w)
+	}
+	return put
+}
+
+// breakGang stops what is left of a gang's run after one member has ended. The
+// next run needs all members anew.
+func (s *Sched) breakGang(gone *flow.Task) {
+	for _, m := range gone.Step.Tasks {
+		switch m.State {
+		case flow.Assigned:
+			s.leave(m)
+			m.Move(flow.Gone, s.now)
+		case flow.Starting, flow.Running, flow.Inherited:
+			s.stop(m, "its gang is broken")
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/health.go
@@ -0,0 +1,60 @@
+package sched
+
+import (
+	"time"
+
+	"pollencroft/internal/flow"
+)
+
+// Bounds of the judgement of workers. A worker that fails all that it starts
+// always has room, and would swallow the queue and use up every task's tries.
+const (
+	// doubtful is how many failures of different jobs without one good end
+	// between them make a worker suspect: at the highest share of failures that
+	// the users' queues have by themselves, 0.1, three in a row come by chance
+	// once in a thousand.
+	doubtful = 3
+	// firstRest and longestRest bound how long a suspect gets no work before its
+	// next trial; each failed trial doubles it.
+	firstRest   = 3 * time.Second
+	longestRest = 12 * time.Second
+)
+
+// health is what the ends of its tasks say of a worker.
+type health struct {
+	fails   int
+	lastJob string
+	rest    time.Duration
+	until   time.Time
+}
+
+func (h *health) good() { *h = health{} }
+
+// open tells whether the worker may get work; a suspect that has rested gets
+// one task at a time.
+func (h *health) open(now time.Time, running int) bool {
+	if h.rest == 0 {
+		return true
+	}
+	return !now.Before(h.until) && running == 0
+}
+
+func (h *health) bad(job string, now time.Time) bool {
+	if h.lastJob != job {
+		h.fails++
+	}
+	h.lastJob = job
+	if h.fails < doubtful {
+		return false
+	}
+	h.rest = min(max(2*h.rest, firstRest), longestRest)
+	h.until = now.Add(h.rest)
+	return true
+}
+
+// blame counts a run that failed or stood still against its worker.
+func (s *Sched) blame(w *worker, t *flow.Task) {
+	if w.health.bad(t.Job.Spec.ID, s.now) {
+		s.do(Note{ID: w.Life, What: "worker is set aside", Worker: w.Life, Detail: w.health.rest.String()})
+	}
+}
--- /dev/null
+++ b/internal/sched/jobs.go
@@ -0,0 +1,163 @@
+package sched
+
+import (
+	"time"
+
+	"pollencroft/internal/flow"
+)
+
+func (s *Sched) submit(spec flow.Spec) {
+	if _, ok := s.jobs[spec.ID]; ok {
+		return
+	}
+	s.number++
+	j := flow.New(spec, s.number, s.now)
+	s.jobs[spec.ID], s.open[spec.ID] = j, j
+	j.Begin(s.now)
+	s.touch(j)
+	s.do(Note{ID: spec.ID, What: "queued", Detail: spec.Queue.Name})
+}
+
+func (s *Sched) cancel(id string) {
+	j, ok := s.jobs[id]
+	if !ok || j.State.Final() {
+		return
+	}
+	s.do(Note{ID: id, What: "cancelled by its caller"})
+	s.end(j, flow.Cancelled)
+}
+
+// end brings a job to a final state and stops what is left of it.
+func (s *Sched) end(j *flow.Job, state flow.State) {
+	j.End(state, s.now)
+	s.touch(j)
+	j.Tasks(func(t *flow.Task) {
+		switch t.State {
+		case flow.Waiting, flow.Assigned:
+			s.leave(t)
+			t.Move(flow.Drop, s.now)
+		case flow.Starting, flow.Running, flow.Inherited:
+			s.stop(t, "job is "+string(state))
+		}
+	})
+	s.settle(j)
+}
+
+// settle closes what is over of a job.
+func (s *Sched) settle(j *flow.Job) {
+	if j.State.Final() {
+		out := false
+		j.Tasks(func(t *flow.Task) { out = out || t.Out() })
+		if !out {
+			s.close(j)
+		}
+		return
+	}
+	j.Settle(s.now)
+	if j.State.Final() {
+		s.close(j)
+	}
+}
+
+// close lets go of the tasks of a job that is over.
+func (s *Sched) close(j *flow.Job) {
+	for _, r := range j.Rounds {
+		for _, st := range r.Stages {
+			delete(s.advice, st)
+		}
+	}
+	clear(j.Rounds)
+	delete(s.open, j.Spec.ID)
+	s.touch(j)
+}
+
+// leave takes a task off its worker.
+func (s *Sched) leave(t *flow.Task) {
+	if w, ok := s.workers[t.Worker]; ok {
+		w.drop(t)
+	}
+	delete(s.stops, runKey{t.Name, t.Run})
+	t.Worker = ""
+}
+
+// gone puts back a task whose run certainly is not at its worker any more and
+// did not end as done.
+func (s *Sched) gone(t *flow.Task, why string) {
+	if t.State == flow.Waiting || !t.Out() {
+		return
+	}
+	s.note(t, "gone", why)
+	s.leave(t)
+	s.touch(t.Job)
+	if t.Job.State.Final() {
+		t.Move(flow.Drop, s.now)
+		s.settle(t.Job)
+		return
+	}
+	t.Move(flow.Gone, s.now)
+	if t.Spec().Gang {
+		s.breakGang(t)
+	}
+}
+
+// done takes a task's end as done.
+func (s *Sched) done(t *flow.Task) {
+	s.note(t, "done", "")
+	s.leave(t)
+	if !t.Move(flow.Finish, s.now) {
+		return
+	}
+	t.Step.Done++
+	s.touch(t.Job)
+	if t.Job.State.Final() {
+		s.settle(t.Job)
+		return
+	}
+	if t.Step.Over() {
+		delete(s.advice, t.Step)
+	}
+	s.settle(t.Job)
+}
+
+// failed counts a failed run and gives the job up after too many.
+func (s *Sched) failed(t *flow.Task) {
+	t.Fails++
+	t.Avoid = t.Worker
+	j := t.Job
+	most := s.queue(j).Attempts
+	s.gone(t, "failed")
+	if j.State.Final() || t.Spec().Lasts || t.Fails < most {
+		return
+	}
+	s.do(Note{ID: j.Spec.ID, What: "failed for good", Detail: t.Name.String()})
+	s.end(j, flow.Failed)
+}
+
+// hungAfter bounds how long a run may go without any progress, in terms of its
+// estimate: the progress of a sound one moves by a hundredth of that.
+func hungAfter(estimate time.Duration) time.Duration {
+	return max(hungLeast, estimate)
+}
+
+// hungLeast is more than one hold waits: progress is only read with an answer.
+const hungLeast = 4500 * time.Millisecond
+
+// watchTasks stops runs that stand still.
+func (s *Sched) watchTasks() {
+	for _, w := range s.workers {
+		if w.silent(s.now) || w.draining {
+			continue
+		}
+		for _, t := range w.tasks {
+			st := t.Spec()
+			if t.State != flow.Running || st.Fills || st.Lasts && t.Percent >= 100 || t.Pace < 100 {
+				continue
+			}
+			if s.now.Sub(t.Moved) > hungAfter(st.Time) {
+				s.blame(w, t)
+				t.Avoid = w.Life
+				s.stop(t, "stands still")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/limits.go
@@ -0,0 +1,57 @@
+package sched
+
+import "time"
+
+// Limits are the bounds that the platform sets and the policy that is not in
+// the table.
+type Limits struct {
+	// Lease is how long runs go on without a word from the lead. The longer, the
+	// more work lives through a cut; the later a silent worker's work may begin
+	// elsewhere.
+	Lease time.Duration
+	// StopGrace is how long a run may take to stop.
+	StopGrace time.Duration
+	// Keep is how long an ended job's state is told.
+	Keep time.Duration
+	// Gather is the least time between two appends: the store counts calls, and
+	// what is decided within this time is stored at once.
+	Gather time.Duration
+	// Wait is how long a hold waits for an end.
+	Wait time.Duration
+}
+
+// DefaultLimits suit the platform's longest lease of 10 s and its waits of 2 s.
+var DefaultLimits = Limits{
+	Lease:     9500 * time.Millisecond,
+	StopGrace: time.Second,
+	Keep:      150 * time.Second,
+	Gather:    20 * time.Millisecond,
+	Wait:      1900 * time.Millisecond,
+}
+
+const (
+	// drift is by how much a worker's clock may run slow, as the platform bounds
+	// it: a lease lasts longer by this much.
+	drift = 0.02
+	// startLease is how long a start may be on its way: a delayed one is dead on
+	// arrival soon, and a hold renews what began.
+	startLease = 4 * time.Second
+	// silentAfter is how long a worker may leave calls without an answer before it
+	// gets no more work: two tries.
+	silentAfter = 700 * time.Millisecond
+	// retryAfter is the pause after an order without an answer.
+	retryAfter = 250 * time.Millisecond
+	// retired is how long a worker that is listed no longer is remembered after
+	// its leases have surely lapsed.
+	retired = 30 * time.Second
+	// vacant is how long leases may have gone without renewal before a successor
+	// takes a worker that lists no run for one whose leases lapsed.
+	vacant = 9500 * time.Millisecond
+	// GiveUp is how long a lead goes on holding workers after the store answered
+	// it last. By then a successor may have begun.
+	GiveUp = 8 * time.Second
+	// inheritedAfter is when a run that a former lead left at a silent worker has
+	// surely lapsed: GiveUp, one longest lease on a slow clock, and a second for
+	// what was on its way.
+	inheritedAfter = GiveUp + 10*time.Second + 10*time.Second/50 + time.Second
+)
--- /dev/null
+++ b/internal/sched/messages.go
@@ -0,0 +1,257 @@
+package sched
+
+import (
+	"net/netip"
+	"time"
+
+	"pollencroft/internal/cell"
+	"pollencroft/internal/flow"
+)
+
+// Address is where one life of a worker is reached. A worker that crashed comes
+// back as another life, which runs nothing.
+type Address struct {
+	Life string
+	Addr netip.AddrPort
+}
+
+// Worker is one worker as the platform lists it.
+type Worker struct {
+	Address
+	Service, Domain, Rack string
+	Labels                []string
+	Size                  cell.Size
+	Draining              bool
+	// Left is the least time that a draining worker still has.
+	Left time.Duration
+}
+
+// Outcome is what became of an order to a worker.
+type Outcome int
+
+// The outcomes. After all but Unanswered it is certain what the worker did.
+const (
+	// Taken means that the order was carried out, now or before.
+	Taken Outcome = iota
+	// NotTaken means that nothing was done.
+	NotTaken
+	// NoRoom means that the worker was fuller than the lead believed.
+	NoRoom
+	// BadTicket means that the policy service's ticket does not hold.
+	BadTicket
+	// Fenced means that a lead of a later term gives orders there.
+	Fenced
+	// OtherLife means that the worker has begun a new life.
+	OtherLife
+	// Unanswered means that the order may be carried out, also later.
+	Unanswered
+)
+
+var outcomeNames = [...]string{"taken", "not taken", "no room", "bad ticket", "fenced", "other life", "unanswered"}
+
+// String returns the outcome for logs.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Ending is how a run came to its end.
+type Ending int
+
+// The endings. EndBroken is a gang's member whose other member ended, EndAlone
+// one that waited too long for the others.
+const (
+	EndUnknown Ending = iota
+	EndDone
+	EndFailed
+	EndStopped
+	EndLapsed
+	EndBroken
+	EndAlone
+)
+
+var endingNames = [...]string{"unknown", "done", "failed", "stopped", "lapsed", "broken", "alone"}
+
+// String returns the ending for logs.
+func (e Ending) String() string { return endingNames[e] }
+
+// Event is what the scheduler core is told.
+type Event interface{ event() }
+
+// Queues replaces the table's queues.
+type Queues struct {
+	Version int64
+	All     []flow.Queue
+}
+
+// Workers replaces the list of workers.
+type Workers struct{ All []Worker }
+
+// Hosts replaces the entry hosts that can ask the policy service.
+type Hosts struct{ Names []string }
+
+// Submit takes a job that is stored.
+type Submit struct{ Spec flow.Spec }
+
+// Cancel stops a job; that it was asked for is stored.
+type Cancel struct{ ID string }
+
+// Appended tells that the last Append is stored.
+type Appended struct{}
+
+// Held is a worker's answer to a Hold. Sent and Received are by this host's
+// clock, Clock by the worker's.
+type Held struct {
+	Worker  string
+	Outcome Outcome
+	Look    bool
+	// Seen is the last end that the question had the worker forget.
+	Seen           int64
+	Sent, Received time.Time
+	Clock          time.Time
+	Running        []Listed
+	Ended          []End
+}
+
+// Listed is one run that a worker lists. Figure is the tail of the response
+// times in milliseconds of a task that serves, else the processors in use.
+type Listed struct {
+	Task    flow.Name
+	Run     int
+	Saved   string
+	Percent int
+	Figure  int64
+}
+
+// End is one run that ended at a worker. Number rises in each life.
+type End struct {
+	Number int64
+	Task   flow.Name
+	Run    int
+	How    Ending
+	Saved  string
+}
+
+// Started tells what became of a Start.
+type Started struct {
+	Task    flow.Name
+	Run     int
+	Worker  string
+	Outcome Outcome
+}
+
+// Stopped tells what became of a Stop.
+type Stopped struct {
+	Task    flow.Name
+	Run     int
+	Worker  string
+	Outcome Outcome
+}
+
+// Advised is the policy service's answer: a ticket for each named worker that
+// may run the step. Failed tells that there was none.
+type Advised struct {
+	Step, Host string
+	Good       map[string]string
+	Failed     bool
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Queues) event()   {}
+func (Workers) event()  {}
+func (Hosts) event()    {}
+func (Submit) event()   {}
+func (Cancel) event()   {}
+func (Appended) event() {}
+func (Held) event()     {}
+func (Started) event()  {}
+func (Stopped) event()  {}
+func (Advised) event()  {}
+func (Tick) event()     {}
+
+// Action is what the scheduler core asks its edge to do.
+type Action interface{ action() }
+
+// Change is the new progress of a job; without a value the job is forgotten.
+type Change struct {
+	Key   string
+	Value []byte
+}
+
+// Append stores changes under this term. There is never more than one under
+// way; Appended answers it. Ended are jobs that came to their end.
+type Append struct{ Changes []Change }
+
+// Hold renews the leases on a worker until Deadline in its own clock, lets it
+// forget ends up to Seen, and reads what it lists. Look asks beside another
+// hold that waits.
+type Hold struct {
+	To       Address
+	Term     int64
+	Deadline time.Time
+	Seen     int64
+	Wait     time.Duration
+	Look     bool
+}
+
+// Start asks a worker to start a run. It is dead on arrival after Deadline in
+// the worker's clock.
+type Start struct {
+	To       Address
+	Term     int64
+	Task     flow.Name
+	Run      int
+	Text     string
+	Saved    string
+	Ticket   string
+	Deadline time.Time
+}
+
+// Stop asks a worker to stop a run, or never to begin it.
+type Stop struct {
+	To   Address
+	Term int64
+	Task flow.Name
+	Run  int
+	Why  string
+}
+
+// Pace bounds the processor time of a filling run.
+type Pace struct {
+	To      Address
+	Term    int64
+	Task    flow.Name
+	Run     int
+	Percent int
+}
+
+// Ask has a host ask the policy service about a step.
+type Ask struct {
+	Host, Step string
+	Workers    []string
+	// Within is when the answer is no longer of use.
+	Within time.Duration
+}
+
+// Forget drops a job that ended long ago from where it was accepted.
+type Forget struct{ ID string }
+
+// Depose tells that a lead of a later term was seen: this one has ended.
+type Depose struct{ Worker string }
+
+// Note tells of a decision, for the log.
+type Note struct {
+	ID, What string
+	Worker   string
+	Run      int
+	Detail   string
+}
+
+func (Append) action() {}
+func (Hold) action()   {}
+func (Start) action()  {}
+func (Stop) action()   {}
+func (Pace) action()   {}
+func (Ask) action()    {}
+func (Forget) action() {}
+func (Depose) action() {}
+func (Note) action()   {}
--- /dev/null
+++ b/internal/sched/pace.go
@@ -0,0 +1,64 @@
+package sched
+
+import (
+	"time"
+
+	"pollencroft/internal/flow"
+)
+
+// Filling tasks disturb tasks that serve beside them, by amounts that nobody
+// declares and that change within seconds. One notices the tail of the response
+// times near its bound; holding the filling tasks back brings it down within
+// the platform's pacing delay, long before the bound is broken for good.
+const (
+	// near is the share of the target from which filling tasks are held back,
+	// stopAt that from which they stand still.
+	near   = 0.7
+	stopAt = 0.85
+	// calm is the share below which they may go faster again, by stepUp percent
+	// each stepEvery.
+	calm      = 0.55
+	stepUp    = 20
+	stepEvery = time.Second
+)
+
+// pacing is how much filling tasks on a worker may work, in percent.
+type pacing struct {
+	level int
+	moved time.Time
+}
+
+func newPacing() pacing { return pacing{level: 100} }
+
+// repace follows the tails that a worker lists.
+func (s *Sched) repace(w *worker, running []Listed) {
+	if w.filled == 0 {
+		return
+	}
+	worst := 0.0
+	for _, l := range running {
+		t := w.tasks[l.Task]
+		if t == nil || t.Run != l.Run || t.Spec().Target == 0 {
+			continue
+		}
+		worst = max(worst, float64(l.Figure)/float64(t.Spec().Target.Milliseconds()))
+	}
+	level := w.pace.level
+	switch {
+	case worst >= stopAt:
+		level = 0
+	case worst >= near:
+		level = min(level, level/2)
+	case worst < calm && s.now.Sub(w.pace.moved) >= stepEvery:
+		level = min(level+stepUp, 100)
+	}
+	if level != w.pace.level {
+		w.pace.level, w.pace.moved = level, s.now
+	}
+	for _, t := range w.tasks {
+		if t.Spec().Fills && t.State == flow.Running && (t.Pace != level || worst >= stopAt) {
+			t.Pace = level
+			s.do(Pace{To: w.Address, Term: s.term, Task: t.Name, Run: t.Run, Percent: level})
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/place.go
@@ -0,0 +1,251 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"pollencroft/internal/cell"
+	"pollencroft/internal/flow"
+)
+
+// reserve is the share of a service's processors that only the most urgent
+// queue may take: its tasks last about a second, so that what is kept free turns
+// over many times while a bulk task runs.
+const reserve = 0.06
+
+// ready is one step with tasks that wait.
+type ready struct {
+	stage *flow.Stage
+	job   *flow.Job
+	round *flow.Round
+	queue flow.Queue
+	tasks []*flow.Task
+}
+
+// waiting lists the steps that may run, the most urgent first.
+func (s *Sched) waiting() []ready {
+	var all []ready
+	for _, j := range s.open {
+		if j.State.Final() {
+			continue
+		}
+		q := s.queue(j)
+		for _, r := range j.Rounds {
+			for _, st := range r.Stages {
+				if st.Over() || !r.Ready(st) {
+					continue
+				}
+				if tasks := waitingOf(st); len(tasks) > 0 {
+					all = append(all, ready{stage: st, job: j, round: r, queue: q, tasks: tasks})
+				}
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b ready) int {
+		switch {
+		case a.queue.Rank != b.queue.Rank:
+			return a.queue.Rank - b.queue.Rank
+		case a.job.Number != b.job.Number:
+			return int(a.job.Number - b.job.Number)
+		case a.round.Index != b.round.Index:
+			return a.round.Index - b.round.Index
+		default:
+			return a.stage.Index - b.stage.Index
+		}
+	})
+	return all
+}
+
+func waitingOf(st *flow.Stage) []*flow.Task {
+	var tasks []*flow.Task
+	for _, t := range st.Tasks {
+		if t.State == flow.Waiting {
+			tasks = append(tasks, t)
+		}
+	}
+	return tasks
+}
+
+// pool is the room of one service in one pass.
+type pool struct {
+	workers []*worker
+	whole   int64
+	// free is what is left after all that stand before in the queue have what
+	// they wait for; it bounds what is asked of the policy service ahead.
+	free int64
+}
+
+func (s *Sched) pools() map[string]*pool {
+	all := map[string]*pool{}
+	for _, w := range s.workers {
+		if !w.usable(s.now) {
+			continue
+		}
+		p, ok := all[w.Service]
+		if !ok {
+			p = &pool{}
+			all[w.Service] = p
+		}
+		p.workers = append(p.workers, w)
+		p.whole += w.Size.CPU
+		p.free += max(w.free().CPU, 0)
+	}
+	for _, p := range all {
+		slices.SortFunc(p.workers, func(a, b *worker) int {
+			if a.Life < b.Life {
+				return -1
+			}
+			return 1
+		})
+	}
+	return all
+}
+
+// place gives room to what waits, in order, and asks the policy service about
+// steps that could start.
+func (s *Sched) place() {
+	steps := s.waiting()
+	if len(steps) == 0 {
+		return
+	}
+	pools := s.pools()
+	top := steps[0].queue.Rank
+	for _, q := range s.queues {
+		top = min(top, q.Rank)
+	}
+	for _, r := range steps {
+		p, ok := pools[r.queue.Service]
+		if !ok {
+			continue
+		}
+		keep := int64(0)
+		if r.queue.Rank > top {
+			keep = int64(reserve * float64(p.whole))
+		}
+		s.fill(r, p, keep)
+	}
+}
+
+// fill places what it can of one step.
+func (s *Sched) fill(r ready, p *pool, keep int64) {
+	if r.stage.Spec.Gang {
+		s.fillGang(r, p, keep)
+		return
+	}
+	need := r.stage.Spec.Room().CPU
+	left := r.tasks
+	for len(left) > 0 && (keep == 0 || p.room() >= keep+need) {
+		w := s.best(r, left[0], p.workers)
+		if w == nil {
+			break
+		}
+		s.assign(left[0], w, left[0].Run+1)
+		left = left[1:]
+	}
+	p.free -= int64(len(r.tasks)-len(left)) * need
+	if len(left) > 0 && r.queue.Advice != nil && p.free-keep >= need {
+		s.consider(r, p, len(left))
+	}
+	p.free -= int64(len(left)) * need
+}
+
+// room is what is free now.
+func (p *pool) room() int64 {
+	var n int64
+	for _, w := range p.workers {
+		n += max(w.free().CPU, 0)
+	}
+	return n
+}
+
+// best is the worker that a task fits best; nil if none may have it.
+func (s *Sched) best(r ready, t *flow.Task, workers []*worker) *worker {
+	var best *worker
+	var least float64
+	for _, w := range workers {
+		if !s.fits(r, t, w) {
+			continue
+		}
+		if _, ok := s.ticket(t, w); !ok {
+			continue
+		}
+		if c := s.cost(r, w); best == nil || c < least {
+			best, least = w, c
+		}
+	}
+	return best
+}
+
+// fits tells whether a worker has room for a task and may run it, tickets aside.
+func (s *Sched) fits(r ready, t *flow.Task, w *worker) bool {
+	st := r.stage.Spec
+	switch {
+	case !st.Room().Fits(w.free()):
+		return false
+	case s.now.Before(w.full) || !w.health.open(s.now, len(w.tasks)):
+		return false
+	case st.Label != "" && !slices.Contains(w.Labels, st.Label):
+		return false
+	case t.Avoid == w.Life && s.now.Sub(t.Since) < avoidFor:
+		return false
+	case st.Fills && w.filled+st.Size.CPU > max(w.free().CPU, 0):
+		return false
+	case st.Apart > 0 && w.count(r.stage) >= st.Apart:
+		return false
+	}
+	return true
+}
+
+// avoidFor is how long a task stays away from a worker that it failed on.
+const avoidFor = 5 * time.Second
+
+// count is how many tasks of a step may be on the worker.
+func (w *worker) count(st *flow.Stage) int {
+	n := 0
+	for _, t := range w.tasks {
+		if t.Step == st {
+			n++
+		}
+	}
+	return n
+}
+
+// Weights of the choice between workers that a task fits on, in shares of a
+// worker's size.
+const (
+	// farCost makes a task wait for no rack but go to the data's rack when it can.
+	farCost = 2
+	// serveCost keeps filling tasks and tasks that serve apart while there is
+	// other room.
+	serveCost = 1
+	// suspectCost prefers workers that did not fail anything lately.
+	suspectCost = 0.5
+)
+
+// cost is lower for workers that a task leaves fuller: large holes stay whole.
+func (s *Sched) cost(r ready, w *worker) float64 {
+	st := r.stage.Spec
+	left := w.free().Sub(st.Room())
+	c := left.Share(cell.Size{CPU: w.Size.CPU, Mem: w.Size.Mem, Accel: max(w.Size.Accel, 1)})
+	if st.Near != "" && w.Rack != st.Near {
+		c += farCost
+	}
+	if st.Fills && w.serves() || st.Target > 0 && w.filled > 0 {
+		c += serveCost
+	}
+	if st.Fills {
+		// Filling tasks go where most is left.
+		c -= 2 * float64(w.free().CPU-w.filled) / float64(w.Size.CPU)
+	}
+	return c + suspectCost*float64(w.health.fails)
+}
+
+// serves tells whether a task with a bound on its response times is there.
+func (w *worker) serves() bool {
+	for _, t := range w.tasks {
+		if t.Spec().Target > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/sched/sched.go
@@ -0,0 +1,290 @@
+// Package sched is the core of the lead: it decides which task runs on which
+// worker, and when. What it decides is stored before it is carried out, so that
+// the next lead knows of every run that may be at a worker, and nothing runs
+// twice.
+package sched
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"pollencroft/internal/flow"
+)
+
+// Sched is the scheduler of one term. It is not safe for concurrent use.
+type Sched struct {
+	limits  Limits
+	term    int64
+	now     time.Time
+	began   time.Time
+	acts    []Action
+	queues  map[string]flow.Queue
+	jobs    map[string]*flow.Job
+	open    map[string]*flow.Job
+	number  int64
+	workers map[string]*worker
+	hosts   map[string]*host
+	advice  map[*flow.Stage]*advice
+	rates   map[string]float64
+	stops   map[runKey]*stop
+	// dirty are jobs whose progress is not in an append yet.
+	dirty map[string]*flow.Job
+	// forgotten are jobs whose progress is to be dropped.
+	forgotten []string
+	// next is what the next append will make certain, flying what the one under
+	// way will; nil when none is.
+	next   *batch
+	flying *batch
+	// stirred tells that something changed since the last placement.
+	stirred bool
+	last    time.Time
+	swept   time.Time
+	// beat is when the last lead stored anything.
+	beat time.Time
+}
+
+// batch is what may happen once an append is stored.
+type batch struct {
+	sends []runKey
+	shown []*flow.Job
+	seen  map[*worker]int64
+}
+
+func newBatch() *batch { return &batch{seen: map[*worker]int64{}} }
+
+// runKey names one run of a task.
+type runKey struct {
+	task flow.Name
+	run  int
+}
+
+// New returns the scheduler of a term that begins with these jobs. Beat is when
+// the last lead stored anything; the zero time is never.
+func New(limits Limits, term int64, jobs []*flow.Job, beat time.Time) *Sched {
+	s := &Sched{
+		limits: limits, term: term, queues: map[string]flow.Queue{}, jobs: map[string]*flow.Job{}, open: map[string]*flow.Job{},
+		workers: map[string]*worker{}, hosts: map[string]*host{}, advice: map[*flow.Stage]*advice{}, rates: map[string]float64{},
+		stops: map[runKey]*stop{}, dirty: map[string]*flow.Job{}, next: newBatch(), beat: beat,
+	}
+	for _, j := range jobs {
+		s.jobs[j.Spec.ID] = j
+		s.number = max(s.number, j.Number)
+		if !j.State.Final() || len(j.Rounds) > 0 {
+			s.open[j.Spec.ID] = j
+			s.adopt(j)
+		}
+	}
+	return s
+}
+
+// adopt books what a former lead's records say may run at workers. Nothing of
+// it starts again before its worker was read under this term.
+func (s *Sched) adopt(j *flow.Job) {
+	j.Tasks(func(t *flow.Task) {
+		if t.State != flow.Inherited {
+			return
+		}
+		w, ok := s.workers[t.Worker]
+		if !ok {
+			w = newWorker(Worker{Address: Address{Life: t.Worker}})
+			s.workers[t.Worker] = w
+		}
+		w.put(t)
+	})
+}
+
+// Step takes one event and returns what to do.
+func (s *Sched) Step(now time.Time, ev Event) []Action {
+	s.now, s.acts = now, nil
+	if s.began.IsZero() {
+		s.began = now
+	}
+	switch ev := ev.(type) {
+	case Queues:
+		s.setQueues(ev)
+	case Workers:
+		s.setWorkers(ev)
+	case Hosts:
+		s.setHosts(ev)
+	case Submit:
+		s.submit(ev.Spec)
+	case Cancel:
+		s.cancel(ev.ID)
+	case Appended:
+		s.appended()
+	case Held:
+		s.held(ev)
+	case Started:
+		s.started(ev)
+	case Stopped:
+		s.stopped(ev)
+	case Advised:
+		s.advised(ev)
+	case Tick:
+		s.tick()
+	}
+	s.stirred = true
+	s.flush()
+	return s.acts
+}
+
+func (s *Sched) do(a Action) { s.acts = append(s.acts, a) }
+
+func (s *Sched) note(t *flow.Task, what, detail string) {
+	s.do(Note{ID: t.Name.String(), What: what, Worker: t.Worker, Run: t.Run, Detail: detail})
+}
+
+func (s *Sched) setQueues(ev Queues) {
+	for _, q := range ev.All {
+		s.queues[q.Name] = q
+	}
+}
+
+// queue is the table's word on a job's queue, or what it was when the job was
+// accepted if the row is gone.
+func (s *Sched) queue(j *flow.Job) flow.Queue {
+	if q, ok := s.queues[j.Spec.Queue.Name]; ok {
+		return q
+	}
+	return j.Spec.Queue
+}
+
+// tickEvery is how often slow matters are looked at.
+const (
+	tickEvery = 100 * time.Millisecond
+	// idleEvery is the same while there is no job.
+	idleEvery = 500 * time.Millisecond
+)
+
+func (s *Sched) tick() {
+	if s.now.Sub(s.swept) < tickEvery {
+		return
+	}
+	s.swept = s.now
+	s.begin()
+	s.watchWorkers()
+	s.retryStops()
+	s.watchTasks()
+	s.watchAdvice()
+	s.forget()
+}
+
+// begin opens the rounds that are due.
+func (s *Sched) begin() {
+	for _, j := range s.open {
+		if len(j.Begin(s.now)) > 0 {
+			s.touch(j)
+		}
+	}
+}
+
+func (s *Sched) touch(j *flow.Job) { s.dirty[j.Spec.ID] = j }
+
+// flush places what waits and stores what changed, one append at a time.
+func (s *Sched) flush() {
+	if s.flying != nil || s.now.Sub(s.last) < s.limits.Gather {
+		return
+	}
+	s.stirred = false
+	s.place()
+	if len(s.dirty) == 0 && len(s.next.seen) == 0 && len(s.forgotten) == 0 {
+		return
+	}
+	var changes []Change
+	for _, id := range s.forgotten {
+		changes = append(changes, Change{Key: id})
+	}
+	s.forgotten = nil
+	for id, j := range s.dirty {
+		changes = append(changes, Change{Key: id, Value: j.Record()})
+		s.next.shown = append(s.next.shown, j)
+	}
+	slices.SortFunc(changes, func(a, b Change) int {
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	})
+	clear(s.dirty)
+	s.flying, s.next = s.next, newBatch()
+	s.last = s.now
+	if len(changes) == 0 {
+		s.appended()
+		return
+	}
+	changes = append(changes, Change{Key: BeatKey, Value: strconv.AppendInt(nil, s.now.UnixMilli(), 10)})
+	for _, j := range s.flying.shown {
+		j.Pending = j.State
+	}
+	s.do(Append{Changes: changes})
+}
+
+// BeatKey is the key under which the lead stores when it last stored anything.
+const BeatKey = "beat"
+
+// appended carries out what waited for the append.
+func (s *Sched) appended() {
+	b := s.flying
+	s.flying = nil
+	if b == nil {
+		return
+	}
+	for _, j := range b.shown {
+		j.Shown = j.Pending
+		if j.Shown.Final() {
+			s.do(Note{ID: j.Spec.ID, What: "ended", Detail: string(j.Shown)})
+		}
+	}
+	for w, n := range b.seen {
+		w.noted = max(w.noted, n)
+		s.keepHolding(w)
+	}
+	for _, k := range b.sends {
+		s.send(k)
+	}
+}
+
+// forget drops jobs whose end was told for long enough.
+func (s *Sched) forget() {
+	for id, j := range s.jobs {
+		if j.State.Final() && j.Shown.Final() && s.now.Sub(j.Ended) > s.limits.Keep {
+			delete(s.jobs, id)
+			delete(s.open, id)
+			s.forgotten = append(s.forgotten, id)
+			s.do(Forget{ID: id})
+		}
+	}
+}
+
+// Due is when the core wants to be stepped again at the latest.
+func (s *Sched) Due() time.Time {
+	switch {
+	case s.flying == nil && (len(s.dirty) > 0 || len(s.next.seen) > 0 || s.stirred):
+		return s.last.Add(s.limits.Gather)
+	case len(s.open) > 0:
+		return s.swept.Add(tickEvery)
+	default:
+		return s.swept.Add(idleEvery)
+	}
+}
+
+// State is what a caller is told of a job; false if it is not known.
+func (s *Sched) State(id string) (flow.State, bool) {
+	j, ok := s.jobs[id]
+	if !ok {
+		return "", false
+	}
+	return j.Shown, true
+}
+
+// Pending counts by queue the jobs of which no task has started.
+func (s *Sched) Pending() map[string]int {
+	n := map[string]int{}
+	for _, j := range s.open {
+		if j.State == flow.Queued {
+			n[j.Spec.Queue.Name]++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/sched/start.go
@@ -0,0 +1,102 @@
+package sched
+
+import (
+	"pollencroft/internal/flow"
+)
+
+// assign gives a task room on a worker and has its run stored.
+func (s *Sched) assign(t *flow.Task, w *worker, run int) {
+	t.Worker, t.Run = w.Life, run
+	t.Move(flow.Assign, s.now)
+	t.Moved, t.Percent, t.Pace = s.now, 0, 100
+	w.put(t)
+	s.next.sends = append(s.next.sends, runKey{t.Name, run})
+	s.touch(t.Job)
+}
+
+// send starts a run that is stored by now.
+func (s *Sched) send(k runKey) {
+	t := s.task(k)
+	if t == nil || t.State != flow.Assigned {
+		return
+	}
+	w, ok := s.workers[t.Worker]
+	if !ok || !w.usable(s.now) {
+		s.gone(t, "worker left before the start")
+		return
+	}
+	ticket, ok := s.ticket(t, w)
+	if !ok {
+		s.gone(t, "ticket ran out before the start")
+		return
+	}
+	t.Move(flow.Send, s.now)
+	deadline := w.clockAt(s.now).Add(startLease)
+	w.promise(deadline)
+	s.do(Start{
+		To: w.Address, Term: s.term, Task: t.Name, Run: t.Run, Text: t.Job.Spec.Text, Saved: t.Saved, Ticket: ticket, Deadline: deadline,
+	})
+	s.keepHolding(w)
+}
+
+// task returns the task of a run that is its newest; nil if it is not.
+func (s *Sched) task(k runKey) *flow.Task {
+	j, ok := s.jobs[k.task.Job]
+	if !ok {
+		return nil
+	}
+	t := j.Task(k.task)
+	if t == nil || t.Run != k.run {
+		return nil
+	}
+	return t
+}
+
+func (s *Sched) started(ev Started) {
+	t := s.task(runKey{ev.Task, ev.Run})
+	w := s.workers[ev.Worker]
+	if t == nil || w == nil || t.Worker != ev.Worker {
+		return
+	}
+	s.note(t, "start "+ev.Outcome.String(), "")
+	switch ev.Outcome {
+	case Taken:
+		s.confirm(t)
+		s.keepHolding(w)
+		return
+	case OtherLife:
+		s.died(ev.Worker)
+		return
+	case Fenced:
+		s.do(Depose{Worker: ev.Worker})
+		return
+	case Unanswered:
+		// It may begin now or seconds later. Only a stop makes sure that it
+		// does not, and the worker's list tells whether it did.
+		w.missed++
+		s.stop(t, "start without an answer")
+		return
+	case BadTicket:
+		s.dropTicket(t, w)
+	case NoRoom:
+		w.full = s.now.Add(retryAfter)
+	default:
+		w.full = s.now.Add(retryAfter)
+	}
+	if t.State == flow.Stopping {
+		return
+	}
+	s.gone(t, "start "+ev.Outcome.String())
+}
+
+// confirm takes a run as begun.
+func (s *Sched) confirm(t *flow.Task) {
+	if !t.Move(flow.Confirm, s.now) {
+		return
+	}
+	t.Moved = s.now
+	if t.Job.State == flow.Queued {
+		t.Job.State = flow.Active
+		s.touch(t.Job)
+	}
+}
--- /dev/null
+++ b/internal/sched/stop.go
@@ -0,0 +1,72 @@
+package sched
+
+import (
+	"time"
+
+	"pollencroft/internal/flow"
+)
+
+// stop is a run that must end. A worker that has answered a stop never begins
+// that run any more, so the task is free once a list that was asked for after
+// the answer does not have it.
+type stop struct {
+	task   *flow.Task
+	worker string
+	// sure is when the worker's answer came; zero while there is none.
+	sure time.Time
+	// again is when the stop is sent once more; flying while it has no answer.
+	again  time.Time
+	flying bool
+}
+
+// stop asks for the end of a task's run.
+func (s *Sched) stop(t *flow.Task, why string) {
+	if !t.Move(flow.Stop, s.now) {
+		return
+	}
+	s.note(t, "stop", why)
+	k := runKey{t.Name, t.Run}
+	st := &stop{task: t, worker: t.Worker}
+	s.stops[k] = st
+	s.sendStop(k, st)
+}
+
+func (s *Sched) sendStop(k runKey, st *stop) {
+	w, ok := s.workers[st.worker]
+	if !ok || !w.Addr.IsValid() {
+		st.again = s.now.Add(retryAfter)
+		return
+	}
+	st.flying = true
+	s.do(Stop{To: w.Address, Term: s.term, Task: k.task, Run: k.run})
+}
+
+func (s *Sched) retryStops() {
+	for k, st := range s.stops {
+		if !st.flying && st.sure.IsZero() && !s.now.Before(st.again) {
+			s.sendStop(k, st)
+		}
+	}
+}
+
+func (s *Sched) stopped(ev Stopped) {
+	k := runKey{ev.Task, ev.Run}
+	st, ok := s.stops[k]
+	if !ok || st.worker != ev.Worker {
+		return
+	}
+	st.flying = false
+	switch ev.Outcome {
+	case Taken:
+		st.sure = s.now
+		if w, ok := s.workers[ev.Worker]; ok {
+			s.look(w)
+		}
+	case OtherLife:
+		s.died(ev.Worker)
+	case Fenced:
+		s.do(Depose{Worker: ev.Worker})
+	default:
+		st.again = s.now.Add(retryAfter)
+	}
+}
