sched, store: refuse only what is surely not stored, hold again when ends are noted

(2) Ends that are not noted yet make every hold answer at once: ten looks an end. Change: store.NotDone, one hold per stored end, done always counts.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -160,13 +160,12 @@
 		return r
 	}
 	r.Reason = err.Error()
-	var refused *store.RefusedError
 	var unsure *store.UnansweredError
 	var fenced *store.FencedError
 	var moved *store.MovedError
 	var trimmed *store.TrimmedError
 	switch {
-	case errors.As(err, &refused):
+	case store.NotDone(err):
 		r.Failure = failRefused
 	case errors.As(err, &unsure):
 		r.Failure = failUnsure
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 	"github.com/rcrowley/go-metrics"
 
@@ -127,14 +126,13 @@
 	began := h.now()
 	err = h.inbox.put(ctx, store.Record{Key: id, Value: b})
 	metrics.GetOrRegisterTimer("caller.store", h.metrics).Update(h.now().Sub(began))
-	var refused *store.RefusedError
 	switch {
 	case err == nil:
 		h.accepted(id)
 		h.log.Info("caller: accepted.", "id", id, "queue", q.Name)
 		reply(w, http.StatusOK, []byte("{}"))
-	case errors.As(err, &refused):
-		h.refuse(w, http.StatusServiceUnavailable, id, "not stored: "+refused.Reason)
+	case store.NotDone(err):
+		h.refuse(w, http.StatusServiceUnavailable, id, "not stored: "+err.Error())
 	default:
 		h.refuse(w, http.StatusGatewayTimeout, id, "not known whether it is stored")
 	}
@@ -191,13 +189,12 @@
 		return
 	}
 	err = h.inbox.put(ctx, store.Record{Key: id + cancelMark, Value: []byte("1")})
-	var refused *store.RefusedError
 	switch {
 	case err == nil:
 		h.log.Info("caller: cancelled.", "id", id)
 		reply(w, http.StatusOK, []byte("{}"))
-	case errors.As(err, &refused):
-		h.refuse(w, http.StatusServiceUnavailable, id, "not stored: "+refused.Reason)
+	case store.NotDone(err):
+		h.refuse(w, http.StatusServiceUnavailable, id, "not stored: "+err.Error())
 	default:
 		h.refuse(w, http.StatusGatewayTimeout, id, "not known whether it is stored")
 	}
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 
 	"pollencroft/internal/flow"
-	"pollencroft/internal/sched"
 	"pollencroft/internal/store"
 )
 
@@ -97,7 +96,6 @@
 	jobs    []*flow.Job
 	fresh   []flow.Spec
 	cancels []string
-	beat    time.Time
 }
 
 // restore puts specs and progress together. A record that cannot be read is
@@ -106,13 +104,7 @@
 	var r restored
 	progress := map[string][]byte{}
 	for _, s := range states {
-		switch s.Key {
-		case claimKey:
-		case sched.BeatKey:
-			if ms, err := strconv.ParseInt(string(s.Value), 10, 64); err == nil {
-				r.beat = time.UnixMilli(ms)
-			}
-		default:
+		if s.Key != claimKey {
 			progress[s.Key] = s.Value
 		}
 	}
--- a/internal/entry/inbox.go
+++ b/internal/entry/inbox.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"pollencroft/internal/peer"
 	"pollencroft/internal/store"
 )
@@ -98,8 +96,7 @@
 			finish(all, nil)
 			return
 		}
-		var refused *store.RefusedError
-		if errors.As(err, &refused) && !unsure {
+		if store.NotDone(err) && !unsure {
 			finish(all, err)
 			return
 		}
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -62,7 +62,7 @@
 	limits.Keep = time.Duration(h.cfg.Times.Keep) * 5 / 4
 	t := &term{
 		h: h, number: number, jobs: len(r.jobs) + len(r.fresh), kick: make(chan struct{}, 1), next: next, listed: map[string]sched.Worker{},
-		core: sched.New(limits, number, r.jobs, r.beat), seq: 1,
+		core: sched.New(limits, number, r.jobs), seq: 1,
 	}
 	t.ctx, t.cancel = context.WithCancel(h.ctx)
 	h.mu.Lock()
@@ -192,13 +192,12 @@
 	}
 	for t.ctx.Err() == nil {
 		_, err := t.h.store.Do(t.ctx, c)
-		var refused *store.RefusedError
 		var unsure *store.UnansweredError
 		switch {
 		case err == nil:
 			t.step(sched.Appended{})
 			return
-		case errors.As(err, &refused), errors.As(err, &unsure):
+		case store.NotDone(err), errors.As(err, &unsure):
 			wait(t.ctx, appendAgain)
 		default:
 			t.end("append: " + err.Error())
--- a/internal/sched/limits.go
+++ b/internal/sched/limits.go
@@ -44,9 +44,9 @@
 	// retired is how long a worker that is listed no longer is remembered after
 	// its leases have surely lapsed.
 	retired = 30 * time.Second
-	// vacant is how long leases may have gone without renewal before a successor
-	// takes a worker that lists no run for one whose leases lapsed.
-	vacant = 9500 * time.Millisecond
+	// unnotedEvery is how often a worker is held while its ends cannot be stored:
+	// often enough for its leases.
+	unnotedEvery = 600 * time.Millisecond
 	// GiveUp is how long a lead goes on holding workers after the store answered
 	// it last. By then a successor may have begun.
 	GiveUp = 8 * time.Second
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -6,7 +6,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	"pollencroft/internal/flow"
@@ -40,8 +39,6 @@
 	stirred bool
 	last    time.Time
 	swept   time.Time
-	// beat is when the last lead stored anything.
-	beat time.Time
 }
 
 // batch is what may happen once an append is stored.
@@ -59,13 +56,12 @@
 	run  int
 }
 
-// New returns the scheduler of a term that begins with these jobs. Beat is when
-// the last lead stored anything; the zero time is never.
-func New(limits Limits, term int64, jobs []*flow.Job, beat time.Time) *Sched {
+// New returns the scheduler of a term that begins with these jobs.
+func New(limits Limits, term int64, jobs []*flow.Job) *Sched {
 	s := &Sched{
 		limits: limits, term: term, queues: map[string]flow.Queue{}, jobs: map[string]*flow.Job{}, open: map[string]*flow.Job{},
 		workers: map[string]*worker{}, hosts: map[string]*host{}, advice: map[*flow.Stage]*advice{}, rates: map[string]float64{},
-		stops: map[runKey]*stop{}, dirty: map[string]*flow.Job{}, next: newBatch(), beat: beat,
+		stops: map[runKey]*stop{}, dirty: map[string]*flow.Job{}, next: newBatch(),
 	}
 	for _, j := range jobs {
 		s.jobs[j.Spec.ID] = j
@@ -213,16 +209,12 @@
 		s.appended()
 		return
 	}
-	changes = append(changes, Change{Key: BeatKey, Value: strconv.AppendInt(nil, s.now.UnixMilli(), 10)})
 	for _, j := range s.flying.shown {
 		j.Pending = j.State
 	}
 	s.do(Append{Changes: changes})
 }
 
-// BeatKey is the key under which the lead stores when it last stored anything.
-const BeatKey = "beat"
-
 // appended carries out what waited for the append.
 func (s *Sched) appended() {
 	b := s.flying
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -32,7 +32,7 @@
 	// was sent, again when the next may be, doubt since when none has an answer.
 	holding, looking bool
 	lookAgain        bool
-	again            time.Time
+	again, asked     time.Time
 	doubt            time.Time
 	dead             bool
 	unlisted         time.Time
@@ -165,7 +165,12 @@
 	if w.fenced && len(w.tasks) == 0 && w.told >= w.noted && w.doubt.IsZero() {
 		return
 	}
-	w.holding = true
+	if w.fenced && w.seen > w.noted && s.now.Sub(w.asked) < unnotedEvery {
+		// Ends that are not noted make every hold answer at once. The append that
+		// is under way lets the worker be asked again.
+		return
+	}
+	w.holding, w.asked = true, s.now
 	h := Hold{To: w.Address, Term: s.term, Seen: w.noted}
 	if w.fenced {
 		h.Deadline = w.clockAt(s.now).Add(s.limits.Lease)
@@ -233,7 +238,6 @@
 		s.do(Note{ID: w.Life, What: "worker answers again", Worker: w.Life})
 	}
 	w.doubt = time.Time{}
-	lapsed := s.voided(w, ev)
 	if ev.Received.After(w.read) {
 		w.clock, w.read = ev.Clock, ev.Received
 	}
@@ -246,7 +250,7 @@
 	for _, e := range ev.Ended {
 		if e.Number > w.seen {
 			w.seen = e.Number
-			s.ended(w, e, e.Number < lapsed)
+			s.ended(w, e)
 		}
 	}
 	if w.seen > w.noted {
@@ -265,29 +269,6 @@
 	s.repace(w, ev.Running)
 }
 
-// voided returns the number below which ends of this answer do not count: the
-// worker's leases lapsed after them, so the platform takes them for not noted,
-// and a job shown as completed by them would be shown so wrongly.
-func (s *Sched) voided(w *worker, ev Held) int64 {
-	var void int64
-	for _, e := range ev.Ended {
-		if e.How == EndLapsed && e.Number > w.seen {
-			void = e.Number
-		}
-	}
-	if len(ev.Running) > 0 || len(ev.Ended) == 0 {
-		return void
-	}
-	past := w.fenced && len(w.tasks) > 0 && ev.Clock.After(w.deadline)
-	if !w.fenced && !s.beat.IsZero() && s.now.Sub(s.beat) > vacant {
-		past = true
-	}
-	if past {
-		return ev.Ended[len(ev.Ended)-1].Number + 1
-	}
-	return void
-}
-
 // listed takes note of a run that is at the worker.
 func (s *Sched) listed(w *worker, l Listed, sent time.Time) {
 	t := s.task(runKey{l.Task, l.Run})
@@ -336,8 +317,10 @@
 	}
 }
 
-// ended takes note of a run's end.
-func (s *Sched) ended(w *worker, e End, void bool) {
+// ended takes note of a run's end. An end as done counts whatever became of the
+// leases since: taking it for lapsed and running the task again would run it
+// twice if it had not.
+func (s *Sched) ended(w *worker, e End) {
 	t := s.task(runKey{e.Task, e.Run})
 	if t == nil || t.Worker != w.Life || !t.Out() {
 		return
@@ -346,7 +329,7 @@
 		t.Saved = e.Saved
 	}
 	switch {
-	case e.How == EndDone && !void:
+	case e.How == EndDone:
 		w.health.good()
 		s.finish(t)
 	case e.How == EndFailed && t.State != flow.Stopping:
--- a/internal/store/routed.go
+++ b/internal/store/routed.go
@@ -79,7 +79,7 @@
 		if !away(err) {
 			return a, err
 		}
-		last, unsure = err, !refused(err)
+		last, unsure = err, !NotDone(err)
 	}
 	// A read that waits is left to its caller: it is made again soon.
 	if c.Wait > 0 && last != nil {
@@ -94,12 +94,12 @@
 			return a, err
 		}
 		last = err
-		unsure = unsure || !refused(err)
+		unsure = unsure || !NotDone(err)
 	}
 	switch {
 	case last == nil:
 		return Answer{}, &RefusedError{Op: c.Op, Reason: "no way to the store"}
-	case unsure && refused(last):
+	case unsure && NotDone(last):
 		// One way said that nothing was done, another did not answer.
 		return Answer{}, &UnansweredError{Op: c.Op, Cause: last}
 	}
@@ -160,10 +160,5 @@
 // away tells whether the store did not serve this host at all.
 func away(err error) bool {
 	var unanswered *UnansweredError
-	return refused(err) || errors.As(err, &unanswered)
-}
-
-func refused(err error) bool {
-	var no *RefusedError
-	return errors.As(err, &no)
+	return NotDone(err) || errors.As(err, &unanswered)
 }
--- /dev/null
+++ b/internal/store/routed_test.go
@@ -0,0 +1,100 @@
+package store_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/store"
+)
+
+// way answers every call with err, or well without one.
+type way struct {
+	err   error
+	calls int
+}
+
+func (w *way) Do(context.Context, store.Call) (store.Answer, error) {
+	w.calls++
+	return store.Answer{End: 1}, w.err
+}
+
+// peers are ways through peers, in order of name.
+type peers map[string]*way
+
+func (p peers) Peers() []string { return []string{"a", "b", "c"}[:len(p)] }
+
+func (p peers) Do(ctx context.Context, name string, c store.Call) (store.Answer, error) {
+	return p[name].Do(ctx, c)
+}
+
+func routed(direct store.Log, p peers) *store.Routed {
+	return store.NewRouted(direct, p, time.Now, func(bool, error) {})
+}
+
+var (
+	errRefused  = &store.RefusedError{Op: store.Append, Reason: "busy"}
+	errUnsure   = &store.UnansweredError{Op: store.Append, Cause: io.ErrUnexpectedEOF}
+	appendCall  = store.Call{Op: store.Append, Topic: "jobs"}
+	longRead    = store.Call{Op: store.Read, Topic: "op", Wait: time.Second}
+	contextTODO = context.Background()
+)
+
+// A store that does not answer this host may still carry the append out; a peer
+// is then refused. Told as refused, the caller would hear that its job never
+// runs, and see it run.
+func TestNoAnswerThenARefusalIsNotARefusal(t *testing.T) {
+	r := routed(&way{err: errUnsure}, peers{"a": {err: errRefused}})
+	_, err := r.Do(contextTODO, appendCall)
+	require.False(t, store.NotDone(err), "%v", err)
+	require.ErrorAs(t, err, new(*store.UnansweredError))
+}
+
+// The other way round: this host is refused, a peer's call has no answer.
+func TestARefusalThenNoAnswerIsNotARefusal(t *testing.T) {
+	r := routed(&way{err: errRefused}, peers{"a": {err: errUnsure}, "b": {err: errRefused}})
+	_, err := r.Do(contextTODO, appendCall)
+	require.False(t, store.NotDone(err), "%v", err)
+}
+
+func TestAllWaysRefusedIsARefusal(t *testing.T) {
+	r := routed(&way{err: errRefused}, peers{"a": {err: errRefused}, "b": {err: errRefused}})
+	_, err := r.Do(contextTODO, appendCall)
+	require.True(t, store.NotDone(err), "%v", err)
+}
+
+// The store turns this host away and serves the others. Callers of this host
+// would be refused although their jobs can be stored.
+func TestAHostThatIsTurnedAwayGoesThroughAPeer(t *testing.T) {
+	direct, p := &way{err: errRefused}, peers{"a": {err: errRefused}, "b": {}}
+	r := routed(direct, p)
+	for range 5 {
+		_, err := r.Do(contextTODO, appendCall)
+		require.NoError(t, err)
+	}
+	require.Equal(t, 1, direct.calls, "the direct way is left alone after it failed")
+	_, err := r.Direct(contextTODO, appendCall)
+	require.True(t, store.NotDone(err), "a peer is told at once that this host is turned away")
+}
+
+// What the store says of a call is final: another way would say the same.
+func TestAnAnswerThatIsAnErrorIsNotTriedElsewhere(t *testing.T) {
+	p := peers{"a": {}}
+	r := routed(&way{err: &store.FencedError{Epoch: 3}}, p)
+	_, err := r.Do(contextTODO, appendCall)
+	require.ErrorAs(t, err, new(*store.FencedError))
+	require.Zero(t, p["a"].calls)
+	require.False(t, r.Good().IsZero())
+}
+
+// A read that waits for records is only made again: it holds up nobody.
+func TestALongReadIsNotMadeThroughAPeerAtOnce(t *testing.T) {
+	p := peers{"a": {}}
+	r := routed(&way{err: errUnsure}, p)
+	_, err := r.Do(contextTODO, longRead)
+	require.Error(t, err)
+	require.Zero(t, p["a"].calls)
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -7,6 +7,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Op names one kind of call.
@@ -93,6 +95,16 @@
 
 func (e *RefusedError) Error() string { return fmt.Sprintf("store refused %s: %s", e.Op, e.Reason) }
 
+// NotDone tells whether err says for certain that the store did nothing. An
+// UnansweredError may wrap a refusal, when one way did not answer and another
+// refused: taking it for a refusal would tell a caller that its job is not
+// stored while it is.
+func NotDone(err error) bool {
+	var unanswered *UnansweredError
+	var no *RefusedError
+	return errors.As(err, &no) && !errors.As(err, &unanswered)
+}
+
 // UnansweredError tells that there was no answer: the call may be carried out,
 // also later.
 type UnansweredError struct {
