store: hedge calls with a patience that follows the store's pace; entry: a partition of accepted jobs for each host

Ruled out: the lead (its own partition), the deadline of callers. Change: a peer is asked beside the direct call, not in its place; the patience is twice the answers of late; jobs go to a partition a host.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -30,7 +30,7 @@
 		t := h.leading
 		h.mu.Unlock()
 		if t != nil {
-			t.take(m.First, m.Records)
+			t.take(m.Part, m.First, m.Records)
 		}
 		return nil, nil
 	case peer.AskState:
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"pollencroft/internal/flow"
 	"pollencroft/internal/store"
@@ -51,7 +53,7 @@
 		return
 	}
 	h.count("lead.claimed")
-	h.log.Info("lead: term begins.", "term", t.number, "why", why, "jobs", t.jobs, "from", t.next)
+	h.log.Info("lead: term begins.", "term", t.number, "why", why, "jobs", t.jobs)
 	h.announce(ctx, t.number)
 }
 
@@ -80,15 +82,31 @@
 	if len(back.Records) == 0 || string(back.Records[0].Value) != mine {
 		return nil, &LostClaimError{Term: number}
 	}
-	states, _, err := store.Table(ctx, h.store, stateTopic)
+	states, _, err := store.Table(ctx, h.store, stateTopic, 0)
 	if err != nil {
 		return nil, errors.Wrap(err, "read progress")
 	}
-	asks, next, err := store.Table(ctx, h.store, jobsTopic)
+	asks, next, err := h.readJobs(ctx)
 	if err != nil {
 		return nil, errors.Wrap(err, "read jobs")
 	}
-	return h.lead1(number, states, asks, next), nil
+	return h.newTerm(number, states, asks, next), nil
+}
+
+// readJobs reads all partitions of jobsTopic at once, and where to go on.
+func (h *Host) readJobs(ctx context.Context) ([][]store.Record, []int64, error) {
+	parts := make([][]store.Record, h.cfg.Parts)
+	next := make([]int64, h.cfg.Parts)
+	g, ctx := errgroup.WithContext(ctx)
+	for i := range parts {
+		g.Go(func() error {
+			var err error
+			parts[i], next[i], err = store.Table(ctx, h.store, jobsTopic, i)
+			return err
+		})
+	}
+	err := g.Wait()
+	return parts, next, err
 }
 
 // restored is what the store says of all jobs.
@@ -100,15 +118,20 @@
 
 // restore puts specs and progress together. A record that cannot be read is
 // told and left: its job cannot be guessed.
-func (h *Host) restore(states, asks []store.Record) restored {
+func (h *Host) restore(states []store.Record, asks [][]store.Record) restored {
 	var r restored
 	progress := map[string][]byte{}
+	// A job that was handed in at several hosts lies in several partitions.
+	had := map[string]bool{}
 	for _, s := range states {
-		if s.Key != claimKey {
+		if s.Key != claimKey && len(s.Value) > 0 {
 			progress[s.Key] = s.Value
 		}
 	}
-	for _, a := range asks {
+	for _, a := range slices.Concat(asks...) {
+		if len(a.Value) == 0 {
+			continue
+		}
 		if id, ok := strings.CutSuffix(a.Key, cancelMark); ok {
 			r.cancels = append(r.cancels, id)
 			continue
@@ -118,6 +141,10 @@
 			h.log.Error("lead: job cannot be read.", "id", a.Key, "offset", a.Offset, "err", err)
 			continue
 		}
+		if had[a.Key] {
+			continue
+		}
+		had[a.Key] = true
 		b, ok := progress[a.Key]
 		if !ok {
 			r.fresh = append(r.fresh, spec)
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -24,7 +24,7 @@
 // follow hands all records of a topic to read, the newest of each key first.
 func (h *Host) follow(topic string, read func([]store.Record)) {
 	for h.ctx.Err() == nil {
-		all, from, err := store.Table(h.ctx, h.store, topic)
+		all, from, err := store.Table(h.ctx, h.store, topic, 0)
 		if err != nil {
 			wait(h.ctx, followRetry)
 			continue
--- a/internal/entry/inbox.go
+++ b/internal/entry/inbox.go
@@ -4,12 +4,16 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pollencroft/internal/peer"
 	"pollencroft/internal/store"
 )
 
 // jobsTopic holds what callers asked for: specs of jobs under their ids, and
-// cancellations under the id with cancelMark. Any host appends to it.
+// cancellations under the id with cancelMark. Each host appends to a partition
+// of its own as far as there are enough: a partition takes one append at a time,
+// and when the store is slow the hosts would wait for each other.
 const (
 	jobsTopic  = "jobs"
 	cancelMark = "!"
@@ -18,6 +22,7 @@
 // inbox stores what callers hand in, many in one append while one is under way.
 type inbox struct {
 	h    *Host
+	part int
 	asks chan ask
 }
 
@@ -36,7 +41,10 @@
 	againAfter = 60 * time.Millisecond
 )
 
-func newInbox(h *Host) *inbox { return &inbox{h: h, asks: make(chan ask, mostAsks)} }
+func newInbox(h *Host) *inbox {
+	part := int(xxhash.Sum64String(h.cfg.Name) % uint64(h.cfg.Parts))
+	return &inbox{h: h, part: part, asks: make(chan ask, mostAsks)}
+}
 
 // put stores a record. After a store.RefusedError it is certain that it is not
 // stored and never will be; after another error nobody knows.
@@ -90,9 +98,9 @@
 	}
 	unsure := false
 	for {
-		got, err := b.h.store.Do(b.h.ctx, store.Call{Op: store.Append, Topic: jobsTopic, Keyed: true, Records: records})
+		got, err := b.h.store.Do(b.h.ctx, store.Call{Op: store.Append, Topic: jobsTopic, Part: b.part, Keyed: true, Records: records})
 		if err == nil {
-			b.h.hand(got.Offset, records)
+			b.h.hand(b.part, got.Offset, records)
 			finish(all, nil)
 			return
 		}
@@ -125,18 +133,18 @@
 }
 
 // hand tells the lead what is stored, so that it need not look.
-func (h *Host) hand(first int64, records []store.Record) {
+func (h *Host) hand(part int, first int64, records []store.Record) {
 	h.mu.Lock()
 	lead, t := h.lead, h.leading
 	h.mu.Unlock()
 	switch {
 	case t != nil:
-		t.take(first, records)
+		t.take(part, first, records)
 	case lead != "" && lead != h.cfg.Name:
 		h.wg.Go(func() {
 			ctx, cancel := context.WithTimeout(h.ctx, askWait)
 			defer cancel()
-			if err := h.peers.Tell(ctx, lead, peer.Hand{First: first, Records: records}); err != nil {
+			if err := h.peers.Tell(ctx, lead, peer.Hand{Part: part, First: first, Records: records}); err != nil {
 				h.log.Warn("inbox: lead was not told.", "host", lead, "err", err)
 			}
 		})
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -26,6 +26,8 @@
 	// workers may run a step; it may be missing.
 	Store  netip.AddrPort `toml:"store"`
 	Policy string         `toml:"policy"`
+	// Parts is how many partitions a topic of the store has.
+	Parts int `toml:"parts"`
 	// Memory is the most that the process may use, in MiB.
 	Memory int64 `toml:"memory"`
 	// Times bound what is done; each is a duration such as "900ms".
@@ -87,6 +89,8 @@
 		return missing("listen.peer")
 	case !s.Store.IsValid():
 		return missing("store")
+	case s.Parts < 1:
+		return missing("parts")
 	}
 	if s.Policy != "" {
 		if _, err := netip.ParseAddrPort(s.Policy); err != nil {
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -30,19 +30,21 @@
 	mu   sync.Mutex
 	core *sched.Sched
 	over bool
-	// seq numbers the appends; next is the first offset of jobsTopic that was
-	// not taken, gap tells that later ones were.
+	// seq numbers the appends; next is by partition the first offset of jobsTopic
+	// that was not taken.
 	seq  int64
-	next int64
-	gap  bool
+	next []int64
+	// where tells in which partitions a job was asked for.
+	where map[string]map[int]bool
 	// listed are the workers by life, as the store has them.
 	listed map[string]sched.Worker
 }
 
 const (
-	// pollEvery is how often the lead looks for jobs that no host told it of: a
-	// host that stored one may have died before it could.
-	pollEvery = 700 * time.Millisecond
+	// pollAll is how long the lead takes to look through all partitions for jobs
+	// that no host told it of: a host that stored one may have died before it
+	// could. A job has to be known after three seconds.
+	pollAll = 2 * time.Second
 	// serversEvery is how often the workers' entries are read: a leaving worker
 	// must get no work after two seconds.
 	serversEvery = 400 * time.Millisecond
@@ -53,18 +55,23 @@
 	orderWait = 500 * time.Millisecond
 )
 
-// lead1 starts a term from what the store holds.
-func (h *Host) lead1(number int64, states, asks []store.Record, next int64) *term {
+// newTerm starts a term from what the store holds.
+func (h *Host) newTerm(number int64, states []store.Record, asks [][]store.Record, next []int64) *term {
 	r := h.restore(states, asks)
 	limits := sched.DefaultLimits
 	limits.Lease = min(limits.Lease, time.Duration(h.cfg.Times.Lease)*95/100)
 	limits.StopGrace = time.Duration(h.cfg.Times.Stop)
 	limits.Keep = time.Duration(h.cfg.Times.Keep) * 5 / 4
 	t := &term{
-		h: h, number: number, jobs: len(r.jobs) + len(r.fresh), kick: make(chan struct{}, 1), next: next, listed: map[string]sched.Worker{},
+		h: h, number: number, jobs: len(r.jobs) + len(r.fresh), kick: make(chan struct{}, 1), next: next, where: map[string]map[int]bool{}, listed: map[string]sched.Worker{},
 		core: sched.New(limits, number, r.jobs), seq: 1,
 	}
 	t.ctx, t.cancel = context.WithCancel(h.ctx)
+	for part, all := range asks {
+		for _, a := range all {
+			t.stored(part, a)
+		}
+	}
 	h.mu.Lock()
 	h.leading = t
 	table := h.table
@@ -208,16 +215,16 @@
 
 // forget drops an ended job from the store.
 func (t *term) forget(id string) {
-	drop := func(topic string, keys ...string) {
-		c := store.Call{Op: store.Append, Topic: topic, Keyed: true}
-		for _, k := range keys {
-			c.Records = append(c.Records, store.Record{Key: k})
-		}
+	t.mu.Lock()
+	parts := t.where[id]
+	delete(t.where, id)
+	t.mu.Unlock()
+	for part := range parts {
+		c := store.Call{Op: store.Append, Topic: jobsTopic, Part: part, Keyed: true, Records: []store.Record{{Key: id}, {Key: id + cancelMark}}}
 		if _, err := t.h.store.Do(t.ctx, c); err != nil {
-			t.h.log.Warn("lead: ended job is not dropped.", "id", id, "err", err)
+			t.h.log.Warn("lead: ended job is not dropped.", "id", id, "part", part, "err", err)
 		}
 	}
-	drop(jobsTopic, id, id+cancelMark)
 }
 
 // ticks steps the core when it is due, and gives up a term that the store does
@@ -244,13 +251,15 @@
 }
 
 // take takes what callers asked for, as it is stored from offset first on. What
-// was taken before is known to the core by its id.
-func (t *term) take(first int64, records []store.Record) {
+// was taken before is known to the core by its id; what lies between is read by
+// poll.
+func (t *term) take(part int, first int64, records []store.Record) {
 	t.mu.Lock()
-	if first <= t.next {
-		t.next = max(t.next, first+int64(len(records)))
-	} else {
-		t.gap = true
+	if part < len(t.next) && first <= t.next[part] {
+		t.next[part] = max(t.next[part], first+int64(len(records)))
+	}
+	for _, r := range records {
+		t.stored(part, r)
 	}
 	t.mu.Unlock()
 	for _, r := range records {
@@ -258,6 +267,19 @@
 	}
 }
 
+// stored notes where a record lies, so that it can be dropped one day; mu is
+// held, or nobody else knows t yet.
+func (t *term) stored(part int, r store.Record) {
+	if len(r.Value) == 0 {
+		return
+	}
+	id, _ := strings.CutSuffix(r.Key, cancelMark)
+	if t.where[id] == nil {
+		t.where[id] = map[int]bool{}
+	}
+	t.where[id][part] = true
+}
+
 func (t *term) takeOne(r store.Record) {
 	if id, ok := strings.CutSuffix(r.Key, cancelMark); ok {
 		if len(r.Value) > 0 {
@@ -276,46 +298,44 @@
 	t.step(sched.Submit{Spec: spec})
 }
 
-// poll reads what no host told of.
+// poll reads what no host told of, one partition after the other.
 func (t *term) poll() {
-	for wait(t.ctx, pollEvery) {
+	for part := 0; wait(t.ctx, pollAll/time.Duration(len(t.next))); part = (part + 1) % len(t.next) {
 		t.mu.Lock()
-		from := t.next
+		from := t.next[part]
 		t.mu.Unlock()
-		a, err := t.h.store.Do(t.ctx, store.Call{Op: store.Read, Topic: jobsTopic, From: from})
+		a, err := t.h.store.Do(t.ctx, store.Call{Op: store.Read, Topic: jobsTopic, Part: part, From: from})
 		var trimmed *store.TrimmedError
 		switch {
 		case errors.As(err, &trimmed):
-			t.reread()
+			t.reread(part)
 			continue
 		case err != nil:
 			continue
 		}
 		if len(a.Records) > 0 {
-			t.take(from, a.Records)
+			t.take(part, from, a.Records)
 		}
 	}
 }
 
-// reread takes all jobs again after old records were deleted.
-func (t *term) reread() {
-	all, from, err := store.Table(t.ctx, t.h.store, jobsTopic)
+// reread takes all jobs of a partition again after old records were deleted.
+func (t *term) reread(part int) {
+	all, from, err := store.Table(t.ctx, t.h.store, jobsTopic, part)
 	if err != nil {
-		t.h.log.Warn("lead: jobs cannot be read.", "err", err)
+		t.h.log.Warn("lead: jobs cannot be read.", "part", part, "err", err)
 		return
 	}
-	for _, r := range all {
-		t.takeOne(r)
-	}
+	t.take(part, from, all)
 	t.mu.Lock()
-	t.next = max(t.next, from)
+	t.next[part] = max(t.next[part], from)
 	t.mu.Unlock()
 }
 
 // servers follows the workers' entries.
 func (t *term) servers() {
 	for t.ctx.Err() == nil {
-		all, from, err := store.Table(t.ctx, t.h.store, platform.ServersTopic)
+		all, from, err := store.Table(t.ctx, t.h.store, platform.ServersTopic, 0)
 		if err != nil {
 			wait(t.ctx, followRetry)
 			continue
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -157,9 +157,10 @@
 	return JobReply{Status: job.Status{ID: id}, Code: code, Outcome: cell.Unknown, Reason: reason}
 }
 
-// Hand tells the lead of jobs and cancellations that are stored from offset
-// First on; it has no answer.
+// Hand tells the lead of jobs and cancellations that are stored in partition
+// Part from offset First on; it has no answer.
 type Hand struct {
+	Part    int
 	First   int64
 	Records []store.Record
 }
--- a/internal/store/routed.go
+++ b/internal/store/routed.go
@@ -10,15 +10,21 @@
 
 // Ways to the store.
 const (
-	// patience is how long a call may go without an answer before it is made
-	// through a peer as well. The store answers in 4 ms; slow days take sixty
-	// times that.
+	// patience is how long a call goes without an answer before it is made
+	// through a peer as well. The store answers in 4 ms; a busy host takes some
+	// tens more.
 	patience = 450 * time.Millisecond
-	// avoid is how long the direct way is left alone after it failed: about as
-	// long as a look costs less than the calls it would delay.
-	avoid = time.Second
+	// suspicion is the same while the direct way did not answer lately.
+	suspicion = 25 * time.Millisecond
+	// slower is by how much patience exceeds the answers of late: a store that is
+	// slow is slow for peers too, and asking twice would make it slower.
+	slower = 2
+	// avoid is how long the direct way is left alone after it refused.
+	avoid = 500 * time.Millisecond
 	// most bounds one call in all, besides the time it asks the store to wait.
-	most = 3 * time.Second
+	most = 2800 * time.Millisecond
+	// fade is what is left of the longest answer's weight with each next one.
+	fade = 0.8
 )
 
 // Relay makes a call at a peer that may be served by the store.
@@ -33,7 +39,7 @@
 // a peer. A host that the store refuses would otherwise refuse callers whom the
 // host beside it serves; it would be seen in refusals at single hosts.
 //
-// A call without an answer is made again on the other way. That is safe: an
+// A call without an answer is made on the other way as well. That is safe: an
 // append is fenced by epoch and sequence, is conditional, or is keyed by what it
 // says, and all other calls only read or renew.
 type Routed struct {
@@ -43,9 +49,13 @@
 	// lost is told when the direct way fails and comes back.
 	lost func(ok bool, err error)
 	mu   sync.Mutex
-	// until is when the direct way is tried again; zero while it works.
-	until time.Time
-	good  time.Time
+	// closed is until when the direct way is not tried; suspect tells that its
+	// last call failed.
+	closed  time.Time
+	suspect bool
+	// answers is about how long answers took lately, the longest counting most.
+	answers time.Duration
+	good    time.Time
 }
 
 // NewRouted returns a log that knows both ways; lost may not wait.
@@ -62,29 +72,89 @@
 
 // Direct makes the call on the direct way only, for a peer.
 func (r *Routed) Direct(ctx context.Context, c Call) (Answer, error) {
-	if !r.open() {
+	if r.isClosed() {
 		return Answer{}, &RefusedError{Op: c.Op, Reason: "this host is turned away as well"}
 	}
 	return r.try(ctx, c)
 }
 
+type result struct {
+	answer Answer
+	err    error
+}
+
 // Do makes the call.
 func (r *Routed) Do(ctx context.Context, c Call) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, most+c.Wait)
 	defer cancel()
-	unsure := false
-	var last error
-	if r.open() {
+	if r.isClosed() {
+		return r.around(ctx, c)
+	}
+	direct := make(chan result, 1)
+	go func() {
+		// It goes on when a peer was faster: how long it takes tells whether the
+		// way is silent or slow.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), most+c.Wait)
+		defer cancel()
 		a, err := r.try(ctx, c)
-		if !away(err) {
-			return a, err
+		direct <- result{a, err}
+	}()
+	hedge := time.NewTimer(r.patience() + c.Wait)
+	defer hedge.Stop()
+	select {
+	case got := <-direct:
+		if !away(got.err) || c.Wait > 0 {
+			// A read that waits is made again soon; a peer's time is not for that.
+			return got.answer, got.err
 		}
-		last, unsure = err, !NotDone(err)
+		a, err := r.around(ctx, c)
+		return a, worse(c, got.err, err)
+	case <-hedge.C:
 	}
-	// A read that waits is left to its caller: it is made again soon.
-	if c.Wait > 0 && last != nil {
-		return Answer{}, last
+	r.doubt()
+	peers := make(chan result, 1)
+	go func() {
+		a, err := r.around(ctx, c)
+		peers <- result{a, err}
+	}()
+	return first(c, direct, peers)
+}
+
+// first returns the first answer of either way, or both ways' failure.
+func first(c Call, direct, peers <-chan result) (Answer, error) {
+	var failed error
+	for range 2 {
+		var got result
+		select {
+		case got = <-direct:
+		case got = <-peers:
+		}
+		if !away(got.err) {
+			return got.answer, got.err
+		}
+		failed = worse(c, failed, got.err)
+	}
+	return Answer{}, failed
+}
+
+// worse joins the failures of two ways: only if both refused was nothing done.
+func worse(c Call, a, b error) error {
+	switch {
+	case b == nil:
+		return nil
+	case a == nil || NotDone(a) && NotDone(b) || !away(b):
+		return b
+	case NotDone(b):
+		return &UnansweredError{Op: c.Op, Cause: a}
+	default:
+		return b
 	}
+}
+
+// around makes the call through peers, one after the other.
+func (r *Routed) around(ctx context.Context, c Call) (Answer, error) {
+	c.Wait = min(c.Wait, patience)
+	var failed error
 	for _, p := range r.relay.Peers() {
 		if ctx.Err() != nil {
 			break
@@ -93,45 +163,16 @@
 		if !away(err) {
 			return a, err
 		}
-		last = err
-		unsure = unsure || !NotDone(err)
+		failed = worse(c, failed, err)
 	}
-	switch {
-	case last == nil:
-		return Answer{}, &RefusedError{Op: c.Op, Reason: "no way to the store"}
-	case unsure && NotDone(last):
-		// One way said that nothing was done, another did not answer.
-		return Answer{}, &UnansweredError{Op: c.Op, Cause: last}
+	if failed == nil {
+		failed = &RefusedError{Op: c.Op, Reason: "no way to the store"}
 	}
-	return Answer{}, last
-}
-
-func (r *Routed) open() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.until.IsZero() {
-		return true
-	}
-	if r.now().Before(r.until) {
-		return false
-	}
-	// One call looks; the others go on around it meanwhile.
-	r.until = r.now().Add(avoid)
-	return true
-}
-
-func (r *Routed) try(ctx context.Context, c Call) (Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, patience+c.Wait)
-	defer cancel()
-	a, err := r.direct.Do(ctx, c)
-	r.tell(err)
-	return a, err
+	return Answer{}, failed
 }
 
 func (r *Routed) ask(ctx context.Context, p string, c Call) (Answer, error) {
-	// A peer's time is not for waiting.
-	c.Wait = min(c.Wait, patience)
-	ctx, cancel := context.WithTimeout(ctx, 2*patience)
+	ctx, cancel := context.WithTimeout(ctx, 2*r.patience()+patience)
 	defer cancel()
 	a, err := r.relay.Do(ctx, p, c)
 	if !away(err) {
@@ -142,18 +183,56 @@
 	return a, err
 }
 
-func (r *Routed) tell(err error) {
+func (r *Routed) isClosed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.now().Before(r.closed)
+}
+
+// patience is how long to wait for the direct way before a peer is asked.
+func (r *Routed) patience() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.suspect {
+		return max(suspicion, slower*r.answers)
+	}
+	return max(patience, slower*r.answers)
+}
+
+// doubt notes that the direct way has not answered for longer than usual.
+func (r *Routed) doubt() {
 	r.mu.Lock()
-	was := r.until.IsZero()
-	if away(err) {
-		r.until = r.now().Add(avoid)
-	} else {
-		r.until, r.good = time.Time{}, r.now()
+	defer r.mu.Unlock()
+	r.suspect = true
+}
+
+func (r *Routed) try(ctx context.Context, c Call) (Answer, error) {
+	began := r.now()
+	a, err := r.direct.Do(ctx, c)
+	r.tell(c, r.now().Sub(began), err)
+	return a, err
+}
+
+// tell takes note of how a direct call went.
+func (r *Routed) tell(c Call, took time.Duration, err error) {
+	r.mu.Lock()
+	was := r.suspect
+	switch {
+	case !away(err):
+		r.suspect, r.closed, r.good = false, time.Time{}, r.now()
+		if c.Wait == 0 {
+			r.answers = max(time.Duration(fade*float64(r.answers)), took)
+		}
+	default:
+		r.suspect = true
+		if NotDone(err) {
+			r.closed = r.now().Add(avoid)
+		}
 	}
-	is := r.until.IsZero()
+	is := r.suspect
 	r.mu.Unlock()
 	if was != is {
-		r.lost(is, err)
+		r.lost(!is, err)
 	}
 }
 
--- a/internal/store/routed_test.go
+++ b/internal/store/routed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -98,3 +99,47 @@
 	require.Error(t, err)
 	require.Zero(t, p["a"].calls)
 }
+
+// A store that is slow for everybody: every call takes longer than a peer is
+// waited for at first. Asking peers each time would double the load of a store
+// that takes one append at a time, and callers would be refused for that.
+func TestASlowStoreIsNotAskedTwiceForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct, p := &slow{wait: 600 * time.Millisecond}, peers{"a": {}}
+		r := routed(direct, p)
+		for range 4 {
+			_, err := r.Do(contextTODO, appendCall)
+			require.NoError(t, err)
+			time.Sleep(time.Second)
+		}
+		require.LessOrEqual(t, p["a"].calls, 1)
+	})
+}
+
+// slow answers after a while, if it is waited for.
+type slow struct{ wait time.Duration }
+
+func (s *slow) Do(ctx context.Context, c store.Call) (store.Answer, error) {
+	select {
+	case <-time.After(s.wait):
+		return store.Answer{}, nil
+	case <-ctx.Done():
+		return store.Answer{}, &store.UnansweredError{Op: c.Op, Cause: ctx.Err()}
+	}
+}
+
+// The way to the store goes silent without a word. Callers at this host would
+// wait for as long as the bound on an answer with each call.
+func TestASilentWayCostsOnlyTheFirstCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := routed(&slow{wait: time.Hour}, peers{"a": {}})
+		began := time.Now()
+		for range 10 {
+			_, err := r.Do(contextTODO, appendCall)
+			require.NoError(t, err)
+		}
+		require.Less(t, time.Since(began), time.Second)
+		// The direct calls have to end on their own.
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -145,12 +145,12 @@
 // Table reads the newest record of each key and where to follow from. The
 // pages are not a snapshot: a reader follows from the first page's end, where
 // records may come again.
-func Table(ctx context.Context, l Log, topic string) ([]Record, int64, error) {
+func Table(ctx context.Context, l Log, topic string, part int) ([]Record, int64, error) {
 	var all []Record
 	from := int64(-1)
 	after := ""
 	for {
-		a, err := l.Do(ctx, Call{Op: Newest, Topic: topic, After: after})
+		a, err := l.Do(ctx, Call{Op: Newest, Topic: topic, Part: part, After: after})
 		if err != nil {
 			return nil, 0, err
 		}
