entry: refuse at once without a way to the store, turn not ready sooner, take former lives out of the group

(2) After all power is gone the group kept the places of former lives for 1.5 s and nobody led. (3) Questions for the policy service waited 1.5 s at cut hosts. Change: a job is refused unsent when the store has not answered for 0.9 s (scaled by its pace); ready within 1 s; Leave for former lives of the same host; overdue 0.5 s and a rest that doubles.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -98,6 +98,10 @@
 	return flow.State(r.State), r.Known, nil
 }
 
+// leadFresh is how long ago the store may have answered a lead that others leave
+// alone: about as long as the group takes to name another one.
+const leadFresh = 2 * time.Second
+
 // syncReply leaves out what only a lead that the store serves can vouch for.
 func (h *Host) syncReply() peer.SyncReply {
 	h.mu.Lock()
@@ -107,7 +111,7 @@
 		hosts[n] = a.String()
 	}
 	h.mu.Unlock()
-	if t == nil || h.now().Sub(h.store.Good()) > readyAfter {
+	if t == nil || !h.store.Fresh(leadFresh) {
 		return peer.SyncReply{Leading: t != nil}
 	}
 	pending := t.pending()
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -201,14 +201,16 @@
 }
 
 // readyAfter is how long ago the store may have answered a host that is ready.
-const readyAfter = 2 * time.Second
+// It is asked at least every joinEvery; the balancer needs two more seconds
+// until callers of a failure domain that is cut off are served elsewhere.
+const readyAfter = time.Second
 
 // ready tells whether callers are served here: a host without a way to the
 // store can accept nothing, and callers do better at another one.
 func (h *Host) ready() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.table != nil && !h.leaving && h.lead != "" && h.now().Sub(h.store.Good()) < readyAfter
+	return h.table != nil && !h.leaving && h.lead != "" && h.store.Fresh(readyAfter)
 }
 
 func (h *Host) readiness() http.Handler {
--- a/internal/entry/inbox.go
+++ b/internal/entry/inbox.go
@@ -37,6 +37,9 @@
 	mostAsks = 512
 	// mostBytes keeps one append below the store's bound on a call.
 	mostBytes = 1 << 20
+	// staleAfter is how long ago the store may have answered when a job is sent to
+	// it: two of the host's own calls have failed by then.
+	staleAfter = 900 * time.Millisecond
 	// againAfter is the pause before an append without an answer is repeated.
 	againAfter = 60 * time.Millisecond
 )
@@ -49,6 +52,11 @@
 // put stores a record. After a store.RefusedError it is certain that it is not
 // stored and never will be; after another error nobody knows.
 func (b *inbox) put(ctx context.Context, r store.Record) error {
+	if !b.h.store.Fresh(staleAfter) {
+		// What is sent into a cut has no answer, and its caller could only be told
+		// that nobody knows. What is not sent is certainly not stored.
+		return &store.RefusedError{Op: store.Append, Reason: "the store has not answered for a while"}
+	}
 	a := ask{ctx: ctx, record: r, done: make(chan error, 1)}
 	select {
 	case b.asks <- a:
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -32,7 +32,29 @@
 	return h.cfg.Name + " " + h.cfg.Listen.Peer.String() + " " + h.life
 }
 
+// leaveFormer takes former lives of this host out of the group. They are over,
+// and the group would keep their places for joinTTL: after a loss of all power
+// nobody would lead for that long.
+func (h *Host) leaveFormer() {
+	a, err := h.store.Do(h.ctx, store.Call{Op: store.Owners, Group: group})
+	if err != nil {
+		return
+	}
+	left := map[string]bool{h.memberName(): true}
+	for _, s := range a.Shares {
+		name, _, _ := strings.Cut(s.Member, " ")
+		if name != h.cfg.Name || left[s.Member] {
+			continue
+		}
+		left[s.Member] = true
+		if _, err := h.store.Do(h.ctx, store.Call{Op: store.Leave, Group: group, Member: s.Member}); err != nil {
+			h.log.Warn("entry: former life stays in the group.", "member", s.Member, "err", err)
+		}
+	}
+}
+
 func (h *Host) member() {
+	h.leaveFormer()
 	var generation int64
 	for h.ctx.Err() == nil {
 		a, err := h.store.Do(h.ctx, store.Call{
--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -36,16 +36,25 @@
 	// for a queue that is not the most urgent.
 	busy time.Time
 	long bool
-	// bad is until when it is not asked because a question failed there.
-	bad time.Time
+	// bad is until when it is not asked because a question failed there, and rest
+	// how long that was.
+	bad  time.Time
+	rest time.Duration
+}
+
+func (h *host) failed(now time.Time) {
+	h.rest = min(max(2*h.rest, restAfter), mostRest)
+	h.bad = now.Add(h.rest)
+	h.busy = now
 }
 
 const (
 	// margin is how long before a ticket runs out it is used no more: a start
 	// has to be stored and sent in that time.
 	margin = 250 * time.Millisecond
-	// overdue is how long after its expected time a question is given up.
-	overdue = 1500 * time.Millisecond
+	// overdue is how long after its expected time a question is given up: the
+	// service is punctual, and what is late is lost in a cut or at a busy host.
+	overdue = 500 * time.Millisecond
 	// mostNamed is how many workers one question may name.
 	mostNamed = 100
 	// spare is by how much more workers are named than the tasks need by the
@@ -57,8 +66,10 @@
 	rateWeight = 0.1
 	// urgentHosts is the share of the hosts that is kept free of long questions.
 	urgentHosts = 0.4
-	// restAfter is how long a host whose question failed gets none.
+	// restAfter is how long a host whose question failed gets none; it doubles up
+	// to mostRest while they go on failing.
 	restAfter = time.Second
+	mostRest  = 4 * time.Second
 )
 
 func (s *Sched) setHosts(ev Hosts) {
@@ -246,7 +257,9 @@
 	}
 	if h, ok := s.hosts[ev.Host]; ok {
 		if ev.Failed {
-			h.bad = s.now.Add(restAfter)
+			h.failed(s.now)
+		} else {
+			h.rest = 0
 		}
 	}
 }
@@ -290,7 +303,7 @@
 		if !a.asked.IsZero() && s.now.After(a.gives) {
 			a.asked = time.Time{}
 			if h, ok := s.hosts[a.host]; ok {
-				h.bad = s.now.Add(restAfter)
+				h.failed(s.now)
 			}
 			s.do(Note{ID: st.Tasks[0].Name.StepName(), What: "advice took too long", Detail: a.host})
 		}
--- a/internal/store/routed.go
+++ b/internal/store/routed.go
@@ -70,6 +70,14 @@
 	return r.good
 }
 
+// Fresh tells whether the store answered this host within d, or within what its
+// answers take of late if that is longer.
+func (r *Routed) Fresh(d time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.now().Sub(r.good) < max(d, slower*r.answers+d/2)
+}
+
 // Direct makes the call on the direct way only, for a peer.
 func (r *Routed) Direct(ctx context.Context, c Call) (Answer, error) {
 	if r.isClosed() {
