entry, sched: settle claims, hand over what is known of silent workers

Change: the lead's address goes with its announcement; a candidate waits 150 ms and looks again; a lead that leaves tells its successor how long anything may still run at silent workers; a restarted lead takes its term up at once; ttl 1 s. Test: TestWhatALeadKnowsOfSilentWorkersGoesToItsSuccessor.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -45,13 +45,25 @@
 	case peer.StoreCall:
 		return storeReply(h.store.Direct(ctx, m.Call)), nil
 	case peer.Succeed:
-		h.wg.Go(func() { h.claim("the lead leaves") })
+		h.succeed(m)
 		return nil, nil
 	default:
 		return nil, &UnknownMessageError{}
 	}
 }
 
+// succeed takes over from a lead that leaves.
+func (h *Host) succeed(m peer.Succeed) {
+	bounds := make(map[string]time.Duration, len(m.Bounds))
+	for life, d := range m.Bounds {
+		bounds[life] = d.Duration
+	}
+	h.mu.Lock()
+	h.bounds, h.boundsAt = bounds, h.now()
+	h.mu.Unlock()
+	h.wg.Go(func() { h.claim("the lead leaves") })
+}
+
 // NoPolicyError tells that the settings name no policy service.
 type NoPolicyError struct{}
 
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -95,8 +96,9 @@
 
 // leadRecord tells who leads.
 type leadRecord struct {
-	Name string `json:"name"`
-	Term int64  `json:"term"`
+	Name string         `json:"name"`
+	Addr netip.AddrPort `json:"addr"`
+	Term int64          `json:"term"`
 }
 
 const (
@@ -125,8 +127,14 @@
 		h.former = l.Name
 	}
 	h.lead, h.term = l.Name, l.Term
+	if _, ok := h.hosts[l.Name]; !ok && l.Addr.IsValid() {
+		h.hosts[l.Name] = l.Addr
+	}
 	t := h.leading
 	h.mu.Unlock()
+	if l.Name != h.cfg.Name && l.Addr.IsValid() {
+		h.peers.Set(l.Name, l.Addr)
+	}
 	h.log.Info("lead: another term.", "host", l.Name, "term", l.Term)
 	if t != nil && t.number < l.Term {
 		t.end("a later term began")
@@ -135,7 +143,7 @@
 
 // announce tells all hosts that this one leads.
 func (h *Host) announce(ctx context.Context, term int64) {
-	l := leadRecord{Name: h.cfg.Name, Term: term}
+	l := leadRecord{Name: h.cfg.Name, Addr: h.cfg.Listen.Peer, Term: term}
 	h.setLead(l)
 	b, err := json.Marshal(l)
 	if err != nil {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"pollencroft/internal/cell"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/sched"
 	"pollencroft/internal/store"
@@ -47,8 +48,11 @@
 	hosts map[string]netip.AddrPort
 	lead  string
 	term  int64
-	// former is the host that led before, as far as is known.
-	former string
+	// former is the host that led before, as far as is known. bounds are what it
+	// told at its stop, at boundsAt.
+	former   string
+	bounds   map[string]time.Duration
+	boundsAt time.Time
 	// pending is how many jobs of each queue wait, as the lead said last.
 	pending map[string]int
 	// leading is the term that this host leads; nil when it does not.
@@ -175,10 +179,12 @@
 	h.leaving = true
 	t := h.leading
 	h.mu.Unlock()
+	succeed := peer.Succeed{Bounds: map[string]cell.Duration{}}
 	if t != nil {
 		t.end("planned stop")
+		succeed = t.succeed()
 	}
-	h.leave(t)
+	h.leave(t != nil, succeed)
 	grace := time.Duration(h.cfg.Times.Grace)
 	wait(h.ctx, min(leaveWait, max(grace-lastWait-time.Second, 0)))
 	ctx, cancel := context.WithTimeout(h.ctx, lastWait)
@@ -194,12 +200,12 @@
 }
 
 // leave gives up the host's place among the others and asks one to lead.
-func (h *Host) leave(t *term) {
+func (h *Host) leave(led bool, succeed peer.Succeed) {
 	ctx, cancel := context.WithTimeout(h.ctx, time.Second)
 	defer cancel()
-	if t != nil {
+	if led {
 		for _, p := range h.others() {
-			if h.peers.Tell(ctx, p, peer.Succeed{Term: t.number}) == nil {
+			if h.peers.Tell(ctx, p, succeed) == nil {
 				break
 			}
 		}
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -16,8 +16,11 @@
 	group = "hosts"
 	// joinEvery and joinTTL keep a host in the group: a host that is gone is
 	// noticed within joinTTL and a joinEvery, for a tenth of a call each.
-	joinEvery = 400 * time.Millisecond
-	joinTTL   = 1500 * time.Millisecond
+	joinEvery = 300 * time.Millisecond
+	joinTTL   = time.Second
+	// settle is how long a host that should lead waits for another one's claim:
+	// twice what a claim takes.
+	settle = 150 * time.Millisecond
 	// syncEvery is how often a host asks the lead; what it tells callers may be
 	// two seconds old.
 	syncEvery = time.Second
@@ -53,7 +56,21 @@
 	}
 }
 
+// resume takes up the term of this host's own former life: nobody else can know
+// as early that it is over.
+func (h *Host) resume() {
+	all, _, err := store.Table(h.ctx, h.store, leadTopic, 0)
+	if err != nil {
+		return
+	}
+	h.readLead(all)
+	if name, _ := h.leadNow(); name == h.cfg.Name {
+		h.claim("a former life of this host led")
+	}
+}
+
 func (h *Host) member() {
+	h.resume()
 	h.leaveFormer()
 	var generation int64
 	for h.ctx.Err() == nil {
@@ -88,7 +105,11 @@
 	if leading || h.leads(lead) {
 		return
 	}
-	// Another host may lead since, and this one was cut off when it was told.
+	// Another host may lead since, or be about to: a lead that leaves asks one to
+	// succeed it, and the group names another.
+	if lead != "" && !wait(h.ctx, settle) {
+		return
+	}
 	if all, _, err := store.Table(h.ctx, h.store, leadTopic, 0); err == nil {
 		h.readLead(all)
 	}
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/sched"
@@ -100,8 +101,11 @@
 func (t *term) formerLead() {
 	t.h.mu.Lock()
 	former := t.h.former
+	over := sched.FormerOver{Since: t.h.boundsAt, Bounds: t.h.bounds}
+	t.h.bounds = nil
 	t.h.mu.Unlock()
-	for former != "" && former != t.h.cfg.Name {
+	// A lead that asked to be succeeded has ended its term before.
+	for over.Bounds == nil && former != "" && former != t.h.cfg.Name {
 		ctx, cancel := context.WithTimeout(t.ctx, askWait)
 		var r peer.SyncReply
 		err := t.h.peers.Ask(ctx, former, peer.Sync{From: t.h.cfg.Name}, &r)
@@ -113,7 +117,18 @@
 			return
 		}
 	}
-	t.step(sched.FormerOver{})
+	t.step(over)
+}
+
+// succeed is what a lead that leaves tells its successor.
+func (t *term) succeed() peer.Succeed {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := peer.Succeed{Term: t.number, Bounds: map[string]cell.Duration{}}
+	for life, left := range t.core.Bounds(t.h.now()) {
+		m.Bounds[life] = cell.Duration{Duration: left}
+	}
+	return m
 }
 
 // end gives up the term; nothing more is ordered under it.
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -215,8 +215,12 @@
 }
 
 // Succeed asks a host to take over from the sender, who leaves; it has no
-// answer.
-type Succeed struct{ Term int64 }
+// answer. Bounds tell of each worker that does not answer how much longer
+// anything may run there.
+type Succeed struct {
+	Term   int64
+	Bounds map[string]cell.Duration
+}
 
 func (Hand) method() string      { return "hand" }
 func (AskState) method() string  { return "state" }
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -153,8 +153,12 @@
 	Failed     bool
 }
 
-// FormerOver tells that the former lead holds no worker any more.
-type FormerOver struct{}
+// FormerOver tells that the former lead holds no worker any more. Bounds are
+// what it said of workers that do not answer, as of Since.
+type FormerOver struct {
+	Since  time.Time
+	Bounds map[string]time.Duration
+}
 
 // Tick lets time pass.
 type Tick struct{}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -121,6 +121,11 @@
 		s.advised(ev)
 	case FormerOver:
 		s.former = now
+		for life, left := range ev.Bounds {
+			if w, ok := s.workers[life]; ok {
+				w.until = ev.Since.Add(left)
+			}
+		}
 	case Tick:
 		s.tick()
 	}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -188,6 +188,26 @@
 	require.Equal(t, before+held, total(b.starts))
 }
 
+// A lead leaves while a worker is silent. Leads that leave one after the other
+// would each wait for a whole lease again, and the task would never start.
+func TestWhatALeadKnowsOfSilentWorkersGoesToItsSuccessor(t *testing.T) {
+	b := newBench(t, 2)
+	b.submit("a", "print", bulk(8))
+	b.play(time.Second)
+	held := len(b.workers["w00"].runs)
+	b.workers["w00"].dead = true
+	before := total(b.starts)
+	for range 3 {
+		b.play(2500 * time.Millisecond)
+		bounds := b.core.Bounds(b.now)
+		b.takeover()
+		b.step(sched.FormerOver{Since: b.now, Bounds: bounds})
+	}
+	require.Equal(t, before, total(b.starts))
+	b.play(2500 * time.Millisecond)
+	require.Equal(t, before+held, total(b.starts))
+}
+
 // A worker fails all that it starts, at once. It always has room; without a
 // judgement it would use up the tries of every job.
 func TestAWorkerThatFailsEverythingDoesNotFailJobs(t *testing.T) {
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -37,7 +37,9 @@
 	dead             bool
 	unlisted         time.Time
 	// full is until when it gets no work because it refused some.
-	full   time.Time
+	full time.Time
+	// until is when the former lead's leases have lapsed, if that one told.
+	until  time.Time
 	missed int
 	health health
 	// speed is how fast its runs go, relative to their estimates, and crawls are
@@ -381,20 +383,42 @@
 }
 
 // vacant tells whether the leases of all that may run on a silent worker have
-// surely lapsed. Of a worker that was never read under this term nobody knows
-// how long the former lead's leases are: that lead gives up its term in time,
-// and what it held last cannot last longer than one lease.
+// surely lapsed.
 func (s *Sched) vacant(w *worker) bool {
-	switch {
-	case len(w.tasks) == 0:
+	if len(w.tasks) == 0 || w.fenced && !w.silent(s.now) {
 		return false
-	case !w.fenced && !s.former.IsZero():
-		return s.now.Sub(s.former) > longest(s.limits.Lease)
-	case !w.fenced:
-		return s.now.Sub(s.began) > GiveUp+longest(s.limits.Lease)
-	default:
-		return w.silent(s.now) && s.now.After(w.lapsed())
 	}
+	return s.now.After(s.bound(w))
+}
+
+// bound is when the leases on a worker that answers no more have surely lapsed.
+// Of a worker that was never read under this term nobody knows how long the
+// former lead's leases are: that lead gives up its term in time, and what it
+// held last cannot last longer than one lease.
+func (s *Sched) bound(w *worker) time.Time {
+	if w.fenced {
+		return w.lapsed()
+	}
+	at := s.began.Add(GiveUp + longest(s.limits.Lease))
+	if !s.former.IsZero() {
+		at = s.former.Add(longest(s.limits.Lease))
+	}
+	if !w.until.IsZero() && w.until.Before(at) {
+		return w.until
+	}
+	return at
+}
+
+// Bounds returns how much longer anything may run on each worker that does not
+// answer. A successor would wait for a whole lease again.
+func (s *Sched) Bounds(now time.Time) map[string]time.Duration {
+	all := map[string]time.Duration{}
+	for life, w := range s.workers {
+		if len(w.tasks) > 0 && (!w.fenced || w.silent(now)) {
+			all[life] = max(s.bound(w).Sub(now), 0)
+		}
+	}
+	return all
 }
 
 // longest is how long a lease may last from when it was asked for, on a slow
