sched: copies start before they are stored and beside silent workers

Change: steps that allow copies start at once; a silent worker's are begun elsewhere; the first that is done counts.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -127,9 +127,6 @@
 		return peer.SyncReply{Leading: t != nil}
 	}
 	pending := t.pending()
-	h.mu.Lock()
-	h.pending = pending
-	h.mu.Unlock()
 	return peer.SyncReply{Leading: true, Lead: true, Term: t.number, Pending: pending, Hosts: hosts}
 }
 
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -54,10 +54,7 @@
 	defer cancel()
 	switch {
 	case id == "" && r.Method == http.MethodGet:
-		h.mu.Lock()
-		n := h.pending[q.Name]
-		h.mu.Unlock()
-		reply(w, http.StatusOK, platform.PendingBody(n))
+		h.tellPending(ctx, w, q)
 	case !platform.JobID(id):
 		h.refuse(w, http.StatusNotFound, id, "no job's id")
 	case r.Method == http.MethodPost:
@@ -71,6 +68,31 @@
 	}
 }
 
+// pendingAge is how old the count of a queue's jobs may be.
+const pendingAge = 1800 * time.Millisecond
+
+// tellPending answers with how many jobs of a queue wait. A count that is too
+// old is asked for anew, and not told: its reader would believe that work has
+// begun that still waits.
+func (h *Host) tellPending(ctx context.Context, w http.ResponseWriter, q flow.Queue) {
+	if n, ok := h.pendingOf(q); ok {
+		reply(w, http.StatusOK, platform.PendingBody(n))
+		return
+	}
+	h.refreshPending(ctx)
+	if n, ok := h.pendingOf(q); ok {
+		reply(w, http.StatusOK, platform.PendingBody(n))
+		return
+	}
+	h.refuse(w, http.StatusServiceUnavailable, q.Name, "no lead answers")
+}
+
+func (h *Host) pendingOf(q flow.Queue) (int, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.pending[q.Name], h.now().Sub(h.pendingAt) < pendingAge
+}
+
 func deadline(r *http.Request) time.Duration {
 	ms, err := strconv.Atoi(r.Header.Get(deadlineHeader))
 	if err != nil || ms <= 0 {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -54,7 +54,8 @@
 	bounds   map[string]time.Duration
 	boundsAt time.Time
 	// pending is how many jobs of each queue wait, as the lead said last.
-	pending map[string]int
+	pending   map[string]int
+	pendingAt time.Time
 	// leading is the term that this host leads; nil when it does not.
 	leading *term
 	// claims is held while the host tries to lead.
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -165,7 +165,7 @@
 		return
 	}
 	h.mu.Lock()
-	h.pending = r.Pending
+	h.pending, h.pendingAt = r.Pending, h.now()
 	h.mu.Unlock()
 	all := make(map[string]netip.AddrPort, len(r.Hosts))
 	for n, a := range r.Hosts {
@@ -176,6 +176,23 @@
 	h.setHosts(all)
 }
 
+// refreshPending asks the lead, or takes what this host knows as the lead.
+func (h *Host) refreshPending(ctx context.Context) {
+	h.mu.Lock()
+	t, lead := h.leading, h.lead
+	h.mu.Unlock()
+	if t != nil {
+		n := t.pending()
+		h.mu.Lock()
+		h.pending, h.pendingAt = n, h.now()
+		h.mu.Unlock()
+		return
+	}
+	if lead != "" && lead != h.cfg.Name && ctx.Err() == nil {
+		h.syncWith(lead)
+	}
+}
+
 // listHosts reads from the store which hosts there are.
 func (h *Host) listHosts() {
 	a, err := h.store.Do(h.ctx, store.Call{Op: store.Owners, Group: group})
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -32,12 +32,14 @@
 	// storeAway keeps appends without an answer; policy says which workers may
 	// run a step, nil all.
 	storeAway bool
-	policy    func(step, worker string) bool
-	asks      []sched.Ask
-	paces     []sched.Pace
-	deposed   bool
-	queues    []flow.Queue
-	wrongs    []string
+	// copies tells that runs of one task may be beside each other.
+	copies  bool
+	policy  func(step, worker string) bool
+	asks    []sched.Ask
+	paces   []sched.Pace
+	deposed bool
+	queues  []flow.Queue
+	wrongs  []string
 	// done are tasks that ended as done and were noted.
 	done map[flow.Name]bool
 	// starts counts by task.
@@ -337,6 +339,9 @@
 
 // check notes a start that must never happen.
 func (b *cellBench) check(w *fakeWorker, a sched.Start) {
+	if b.copies {
+		return
+	}
 	if b.done[a.Task] {
 		b.wrong("%s starts after it was noted as done", a.Task)
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -31,6 +31,8 @@
 	stops   map[runKey]*stop
 	// dirty are jobs whose progress is not in an append yet.
 	dirty map[string]*flow.Job
+	// early are runs that may start before they are stored.
+	early []runKey
 	// forgotten are jobs whose progress is to be dropped.
 	forgotten []string
 	// next is what the next append will make certain, flying what the one under
@@ -39,8 +41,10 @@
 	flying *batch
 	// stirred tells that something changed since the last placement.
 	stirred bool
-	last    time.Time
-	swept   time.Time
+	// placed is when work was placed last, last when something was stored.
+	placed time.Time
+	last   time.Time
+	swept  time.Time
 }
 
 // batch is what may happen once an append is stored.
@@ -187,11 +191,17 @@
 
 // flush places what waits and stores what changed, one append at a time.
 func (s *Sched) flush() {
+	if s.now.Sub(s.placed) < s.limits.Gather {
+		return
+	}
+	if s.stirred {
+		s.stirred, s.placed = false, s.now
+		s.place()
+		s.sendEarly()
+	}
 	if s.flying != nil || s.now.Sub(s.last) < s.limits.Gather {
 		return
 	}
-	s.stirred = false
-	s.place()
 	if len(s.dirty) == 0 && len(s.next.seen) == 0 && len(s.forgotten) == 0 {
 		return
 	}
@@ -223,6 +233,15 @@
 	s.do(Append{Changes: changes})
 }
 
+// sendEarly starts what need not wait for the store.
+func (s *Sched) sendEarly() {
+	keys := s.early
+	s.early = nil
+	for _, k := range keys {
+		s.send(k)
+	}
+}
+
 // appended carries out what waited for the append.
 func (s *Sched) appended() {
 	b := s.flying
@@ -260,7 +279,9 @@
 // Due is when the core wants to be stepped again at the latest.
 func (s *Sched) Due() time.Time {
 	switch {
-	case s.flying == nil && (len(s.dirty) > 0 || len(s.next.seen) > 0 || s.stirred):
+	case s.stirred:
+		return s.placed.Add(s.limits.Gather)
+	case s.flying == nil && (len(s.dirty) > 0 || len(s.next.seen) > 0):
 		return s.last.Add(s.limits.Gather)
 	case len(s.open) > 0:
 		return s.swept.Add(tickEvery)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -394,3 +394,77 @@
 	require.NotEmpty(t, b.paces)
 	require.Positive(t, b.paces[0].Percent)
 }
+
+// The store is away and a worker falls silent. Tasks of which copies may run go
+// on starting; the first copy that is done counts and the job ends as done once.
+func TestCopiesNeitherWaitForTheStoreNorForASilentWorker(t *testing.T) {
+	b := newBench(t, 4)
+	b.copies = true
+	b.play(100 * time.Millisecond)
+	step := scan(8)
+	step.Copies = true
+	b.submit("a", "scan", step)
+	b.play(50 * time.Millisecond)
+	b.storeAway = true
+	next := scan(8)
+	next.Copies = true
+	b.submit("b", "scan", next)
+	b.play(200 * time.Millisecond)
+	started := 0
+	for n := range b.starts {
+		if n.Job == "b" {
+			started++
+		}
+	}
+	require.Equal(t, 8, started)
+	for _, w := range b.workers {
+		if len(w.runs) > 0 {
+			w.silent = true
+			break
+		}
+	}
+	b.storeAway = false
+	b.play(4 * time.Second)
+	require.Equal(t, flow.Completed, b.state("a"))
+	require.Equal(t, flow.Completed, b.state("b"))
+}
+
+// A worker falls silent and returns with copies that were begun elsewhere
+// meanwhile. They still take its room, and work that was placed as if they did
+// not would overload it.
+func TestCopiesLeftOnAWorkerStillTakeItsRoom(t *testing.T) {
+	b := newBench(t, 2)
+	b.copies = true
+	b.play(100 * time.Millisecond)
+	step := scan(20)
+	step.Copies, step.Time = true, 5*time.Second
+	b.submit("a", "scan", step)
+	b.play(300 * time.Millisecond)
+	b.workers["w00"].silent = true
+	b.play(1500 * time.Millisecond)
+	b.workers["w00"].silent = false
+	b.submit("b", "scan", scan(12))
+	b.play(20 * time.Second)
+	require.Equal(t, flow.Completed, b.state("a"))
+	require.Equal(t, flow.Completed, b.state("b"))
+	require.Empty(t, b.wrongs)
+}
+
+// A lead ends with copies started that it could not store. Its successor finds
+// them at their workers and goes on with them.
+func TestCopiesThatWereNotStoredAreFoundByTheNextLead(t *testing.T) {
+	b := newBench(t, 4)
+	b.copies = true
+	b.play(100 * time.Millisecond)
+	b.storeAway = true
+	step := scan(8)
+	step.Copies, step.Time = true, 3*time.Second
+	b.submit("a", "scan", step)
+	b.play(200 * time.Millisecond)
+	require.Equal(t, 8, total(b.starts))
+	b.storeAway = false
+	b.takeover()
+	b.play(4 * time.Second)
+	require.Equal(t, flow.Completed, b.state("a"))
+	require.LessOrEqual(t, total(b.starts), 16)
+}
--- a/internal/sched/start.go
+++ b/internal/sched/start.go
@@ -6,7 +6,10 @@
 	"pollencroft/internal/flow"
 )
 
-// assign gives a task room on a worker and has its run stored.
+// assign gives a task room on a worker and has its run stored. A task of which
+// copies may run beside each other does not wait for that: what a successor does
+// not know of does no harm, and the start saves an append's time, which is long
+// when the store is slow and endless while it is away.
 func (s *Sched) assign(t *flow.Task, w *worker, run int) {
 	t.Worker, t.Run = w.Life, run
 	t.Move(flow.Assign, s.now)
@@ -15,8 +18,12 @@
 		t.Job.Domain = w.Domain
 	}
 	w.put(t)
-	s.next.sends = append(s.next.sends, runKey{t.Name, run})
 	s.touch(t.Job)
+	if t.Spec().Copies {
+		s.early = append(s.early, runKey{t.Name, run})
+		return
+	}
+	s.next.sends = append(s.next.sends, runKey{t.Name, run})
 }
 
 // send starts a run that is stored by now.
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -19,6 +19,9 @@
 	// used is the room that tasks take, filled the processors of filling ones.
 	used   cell.Size
 	filled int64
+	// loose are runs that are not followed any more and may still be there; they
+	// take room until the worker certainly does not have them.
+	loose map[runKey]looseRun
 	// seen is the last end that was read, noted the last that is stored, told
 	// the last that the worker knows to be stored.
 	seen, noted, told int64
@@ -50,7 +53,7 @@
 }
 
 func newWorker(w Worker) *worker {
-	return &worker{Worker: w, tasks: map[flow.Name]*flow.Task{}, pace: newPacing(), speed: 1, crawls: map[string]bool{}}
+	return &worker{Worker: w, tasks: map[flow.Name]*flow.Task{}, pace: newPacing(), speed: 1, crawls: map[string]bool{}, loose: map[runKey]looseRun{}}
 }
 
 func (w *worker) put(t *flow.Task) {
@@ -75,6 +78,33 @@
 	}
 }
 
+// looseRun is the room of a run that is not followed, which may begin as late
+// as until.
+type looseRun struct {
+	room  cell.Size
+	until time.Time
+}
+
+// loosen goes on booking the room of a run that is not followed any more.
+func (w *worker) loosen(k runKey, room cell.Size, now time.Time) {
+	if _, ok := w.loose[k]; !ok {
+		w.used = w.used.Add(room)
+	}
+	w.loose[k] = looseRun{room: room, until: now.Add(startLease + onItsWay)}
+}
+
+// settleLoose frees the room of loose runs that are listed no longer and can
+// begin no longer.
+func (w *worker) settleLoose(listed map[flow.Name]int, now time.Time) {
+	for k, l := range w.loose {
+		if listed[k.task] == k.run || now.Before(l.until) {
+			continue
+		}
+		w.used = w.used.Sub(l.room)
+		delete(w.loose, k)
+	}
+}
+
 func (w *worker) free() cell.Size { return w.Size.Sub(w.used) }
 
 // silent tells whether the worker leaves calls without an answer.
@@ -168,7 +198,7 @@
 	if w.holding || w.dead || !w.Addr.IsValid() || s.now.Before(w.again) {
 		return
 	}
-	if w.fenced && len(w.tasks) == 0 && w.told >= w.noted && w.doubt.IsZero() {
+	if w.fenced && len(w.tasks) == 0 && len(w.loose) == 0 && w.told >= w.noted && w.doubt.IsZero() {
 		return
 	}
 	if w.fenced && w.seen > w.noted && s.now.Sub(w.asked) < unnotedEvery {
@@ -274,6 +304,7 @@
 			s.absent(t, ev.Sent, first)
 		}
 	}
+	w.settleLoose(listed, s.now)
 	s.repace(w, ev.Running)
 }
 
@@ -281,7 +312,9 @@
 func (s *Sched) listed(w *worker, l Listed, clock time.Time) {
 	t := s.task(runKey{l.Task, l.Run})
 	if t == nil || t.Worker != w.Life {
-		s.stray(w, l)
+		if !s.adoptCopy(w, l) {
+			s.stray(w, l)
+		}
 		return
 	}
 	if t.State == flow.Starting || t.State == flow.Inherited {
@@ -297,9 +330,32 @@
 	s.progress(w, t, l, clock)
 }
 
+// adoptCopy takes over a copy that a former lead started and could not store
+// any more.
+func (s *Sched) adoptCopy(w *worker, l Listed) bool {
+	j, ok := s.jobs[l.Task.Job]
+	if !ok || j.State.Final() {
+		return false
+	}
+	t := j.Task(l.Task)
+	if t == nil || !t.Spec().Copies || t.State != flow.Waiting || l.Run < t.Run {
+		return false
+	}
+	t.Worker, t.Run = w.Life, l.Run
+	t.Move(flow.Assign, s.now)
+	t.Move(flow.Send, s.now)
+	w.put(t)
+	s.confirm(t)
+	s.touch(j)
+	return true
+}
+
 // stray stops a run that no record names. It can only be one that was given up
 // for lapsed by a clock that was wrong; it must not work on unseen.
 func (s *Sched) stray(w *worker, l Listed) {
+	if j, ok := s.jobs[l.Task.Job]; ok && l.Task.Step < len(j.Spec.Steps) {
+		w.loosen(runKey{l.Task, l.Run}, j.Spec.Steps[l.Task.Step].Room(), s.now)
+	}
 	s.do(Note{ID: l.Task.String(), What: "stray run", Worker: w.Life, Run: l.Run})
 	s.do(Stop{To: w.Address, Term: s.term, Task: l.Task, Run: l.Run})
 }
@@ -330,6 +386,7 @@
 func (s *Sched) ended(w *worker, e End, clock time.Time) {
 	t := s.task(runKey{e.Task, e.Run})
 	if t == nil || t.Worker != w.Life || !t.Out() {
+		s.endedCopy(e)
 		return
 	}
 	if e.Saved != "" {
@@ -350,6 +407,34 @@
 	}
 }
 
+// endedCopy takes the end of a copy that is not the one that is followed: the
+// first that is done counts, and the other one is stopped.
+func (s *Sched) endedCopy(e End) {
+	j, ok := s.jobs[e.Task.Job]
+	if !ok || e.How != EndDone || j.State.Final() {
+		return
+	}
+	t := j.Task(e.Task)
+	if t == nil || !t.Spec().Copies || t.State == flow.Done {
+		return
+	}
+	if w, ok := s.workers[t.Worker]; ok && t.Out() && t.State != flow.Assigned {
+		s.do(Stop{To: w.Address, Term: s.term, Task: t.Name, Run: t.Run})
+		w.loosen(runKey{t.Name, t.Run}, t.Spec().Room(), s.now)
+	}
+	s.done(t)
+}
+
+// copySilent begins copies of what may run on a worker that does not answer.
+func (s *Sched) copySilent(w *worker) {
+	for _, t := range w.tasks {
+		if t.Spec().Copies && !t.Spec().Gang && (t.State == flow.Running || t.State == flow.Starting) {
+			w.loosen(runKey{t.Name, t.Run}, t.Spec().Room(), s.now)
+			s.gone(t, "worker is silent, a copy may run")
+		}
+	}
+}
+
 // finish ends a task, and its gang with it: they end as done together.
 func (s *Sched) finish(t *flow.Task) {
 	if !t.Spec().Gang {
@@ -433,6 +518,9 @@
 		if w.draining && !w.dead {
 			s.evacuate(w)
 		}
+		if w.silent(s.now) {
+			s.copySilent(w)
+		}
 		if s.vacant(w) {
 			s.do(Note{ID: life, What: "leases have lapsed", Worker: life})
 			s.abandon(w, "lapsed at a silent worker")
