sched: decide in a fixed order and tick only when something is due

The core walked maps, so that the same events gave other decisions from run to run; a test of copies failed one time in some.

--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -1,6 +1,8 @@
 package flow
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"pollencroft/internal/chart"
@@ -219,8 +221,8 @@
 
 // Tasks calls f for each task of the rounds that are open.
 func (j *Job) Tasks(f func(t *Task)) {
-	for _, r := range j.Rounds {
-		for _, s := range r.Stages {
+	for _, n := range slices.Sorted(maps.Keys(j.Rounds)) {
+		for _, s := range j.Rounds[n].Stages {
 			for _, t := range s.Tasks {
 				f(t)
 			}
--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -162,7 +162,7 @@
 		}
 		all = append(all, candidate{life: w.Life, tasks: r.hold(w), known: known, cost: s.cost(r, w)})
 	}
-	slices.SortFunc(all, func(a, b candidate) int {
+	slices.SortStableFunc(all, func(a, b candidate) int {
 		switch {
 		case a.known != b.known && a.known:
 			return -1
@@ -249,8 +249,9 @@
 }
 
 func (s *Sched) advised(ev Advised) {
-	for st, a := range s.advice {
-		if a.asked.IsZero() || a.host != ev.Host || st.Tasks[0].Name.StepName() != ev.Step {
+	for _, st := range s.asked() {
+		a := s.advice[st]
+		if a.host != ev.Host || st.Tasks[0].Name.StepName() != ev.Step {
 			continue
 		}
 		s.answer(a, ev)
@@ -297,10 +298,23 @@
 	s.do(Note{ID: ev.Step, What: "advice", Detail: ev.Host})
 }
 
+// asked lists the steps of which a question is under way, in order.
+func (s *Sched) asked() []*flow.Stage {
+	var all []*flow.Stage
+	for st, a := range s.advice {
+		if !a.asked.IsZero() {
+			all = append(all, st)
+		}
+	}
+	slices.SortFunc(all, func(a, b *flow.Stage) int { return compareNames(a.Tasks[0].Name, b.Tasks[0].Name) })
+	return all
+}
+
 // watchAdvice gives up questions that took too long.
 func (s *Sched) watchAdvice() {
-	for st, a := range s.advice {
-		if !a.asked.IsZero() && s.now.After(a.gives) {
+	for _, st := range s.asked() {
+		a := s.advice[st]
+		if s.now.After(a.gives) {
 			a.asked = time.Time{}
 			if h, ok := s.hosts[a.host]; ok {
 				h.failed(s.now)
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -268,6 +269,15 @@
 	return s
 }
 
+// inOrder lists the workers by name.
+func (b *cellBench) inOrder() []*fakeWorker {
+	var all []*fakeWorker
+	for _, n := range slices.Sorted(maps.Keys(b.workers)) {
+		all = append(all, b.workers[n])
+	}
+	return all
+}
+
 func (w *fakeWorker) used() cell.Size {
 	var sum cell.Size
 	for _, r := range w.runs {
@@ -465,7 +475,8 @@
 		return
 	}
 	ev.Clock = w.b.now
-	for n, r := range w.runs {
+	for _, n := range slices.SortedFunc(maps.Keys(w.runs), func(x, y flow.Name) int { return strings.Compare(x.String(), y.String()) }) {
+		r := w.runs[n]
 		l := sched.Listed{Task: n, Run: r.run, Percent: 100}
 		if !r.step.Lasts && r.step.Time > 0 && !w.still {
 			l.Percent = int(100 * w.b.now.Sub(r.began) / r.ends.Sub(r.began))
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"slices"
 
 	"pollencroft/internal/cell"
@@ -46,8 +47,8 @@
 		for _, w := range workers {
 			racks[w.Rack] = append(racks[w.Rack], w)
 		}
-		for _, in := range racks {
-			if put := s.gangOn(r, in); put != nil {
+		for _, name := range slices.Sorted(maps.Keys(racks)) {
+			if put := s.gangOn(r, racks[name]); put != nil {
 				return put
 			}
 		}
@@ -66,7 +67,7 @@
 			room[w] = w.free()
 		}
 	}
-	slices.SortFunc(able, func(a, b *worker) int { return int(room[b].CPU - room[a].CPU) })
+	slices.SortStableFunc(able, func(a, b *worker) int { return int(room[b].CPU - room[a].CPU) })
 	put := make([]*worker, 0, len(r.stage.Tasks))
 	for range r.stage.Tasks {
 		i := slices.IndexFunc(able, func(w *worker) bool {
--- /dev/null
+++ b/internal/sched/order.go
@@ -0,0 +1,48 @@
+package sched
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"pollencroft/internal/flow"
+)
+
+// The core decides the same whenever it is told the same: what it walks in a
+// map's order would differ from run to run, and with it every seed of a test.
+
+// lives lists the workers in order of life.
+func (s *Sched) lives() []*worker {
+	all := make([]*worker, 0, len(s.workers))
+	for _, life := range slices.Sorted(maps.Keys(s.workers)) {
+		all = append(all, s.workers[life])
+	}
+	return all
+}
+
+// inOrder lists the worker's tasks by name.
+func (w *worker) inOrder() []*flow.Task {
+	all := slices.AppendSeq(make([]*flow.Task, 0, len(w.tasks)), maps.Values(w.tasks))
+	slices.SortFunc(all, func(a, b *flow.Task) int { return compareNames(a.Name, b.Name) })
+	return all
+}
+
+func compareNames(a, b flow.Name) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), a.Round-b.Round, a.Step-b.Step, a.Index-b.Index)
+}
+
+func compareRuns(a, b runKey) int {
+	return cmp.Or(compareNames(a.task, b.task), a.run-b.run)
+}
+
+// ordered lists the keys of a map of runs.
+func ordered[V any](m map[runKey]V) []runKey {
+	return slices.SortedFunc(maps.Keys(m), compareRuns)
+}
+
+// opened lists the jobs that are not over by the order of their acceptance.
+func (s *Sched) opened() []*flow.Job {
+	all := slices.AppendSeq(make([]*flow.Job, 0, len(s.open)), maps.Values(s.open))
+	slices.SortFunc(all, func(a, b *flow.Job) int { return cmp.Compare(a.Number, b.Number) })
+	return all
+}
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -55,7 +55,7 @@
 	if level != w.pace.level {
 		w.pace.level, w.pace.moved = level, s.now
 	}
-	for _, t := range w.tasks {
+	for _, t := range w.inOrder() {
 		if t.Spec().Fills && t.State == flow.Running && (t.Pace != level || worst >= stopAt) {
 			t.Pace = level
 			s.do(Pace{To: w.Address, Term: s.term, Task: t.Name, Run: t.Run, Percent: level})
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -77,7 +77,7 @@
 
 func (s *Sched) pools() map[string]*pool {
 	all := map[string]*pool{}
-	for _, w := range s.workers {
+	for _, w := range s.lives() {
 		if !w.usable(s.now) {
 			continue
 		}
@@ -90,14 +90,6 @@
 		p.whole += w.Size.CPU
 		p.free += max(w.free().CPU, 0)
 	}
-	for _, p := range all {
-		slices.SortFunc(p.workers, func(a, b *worker) int {
-			if a.Life < b.Life {
-				return -1
-			}
-			return 1
-		})
-	}
 	return all
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -5,6 +5,7 @@
 package sched
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -133,7 +134,9 @@
 	case Tick:
 		s.tick()
 	}
-	s.stirred = true
+	if _, idle := ev.(Tick); !idle {
+		s.stirred = true
+	}
 	s.flush()
 	return s.acts
 }
@@ -171,6 +174,8 @@
 		return
 	}
 	s.swept = s.now
+	// Time alone may have made a place: a rest is over, a ticket has run out.
+	s.stirred = len(s.open) > 0
 	s.begin()
 	s.watchWorkers()
 	s.retryStops()
@@ -180,7 +185,7 @@
 
 // begin opens the rounds that are due.
 func (s *Sched) begin() {
-	for _, j := range s.open {
+	for _, j := range s.opened() {
 		if len(j.Begin(s.now)) > 0 {
 			s.touch(j)
 		}
@@ -210,16 +215,11 @@
 		changes = append(changes, Change{Key: id})
 	}
 	s.forgotten = nil
-	for id, j := range s.dirty {
+	for _, id := range slices.Sorted(maps.Keys(s.dirty)) {
+		j := s.dirty[id]
 		changes = append(changes, Change{Key: id, Value: j.Record()})
 		s.next.shown = append(s.next.shown, j)
 	}
-	slices.SortFunc(changes, func(a, b Change) int {
-		if a.Key < b.Key {
-			return -1
-		}
-		return 1
-	})
 	clear(s.dirty)
 	s.flying, s.next = s.next, newBatch()
 	s.last = s.now
@@ -255,9 +255,11 @@
 			s.do(Note{ID: j.Spec.ID, What: "ended", Detail: string(j.Shown)})
 		}
 	}
-	for w, n := range b.seen {
-		w.noted = max(w.noted, n)
-		s.keepHolding(w)
+	for _, w := range s.lives() {
+		if n, ok := b.seen[w]; ok {
+			w.noted = max(w.noted, n)
+			s.keepHolding(w)
+		}
 	}
 	for _, k := range b.sends {
 		s.send(k)
@@ -266,7 +268,8 @@
 
 // forget drops jobs whose end was told for long enough.
 func (s *Sched) forget() {
-	for id, j := range s.jobs {
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		j := s.jobs[id]
 		if j.State.Final() && j.Shown.Final() && s.now.Sub(j.Ended) > s.limits.Keep {
 			delete(s.jobs, id)
 			delete(s.open, id)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -64,12 +64,12 @@
 func TestAStartWithoutAnAnswerIsStoppedBeforeTheTaskStartsElsewhere(t *testing.T) {
 	b := newBench(t, 3)
 	b.play(100 * time.Millisecond)
-	for _, w := range b.workers {
+	for _, w := range b.inOrder() {
 		w.lateStart = 2 * time.Second
 	}
 	b.submit("a", "scan", scan(4))
 	b.play(300 * time.Millisecond)
-	for _, w := range b.workers {
+	for _, w := range b.inOrder() {
 		w.lateStart = 0
 	}
 	b.play(5 * time.Second)
@@ -228,7 +228,7 @@
 // allows, and not one more.
 func TestAJobThatCanNeverBeDoneFailsAfterItsTries(t *testing.T) {
 	b := newBench(t, 6)
-	for _, w := range b.workers {
+	for _, w := range b.inOrder() {
 		w.fails = true
 	}
 	b.submit("bad", "scan", scan(1))
@@ -259,7 +259,7 @@
 	b.step(sched.Cancel{ID: "a"})
 	b.play(4 * time.Second)
 	require.Equal(t, flow.Cancelled, b.state("a"))
-	for _, w := range b.workers {
+	for _, w := range b.inOrder() {
 		require.Empty(t, w.runs)
 	}
 }
@@ -356,7 +356,7 @@
 	b.submit("a", "scan", scan(6), scan(6))
 	b.play(200 * time.Millisecond)
 	domains := map[string]bool{}
-	for _, w := range b.workers {
+	for _, w := range b.inOrder() {
 		if len(w.runs) > 0 {
 			domains[w.info.Domain] = true
 		}
@@ -417,7 +417,7 @@
 		}
 	}
 	require.Equal(t, 8, started)
-	for _, w := range b.workers {
+	for _, w := range b.inOrder() {
 		if len(w.runs) > 0 {
 			w.silent = true
 			break
@@ -433,18 +433,26 @@
 // meanwhile. They still take its room, and work that was placed as if they did
 // not would overload it.
 func TestCopiesLeftOnAWorkerStillTakeItsRoom(t *testing.T) {
-	b := newBench(t, 2)
+	b := newBench(t, 3)
 	b.copies = true
 	b.play(100 * time.Millisecond)
-	step := scan(20)
+	step := scan(12)
 	step.Copies, step.Time = true, 5*time.Second
 	b.submit("a", "scan", step)
 	b.play(300 * time.Millisecond)
-	b.workers["w00"].silent = true
-	b.play(1500 * time.Millisecond)
-	b.workers["w00"].silent = false
-	b.submit("b", "scan", scan(12))
+	var cut *fakeWorker
+	for _, w := range b.inOrder() {
+		if len(w.runs) > 6 {
+			cut = w
+		}
+	}
+	require.NotNil(t, cut)
+	cut.silent = true
+	b.play(2500 * time.Millisecond)
+	b.submit("b", "scan", scan(24))
+	cut.silent = false
 	b.play(20 * time.Second)
+	require.Greater(t, total(b.starts), 12+24, "copies began elsewhere")
 	require.Equal(t, flow.Completed, b.state("a"))
 	require.Equal(t, flow.Completed, b.state("b"))
 	require.Empty(t, b.wrongs)
@@ -468,3 +476,20 @@
 	require.Equal(t, flow.Completed, b.state("a"))
 	require.LessOrEqual(t, total(b.starts), 16)
 }
+
+// The same events give the same decisions, to the order of each action.
+func TestTheCoreDecidesTheSameTwice(t *testing.T) {
+	play := func() string {
+		b := newBench(t, 9)
+		b.workers["w03"].fails = true
+		for i := range 20 {
+			b.submit(fmt.Sprintf("s%02d", i), "scan", scan(6), scan(3))
+			b.submit(fmt.Sprintf("b%02d", i), "print", bulk(5))
+			b.play(150 * time.Millisecond)
+		}
+		b.workers["w05"].silent = true
+		b.play(3 * time.Second)
+		return fmt.Sprint(b.starts, b.core.Pending(), len(b.asks))
+	}
+	require.Equal(t, play(), play())
+}
--- a/internal/sched/stop.go
+++ b/internal/sched/stop.go
@@ -42,7 +42,8 @@
 }
 
 func (s *Sched) retryStops() {
-	for k, st := range s.stops {
+	for _, k := range ordered(s.stops) {
+		st := s.stops[k]
 		if !st.flying && st.sure.IsZero() && !s.now.Before(st.again) {
 			s.sendStop(k, st)
 		}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -154,7 +154,8 @@
 		}
 		s.keepHolding(w)
 	}
-	for life, w := range s.workers {
+	for _, w := range s.lives() {
+		life := w.Life
 		if !listed[life] && w.listed {
 			w.listed, w.unlisted = false, s.now
 			s.do(Note{ID: life, What: "worker not listed", Worker: life})
@@ -178,7 +179,7 @@
 // evacuate stops tasks on workers that leave: lasting ones at once, others
 // when they would not end before the worker goes.
 func (s *Sched) evacuate(w *worker) {
-	for _, t := range w.tasks {
+	for _, t := range w.inOrder() {
 		if t.State != flow.Running {
 			continue
 		}
@@ -299,7 +300,7 @@
 		listed[l.Task] = l.Run
 		s.listed(w, l, ev.Clock)
 	}
-	for _, t := range w.tasks {
+	for _, t := range w.inOrder() {
 		if listed[t.Name] != t.Run {
 			s.absent(t, ev.Sent, first)
 		}
@@ -427,7 +428,7 @@
 
 // copySilent begins copies of what may run on a worker that does not answer.
 func (s *Sched) copySilent(w *worker) {
-	for _, t := range w.tasks {
+	for _, t := range w.inOrder() {
 		if t.Spec().Copies && !t.Spec().Gang && (t.State == flow.Running || t.State == flow.Starting) {
 			w.loosen(runKey{t.Name, t.Run}, t.Spec().Room(), s.now)
 			s.gone(t, "worker is silent, a copy may run")
@@ -462,7 +463,7 @@
 
 // abandon puts back all tasks of a worker on which nothing can run any more.
 func (s *Sched) abandon(w *worker, why string) {
-	for _, t := range w.tasks {
+	for _, t := range w.inOrder() {
 		s.gone(t, why)
 	}
 }
@@ -514,7 +515,8 @@
 
 // watchWorkers notices leases that have surely lapsed and goes on asking.
 func (s *Sched) watchWorkers() {
-	for life, w := range s.workers {
+	for _, w := range s.lives() {
+		life := w.Life
 		if w.draining && !w.dead {
 			s.evacuate(w)
 		}
