--- /dev/null
+++ b/internal/entry/cell_test.go
@@ -0,0 +1,203 @@
+package entry_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/entry"
+	"pollencroft/internal/standin/users"
+)
+
+// settleTime bounds what a test waits for. It decides no verdict on a machine
+// that works at all: what is waited for takes a second or two.
+const settleTime = time.Minute
+
+const (
+	callerHost = "jobs.example"
+	prefix     = "/scan/"
+)
+
+const tableText = `{"version":%d,"routes":[{"name":"scan","host":"jobs.example","pathPrefix":"/scan/","service":"pass","priority":0,
+"maxAttempts":3,"stretch":1.5,"targetLatencyMs":250}%s],"services":[{"name":"pass"}],"limits":{"maxBodyBytes":20000}}`
+
+// cell is a few entry hosts, workers and the store on the loopback interface.
+type cell struct {
+	t       *testing.T
+	log     *users.Log
+	oracle  *users.Oracle
+	workers []*users.Worker
+	hosts   map[string]*running
+	lines   *lines
+}
+
+type running struct {
+	*entry.Host
+	cfg   entry.Settings
+	store *httptest.Server
+}
+
+// lines keeps what the hosts log.
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(b)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.String()
+}
+
+func newCell(t *testing.T, hosts, workers int, work time.Duration) *cell {
+	c := &cell{t: t, log: users.NewLog(16, time.Now), oracle: users.NewOracle(), hosts: map[string]*running{}, lines: &lines{}}
+	for i := range workers {
+		w := users.NewWorker(fmt.Sprintf("w%d", i), work, c.oracle)
+		t.Cleanup(w.Close)
+		c.workers = append(c.workers, w)
+		c.log.Put("servers", w.ID, w.Entry("pass", fmt.Sprintf("zone%d", i%3)))
+	}
+	c.log.Put("op", "config", fmt.Appendf(nil, tableText, 1, ""))
+	for i := range hosts {
+		c.start(fmt.Sprintf("h%d", i))
+	}
+	c.settled()
+	t.Cleanup(func() {
+		for _, h := range c.hosts {
+			h.Kill()
+			h.store.CloseClientConnections()
+			h.store.Close()
+		}
+		if t.Failed() {
+			t.Log(c.lines.String())
+		}
+	})
+	return c
+}
+
+func freePort(t *testing.T) netip.AddrPort {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+// start starts a host, or a new life of it at the same addresses.
+func (c *cell) start(name string) *running {
+	r, ok := c.hosts[name]
+	if !ok {
+		r = &running{store: httptest.NewServer(c.log.Handler(func(*http.Request) string { return name }))}
+		r.cfg = entry.Settings{Name: name, Domain: "zone0", Store: addrOf(c.t, r.store), Parts: 16}
+		r.cfg.Listen.Caller, r.cfg.Listen.Ready, r.cfg.Listen.Peer = freePort(c.t), freePort(c.t), freePort(c.t)
+		r.cfg.Times.Lease, r.cfg.Times.Stop = entry.Duration(10*time.Second), entry.Duration(900*time.Millisecond)
+		r.cfg.Times.Grace, r.cfg.Times.Keep = entry.Duration(3*time.Second), entry.Duration(2*time.Minute)
+		c.hosts[name] = r
+	}
+	log := slog.New(slog.NewTextHandler(c.lines, nil)).With("host", name)
+	h, err := entry.New(r.cfg, log, time.Now)
+	require.NoError(c.t, err)
+	require.NoError(c.t, h.Start())
+	r.Host = h
+	return r
+}
+
+func addrOf(t *testing.T, s *httptest.Server) netip.AddrPort {
+	a, err := netip.ParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+	require.NoError(t, err)
+	return a
+}
+
+// settled waits until one host leads and all are ready.
+func (c *cell) settled() {
+	c.t.Helper()
+	require.Eventually(c.t, func() bool {
+		leads := 0
+		for _, h := range c.hosts {
+			if h.Leading() {
+				leads++
+			}
+			if code, _ := c.get(h.cfg.Listen.Ready, "/pollencroft/ready"); code != http.StatusOK {
+				return false
+			}
+		}
+		return leads == 1
+	}, settleTime, 20*time.Millisecond)
+}
+
+func (c *cell) leader() *running {
+	for _, h := range c.hosts {
+		if h.Leading() {
+			return h
+		}
+	}
+	return nil
+}
+
+func (c *cell) follower() *running {
+	for _, h := range c.hosts {
+		if !h.Leading() {
+			return h
+		}
+	}
+	return nil
+}
+
+type answer struct {
+	code   int
+	body   string
+	header http.Header
+}
+
+func (c *cell) call(addr netip.AddrPort, method, path, body string) answer {
+	req, err := http.NewRequestWithContext(c.t.Context(), method, "http://"+addr.String()+path, strings.NewReader(body))
+	require.NoError(c.t, err)
+	req.Host = callerHost
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{}
+	}
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	return answer{code: resp.StatusCode, body: string(b), header: resp.Header}
+}
+
+func (c *cell) get(addr netip.AddrPort, path string) (int, string) {
+	a := c.call(addr, http.MethodGet, path, "")
+	return a.code, a.body
+}
+
+func id(n int) string { return fmt.Sprintf("%016x", n) }
+
+const twoSteps = `{"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"estimateMs":200},{"count":3,"cpu":500,"memMb":256,"estimateMs":200,"after":[0]}]}`
+
+func (c *cell) submit(h *running, n int) answer {
+	return c.call(h.cfg.Listen.Caller, http.MethodPost, prefix+id(n), twoSteps)
+}
+
+// finished waits until all jobs are shown as completed at that host.
+func (c *cell) finished(h *running, jobs int) {
+	c.t.Helper()
+	for n := range jobs {
+		require.Eventually(c.t, func() bool {
+			_, body := c.get(h.cfg.Listen.Caller, prefix+id(n))
+			return body == `{"state":"completed"}`
+		}, settleTime, 20*time.Millisecond, "job %d", n)
+	}
+}
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,243 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/standin/users"
+)
+
+func TestAJobGoesFromItsCallerToWorkersAndBack(t *testing.T) {
+	c := newCell(t, 3, 4, 50*time.Millisecond)
+	f := c.follower()
+	require.Equal(t, http.StatusOK, c.submit(f, 0).code)
+	c.finished(c.leader(), 1)
+	require.Len(t, c.oracle.Runs(), 7)
+	require.Empty(t, c.oracle.Wrongs())
+	code, body := c.get(f.cfg.Listen.Caller, prefix)
+	require.Equal(t, http.StatusOK, code)
+	require.Equal(t, `{"pending":0}`, body)
+}
+
+func TestWhatIsNotThereIsToldSo(t *testing.T) {
+	c := newCell(t, 2, 1, 50*time.Millisecond)
+	for _, h := range c.hosts {
+		code, _ := c.get(h.cfg.Listen.Caller, "/nowhere/"+id(1))
+		require.Equal(t, http.StatusNotFound, code)
+		code, _ = c.get(h.cfg.Listen.Caller, prefix+id(1))
+		require.Equal(t, http.StatusGone, code)
+		require.Equal(t, http.StatusGone, c.call(h.cfg.Listen.Caller, http.MethodDelete, prefix+id(1), "").code)
+	}
+}
+
+// A body that is no job gets a 4xx that names the field, and nothing is stored.
+func TestABadBodyIsRefusedAndNeverStored(t *testing.T) {
+	c := newCell(t, 1, 1, 50*time.Millisecond)
+	h := c.leader()
+	bad := map[string]string{
+		`{"spec":5}`:                                   "spec",
+		`{"steps":[]}`:                                 "steps",
+		`{"steps":[{"count":0}]}`:                      "steps[0].count",
+		`{"steps":[{"count":1,"cpu":-1}]}`:             "steps[0].size",
+		`{"steps":[{"count":1,"after":[0]}]}`:          "steps[0].after",
+		`{"steps":[{"count":1,"after":"x"}]}`:          "after",
+		`not json`:                                     "decode",
+		strings.Repeat(`{"steps":`, 3000):              "",
+		`{"spec":"` + strings.Repeat("x", 5000) + `"}`: "spec",
+	}
+	for body, field := range bad {
+		a := c.call(h.cfg.Listen.Caller, http.MethodPost, prefix+id(9), body)
+		require.GreaterOrEqual(t, a.code, 400, body)
+		require.Less(t, a.code, 500, body)
+		require.Contains(t, a.body, field)
+	}
+	code, _ := c.get(h.cfg.Listen.Caller, prefix+id(9))
+	require.Equal(t, http.StatusGone, code)
+}
+
+// The lead dies while tasks run. Another host leads within seconds, goes on with
+// what runs, and starts nothing twice.
+func TestAnotherHostLeadsAfterTheLeadDies(t *testing.T) {
+	c := newCell(t, 3, 4, 600*time.Millisecond)
+	f := c.follower()
+	for n := range 6 {
+		require.Equal(t, http.StatusOK, c.submit(f, n).code)
+	}
+	time.Sleep(300 * time.Millisecond)
+	dead := c.leader()
+	dead.Kill()
+	delete(c.hosts, dead.cfg.Name)
+	c.finished(f, 6)
+	require.Empty(t, c.oracle.Wrongs())
+}
+
+// All hosts die at once, right after jobs were acknowledged. Nothing of them is
+// left but what lies in the store, and every job that was told as accepted ends
+// as done.
+func TestAcceptedJobsOutliveAllHosts(t *testing.T) {
+	c := newCell(t, 3, 4, 300*time.Millisecond)
+	for n := range 6 {
+		require.Equal(t, http.StatusOK, c.submit(c.follower(), n).code)
+	}
+	for _, h := range c.hosts {
+		h.Kill()
+	}
+	for name := range c.hosts {
+		c.start(name)
+	}
+	c.settled()
+	c.finished(c.follower(), 6)
+	require.Empty(t, c.oracle.Wrongs())
+	for task, n := range c.oracle.Runs() {
+		require.Equal(t, 1, n, task)
+	}
+}
+
+// The lead is stopped as planned under load. Callers that keep sending to the
+// other hosts see no failure.
+func TestAPlannedStopOfTheLeadCutsNothing(t *testing.T) {
+	c := newCell(t, 3, 4, 200*time.Millisecond)
+	old, f := c.leader(), c.follower()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		old.Stop()
+	}()
+	jobs := 0
+	for stopped := false; !stopped || jobs < 10; jobs++ {
+		select {
+		case <-done:
+			stopped = true
+		default:
+		}
+		require.Equal(t, http.StatusOK, c.submit(f, jobs).code)
+		time.Sleep(50 * time.Millisecond)
+	}
+	delete(c.hosts, old.cfg.Name)
+	old.Kill()
+	c.finished(f, jobs)
+	require.Empty(t, c.oracle.Wrongs())
+}
+
+// The store turns one host away and serves the others. Its callers are served
+// all the same, through a peer.
+func TestAHostThatTheStoreTurnsAwayServesThroughAPeer(t *testing.T) {
+	c := newCell(t, 3, 3, 50*time.Millisecond)
+	f := c.follower()
+	for i, fault := range []users.Fault{users.Busy, users.Silent, users.Lost} {
+		c.log.Break(f.cfg.Name, fault)
+		require.Equal(t, http.StatusOK, c.submit(f, i).code, "fault %d", fault)
+		c.log.Break(f.cfg.Name, users.None)
+	}
+	c.finished(f, 3)
+	require.Empty(t, c.oracle.Wrongs())
+}
+
+// The store refuses everybody. Callers hear so at once, with the time to come
+// back, and not at their deadline; nothing of it runs later.
+func TestAStoreThatIsAwayIsToldAtOnce(t *testing.T) {
+	c := newCell(t, 2, 2, 50*time.Millisecond)
+	h := c.follower()
+	c.log.Break("", users.Busy)
+	began := time.Now()
+	a := c.submit(h, 0)
+	require.Equal(t, http.StatusServiceUnavailable, a.code)
+	require.Equal(t, "1", a.header.Get("Retry-After"))
+	require.Less(t, time.Since(began), 1500*time.Millisecond)
+	require.Eventually(t, func() bool {
+		code, _ := c.get(h.cfg.Listen.Ready, "/pollencroft/ready")
+		return code == http.StatusServiceUnavailable
+	}, settleTime, 20*time.Millisecond, "a host that can accept nothing is not ready")
+	c.log.Break("", users.None)
+	c.settled()
+	code, _ := c.get(h.cfg.Listen.Caller, prefix+id(0))
+	require.Equal(t, http.StatusGone, code)
+}
+
+// The store carries appends out and no answer comes. The job may run, so it must
+// not be told as refused.
+func TestAnAppendWithoutAnAnswerIsNeverARefusal(t *testing.T) {
+	c := newCell(t, 2, 2, 50*time.Millisecond)
+	h := c.follower()
+	c.log.Break("", users.Lost)
+	a := c.submit(h, 0)
+	require.Equal(t, http.StatusGatewayTimeout, a.code)
+	c.log.Break("", users.None)
+	c.settled()
+	c.finished(h, 1)
+}
+
+// Orders are left without an answer, carried out or not. Each task runs at one
+// place at a time and ends as done.
+func TestOrdersWithoutAnAnswerRunNothingTwice(t *testing.T) {
+	for _, done := range []bool{true, false} {
+		c := newCell(t, 1, 3, 300*time.Millisecond)
+		for _, w := range c.workers {
+			w.DropOrders(3, done)
+		}
+		require.Equal(t, http.StatusOK, c.submit(c.leader(), 0).code)
+		c.finished(c.leader(), 1)
+		require.Empty(t, c.oracle.Wrongs())
+	}
+}
+
+// Entries come from other writers too: bytes that cannot be read, fields of
+// another type, states and services that nobody names. They name no worker, and
+// the others are used.
+func TestAnEntryThatCannotBeReadNamesNoWorker(t *testing.T) {
+	c := newCell(t, 1, 1, 50*time.Millisecond)
+	for i, text := range []string{"\x00\xff", `{}`, `[]`, `{"service":5}`, `{"service":"pass","address":"nowhere","state":"ready"}`,
+		`{"service":"pass","address":"127.0.0.1:1","state":"asleep","capacity":{"cpu":1,"memMb":1}}`,
+		`{"service":"pass","address":"127.0.0.1:1","state":"ready"}`} {
+		c.log.Put("servers", fmt.Sprintf("bad%d", i), []byte(text))
+	}
+	require.Eventually(t, func() bool { return strings.Count(c.lines.String(), "entry passed over") == 7 }, settleTime, 20*time.Millisecond)
+	require.Equal(t, http.StatusOK, c.submit(c.leader(), 0).code)
+	c.finished(c.leader(), 1)
+}
+
+// Operators publish a table that drops a queue and adds one, and an older record
+// is read again afterwards. Every host follows and none goes back.
+func TestTheTableIsFollowedAndNeverGoesBack(t *testing.T) {
+	c := newCell(t, 2, 1, 50*time.Millisecond)
+	more := `,{"name":"print","host":"jobs.example","pathPrefix":"/print/","service":"pass"}`
+	c.log.Put("op", "config", fmt.Appendf(nil, tableText, 5, more))
+	for _, h := range c.hosts {
+		require.Eventually(t, func() bool {
+			code, _ := c.get(h.cfg.Listen.Caller, "/print/")
+			return code == http.StatusOK
+		}, settleTime, 10*time.Millisecond)
+	}
+	c.log.Put("op", "config", fmt.Appendf(nil, tableText, 4, ""))
+	c.log.Put("op", "config", []byte("{"))
+	time.Sleep(100 * time.Millisecond)
+	for _, h := range c.hosts {
+		code, _ := c.get(h.cfg.Listen.Caller, "/print/")
+		require.Equal(t, http.StatusOK, code)
+	}
+}
+
+// A job is cancelled while it runs: its tasks are stopped, and it stays so under
+// the next lead.
+func TestACancelledJobStaysCancelled(t *testing.T) {
+	c := newCell(t, 2, 2, 5*time.Second)
+	h := c.leader()
+	require.Equal(t, http.StatusOK, c.submit(h, 0).code)
+	running := func() int { return c.workers[0].Running() + c.workers[1].Running() }
+	require.Eventually(t, func() bool { return running() == 4 }, settleTime, 5*time.Millisecond)
+	require.Equal(t, http.StatusOK, c.call(h.cfg.Listen.Caller, http.MethodDelete, prefix+id(0), "").code)
+	require.Eventually(t, func() bool { return running() == 0 }, settleTime, 5*time.Millisecond)
+	h.Kill()
+	delete(c.hosts, h.cfg.Name)
+	f := c.follower()
+	require.Eventually(t, func() bool {
+		_, body := c.get(f.cfg.Listen.Caller, prefix+id(0))
+		return body == `{"state":"cancelled"}`
+	}, settleTime, 20*time.Millisecond)
+	require.Zero(t, running())
+}
--- /dev/null
+++ b/internal/standin/users/log.go
@@ -0,0 +1,353 @@
+// Package users stands in for the users' platform: its log with partitions,
+// fences and groups, its workers that start whatever they are told, and its
+// policy service. It speaks their published protocol over HTTP on the loopback
+// interface, injects faults, and records what must never happen.
+package users
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollencroft/internal/store"
+)
+
+// Fault is what the log does to the calls of one host.
+type Fault int
+
+// The faults.
+const (
+	// None serves the host.
+	None Fault = iota
+	// Busy refuses its calls.
+	Busy
+	// Silent answers nothing and does nothing.
+	Silent
+	// Lost carries its calls out and answers nothing.
+	Lost
+)
+
+// seqsKept is how many of a writer's last appends are answered again.
+const seqsKept = 5
+
+type partition struct {
+	records []store.Record
+	newest  map[string]store.Record
+	epoch   int64
+	seq     int64
+	// answers are the offsets of the epoch's last appends by number.
+	answers map[int64]store.Answer
+	grown   chan struct{}
+}
+
+type member struct {
+	topics []string
+	until  time.Time
+}
+
+type group struct {
+	generation int64
+	members    map[string]*member
+	owners     map[store.Share]string
+}
+
+// Log is the platform's log in memory. It is safe for concurrent use.
+type Log struct {
+	parts int
+	now   func() time.Time
+	mu    sync.Mutex
+	logs  map[store.Share]*partition
+	group map[string]*group
+	fault map[string]Fault
+	all   Fault
+	// calls counts by operation.
+	calls map[store.Op]int
+}
+
+// NewLog returns an empty log whose topics have so many partitions.
+func NewLog(parts int, now func() time.Time) *Log {
+	return &Log{parts: parts, now: now, logs: map[store.Share]*partition{}, group: map[string]*group{}, fault: map[string]Fault{}, calls: map[store.Op]int{}}
+}
+
+// Break makes the calls of a host fail; an empty name is every host.
+func (l *Log) Break(host string, f Fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if host == "" {
+		l.all = f
+		return
+	}
+	l.fault[host] = f
+}
+
+// Calls returns how many calls of a kind were made.
+func (l *Log) Calls(op store.Op) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.calls[op]
+}
+
+// Put writes a record as the platform itself.
+func (l *Log) Put(topic, key string, value []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.part(topic, 0).add([]store.Record{{Key: key, Value: value}})
+}
+
+// For returns the log as one host reaches it.
+func (l *Log) For(host string) store.Log { return view{l, host} }
+
+type view struct {
+	log  *Log
+	host string
+}
+
+// errLost is why a call has no answer.
+var errLost = errors.New("the stand-in drops the answer")
+
+// Do makes a call as the host.
+func (v view) Do(ctx context.Context, c store.Call) (store.Answer, error) {
+	v.log.mu.Lock()
+	fault := max(v.log.fault[v.host], v.log.all)
+	v.log.mu.Unlock()
+	switch fault {
+	case Busy:
+		return store.Answer{}, &store.RefusedError{Op: c.Op, Reason: "busy"}
+	case Silent:
+		<-ctx.Done()
+		return store.Answer{}, &store.UnansweredError{Op: c.Op, Cause: ctx.Err()}
+	case Lost:
+		_, _ = v.log.do(ctx, c)
+		return store.Answer{}, &store.UnansweredError{Op: c.Op, Cause: errLost}
+	}
+	return v.log.do(ctx, c)
+}
+
+func (l *Log) do(ctx context.Context, c store.Call) (store.Answer, error) {
+	if c.Op == store.Read && c.Wait > 0 {
+		l.await(ctx, c)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls[c.Op]++
+	switch c.Op {
+	case store.Append:
+		return l.append(c)
+	case store.Read:
+		p := l.part(c.Topic, c.Part)
+		a := store.Answer{End: int64(len(p.records))}
+		if c.From < a.End {
+			a.Records = slices.Clone(p.records[max(c.From, 0):])
+		}
+		return a, nil
+	case store.Newest:
+		return l.newest(c), nil
+	case store.Join:
+		return l.join(c), nil
+	case store.Leave:
+		l.leave(c)
+		return store.Answer{}, nil
+	case store.Owners:
+		return l.owners(c), nil
+	default:
+		return store.Answer{}, &store.BadError{Op: c.Op, Reason: "unknown"}
+	}
+}
+
+func (l *Log) part(topic string, n int) *partition {
+	at := store.Share{Topic: topic, Part: n}
+	p, ok := l.logs[at]
+	if !ok {
+		p = &partition{newest: map[string]store.Record{}, answers: map[int64]store.Answer{}, grown: make(chan struct{})}
+		l.logs[at] = p
+	}
+	return p
+}
+
+func (p *partition) add(records []store.Record) store.Answer {
+	a := store.Answer{Offset: int64(len(p.records))}
+	for _, r := range records {
+		r.Offset = int64(len(p.records))
+		p.records = append(p.records, r)
+		if len(r.Value) == 0 {
+			delete(p.newest, r.Key)
+			continue
+		}
+		p.newest[r.Key] = r
+	}
+	a.End = int64(len(p.records))
+	close(p.grown)
+	p.grown = make(chan struct{})
+	return a
+}
+
+func (l *Log) append(c store.Call) (store.Answer, error) {
+	p := l.part(c.Topic, c.Part)
+	if c.Epoch > 0 {
+		switch {
+		case c.Epoch < p.epoch:
+			return store.Answer{}, &store.FencedError{Epoch: c.Epoch}
+		case c.Epoch > p.epoch:
+			p.epoch, p.seq = c.Epoch, c.Seq-1
+			clear(p.answers)
+		}
+		if a, ok := p.answers[c.Seq]; ok {
+			return a, nil
+		}
+		if c.Seq != p.seq+1 {
+			return store.Answer{}, &store.BadError{Op: c.Op, Reason: "seq"}
+		}
+	}
+	if c.At != nil && *c.At != int64(len(p.records)) {
+		return store.Answer{}, &store.MovedError{End: int64(len(p.records))}
+	}
+	a := p.add(c.Records)
+	if c.Epoch > 0 {
+		p.seq = c.Seq
+		p.answers[c.Seq] = a
+		delete(p.answers, c.Seq-seqsKept)
+	}
+	return a, nil
+}
+
+// await returns when there is something to read or the call's time is over.
+func (l *Log) await(ctx context.Context, c store.Call) {
+	l.mu.Lock()
+	p := l.part(c.Topic, c.Part)
+	grown, has := p.grown, c.From < int64(len(p.records))
+	l.mu.Unlock()
+	if has {
+		return
+	}
+	t := time.NewTimer(c.Wait)
+	defer t.Stop()
+	select {
+	case <-grown:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// pageSize keeps pages small, so that tests meet more than one.
+const pageSize = 50
+
+func (l *Log) newest(c store.Call) store.Answer {
+	p := l.part(c.Topic, c.Part)
+	a := store.Answer{End: int64(len(p.records))}
+	for _, k := range slices.Sorted(maps.Keys(p.newest)) {
+		if k <= c.After && c.After != "" {
+			continue
+		}
+		if len(a.Records) == pageSize {
+			a.More = true
+			break
+		}
+		a.Records = append(a.Records, p.newest[k])
+	}
+	return a
+}
+
+func (l *Log) groupOf(name string) *group {
+	g, ok := l.group[name]
+	if !ok {
+		g = &group{members: map[string]*member{}, owners: map[store.Share]string{}}
+		l.group[name] = g
+	}
+	for n, m := range g.members {
+		if l.now().After(m.until) {
+			delete(g.members, n)
+			g.deal(l.parts)
+		}
+	}
+	return g
+}
+
+// deal shares the partitions out evenly; a partition whose owner is there stays.
+func (g *group) deal(parts int) {
+	g.generation++
+	names := slices.Sorted(maps.Keys(g.members))
+	count := map[string]int{}
+	for at, n := range g.owners {
+		if _, ok := g.members[n]; !ok {
+			delete(g.owners, at)
+			continue
+		}
+		count[n]++
+	}
+	if len(names) == 0 {
+		return
+	}
+	for _, topic := range g.members[names[0]].topics {
+		for i := range parts {
+			at := store.Share{Topic: topic, Part: i}
+			if _, ok := g.owners[at]; ok {
+				continue
+			}
+			least := slices.MinFunc(names, func(a, b string) int { return count[a] - count[b] })
+			g.owners[at] = least
+			count[least]++
+		}
+	}
+}
+
+// even takes from members that have too much until all have about the same.
+func (g *group) even(parts int) {
+	if len(g.members) == 0 {
+		return
+	}
+	most := (parts + len(g.members) - 1) / len(g.members)
+	count := map[string]int{}
+	for _, at := range g.sorted() {
+		n := g.owners[at]
+		if count[n]++; count[n] > most {
+			delete(g.owners, at)
+		}
+	}
+	g.deal(parts)
+}
+
+func (g *group) sorted() []store.Share {
+	return slices.SortedFunc(maps.Keys(g.owners), func(a, b store.Share) int { return a.Part - b.Part })
+}
+
+func (l *Log) join(c store.Call) store.Answer {
+	g := l.groupOf(c.Group)
+	m, ok := g.members[c.Member]
+	if !ok {
+		m = &member{}
+		g.members[c.Member] = m
+	}
+	m.topics, m.until = c.Topics, l.now().Add(c.TTL)
+	if !ok {
+		g.even(l.parts)
+	}
+	a := store.Answer{Generation: g.generation}
+	for _, at := range g.sorted() {
+		if g.owners[at] == c.Member {
+			a.Shares = append(a.Shares, at)
+		}
+	}
+	return a
+}
+
+func (l *Log) leave(c store.Call) {
+	g := l.groupOf(c.Group)
+	if _, ok := g.members[c.Member]; ok {
+		delete(g.members, c.Member)
+		g.deal(l.parts)
+	}
+}
+
+func (l *Log) owners(c store.Call) store.Answer {
+	g := l.groupOf(c.Group)
+	var a store.Answer
+	for _, at := range g.sorted() {
+		at.Member = g.owners[store.Share{Topic: at.Topic, Part: at.Part}]
+		a.Shares = append(a.Shares, at)
+	}
+	return a
+}
--- /dev/null
+++ b/internal/standin/users/worker.go
@@ -0,0 +1,313 @@
+package users
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// Oracle records what must never happen on any worker.
+type Oracle struct {
+	mu     sync.Mutex
+	wrongs []string
+	// at holds by task on which worker it runs, done the tasks that were noted.
+	at   map[string]string
+	done map[string]bool
+	runs map[string]int
+}
+
+// NewOracle returns an oracle that has seen nothing.
+func NewOracle() *Oracle {
+	return &Oracle{at: map[string]string{}, done: map[string]bool{}, runs: map[string]int{}}
+}
+
+// Wrongs lists what went wrong.
+func (o *Oracle) Wrongs() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.wrongs)
+}
+
+// Runs returns how often a task was started.
+func (o *Oracle) Runs() map[string]int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return maps.Clone(o.runs)
+}
+
+func (o *Oracle) begin(task, worker string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if at, ok := o.at[task]; ok {
+		o.wrongs = append(o.wrongs, fmt.Sprintf("%s starts on %s while it runs on %s", task, worker, at))
+	}
+	if o.done[task] {
+		o.wrongs = append(o.wrongs, fmt.Sprintf("%s starts on %s after it was noted as done", task, worker))
+	}
+	o.at[task] = worker
+	o.runs[task]++
+}
+
+func (o *Oracle) end(task string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.at, task)
+}
+
+func (o *Oracle) noted(task string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.done[task] = true
+}
+
+type run struct {
+	number int
+	timer  *time.Timer
+}
+
+type ended struct {
+	n    int64
+	task string
+	run  int
+	how  string
+}
+
+// Worker is one worker on the loopback interface. Every task takes Work.
+type Worker struct {
+	ID     string
+	oracle *Oracle
+	server *httptest.Server
+	work   time.Duration
+	began  time.Time
+
+	mu       sync.Mutex
+	fence    int64
+	runs     map[string]*run
+	tombs    map[string]int
+	ends     []ended
+	number   int64
+	changed  chan struct{}
+	deadline time.Time
+	lapse    *time.Timer
+	// drop leaves so many orders without an answer, carried out or not.
+	drop    int
+	dropped bool
+}
+
+// NewWorker starts a worker whose tasks take work each.
+func NewWorker(id string, work time.Duration, o *Oracle) *Worker {
+	w := &Worker{ID: id, oracle: o, work: work, began: time.Now(), runs: map[string]*run{}, tombs: map[string]int{}, changed: make(chan struct{})}
+	r := chi.NewRouter()
+	r.Post("/pollencroft/run-start", w.order(w.start))
+	r.Post("/pollencroft/run-stop", w.order(w.stop))
+	r.Post("/pollencroft/hold", w.hold)
+	w.server = httptest.NewServer(r)
+	return w
+}
+
+// Close ends the worker and all that runs on it.
+func (w *Worker) Close() {
+	w.mu.Lock()
+	for task, r := range w.runs {
+		r.timer.Stop()
+		w.oracle.end(task)
+	}
+	clear(w.runs)
+	w.mu.Unlock()
+	w.server.CloseClientConnections()
+	w.server.Close()
+}
+
+// DropOrders leaves the next n orders without an answer; done tells whether
+// they are carried out all the same.
+func (w *Worker) DropOrders(n int, done bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.drop, w.dropped = n, done
+}
+
+// Running counts the tasks that run.
+func (w *Worker) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.runs)
+}
+
+// Entry is what the worker writes of itself into the store.
+func (w *Worker) Entry(service, zone string) []byte {
+	b, _ := json.Marshal(map[string]any{
+		"service": service, "address": strings.TrimPrefix(w.server.URL, "http://"), "zone": zone, "state": "ready",
+		"capacity": map[string]int64{"cpu": 64_000, "memMb": 262_144}, "labels": []string{"a", "r1-1"}, "seq": 1,
+	})
+	return b
+}
+
+func (w *Worker) clock() time.Duration { return time.Since(w.began) + time.Hour }
+
+type order struct {
+	Task         string
+	Run          int
+	FencingToken int64
+	DeadlineMs   int64
+	LastSeen     int64
+	WaitMs       int64
+}
+
+func (w *Worker) order(f func(o order) (int, string)) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		var o order
+		if err := json.NewDecoder(r.Body).Decode(&o); err != nil || r.Header.Get("X-Expect-Instance") != w.ID {
+			rw.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		w.mu.Lock()
+		lost := w.drop > 0
+		if lost {
+			w.drop--
+		}
+		code, reason := http.StatusOK, ""
+		if !lost || w.dropped {
+			code, reason = f(o)
+		}
+		ms := w.clock().Milliseconds()
+		w.mu.Unlock()
+		if lost {
+			panic(http.ErrAbortHandler)
+		}
+		writeJSON(rw, code, map[string]any{"clockMs": ms, "reason": reason})
+	}
+}
+
+// start carries out a start; mu is held.
+func (w *Worker) start(o order) (int, string) {
+	switch {
+	case o.FencingToken < w.fence:
+		return http.StatusConflict, "fence"
+	case time.Duration(o.DeadlineMs)*time.Millisecond < w.clock():
+		return http.StatusConflict, "late"
+	case w.tombs[o.Task] >= o.Run:
+		return http.StatusConflict, "old"
+	}
+	w.fence = o.FencingToken
+	if r, ok := w.runs[o.Task]; ok && r.number == o.Run {
+		return http.StatusOK, ""
+	}
+	w.oracle.begin(o.Task, w.ID)
+	r := &run{number: o.Run}
+	r.timer = time.AfterFunc(w.work, func() { w.finish(o.Task, r, "done") })
+	w.runs[o.Task] = r
+	w.extend(o.DeadlineMs)
+	return http.StatusOK, ""
+}
+
+// stop carries out a stop; mu is held.
+func (w *Worker) stop(o order) (int, string) {
+	if o.FencingToken < w.fence {
+		return http.StatusConflict, "fence"
+	}
+	w.fence = o.FencingToken
+	w.tombs[o.Task] = max(w.tombs[o.Task], o.Run)
+	if r, ok := w.runs[o.Task]; ok && r.number == o.Run {
+		r.timer.Stop()
+		time.AfterFunc(20*time.Millisecond, func() { w.finish(o.Task, r, "stopped") })
+	}
+	return http.StatusOK, ""
+}
+
+func (w *Worker) finish(task string, r *run, how string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.runs[task] == r {
+		w.end(task, r, how)
+	}
+}
+
+// end takes a run off the worker; mu is held.
+func (w *Worker) end(task string, r *run, how string) {
+	delete(w.runs, task)
+	w.oracle.end(task)
+	w.tombs[task] = max(w.tombs[task], r.number)
+	w.number++
+	w.ends = append(w.ends, ended{w.number, task, r.number, how})
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// extend lengthens the leases; mu is held.
+func (w *Worker) extend(ms int64) {
+	at := w.began.Add(time.Duration(ms)*time.Millisecond - time.Hour)
+	if !at.After(w.deadline) {
+		return
+	}
+	w.deadline = at
+	if w.lapse != nil {
+		w.lapse.Stop()
+	}
+	w.lapse = time.AfterFunc(time.Until(at), w.lapsed)
+}
+
+func (w *Worker) lapsed() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Now().Before(w.deadline) {
+		return
+	}
+	for _, task := range slices.Sorted(maps.Keys(w.runs)) {
+		w.runs[task].timer.Stop()
+		w.end(task, w.runs[task], "lapsed")
+	}
+}
+
+func (w *Worker) hold(rw http.ResponseWriter, r *http.Request) {
+	var o order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || r.Header.Get("X-Expect-Instance") != w.ID {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.mu.Lock()
+	if o.FencingToken < w.fence {
+		w.mu.Unlock()
+		writeJSON(rw, http.StatusConflict, map[string]any{"clockMs": w.clock().Milliseconds(), "reason": "fence"})
+		return
+	}
+	w.fence = o.FencingToken
+	for len(w.ends) > 0 && w.ends[0].n <= o.LastSeen {
+		if w.ends[0].how == "done" {
+			w.oracle.noted(w.ends[0].task)
+		}
+		w.ends = w.ends[1:]
+	}
+	w.extend(o.DeadlineMs)
+	changed, has := w.changed, len(w.ends) > 0
+	w.mu.Unlock()
+	if !has && o.WaitMs > 0 {
+		select {
+		case <-changed:
+		case <-time.After(time.Duration(o.WaitMs) * time.Millisecond):
+		case <-r.Context().Done():
+		}
+	}
+	w.list(rw)
+}
+
+func (w *Worker) list(rw http.ResponseWriter) {
+	w.mu.Lock()
+	running, ends := [][]any{}, [][]any{}
+	for _, task := range slices.Sorted(maps.Keys(w.runs)) {
+		running = append(running, []any{task, w.runs[task].number, "", 100, 0})
+	}
+	for _, e := range w.ends {
+		ends = append(ends, []any{e.n, e.task, e.run, e.how, ""})
+	}
+	ms := w.clock().Milliseconds()
+	w.mu.Unlock()
+	writeJSON(rw, http.StatusOK, map[string]any{"clockMs": ms, "running": running, "ended": ends})
+}
