entry: name an heir, claim in three calls

Change: the leaving lead asks who can lead and tells all hosts; candidates ask the heir; reading back the claim is part of reading the state; jobs and state are read at once.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -52,8 +52,16 @@
 	}
 }
 
-// succeed takes over from a lead that leaves.
+// succeed takes over from a lead that leaves, or lets its heir do so.
 func (h *Host) succeed(m peer.Succeed) {
+	if m.Heir != h.cfg.Name {
+		h.mu.Lock()
+		if m.Term >= h.term {
+			h.lead = m.Heir
+		}
+		h.mu.Unlock()
+		return
+	}
 	bounds := make(map[string]time.Duration, len(m.Bounds))
 	for life, d := range m.Bounds {
 		bounds[life] = d.Duration
@@ -122,12 +130,13 @@
 	for n, a := range h.hosts {
 		hosts[n] = a.String()
 	}
+	claiming, leaving, heir := h.claiming, h.leaving, h.heirName
 	h.mu.Unlock()
 	if t == nil || !h.store.Fresh(leadFresh) {
-		return peer.SyncReply{Leading: t != nil}
+		return peer.SyncReply{Leading: t != nil, Claiming: claiming, Leaving: leaving, Heir: heir}
 	}
 	pending := t.pending()
-	return peer.SyncReply{Leading: true, Lead: true, Term: t.number, Pending: pending, Hosts: hosts}
+	return peer.SyncReply{Leading: true, Lead: true, Leaving: leaving, Term: t.number, Pending: pending, Hosts: hosts}
 }
 
 // relay has peers make calls to the store.
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -22,8 +22,9 @@
 	claimKey   = "lead"
 )
 
-// claimWait bounds one try to lead.
-const claimWait = 4 * time.Second
+// claimWait bounds one try to lead: five calls at a store that answers as late as
+// it may without counting as away.
+const claimWait = 8 * time.Second
 
 // LostClaimError tells that another host began the same term.
 type LostClaimError struct{ Term int64 }
@@ -40,10 +41,16 @@
 	defer h.claims.Unlock()
 	h.mu.Lock()
 	busy := h.leading != nil || h.leaving
+	h.claiming = !busy
 	h.mu.Unlock()
 	if busy {
 		return
 	}
+	defer func() {
+		h.mu.Lock()
+		h.claiming = false
+		h.mu.Unlock()
+	}()
 	ctx, cancel := context.WithTimeout(h.ctx, claimWait)
 	defer cancel()
 	t, err := h.begin(ctx)
@@ -62,6 +69,8 @@
 // The term is the epoch of the appends to stateTopic. It is one more than the
 // log's end, which only rises, so it is above all former ones; two hosts that
 // saw the same end would share it, and each reads back whose claim was stored.
+// A slow store takes a third of a second for a call, and nothing is led
+// meanwhile: there are three calls one after the other, and no more.
 func (h *Host) begin(ctx context.Context) (*term, error) {
 	a, err := h.store.Do(ctx, store.Call{Op: store.Newest, Topic: stateTopic})
 	if err != nil {
@@ -69,30 +78,45 @@
 	}
 	number := a.End + 1
 	mine := h.memberName() + " " + strconv.FormatInt(h.now().UnixNano(), 36)
-	a, err = h.store.Do(ctx, store.Call{
+	_, err = h.store.Do(ctx, store.Call{
 		Op: store.Append, Topic: stateTopic, Keyed: true, Epoch: number, Records: []store.Record{{Key: claimKey, Value: []byte(mine)}},
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "begin a term")
 	}
-	back, err := h.store.Do(ctx, store.Call{Op: store.Read, Topic: stateTopic, From: a.Offset})
+	states, asks, next, err := h.readAll(ctx)
 	if err != nil {
-		return nil, errors.Wrap(err, "read the claim back")
+		return nil, errors.Wrap(err, "read what the former lead left")
 	}
-	if len(back.Records) == 0 || string(back.Records[0].Value) != mine {
+	if !claimed(states, mine) {
 		return nil, &LostClaimError{Term: number}
 	}
-	states, _, err := store.Table(ctx, h.store, stateTopic, 0)
-	if err != nil {
-		return nil, errors.Wrap(err, "read progress")
-	}
-	asks, next, err := h.readJobs(ctx)
-	if err != nil {
-		return nil, errors.Wrap(err, "read jobs")
-	}
 	return h.newTerm(number, states, asks, next), nil
 }
 
+// claimed tells whether the newest claim is the host's own.
+func claimed(states []store.Record, mine string) bool {
+	return slices.ContainsFunc(states, func(r store.Record) bool { return r.Key == claimKey && string(r.Value) == mine })
+}
+
+// readAll reads progress and jobs at once, and where to go on in each partition
+// of the jobs.
+func (h *Host) readAll(ctx context.Context) (states []store.Record, asks [][]store.Record, next []int64, err error) {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		var err error
+		states, _, err = store.Table(ctx, h.store, stateTopic, 0)
+		return err
+	})
+	g.Go(func() error {
+		var err error
+		asks, next, err = h.readJobs(ctx)
+		return err
+	})
+	err = g.Wait()
+	return states, asks, next, err
+}
+
 // readJobs reads all partitions of jobsTopic at once, and where to go on.
 func (h *Host) readJobs(ctx context.Context) ([][]store.Record, []int64, error) {
 	parts := make([][]store.Record, h.cfg.Parts)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -58,10 +58,13 @@
 	pendingAt time.Time
 	// leading is the term that this host leads; nil when it does not.
 	leading *term
-	// claims is held while the host tries to lead.
-	claims  sync.Mutex
-	leaving bool
-	recent  map[string]time.Time
+	// claims is held while the host tries to lead; claiming tells so.
+	claims   sync.Mutex
+	claiming bool
+	leaving  bool
+	// heirName is the host that this one asked to lead in its place.
+	heirName string
+	recent   map[string]time.Time
 }
 
 // New returns a host that is not started.
@@ -200,14 +203,20 @@
 	h.log.Info("entry: stopped.", "host", h.cfg.Name)
 }
 
-// leave gives up the host's place among the others and asks one to lead.
+// leave gives up the host's place among the others and has one lead. All are
+// told which: the group may name another one, and two that claim at a slow store
+// cost each other seconds.
 func (h *Host) leave(led bool, succeed peer.Succeed) {
 	ctx, cancel := context.WithTimeout(h.ctx, time.Second)
 	defer cancel()
 	if led {
+		succeed.Heir = h.heir(ctx)
+		h.mu.Lock()
+		h.heirName = succeed.Heir
+		h.mu.Unlock()
 		for _, p := range h.others() {
-			if h.peers.Tell(ctx, p, succeed) == nil {
-				break
+			if err := h.peers.Tell(ctx, p, succeed); err != nil {
+				h.log.Warn("entry: peer was not told of the heir.", "peer", p, "err", err)
 			}
 		}
 	}
@@ -216,6 +225,23 @@
 	}
 }
 
+// heirWait bounds the question whether a host can lead.
+const heirWait = 150 * time.Millisecond
+
+// heir is a host that answers and does not leave; empty if there is none.
+func (h *Host) heir(ctx context.Context) string {
+	for _, p := range h.others() {
+		ask, cancel := context.WithTimeout(ctx, heirWait)
+		var r peer.SyncReply
+		err := h.peers.Ask(ask, p, peer.Sync{From: h.cfg.Name}, &r)
+		cancel()
+		if err == nil && !r.Leaving {
+			return p
+		}
+	}
+	return ""
+}
+
 // wait sleeps; false when ctx has ended.
 func wait(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -113,7 +113,7 @@
 	if all, _, err := store.Table(h.ctx, h.store, leadTopic, 0); err == nil {
 		h.readLead(all)
 	}
-	if newer, _ := h.leadNow(); newer != lead && h.leads(newer) {
+	if newer, _ := h.leadNow(); h.leads(newer) {
 		return
 	}
 	h.claim("the group names this host")
@@ -125,15 +125,25 @@
 	return h.lead, h.leading != nil
 }
 
-// leads asks a host whether it leads and is served by the store.
+// leads asks a host whether it leads and is served by the store, or is about to;
+// of one that left, whether its heir does.
 func (h *Host) leads(name string) bool {
+	r, err := h.askLead(name)
+	if err == nil && r.Heir != "" {
+		r, err = h.askLead(r.Heir)
+	}
+	return err == nil && (r.Lead || r.Claiming)
+}
+
+func (h *Host) askLead(name string) (peer.SyncReply, error) {
 	if name == "" || name == h.cfg.Name {
-		return false
+		return peer.SyncReply{}, &NoLeadError{}
 	}
 	ctx, cancel := context.WithTimeout(h.ctx, askWait)
 	defer cancel()
 	var r peer.SyncReply
-	return h.peers.Ask(ctx, name, peer.Sync{From: h.cfg.Name}, &r) == nil && r.Lead
+	err := h.peers.Ask(ctx, name, peer.Sync{From: h.cfg.Name}, &r)
+	return r, err
 }
 
 // sync keeps what callers are told, and the list of hosts, as the lead has them.
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -183,12 +183,16 @@
 // and which hosts there are.
 type SyncReply struct {
 	// Leading tells that the host gives orders, Lead that it leads and that the
-	// store serves it.
-	Leading bool
-	Lead    bool
-	Term    int64
-	Pending map[string]int
-	Hosts   map[string]string
+	// store serves it, Claiming that it is about to, Leaving that it stops.
+	Leading  bool
+	Lead     bool
+	Claiming bool
+	Leaving  bool
+	// Heir is the host that was asked to lead when this one left.
+	Heir string
+	Term     int64
+	Pending  map[string]int
+	Hosts    map[string]string
 }
 
 // Advise asks a host to ask the policy service; the answer is an AdviseReply.
@@ -214,11 +218,12 @@
 	Number int64 `json:",omitempty"`
 }
 
-// Succeed asks a host to take over from the sender, who leaves; it has no
-// answer. Bounds tell of each worker that does not answer how much longer
+// Succeed tells all hosts that the sender leaves and that Heir is to take over;
+// it has no answer. Bounds tell of each worker that does not answer how much longer
 // anything may run there.
 type Succeed struct {
 	Term   int64
+	Heir   string
 	Bounds map[string]cell.Duration
 }
 
