sched: call a run too slow only when nearly all on its worker are

Ruled out: advice (40 ms) and the store (20 ms a step). Change: a worker is slow when three quarters of its judged runs, three at least and of two jobs, crawl. Tests for both sides.

--- a/internal/commands/explain.go
+++ b/internal/commands/explain.go
@@ -1,16 +1,42 @@
 package commands
 
-import "github.com/integrii/flaggy"
+import (
+	"fmt"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"pollencroft/internal/story"
+)
 
 func init() {
 	var o remote
 	var id string
+	var logs bool
 	register(command{
 		name: "explain", about: "tell what was decided about a job or request",
 		flags: func(s *flaggy.Subcommand) {
 			o.flags(s, usualOperator)
+			s.Bool(&logs, "l", "logs", "read the hosts' log lines from standard input instead of asking a host")
 			s.AddPositionalValue(&id, "ID", 1, true, "job or request id")
 		},
-		run: func() error { return o.show("/explain/" + id) },
+		run: func() error {
+			if logs {
+				return explainLogs(id)
+			}
+			return o.show("/explain/" + id)
+		},
 	})
 }
+
+// explainLogs prints the story of an id from log lines of any number of hosts.
+func explainLogs(id string) error {
+	lines, err := story.Read(os.Stdin, id)
+	if err != nil {
+		return err
+	}
+	for _, l := range lines {
+		fmt.Println(l)
+	}
+	return nil
+}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -189,10 +189,10 @@
 	Claiming bool
 	Leaving  bool
 	// Heir is the host that was asked to lead when this one left.
-	Heir string
-	Term     int64
-	Pending  map[string]int
-	Hosts    map[string]string
+	Heir    string
+	Term    int64
+	Pending map[string]int
+	Hosts   map[string]string
 }
 
 // Advise asks a host to ask the policy service; the answer is an AdviseReply.
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -363,7 +363,7 @@
 }
 
 func (w *fakeWorker) finish(n flow.Name, r *fakeRun) {
-	if w.runs[n] != r || w.still || w.dead {
+	if w.runs[n] != r || w.still || w.dead || w.b.now.Before(r.ends) {
 		return
 	}
 	how := sched.EndDone
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -493,3 +493,35 @@
 	}
 	require.Equal(t, play(), play())
 }
+
+// A worker works seven times slower while it answers every question. What it
+// runs of several jobs goes on elsewhere, and new work stays away from it.
+func TestRunsOnAWorkerThatCrawlsGoOnElsewhere(t *testing.T) {
+	b := newBench(t, 3)
+	b.workers["w01"].slow = 7
+	for i := range 6 {
+		b.submit(fmt.Sprintf("s%d", i), "scan", scan(4))
+	}
+	b.play(5 * time.Second)
+	for i := range 6 {
+		require.Equal(t, flow.Completed, b.state(fmt.Sprintf("s%d", i)))
+	}
+	require.Empty(t, b.wrongs)
+}
+
+// One task has five times the work that its estimate says. Begun again elsewhere
+// it would take as long once more.
+func TestALongTaskOnASoundWorkerIsLeftAlone(t *testing.T) {
+	b := newBench(t, 1)
+	for i := range 3 {
+		b.submit(fmt.Sprintf("s%d", i), "scan", scan(3))
+		b.play(400 * time.Millisecond)
+	}
+	long := b.workers["w00"].runs[flow.Name{Job: "s2"}]
+	require.NotNil(t, long)
+	long.ends = long.began.Add(5 * time.Second)
+	b.after(4*time.Second, func() { b.workers["w00"].end(flow.Name{Job: "s2"}, long, sched.EndDone) })
+	b.play(8 * time.Second)
+	require.Equal(t, flow.Completed, b.state("s2"))
+	require.Equal(t, 1, b.starts[flow.Name{Job: "s2"}])
+}
--- a/internal/sched/slow.go
+++ b/internal/sched/slow.go
@@ -26,6 +26,10 @@
 	// run is watched before it is judged.
 	slowAfter = 0.5
 	slowLeast = 600 * time.Millisecond
+	// leastSlow is how many runs, of two jobs or more, and mostlySlow the share of
+	// those judged, that have to crawl before it is their worker that is slow.
+	leastSlow  = 3
+	mostlySlow = 0.75
 	// mostRestarts is how often a task is begun again because it was slow: with a
 	// wrong estimate it would be slow everywhere.
 	mostRestarts = 1
@@ -59,36 +63,57 @@
 		s.blame(w, t)
 		t.Avoid = w.Life
 		s.stop(t, "stands still at "+strconv.Itoa(l.Percent)+" percent")
-		return
 	}
-	s.judgePace(w, t, clock)
 }
 
-// judgePace gives up a run that would take much longer than beginning again
-// elsewhere, if runs of another job crawl on the same worker too: one alone may
-// have more work than its estimate says.
-func (s *Sched) judgePace(w *worker, t *flow.Task, clock time.Time) {
-	st := t.Spec()
-	took := clock.Sub(t.Seen)
-	if st.Lasts || st.Gang || st.Time <= 0 || took < max(slowLeast, time.Duration(slowAfter*float64(st.Time))) {
-		return
+// judgePace gives up runs that would take much longer than beginning again
+// elsewhere, if nearly all that runs on the worker crawls, of several jobs: a
+// run that is slow alone has more work than its estimate says, and would be
+// slow everywhere.
+func (s *Sched) judgePace(w *worker, clock time.Time) {
+	var slow []*flow.Task
+	jobs := map[string]bool{}
+	judged, worst := 0, 1.0
+	for _, t := range w.inOrder() {
+		rate, ok := paceOf(t, clock)
+		if !ok {
+			continue
+		}
+		judged++
+		if rate < slowRate {
+			slow = append(slow, t)
+			jobs[t.Job.Spec.ID] = true
+			worst = min(worst, rate)
+		}
 	}
-	rate := float64(t.Percent) / 100 * float64(st.Time) / float64(took)
-	if rate >= slowRate {
+	if len(slow) < leastSlow || len(jobs) < 2 || float64(len(slow)) < mostlySlow*float64(judged) {
 		return
 	}
-	w.crawls[t.Job.Spec.ID] = true
-	if len(w.crawls) < 2 {
-		return
-	}
-	w.speed = min(w.speed, rate)
-	if t.Restarts < mostRestarts {
+	w.speed = min(w.speed, worst)
+	for _, t := range slow {
+		if t.Restarts >= mostRestarts {
+			continue
+		}
 		t.Restarts++
 		t.Avoid = w.Life
 		s.stop(t, "is too slow")
 	}
 }
 
+// paceOf is how fast a run goes, relative to its estimate; false if it cannot be
+// judged yet.
+func paceOf(t *flow.Task, clock time.Time) (float64, bool) {
+	st := t.Spec()
+	took := clock.Sub(t.Seen)
+	if t.State != flow.Running || t.Seen.IsZero() || st.Lasts || st.Gang || st.Fills || st.Time <= 0 || t.Percent >= 100 {
+		return 0, false
+	}
+	if took < max(slowLeast, time.Duration(slowAfter*float64(st.Time))) {
+		return 0, false
+	}
+	return float64(t.Percent) / 100 * float64(st.Time) / float64(took), true
+}
+
 // measure takes the pace of a run that ended as done.
 func (w *worker) measure(t *flow.Task, clock time.Time) {
 	st := t.Spec()
@@ -98,7 +123,4 @@
 	}
 	rate := min(float64(st.Time)/float64(took), 1)
 	w.speed += paceWeight * (rate - w.speed)
-	if rate >= slowPace {
-		clear(w.crawls)
-	}
 }
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -45,15 +45,13 @@
 	until  time.Time
 	missed int
 	health health
-	// speed is how fast its runs go, relative to their estimates, and crawls are
-	// the jobs whose runs go far too slowly.
-	speed  float64
-	crawls map[string]bool
-	pace   pacing
+	// speed is how fast its runs go, relative to their estimates.
+	speed float64
+	pace  pacing
 }
 
 func newWorker(w Worker) *worker {
-	return &worker{Worker: w, tasks: map[flow.Name]*flow.Task{}, pace: newPacing(), speed: 1, crawls: map[string]bool{}, loose: map[runKey]looseRun{}}
+	return &worker{Worker: w, tasks: map[flow.Name]*flow.Task{}, pace: newPacing(), speed: 1, loose: map[runKey]looseRun{}}
 }
 
 func (w *worker) put(t *flow.Task) {
@@ -305,6 +303,7 @@
 			s.absent(t, ev.Sent, first)
 		}
 	}
+	s.judgePace(w, ev.Clock)
 	w.settleLoose(listed, s.now)
 	s.repace(w, ev.Running)
 }
