entry: the strongest host leads, nobody claims beside a claim

Ruled out: paging of the store's newest records, by a trial with each page printed. Change: hosts tell their power, the lead is left to one with 1.5 times as much; the first page tells of the newest claim, and its host is asked, with 2.5 s of patience in a young term.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -36,6 +36,7 @@
 	case peer.AskState:
 		return h.localState(m.ID), nil
 	case peer.Sync:
+		h.heard(m)
 		return h.syncReply(), nil
 	case peer.Advise:
 		ctx, cancel := context.WithTimeout(ctx, m.Within.Duration)
@@ -55,11 +56,7 @@
 // succeed takes over from a lead that leaves, or lets its heir do so.
 func (h *Host) succeed(m peer.Succeed) {
 	if m.Heir != h.cfg.Name {
-		h.mu.Lock()
-		if m.Term >= h.term {
-			h.lead = m.Heir
-		}
-		h.mu.Unlock()
+		h.follower(m.Heir, m.Term)
 		return
 	}
 	bounds := make(map[string]time.Duration, len(m.Bounds))
--- a/internal/entry/cell_test.go
+++ b/internal/entry/cell_test.go
@@ -100,7 +100,7 @@
 }
 
 // start starts a host, or a new life of it at the same addresses.
-func (c *cell) start(name string) *running {
+func (c *cell) start(name string, change ...func(*entry.Settings)) *running {
 	r, ok := c.hosts[name]
 	if !ok {
 		r = &running{store: httptest.NewServer(c.log.Handler(func(*http.Request) string { return name }))}
@@ -108,6 +108,10 @@
 		r.cfg.Listen.Caller, r.cfg.Listen.Ready, r.cfg.Listen.Peer = freePort(c.t), freePort(c.t), freePort(c.t)
 		r.cfg.Times.Lease, r.cfg.Times.Stop = entry.Duration(10*time.Second), entry.Duration(900*time.Millisecond)
 		r.cfg.Times.Grace, r.cfg.Times.Keep = entry.Duration(3*time.Second), entry.Duration(2*time.Minute)
+		r.cfg.Power = 1
+		for _, f := range change {
+			f(&r.cfg)
+		}
 		c.hosts[name] = r
 	}
 	log := slog.New(slog.NewTextHandler(c.lines, nil)).With("host", name)
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -16,10 +16,11 @@
 )
 
 // stateTopic holds the progress of jobs under their ids, written by the lead
-// alone, and claimKey, under which a term begins.
+// alone, and claimKey, under which a term begins. It sorts before all ids, so
+// that the first page tells of the newest claim.
 const (
 	stateTopic = "state"
-	claimKey   = "lead"
+	claimKey   = "!"
 )
 
 // claimWait bounds one try to lead: five calls at a store that answers as late as
@@ -42,6 +43,9 @@
 	h.mu.Lock()
 	busy := h.leading != nil || h.leaving
 	h.claiming = !busy
+	if !busy {
+		h.heirName = ""
+	}
 	h.mu.Unlock()
 	if busy {
 		return
@@ -76,6 +80,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read the log's end")
 	}
+	if other, busy := h.claimant(a.Records); busy {
+		return nil, &BusyClaimError{Host: other}
+	}
 	number := a.End + 1
 	mine := h.memberName() + " " + strconv.FormatInt(h.now().UnixNano(), 36)
 	_, err = h.store.Do(ctx, store.Call{
@@ -94,6 +101,29 @@
 	return h.newTerm(number, states, asks, next), nil
 }
 
+// BusyClaimError tells that another host leads or is about to.
+type BusyClaimError struct{ Host string }
+
+func (e *BusyClaimError) Error() string { return "host " + e.Host + " leads or is about to" }
+
+// claimant returns the host of the newest claim, and whether it leads or is
+// about to. A claim takes a weak host a second to read what it takes over, and
+// the group may name another host in that time; two that claim by turns fence
+// each other off for ever, and nothing is led.
+func (h *Host) claimant(records []store.Record) (string, bool) {
+	i := slices.IndexFunc(records, func(r store.Record) bool { return r.Key == claimKey })
+	if i < 0 {
+		return "", false
+	}
+	name, seen, ok := parseMember(string(records[i].Value))
+	if !ok || name == h.cfg.Name {
+		return name, false
+	}
+	h.peers.Set(name, seen.addr)
+	r, err := h.askLead(name)
+	return name, err == nil && (r.Lead || r.Claiming)
+}
+
 // claimed tells whether the newest claim is the host's own.
 func claimed(states []store.Record, mine string) bool {
 	return slices.ContainsFunc(states, func(r store.Record) bool { return r.Key == claimKey && string(r.Value) == mine })
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,7 +1,9 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,6 +11,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"pollencroft/internal/entry"
+	"pollencroft/internal/peer"
 	"pollencroft/internal/standin/users"
 )
 
@@ -241,3 +245,40 @@
 	}, settleTime, 20*time.Millisecond)
 	require.Zero(t, running())
 }
+
+// Hosts differ in power. The lead's work is the most, so it goes to a host that
+// is much stronger; on a weak one every start would wait for its processor.
+func TestTheStrongestHostLeads(t *testing.T) {
+	c := newCell(t, 2, 2, 50*time.Millisecond)
+	strong := c.start("strong", func(cfg *entry.Settings) { cfg.Power = 4 })
+	require.Eventually(t, strong.Leading, settleTime, 20*time.Millisecond)
+	c.settled()
+	require.Equal(t, http.StatusOK, c.submit(c.follower(), 0).code)
+	c.finished(c.follower(), 1)
+	require.Empty(t, c.oracle.Wrongs())
+}
+
+// A host claims the lead and takes seconds to read what it takes over. The group
+// names another host meanwhile. If that one claimed as well, they would fence each
+// other off by turns and nothing would be led; callers would wait for ever.
+func TestNobodyClaimsBesideAClaim(t *testing.T) {
+	c := newCell(t, 1, 1, 50*time.Millisecond)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	busy := peer.NewServer(func(context.Context, peer.Message) (any, error) { return peer.SyncReply{Claiming: true}, nil })
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		busy.Serve(ctx, ln)
+	}()
+	h := c.leader()
+	h.Kill()
+	c.log.Put("state", "!", fmt.Appendf(nil, "other %s life 1 nonce", ln.Addr()))
+	c.log.Put("lead", "0", fmt.Appendf(nil, `{"name":"other","addr":"%s","term":999}`, ln.Addr()))
+	h = c.start(h.cfg.Name)
+	require.Never(t, h.Leading, 2*time.Second, 50*time.Millisecond)
+	cancel()
+	<-served
+	require.Eventually(t, h.Leading, settleTime, 20*time.Millisecond)
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -58,6 +58,10 @@
 	pendingAt time.Time
 	// leading is the term that this host leads; nil when it does not.
 	leading *term
+	// leadSince is when this host heard of the lead first; looking is held while it
+	// asks whether to lead.
+	leadSince time.Time
+	looking   sync.Mutex
 	// claims is held while the host tries to lead; claiming tells so.
 	claims   sync.Mutex
 	claiming bool
@@ -65,6 +69,8 @@
 	// heirName is the host that this one asked to lead in its place.
 	heirName string
 	recent   map[string]time.Time
+	// seen are the hosts that asked this one.
+	seen map[string]sighting
 }
 
 // New returns a host that is not started.
@@ -73,7 +79,7 @@
 	h := &Host{
 		cfg: cfg, log: log, now: now, life: strconv.FormatInt(now().UnixNano(), 36), workers: platform.NewWorkers(c),
 		peers: peer.NewClients(map[string]netip.AddrPort{}), metrics: metrics.NewRegistry(),
-		hosts: map[string]netip.AddrPort{cfg.Name: cfg.Listen.Peer}, pending: map[string]int{}, recent: map[string]time.Time{},
+		hosts: map[string]netip.AddrPort{cfg.Name: cfg.Listen.Peer}, pending: map[string]int{}, recent: map[string]time.Time{}, seen: map[string]sighting{},
 	}
 	if cfg.Policy != "" {
 		addr, err := netip.ParseAddrPort(cfg.Policy)
@@ -210,21 +216,30 @@
 	ctx, cancel := context.WithTimeout(h.ctx, time.Second)
 	defer cancel()
 	if led {
-		succeed.Heir = h.heir(ctx)
-		h.mu.Lock()
-		h.heirName = succeed.Heir
-		h.mu.Unlock()
-		for _, p := range h.others() {
-			if err := h.peers.Tell(ctx, p, succeed); err != nil {
-				h.log.Warn("entry: peer was not told of the heir.", "peer", p, "err", err)
-			}
-		}
+		h.tellHeir(ctx, h.heir(ctx), succeed)
 	}
 	if _, err := h.store.Do(ctx, store.Call{Op: store.Leave, Group: group, Member: h.memberName()}); err != nil {
 		h.log.Warn("entry: cannot leave the group.", "err", err)
 	}
 }
 
+// tellHeir tells all hosts, the heir first, who is to lead now.
+func (h *Host) tellHeir(ctx context.Context, heir string, succeed peer.Succeed) {
+	succeed.Heir = heir
+	h.mu.Lock()
+	h.heirName = heir
+	h.mu.Unlock()
+	all := h.others()
+	if i := slices.Index(all, heir); i > 0 {
+		all = slices.Insert(slices.Delete(all, i, i+1), 0, heir)
+	}
+	for _, p := range all {
+		if err := h.peers.Tell(ctx, p, succeed); err != nil {
+			h.log.Warn("entry: peer was not told of the heir.", "peer", p, "err", err)
+		}
+	}
+}
+
 // heirWait bounds the question whether a host can lead.
 const heirWait = 150 * time.Millisecond
 
@@ -233,7 +248,7 @@
 	for _, p := range h.others() {
 		ask, cancel := context.WithTimeout(ctx, heirWait)
 		var r peer.SyncReply
-		err := h.peers.Ask(ask, p, peer.Sync{From: h.cfg.Name}, &r)
+		err := h.peers.Ask(ask, p, h.syncMessage(), &r)
 		cancel()
 		if err == nil && !r.Leaving {
 			return p
@@ -254,22 +269,22 @@
 	}
 }
 
-// others lists the other hosts' names, those of the own failure domain first:
-// bytes between failure domains are dear.
+// others lists the other hosts' names, the lead first: it is the one that the
+// store most likely serves.
 func (h *Host) others() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var near, far []string
+	var all []string
 	for _, n := range slices.Sorted(maps.Keys(h.hosts)) {
 		switch {
 		case n == h.cfg.Name:
 		case h.lead == n:
-			near = append([]string{n}, near...)
+			all = append([]string{n}, all...)
 		default:
-			far = append(far, n)
+			all = append(all, n)
 		}
 	}
-	return append(near, far...)
+	return all
 }
 
 // setHosts replaces the entry hosts.
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -26,13 +29,41 @@
 	syncEvery = time.Second
 	// askWait bounds a question to a peer: ten times what a busy one takes.
 	askWait = 400 * time.Millisecond
-	// listEvery is how often the lead reads which hosts there are.
-	listEvery = 2 * time.Second
+	// youngTerm is for how long a new lead is busy with what it took over, and
+	// youngWait how long its answer may take then: a host of 0.19 cores reads 350
+	// workers in about two seconds. Taken for dead it would be fenced off, and so
+	// would the next one.
+	youngTerm = 6 * time.Second
+	youngWait = 2500 * time.Millisecond
+	// heardFor is how long a host that the lead hears nothing of counts as there:
+	// three of its questions.
+	heardFor = 3500 * time.Millisecond
+	// stronger is by how much more power another host has when the lead leaves it
+	// to that one. A change of the lead costs a tenth of a second, a lead that is
+	// short of power every start.
+	stronger = 1.5
+	// cedeAfter is how old a term is when that is looked at: the hosts are known.
+	cedeAfter = 2500 * time.Millisecond
 )
 
-// memberName is how the group knows this life of the host: name, address, life.
+// memberName is how the group knows this life of the host: name, address, life,
+// power.
 func (h *Host) memberName() string {
-	return h.cfg.Name + " " + h.cfg.Listen.Peer.String() + " " + h.life
+	return h.cfg.Name + " " + h.cfg.Listen.Peer.String() + " " + h.life + " " + strconv.FormatFloat(h.cfg.Power, 'g', -1, 64)
+}
+
+// parseMember reads a member's name; false if it is none of ours.
+func parseMember(s string) (string, sighting, bool) {
+	fields := strings.Fields(s)
+	if len(fields) < 4 {
+		return "", sighting{}, false
+	}
+	addr, err := netip.ParseAddrPort(fields[1])
+	if err != nil {
+		return "", sighting{}, false
+	}
+	power, err := strconv.ParseFloat(fields[3], 64)
+	return fields[0], sighting{addr: addr, power: power}, err == nil
 }
 
 // leaveFormer takes former lives of this host out of the group. They are over,
@@ -82,10 +113,9 @@
 		}
 		if err == nil {
 			generation = a.Generation
-			for _, s := range a.Shares {
-				if s.Part == 0 {
-					h.should()
-				}
+			if slices.ContainsFunc(a.Shares, func(s store.Share) bool { return s.Part == 0 }) {
+				// It may wait for an answer; the host must not lapse meanwhile.
+				h.wg.Go(h.should)
 			}
 		}
 		wait(h.ctx, joinEvery)
@@ -101,6 +131,10 @@
 // should is called while the group says that this host leads. A lead that works
 // is left alone: the group deals its partitions anew without a reason at times.
 func (h *Host) should() {
+	if !h.looking.TryLock() {
+		return
+	}
+	defer h.looking.Unlock()
 	lead, leading := h.leadNow()
 	if leading || h.leads(lead) {
 		return
@@ -116,7 +150,39 @@
 	if newer, _ := h.leadNow(); h.leads(newer) {
 		return
 	}
-	h.claim("the group names this host")
+	if !h.delegate() {
+		h.claim("the group names this host")
+	}
+}
+
+// delegate asks a host with much more power to lead; false if there is none. One
+// that does not is not asked again until it is heard of.
+func (h *Host) delegate() bool {
+	h.listHosts()
+	h.mu.Lock()
+	best := h.strongest()
+	delete(h.seen, best)
+	term := h.term
+	h.mu.Unlock()
+	if best == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(h.ctx, askWait)
+	defer cancel()
+	h.log.Info("lead: left to a stronger host.", "host", best)
+	succeed := peer.Succeed{Term: term}
+	h.tellHeir(ctx, best, succeed)
+	h.follower(best, term)
+	return true
+}
+
+// follower takes a host for the lead until another term is announced.
+func (h *Host) follower(lead string, term int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if term >= h.term {
+		h.lead, h.leadSince = lead, h.now()
+	}
 }
 
 func (h *Host) leadNow() (name string, leading bool) {
@@ -139,10 +205,16 @@
 	if name == "" || name == h.cfg.Name {
 		return peer.SyncReply{}, &NoLeadError{}
 	}
-	ctx, cancel := context.WithTimeout(h.ctx, askWait)
+	h.mu.Lock()
+	patience := askWait
+	if h.now().Sub(h.leadSince) < youngTerm {
+		patience = youngWait
+	}
+	h.mu.Unlock()
+	ctx, cancel := context.WithTimeout(h.ctx, patience)
 	defer cancel()
 	var r peer.SyncReply
-	err := h.peers.Ask(ctx, name, peer.Sync{From: h.cfg.Name}, &r)
+	err := h.peers.Ask(ctx, name, h.syncMessage(), &r)
 	return r, err
 }
 
@@ -154,8 +226,8 @@
 		h.mu.Unlock()
 		switch {
 		case leading:
-			h.listHosts()
-			wait(h.ctx, listEvery-syncEvery)
+			h.setHosts(h.heardHosts())
+			h.cede()
 		case lead != "" && !alone:
 			h.syncWith(lead)
 		default:
@@ -169,7 +241,7 @@
 	ctx, cancel := context.WithTimeout(h.ctx, askWait)
 	defer cancel()
 	var r peer.SyncReply
-	if err := h.peers.Ask(ctx, lead, peer.Sync{From: h.cfg.Name}, &r); err != nil || !r.Lead {
+	if err := h.peers.Ask(ctx, lead, h.syncMessage(), &r); err != nil || !r.Lead {
 		h.log.Warn("lead: does not answer.", "host", lead, "err", err)
 		h.listHosts()
 		return
@@ -203,6 +275,78 @@
 	}
 }
 
+func (h *Host) syncMessage() peer.Sync {
+	return peer.Sync{From: h.cfg.Name, Addr: h.cfg.Listen.Peer, Power: h.cfg.Power}
+}
+
+// sighting is a host that was heard of.
+type sighting struct {
+	addr  netip.AddrPort
+	power float64
+	at    time.Time
+}
+
+func (h *Host) heard(m peer.Sync) {
+	if !m.Addr.IsValid() {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seen[m.From] = sighting{addr: m.Addr, power: m.Power, at: h.now()}
+}
+
+// heardHosts lists the hosts that asked this one lately.
+func (h *Host) heardHosts() map[string]netip.AddrPort {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	all := map[string]netip.AddrPort{}
+	fresh := h.leading != nil && h.now().Sub(h.leading.began) < heardFor
+	for n, s := range h.seen {
+		if h.now().Sub(s.at) < heardFor {
+			all[n] = s.addr
+		}
+	}
+	if fresh {
+		// Not all have asked the new lead yet.
+		for n, a := range h.hosts {
+			if _, ok := all[n]; !ok {
+				all[n] = a
+			}
+		}
+	}
+	return all
+}
+
+// cede leaves the lead to a host with much more power, if there is one.
+func (h *Host) cede() {
+	h.mu.Lock()
+	t, best := h.leading, h.strongest()
+	h.mu.Unlock()
+	if t == nil || best == "" || h.now().Sub(t.began) < cedeAfter {
+		return
+	}
+	ctx, cancel := context.WithTimeout(h.ctx, time.Second)
+	defer cancel()
+	var r peer.SyncReply
+	if err := h.peers.Ask(ctx, best, h.syncMessage(), &r); err != nil || r.Leaving {
+		return
+	}
+	t.end("a stronger host leads")
+	succeed := t.succeed()
+	h.tellHeir(ctx, best, succeed)
+}
+
+// strongest is the host that should lead in place of this one; mu is held.
+func (h *Host) strongest() string {
+	best, most := "", h.cfg.Power*stronger
+	for _, n := range slices.Sorted(maps.Keys(h.seen)) {
+		if s := h.seen[n]; h.now().Sub(s.at) < heardFor && s.power >= most && n != h.cfg.Name {
+			best, most = n, s.power
+		}
+	}
+	return best
+}
+
 // listHosts reads from the store which hosts there are.
 func (h *Host) listHosts() {
 	a, err := h.store.Do(h.ctx, store.Call{Op: store.Owners, Group: group})
@@ -211,10 +355,9 @@
 	}
 	all := map[string]netip.AddrPort{}
 	for _, s := range a.Shares {
-		name, rest, _ := strings.Cut(s.Member, " ")
-		text, _, _ := strings.Cut(rest, " ")
-		if addr, err := netip.ParseAddrPort(text); err == nil {
-			all[name] = addr
+		if name, seen, ok := parseMember(s.Member); ok {
+			all[name] = seen.addr
+			h.heard(peer.Sync{From: name, Addr: seen.addr, Power: seen.power})
 		}
 	}
 	if len(all) > 0 {
--- /dev/null
+++ b/internal/entry/servers.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"pollencroft/internal/sched"
+	"pollencroft/internal/store"
+	"pollencroft/platform"
+)
+
+// servers follows the workers' entries.
+func (t *term) servers() {
+	for t.ctx.Err() == nil {
+		all, from, err := store.Table(t.ctx, t.h.store, platform.ServersTopic, 0)
+		if err != nil {
+			wait(t.ctx, followRetry)
+			continue
+		}
+		clear(t.listed)
+		t.entries(all)
+		t.serversFrom(from)
+	}
+}
+
+func (t *term) serversFrom(from int64) {
+	for wait(t.ctx, serversEvery) {
+		a, err := t.h.store.Do(t.ctx, store.Call{Op: store.Read, Topic: platform.ServersTopic, From: from})
+		var trimmed *store.TrimmedError
+		switch {
+		case errors.As(err, &trimmed):
+			return
+		case err != nil:
+			continue
+		}
+		from += int64(len(a.Records))
+		if len(a.Records) > 0 {
+			t.entries(a.Records)
+		}
+	}
+}
+
+// entries applies changed entries. One that cannot be read names no worker.
+func (t *term) entries(all []store.Record) {
+	for _, r := range all {
+		if len(r.Value) == 0 {
+			delete(t.listed, r.Key)
+			continue
+		}
+		w, err := platform.ParseWorker(r.Key, r.Value)
+		if err != nil {
+			delete(t.listed, r.Key)
+			t.h.log.Info("servers: entry passed over.", "offset", r.Offset, "err", err)
+			continue
+		}
+		t.listed[r.Key] = w
+	}
+	ev := sched.Workers{}
+	for _, id := range slices.Sorted(maps.Keys(t.listed)) {
+		ev.All = append(ev.All, t.listed[id])
+	}
+	t.step(ev)
+}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -28,6 +28,8 @@
 	Policy string         `toml:"policy"`
 	// Parts is how many partitions a topic of the store has.
 	Parts int `toml:"parts"`
+	// Power is how many cores the host has; the strongest host leads.
+	Power float64 `toml:"power"`
 	// Memory is the most that the process may use, in MiB.
 	Memory int64 `toml:"memory"`
 	// Times bound what is done; each is a duration such as "900ms".
--- /dev/null
+++ b/internal/entry/take.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollencroft/internal/flow"
+	"pollencroft/internal/sched"
+	"pollencroft/internal/store"
+)
+
+// take takes what callers asked for, as it is stored from offset first on. What
+// was taken before is known to the core by its id; what lies between is read by
+// poll.
+func (t *term) take(part int, first int64, records []store.Record) {
+	t.mu.Lock()
+	if part < len(t.next) && first <= t.next[part] {
+		t.next[part] = max(t.next[part], first+int64(len(records)))
+	}
+	for _, r := range records {
+		t.stored(part, r)
+	}
+	t.mu.Unlock()
+	for _, r := range records {
+		t.takeOne(r)
+	}
+}
+
+// stored notes where a record lies, so that it can be dropped one day; mu is
+// held, or nobody else knows t yet.
+func (t *term) stored(part int, r store.Record) {
+	if len(r.Value) == 0 {
+		return
+	}
+	id, _ := strings.CutSuffix(r.Key, cancelMark)
+	if t.where[id] == nil {
+		t.where[id] = map[int]bool{}
+	}
+	t.where[id][part] = true
+}
+
+func (t *term) takeOne(r store.Record) {
+	if id, ok := strings.CutSuffix(r.Key, cancelMark); ok {
+		if len(r.Value) > 0 {
+			t.step(sched.Cancel{ID: id})
+		}
+		return
+	}
+	if len(r.Value) == 0 {
+		return
+	}
+	var spec flow.Spec
+	if err := json.Unmarshal(r.Value, &spec); err != nil {
+		t.h.log.Error("lead: job cannot be read.", "id", r.Key, "err", err)
+		return
+	}
+	t.step(sched.Submit{Spec: spec})
+}
+
+// poll reads what no host told of, one partition after the other.
+func (t *term) poll() {
+	for part := 0; wait(t.ctx, pollAll/time.Duration(len(t.next))); part = (part + 1) % len(t.next) {
+		t.mu.Lock()
+		from := t.next[part]
+		t.mu.Unlock()
+		a, err := t.h.store.Do(t.ctx, store.Call{Op: store.Read, Topic: jobsTopic, Part: part, From: from})
+		var trimmed *store.TrimmedError
+		switch {
+		case errors.As(err, &trimmed):
+			t.reread(part)
+			continue
+		case err != nil:
+			continue
+		}
+		if len(a.Records) > 0 {
+			t.take(part, from, a.Records)
+		}
+	}
+}
+
+// reread takes all jobs of a partition again after old records were deleted.
+func (t *term) reread(part int) {
+	all, from, err := store.Table(t.ctx, t.h.store, jobsTopic, part)
+	if err != nil {
+		t.h.log.Warn("lead: jobs cannot be read.", "part", part, "err", err)
+		return
+	}
+	t.take(part, from, all)
+	t.mu.Lock()
+	t.next[part] = max(t.next[part], from)
+	t.mu.Unlock()
+}
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -16,7 +14,6 @@
 	"pollencroft/internal/peer"
 	"pollencroft/internal/sched"
 	"pollencroft/internal/store"
-	"pollencroft/platform"
 )
 
 // term is the time for which this host leads. It carries the scheduler core's
@@ -24,6 +21,7 @@
 type term struct {
 	h      *Host
 	number int64
+	began  time.Time
 	jobs   int
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -65,7 +63,7 @@
 	limits.StopGrace = time.Duration(h.cfg.Times.Stop)
 	limits.Keep = time.Duration(h.cfg.Times.Keep) * 5 / 4
 	t := &term{
-		h: h, number: number, jobs: len(r.jobs) + len(r.fresh), kick: make(chan struct{}, 1), next: next, where: map[string]map[int]bool{}, listed: map[string]sched.Worker{},
+		h: h, number: number, began: h.now(), jobs: len(r.jobs) + len(r.fresh), kick: make(chan struct{}, 1), next: next, where: map[string]map[int]bool{}, listed: map[string]sched.Worker{},
 		core: sched.New(limits, number, r.jobs), seq: 1,
 	}
 	t.ctx, t.cancel = context.WithCancel(h.ctx)
@@ -108,7 +106,7 @@
 	for over.Bounds == nil && former != "" && former != t.h.cfg.Name {
 		ctx, cancel := context.WithTimeout(t.ctx, askWait)
 		var r peer.SyncReply
-		err := t.h.peers.Ask(ctx, former, peer.Sync{From: t.h.cfg.Name}, &r)
+		err := t.h.peers.Ask(ctx, former, t.h.syncMessage(), &r)
 		cancel()
 		if err == nil && !r.Leading {
 			break
@@ -288,141 +286,6 @@
 	}
 }
 
-// take takes what callers asked for, as it is stored from offset first on. What
-// was taken before is known to the core by its id; what lies between is read by
-// poll.
-func (t *term) take(part int, first int64, records []store.Record) {
-	t.mu.Lock()
-	if part < len(t.next) && first <= t.next[part] {
-		t.next[part] = max(t.next[part], first+int64(len(records)))
-	}
-	for _, r := range records {
-		t.stored(part, r)
-	}
-	t.mu.Unlock()
-	for _, r := range records {
-		t.takeOne(r)
-	}
-}
-
-// stored notes where a record lies, so that it can be dropped one day; mu is
-// held, or nobody else knows t yet.
-func (t *term) stored(part int, r store.Record) {
-	if len(r.Value) == 0 {
-		return
-	}
-	id, _ := strings.CutSuffix(r.Key, cancelMark)
-	if t.where[id] == nil {
-		t.where[id] = map[int]bool{}
-	}
-	t.where[id][part] = true
-}
-
-func (t *term) takeOne(r store.Record) {
-	if id, ok := strings.CutSuffix(r.Key, cancelMark); ok {
-		if len(r.Value) > 0 {
-			t.step(sched.Cancel{ID: id})
-		}
-		return
-	}
-	if len(r.Value) == 0 {
-		return
-	}
-	var spec flow.Spec
-	if err := json.Unmarshal(r.Value, &spec); err != nil {
-		t.h.log.Error("lead: job cannot be read.", "id", r.Key, "err", err)
-		return
-	}
-	t.step(sched.Submit{Spec: spec})
-}
-
-// poll reads what no host told of, one partition after the other.
-func (t *term) poll() {
-	for part := 0; wait(t.ctx, pollAll/time.Duration(len(t.next))); part = (part + 1) % len(t.next) {
-		t.mu.Lock()
-		from := t.next[part]
-		t.mu.Unlock()
-		a, err := t.h.store.Do(t.ctx, store.Call{Op: store.Read, Topic: jobsTopic, Part: part, From: from})
-		var trimmed *store.TrimmedError
-		switch {
-		case errors.As(err, &trimmed):
-			t.reread(part)
-			continue
-		case err != nil:
-			continue
-		}
-		if len(a.Records) > 0 {
-			t.take(part, from, a.Records)
-		}
-	}
-}
-
-// reread takes all jobs of a partition again after old records were deleted.
-func (t *term) reread(part int) {
-	all, from, err := store.Table(t.ctx, t.h.store, jobsTopic, part)
-	if err != nil {
-		t.h.log.Warn("lead: jobs cannot be read.", "part", part, "err", err)
-		return
-	}
-	t.take(part, from, all)
-	t.mu.Lock()
-	t.next[part] = max(t.next[part], from)
-	t.mu.Unlock()
-}
-
-// servers follows the workers' entries.
-func (t *term) servers() {
-	for t.ctx.Err() == nil {
-		all, from, err := store.Table(t.ctx, t.h.store, platform.ServersTopic, 0)
-		if err != nil {
-			wait(t.ctx, followRetry)
-			continue
-		}
-		clear(t.listed)
-		t.entries(all)
-		t.serversFrom(from)
-	}
-}
-
-func (t *term) serversFrom(from int64) {
-	for wait(t.ctx, serversEvery) {
-		a, err := t.h.store.Do(t.ctx, store.Call{Op: store.Read, Topic: platform.ServersTopic, From: from})
-		var trimmed *store.TrimmedError
-		switch {
-		case errors.As(err, &trimmed):
-			return
-		case err != nil:
-			continue
-		}
-		from += int64(len(a.Records))
-		if len(a.Records) > 0 {
-			t.entries(a.Records)
-		}
-	}
-}
-
-// entries applies changed entries. One that cannot be read names no worker.
-func (t *term) entries(all []store.Record) {
-	for _, r := range all {
-		if len(r.Value) == 0 {
-			delete(t.listed, r.Key)
-			continue
-		}
-		w, err := platform.ParseWorker(r.Key, r.Value)
-		if err != nil {
-			delete(t.listed, r.Key)
-			t.h.log.Info("servers: entry passed over.", "offset", r.Offset, "err", err)
-			continue
-		}
-		t.listed[r.Key] = w
-	}
-	ev := sched.Workers{}
-	for _, id := range slices.Sorted(maps.Keys(t.listed)) {
-		ev.All = append(ev.All, t.listed[id])
-	}
-	t.step(ev)
-}
-
 func (t *term) state(id string) (flow.State, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"net/netip"
 	"time"
 
 	"pollencroft/internal/call"
@@ -175,9 +176,13 @@
 	State       string
 }
 
-// Sync asks the lead for what every host tells callers; the answer is a
-// SyncReply.
-type Sync struct{ From string }
+// Sync asks the lead for what every host tells callers, and tells it that the
+// sender is there; the answer is a SyncReply.
+type Sync struct {
+	From  string
+	Addr  netip.AddrPort
+	Power float64
+}
 
 // SyncReply is what every host tells callers: how many jobs of each queue wait,
 // and which hosts there are.
--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -126,7 +127,7 @@
 		return
 	}
 	cost := r.queue.Advice.Cost(len(named))
-	name := s.askable(r.queue, cost)
+	name := s.askable(r.queue)
 	if name == "" {
 		return
 	}
@@ -141,15 +142,29 @@
 	s.do(Ask{Host: name, Step: r.stage.Tasks[0].Name.StepName(), Workers: named, Within: a.gives.Sub(s.now)})
 }
 
+// candidate is a worker that may be named in a question.
+type candidate struct {
+	life string
+	// tasks is how many it has room for, known that it was allowed before.
+	tasks int
+	known bool
+	cost  float64
+}
+
+func (c candidate) compare(o candidate) int {
+	switch {
+	case c.known && !o.known:
+		return -1
+	case !c.known && o.known:
+		return 1
+	default:
+		return cmp.Compare(c.cost, o.cost)
+	}
+}
+
 // worthNaming lists workers that have room for the step and may be allowed, the
 // best first, and as many as the tasks need.
 func (s *Sched) worthNaming(r ready, a *advice, p *pool, n int) []string {
-	type candidate struct {
-		life  string
-		tasks int
-		known bool
-		cost  float64
-	}
 	var all []candidate
 	for _, w := range p.workers {
 		if a.bad[w.Life] || !s.fits(r, r.tasks[0], w) {
@@ -162,20 +177,7 @@
 		}
 		all = append(all, candidate{life: w.Life, tasks: r.hold(w), known: known, cost: s.cost(r, w)})
 	}
-	slices.SortStableFunc(all, func(a, b candidate) int {
-		switch {
-		case a.known != b.known && a.known:
-			return -1
-		case a.known != b.known:
-			return 1
-		case a.cost < b.cost:
-			return -1
-		case a.cost > b.cost:
-			return 1
-		default:
-			return 0
-		}
-	})
+	slices.SortStableFunc(all, candidate.compare)
 	rate, ok := s.rates[r.queue.Name]
 	if !ok {
 		rate = firstRate
@@ -226,7 +228,7 @@
 // askable chooses the host for a question; none if all would keep it waiting.
 // Long questions go to idle hosts only, and never to all: an urgent one would
 // wait behind them at every host.
-func (s *Sched) askable(q flow.Queue, cost time.Duration) string {
+func (s *Sched) askable(q flow.Queue) string {
 	long := s.long(q)
 	busy := 0
 	best := ""
--- /dev/null
+++ b/internal/sched/copies.go
@@ -0,0 +1,83 @@
+package sched
+
+import (
+	"time"
+
+	"pollencroft/internal/cell"
+	"pollencroft/internal/flow"
+)
+
+// looseRun is the room of a run that is not followed, which may begin as late
+// as until.
+type looseRun struct {
+	room  cell.Size
+	until time.Time
+}
+
+// loosen goes on booking the room of a run that is not followed any more.
+func (w *worker) loosen(k runKey, room cell.Size, now time.Time) {
+	if _, ok := w.loose[k]; !ok {
+		w.used = w.used.Add(room)
+	}
+	w.loose[k] = looseRun{room: room, until: now.Add(startLease + onItsWay)}
+}
+
+// settleLoose frees the room of loose runs that are listed no longer and can
+// begin no longer.
+func (w *worker) settleLoose(listed map[flow.Name]int, now time.Time) {
+	for k, l := range w.loose {
+		if listed[k.task] == k.run || now.Before(l.until) {
+			continue
+		}
+		w.used = w.used.Sub(l.room)
+		delete(w.loose, k)
+	}
+}
+
+// adoptCopy takes over a copy that a former lead started and could not store
+// any more.
+func (s *Sched) adoptCopy(w *worker, l Listed) bool {
+	j, ok := s.jobs[l.Task.Job]
+	if !ok || j.State.Final() {
+		return false
+	}
+	t := j.Task(l.Task)
+	if t == nil || !t.Spec().Copies || t.State != flow.Waiting || l.Run < t.Run {
+		return false
+	}
+	t.Worker, t.Run = w.Life, l.Run
+	t.Move(flow.Assign, s.now)
+	t.Move(flow.Send, s.now)
+	w.put(t)
+	s.confirm(t)
+	s.touch(j)
+	return true
+}
+
+// endedCopy takes the end of a copy that is not the one that is followed: the
+// first that is done counts, and the other one is stopped.
+func (s *Sched) endedCopy(e End) {
+	j, ok := s.jobs[e.Task.Job]
+	if !ok || e.How != EndDone || j.State.Final() {
+		return
+	}
+	t := j.Task(e.Task)
+	if t == nil || !t.Spec().Copies || t.State == flow.Done {
+		return
+	}
+	if w, ok := s.workers[t.Worker]; ok && t.Out() && t.State != flow.Assigned {
+		s.do(Stop{To: w.Address, Term: s.term, Task: t.Name, Run: t.Run})
+		w.loosen(runKey{t.Name, t.Run}, t.Spec().Room(), s.now)
+	}
+	s.done(t)
+}
+
+// copySilent begins copies of what may run on a worker that does not answer.
+func (s *Sched) copySilent(w *worker) {
+	for _, t := range w.inOrder() {
+		if t.Spec().Copies && !t.Spec().Gang && (t.State == flow.Running || t.State == flow.Starting) {
+			w.loosen(runKey{t.Name, t.Run}, t.Spec().Room(), s.now)
+			s.gone(t, "worker is silent, a copy may run")
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/ends.go
@@ -0,0 +1,100 @@
+package sched
+
+import (
+	"time"
+
+	"pollencroft/internal/flow"
+)
+
+// listed takes note of a run that is at the worker.
+func (s *Sched) listed(w *worker, l Listed, clock time.Time) {
+	t := s.task(runKey{l.Task, l.Run})
+	if t == nil || t.Worker != w.Life {
+		if !s.adoptCopy(w, l) {
+			s.stray(w, l)
+		}
+		return
+	}
+	if t.State == flow.Starting || t.State == flow.Inherited {
+		s.confirm(t)
+	}
+	if l.Saved != "" {
+		t.Saved = l.Saved
+	}
+	if t.State == flow.Running && t.Job.State.Final() {
+		s.stop(t, "job is over")
+		return
+	}
+	s.progress(w, t, l, clock)
+}
+
+// stray stops a run that no record names. It can only be one that was given up
+// for lapsed by a clock that was wrong; it must not work on unseen.
+func (s *Sched) stray(w *worker, l Listed) {
+	if j, ok := s.jobs[l.Task.Job]; ok && l.Task.Step < len(j.Spec.Steps) {
+		w.loosen(runKey{l.Task, l.Run}, j.Spec.Steps[l.Task.Step].Room(), s.now)
+	}
+	s.do(Note{ID: l.Task.String(), What: "stray run", Worker: w.Life, Run: l.Run})
+	s.do(Stop{To: w.Address, Term: s.term, Task: l.Task, Run: l.Run})
+}
+
+// absent judges a task that the worker does not list. Only a list that was
+// asked for after the run was certain to be there, or certain never to begin,
+// tells anything.
+func (s *Sched) absent(t *flow.Task, sent time.Time) {
+	switch t.State {
+	case flow.Inherited:
+		// Read under this term, so nothing older can begin there any more.
+		s.gone(t, "not at its worker")
+	case flow.Running:
+		if sent.After(t.Since) {
+			s.gone(t, "no longer at its worker")
+		}
+	case flow.Stopping:
+		st, ok := s.stops[runKey{t.Name, t.Run}]
+		if ok && !st.sure.IsZero() && !sent.Before(st.sure) {
+			s.gone(t, "stopped")
+		}
+	}
+}
+
+// ended takes note of a run's end. An end as done counts whatever became of the
+// leases since: taking it for lapsed and running the task again would run it
+// twice if it had not.
+func (s *Sched) ended(w *worker, e End, clock time.Time) {
+	t := s.task(runKey{e.Task, e.Run})
+	if t == nil || t.Worker != w.Life || !t.Out() {
+		s.endedCopy(e)
+		return
+	}
+	if e.Saved != "" {
+		t.Saved = e.Saved
+	}
+	switch {
+	case e.How == EndDone:
+		w.health.good()
+		w.measure(t, clock)
+		s.finish(t)
+	case e.How == EndFailed && t.State != flow.Stopping:
+		s.blame(w, t)
+		s.failed(t)
+	case e.How == EndFailed:
+		s.failed(t)
+	default:
+		s.gone(t, "ended as "+e.How.String())
+	}
+}
+
+// finish ends a task, and its gang with it: they end as done together.
+func (s *Sched) finish(t *flow.Task) {
+	if !t.Spec().Gang {
+		s.done(t)
+		return
+	}
+	run := t.Run
+	for _, m := range t.Step.Tasks {
+		if m.Run == run && m.State != flow.Done {
+			s.done(m)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/hold.go
@@ -0,0 +1,133 @@
+package sched
+
+import (
+	"time"
+
+	"pollencroft/internal/flow"
+)
+
+// keepHolding keeps one hold under way on a worker that has anything to hold,
+// to read or to forget.
+func (s *Sched) keepHolding(w *worker) {
+	if w.holding || w.dead || !w.Addr.IsValid() || s.now.Before(w.again) || w.idle() {
+		return
+	}
+	if w.fenced && w.seen > w.noted && s.now.Sub(w.asked) < unnotedEvery {
+		// Ends that are not noted make every hold answer at once. The append that
+		// is under way lets the worker be asked again.
+		return
+	}
+	w.holding, w.asked = true, s.now
+	h := Hold{To: w.Address, Term: s.term, Seen: w.noted}
+	if w.fenced && w.doubt.IsZero() {
+		// A worker that does not answer is only asked: a hold that is carried out
+		// unanswered would lengthen leases, and a dead worker's never ran out.
+		h.Deadline = w.clockAt(s.now).Add(s.limits.Lease)
+		w.promise(h.Deadline)
+		h.Wait = s.holdWait(w)
+	}
+	s.do(h)
+}
+
+// idle tells whether there is nothing to hold, to read or to forget on a worker.
+func (w *worker) idle() bool {
+	return w.fenced && len(w.tasks) == 0 && len(w.loose) == 0 && w.told >= w.noted && w.doubt.IsZero()
+}
+
+// holdWait is how long a hold may wait for an end.
+func (s *Sched) holdWait(w *worker) time.Duration {
+	switch {
+	case len(w.tasks) == 0:
+		return 0
+	case w.filled > 0 && w.serves():
+		return stepEvery / 2
+	default:
+		return s.limits.Wait
+	}
+}
+
+// look reads the worker's list beside the hold that may be waiting there.
+func (s *Sched) look(w *worker) {
+	if w.looking {
+		w.lookAgain = true
+		return
+	}
+	if w.dead || !w.Addr.IsValid() {
+		return
+	}
+	w.looking = true
+	s.do(Hold{To: w.Address, Term: s.term, Seen: w.noted, Look: true})
+}
+
+func (s *Sched) held(ev Held) {
+	w, ok := s.workers[ev.Worker]
+	if !ok || w.dead {
+		return
+	}
+	if ev.Look {
+		w.looking = false
+		if w.lookAgain {
+			w.lookAgain = false
+			defer s.look(w)
+		}
+	} else {
+		w.holding = false
+	}
+	switch ev.Outcome {
+	case Taken:
+		s.read(w, ev)
+	case OtherLife:
+		s.died(w.Life)
+		return
+	case Fenced:
+		s.do(Depose{Worker: w.Life})
+		return
+	default:
+		if w.doubt.IsZero() {
+			w.doubt = s.now
+			s.do(Note{ID: w.Life, What: "worker does not answer", Worker: w.Life, Detail: ev.Outcome.String()})
+		}
+		w.again = s.now.Add(retryAfter)
+		return
+	}
+	s.keepHolding(w)
+}
+
+// read takes over a worker's lists.
+func (s *Sched) read(w *worker, ev Held) {
+	if !w.doubt.IsZero() {
+		s.do(Note{ID: w.Life, What: "worker answers again", Worker: w.Life})
+	}
+	w.doubt = time.Time{}
+	if ev.Received.After(w.read) {
+		w.clock, w.read = ev.Clock, ev.Received
+	}
+	first := !w.fenced
+	w.fenced = true
+	if first {
+		w.promise(ev.Clock.Add(s.limits.Lease))
+	}
+	w.told = max(w.told, ev.Seen)
+	for _, e := range ev.Ended {
+		if e.Number > w.seen {
+			w.seen = e.Number
+			s.ended(w, e, ev.Clock)
+		}
+	}
+	if w.seen > w.noted {
+		s.next.seen[w] = w.seen
+	}
+	listed := make(map[flow.Name]int, len(ev.Running))
+	for _, l := range ev.Running {
+		listed[l.Task] = l.Run
+		s.listed(w, l, ev.Clock)
+	}
+	for _, t := range w.inOrder() {
+		if listed[t.Name] != t.Run {
+			s.absent(t, ev.Sent)
+		}
+	}
+	s.judgePace(w, ev.Clock)
+	w.settleLoose(listed, s.now)
+	s.repace(w, ev.Running)
+}
--- /dev/null
+++ b/internal/sched/lapse.go
@@ -0,0 +1,48 @@
+package sched
+
+import "time"
+
+// vacant tells whether the leases of all that may run on a silent worker have
+// surely lapsed.
+func (s *Sched) vacant(w *worker) bool {
+	if len(w.tasks) == 0 || w.fenced && !w.silent(s.now) {
+		return false
+	}
+	return s.now.After(s.bound(w))
+}
+
+// bound is when the leases on a worker that answers no more have surely lapsed.
+// Of a worker that was never read under this term nobody knows how long the
+// former lead's leases are: that lead gives up its term in time, and what it
+// held last cannot last longer than one lease.
+func (s *Sched) bound(w *worker) time.Time {
+	if w.fenced {
+		return w.lapsed()
+	}
+	at := s.began.Add(GiveUp + longest(s.limits.Lease))
+	if !s.former.IsZero() {
+		at = s.former.Add(longest(s.limits.Lease))
+	}
+	if !w.until.IsZero() && w.until.Before(at) {
+		return w.until
+	}
+	return at
+}
+
+// Bounds returns how much longer anything may run on each worker that does not
+// answer. A successor would wait for a whole lease again.
+func (s *Sched) Bounds(now time.Time) map[string]time.Duration {
+	all := map[string]time.Duration{}
+	for life, w := range s.workers {
+		if len(w.tasks) > 0 && (!w.fenced || w.silent(now)) {
+			all[life] = max(s.bound(w).Sub(now), 0)
+		}
+	}
+	return all
+}
+
+// longest is how long a lease may last from when it was asked for, on a slow
+// clock and with what was on its way.
+func longest(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)/(1-drift)) + onItsWay
+}
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -30,11 +30,8 @@
 
 func newPacing() pacing { return pacing{level: 100} }
 
-// repace follows the tails that a worker lists.
-func (s *Sched) repace(w *worker, running []Listed) {
-	if w.filled == 0 {
-		return
-	}
+// worstTail is the highest tail of a task that serves, as a share of its target.
+func (w *worker) worstTail(running []Listed) float64 {
 	worst := 0.0
 	for _, l := range running {
 		t := w.tasks[l.Task]
@@ -43,6 +40,15 @@
 		}
 		worst = max(worst, float64(l.Figure)/float64(t.Spec().Target.Milliseconds()))
 	}
+	return worst
+}
+
+// repace follows the tails that a worker lists.
+func (s *Sched) repace(w *worker, running []Listed) {
+	if w.filled == 0 {
+		return
+	}
+	worst := w.worstTail(running)
 	level := w.pace.level
 	switch {
 	case worst >= stopAt:
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -78,7 +78,7 @@
 func (s *Sched) pools() map[string]*pool {
 	all := map[string]*pool{}
 	for _, w := range s.lives() {
-		if !w.usable(s.now) {
+		if !w.usable() {
 			continue
 		}
 		p, ok := all[w.Service]
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -103,6 +103,15 @@
 	if s.began.IsZero() {
 		s.began = now
 	}
+	s.take(ev)
+	if _, idle := ev.(Tick); !idle {
+		s.stirred = true
+	}
+	s.flush()
+	return s.acts
+}
+
+func (s *Sched) take(ev Event) {
 	switch ev := ev.(type) {
 	case Queues:
 		s.setQueues(ev)
@@ -125,20 +134,20 @@
 	case Advised:
 		s.advised(ev)
 	case FormerOver:
-		s.former = now
-		for life, left := range ev.Bounds {
-			if w, ok := s.workers[life]; ok {
-				w.until = ev.Since.Add(left)
-			}
-		}
+		s.formerOver(ev)
 	case Tick:
 		s.tick()
 	}
-	if _, idle := ev.(Tick); !idle {
-		s.stirred = true
+}
+
+// formerOver takes what the former lead said when it left.
+func (s *Sched) formerOver(ev FormerOver) {
+	s.former = s.now
+	for life, left := range ev.Bounds {
+		if w, ok := s.workers[life]; ok {
+			w.until = ev.Since.Add(left)
+		}
 	}
-	s.flush()
-	return s.acts
 }
 
 func (s *Sched) do(a Action) { s.acts = append(s.acts, a) }
--- a/internal/sched/start.go
+++ b/internal/sched/start.go
@@ -33,7 +33,7 @@
 		return
 	}
 	w, ok := s.workers[t.Worker]
-	if !ok || !w.usable(s.now) {
+	if !ok || !w.usable() {
 		s.gone(t, "worker left before the start")
 		return
 	}
