entry: read all partitions every 1.8 s, tell a job as unknown only after that

Change: all of them at once, four at a time; a lead that has not finished such a look for 2.9 s answers that it does not know.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -89,13 +89,13 @@
 		return peer.StateReply{}
 	}
 	state, known := t.state(id)
-	return peer.StateReply{Lead: true, Known: known, State: string(state)}
+	return peer.StateReply{Lead: true, Known: known, Unsure: !known && !t.knowsAll(), State: string(state)}
 }
 
 // stateOf asks the lead for a job's state.
 func (h *Host) stateOf(ctx context.Context, id string) (flow.State, bool, error) {
 	if r := h.localState(id); r.Lead {
-		return flow.State(r.State), r.Known, nil
+		return known(id, r)
 	}
 	h.mu.Lock()
 	lead := h.lead
@@ -112,6 +112,19 @@
 	if !r.Lead {
 		return "", false, &NoLeadError{}
 	}
+	return known(id, r)
+}
+
+// UnsureError tells that the lead does not know a job and has not read lately
+// what was stored.
+type UnsureError struct{ ID string }
+
+func (e *UnsureError) Error() string { return "lead has not read yet whether there is a job " + e.ID }
+
+func known(id string, r peer.StateReply) (flow.State, bool, error) {
+	if r.Unsure {
+		return "", false, &UnsureError{ID: id}
+	}
 	return flow.State(r.State), r.Known, nil
 }
 
--- a/internal/entry/take.go
+++ b/internal/entry/take.go
@@ -1,11 +1,12 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"pollencroft/internal/flow"
 	"pollencroft/internal/sched"
@@ -60,36 +61,61 @@
 	t.step(sched.Submit{Spec: spec})
 }
 
-// poll reads what no host told of, one partition after the other.
+// poll reads what no host told of, all partitions every pollAll.
 func (t *term) poll() {
-	for part := 0; wait(t.ctx, pollAll/time.Duration(len(t.next))); part = (part + 1) % len(t.next) {
-		t.mu.Lock()
-		from := t.next[part]
-		t.mu.Unlock()
-		a, err := t.h.store.Do(t.ctx, store.Call{Op: store.Read, Topic: jobsTopic, Part: part, From: from})
-		var trimmed *store.TrimmedError
-		switch {
-		case errors.As(err, &trimmed):
-			t.reread(part)
-			continue
-		case err != nil:
-			continue
+	for wait(t.ctx, pollAll) {
+		began := t.h.now()
+		g, ctx := errgroup.WithContext(t.ctx)
+		g.SetLimit(pollAtOnce)
+		for part := range t.next {
+			g.Go(func() error { return t.pollPart(ctx, part) })
 		}
-		if len(a.Records) > 0 {
-			t.take(part, from, a.Records)
+		if err := g.Wait(); err != nil {
+			t.h.log.Warn("lead: jobs cannot be read.", "err", err)
+			continue
 		}
+		t.mu.Lock()
+		t.polled = began
+		t.mu.Unlock()
 	}
 }
 
+func (t *term) pollPart(ctx context.Context, part int) error {
+	t.mu.Lock()
+	from := t.next[part]
+	t.mu.Unlock()
+	a, err := t.h.store.Do(ctx, store.Call{Op: store.Read, Topic: jobsTopic, Part: part, From: from})
+	var trimmed *store.TrimmedError
+	switch {
+	case errors.As(err, &trimmed):
+		return t.reread(ctx, part)
+	case err != nil:
+		return err
+	}
+	if len(a.Records) > 0 {
+		t.take(part, from, a.Records)
+	}
+	return nil
+}
+
+// knowsAll tells whether the term has read, within knowAge, all that was stored.
+// Only then is a job that it does not know certain not to be there; told so
+// otherwise, a caller would lose a job that was accepted.
+func (t *term) knowsAll() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.h.now().Sub(t.polled) < knowAge
+}
+
 // reread takes all jobs of a partition again after old records were deleted.
-func (t *term) reread(part int) {
-	all, from, err := store.Table(t.ctx, t.h.store, jobsTopic, part)
+func (t *term) reread(ctx context.Context, part int) error {
+	all, from, err := store.Table(ctx, t.h.store, jobsTopic, part)
 	if err != nil {
-		t.h.log.Warn("lead: jobs cannot be read.", "part", part, "err", err)
-		return
+		return err
 	}
 	t.take(part, from, all)
 	t.mu.Lock()
 	t.next[part] = max(t.next[part], from)
 	t.mu.Unlock()
+	return nil
 }
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -34,6 +34,8 @@
 	// that was not taken.
 	seq  int64
 	next []int64
+	// polled is when the last look through all partitions began.
+	polled time.Time
 	// where tells in which partitions a job was asked for.
 	where map[string]map[int]bool
 	// listed are the workers by life, as the store has them.
@@ -41,10 +43,14 @@
 }
 
 const (
-	// pollAll is how long the lead takes to look through all partitions for jobs
-	// that no host told it of: a host that stored one may have died before it
-	// could. A job has to be known after three seconds.
-	pollAll = 2 * time.Second
+	// pollAll is how often the lead looks through all partitions, pollAtOnce of
+	// them at a time, for jobs that no host told it of: a host that stored one may
+	// have died before it could.
+	pollAll    = 1800 * time.Millisecond
+	pollAtOnce = 4
+	// knowAge is how old such a look may be for a job that it did not find to be
+	// told as not there: a job has to be known three seconds after its acceptance.
+	knowAge = 2900 * time.Millisecond
 	// serversEvery is how often the workers' entries are read: a leaving worker
 	// must get no work after two seconds.
 	serversEvery = 400 * time.Millisecond
@@ -63,7 +69,7 @@
 	limits.StopGrace = time.Duration(h.cfg.Times.Stop)
 	limits.Keep = time.Duration(h.cfg.Times.Keep) * 5 / 4
 	t := &term{
-		h: h, number: number, began: h.now(), jobs: len(r.jobs) + len(r.fresh), kick: make(chan struct{}, 1), next: next, where: map[string]map[int]bool{}, listed: map[string]sched.Worker{},
+		h: h, number: number, began: h.now(), polled: h.now(), jobs: len(r.jobs) + len(r.fresh), kick: make(chan struct{}, 1), next: next, where: map[string]map[int]bool{}, listed: map[string]sched.Worker{},
 		core: sched.New(limits, number, r.jobs), seq: 1,
 	}
 	t.ctx, t.cancel = context.WithCancel(h.ctx)
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -170,9 +170,10 @@
 type AskState struct{ ID string }
 
 // StateReply tells a job's state. With Lead false the answering host does not
-// lead and knows nothing.
+// lead and knows nothing; Unsure tells that the job may be there all the same.
 type StateReply struct {
 	Lead, Known bool
+	Unsure      bool
 	State       string
 }
 
