entry: ask a stronger host to lead once, and try when nobody leads for too long

Change: one request in 15 s; a host without a lead for 5 s, and a second more for each that sorts before it, tries by itself.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -14,6 +14,7 @@
 	"pollencroft/internal/entry"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/standin/users"
+	"pollencroft/internal/store"
 )
 
 func TestAJobGoesFromItsCallerToWorkersAndBack(t *testing.T) {
@@ -282,3 +283,26 @@
 	<-served
 	require.Eventually(t, h.Leading, settleTime, 20*time.Millisecond)
 }
+
+// The group lists a host with much more power that cannot be reached. The others
+// may ask it to lead once, and then one of them leads.
+func TestAStrongHostThatIsGoneIsNotAskedForEver(t *testing.T) {
+	c := newCell(t, 2, 1, 50*time.Millisecond)
+	join := store.Call{Op: store.Join, Group: "hosts", Member: "ghost 127.0.0.1:1 life 100", Topics: []string{"lead"}, TTL: time.Second}
+	ctx, cancel := context.WithCancel(t.Context())
+	joined := make(chan struct{})
+	go func() {
+		defer close(joined)
+		for ctx.Err() == nil {
+			_, _ = c.log.For("ghost").Do(ctx, join)
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	dead := c.leader()
+	dead.Kill()
+	delete(c.hosts, dead.cfg.Name)
+	f := c.follower()
+	require.Eventually(t, f.Leading, settleTime, 20*time.Millisecond)
+	cancel()
+	<-joined
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -61,6 +61,10 @@
 	// leadSince is when this host heard of the lead first; looking is held while it
 	// asks whether to lead.
 	leadSince time.Time
+	// synced is when the lead answered last.
+	synced time.Time
+	// delegated is when this host asked another one to lead.
+	delegated time.Time
 	looking   sync.Mutex
 	// claims is held while the host tries to lead; claiming tells so.
 	claims   sync.Mutex
@@ -88,6 +92,7 @@
 		}
 		h.policy = platform.NewPolicy(c, addr)
 	}
+	h.synced = now()
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.store = store.NewRouted(platform.NewStore(c, cfg.Store), relay{h}, now, h.storeLost)
 	h.inbox = newInbox(h)
@@ -218,6 +223,8 @@
 	if led {
 		h.tellHeir(ctx, h.heir(ctx), succeed)
 	}
+	ctx, done := context.WithTimeout(h.ctx, time.Second)
+	defer done()
 	if _, err := h.store.Do(ctx, store.Call{Op: store.Leave, Group: group, Member: h.memberName()}); err != nil {
 		h.log.Warn("entry: cannot leave the group.", "err", err)
 	}
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -35,6 +35,13 @@
 	// would the next one.
 	youngTerm = 6 * time.Second
 	youngWait = 2500 * time.Millisecond
+	// orphanAfter is how long a host is without a lead before it tries whoever the
+	// group names: twice what a change of the lead takes. orphanStep parts the
+	// hosts by what a claim takes.
+	orphanAfter = 5 * time.Second
+	orphanStep  = time.Second
+	// delegateEvery is how often a host asks another one to lead in its place.
+	delegateEvery = 15 * time.Second
 	// heardFor is how long a host that the lead hears nothing of counts as there:
 	// three of its questions.
 	heardFor = 3500 * time.Millisecond
@@ -155,16 +162,20 @@
 	}
 }
 
-// delegate asks a host with much more power to lead; false if there is none. One
-// that does not is not asked again until it is heard of.
+// delegate asks a host with much more power to lead; false if there is none, or
+// if one was asked lately: it may be gone and still be listed, and nothing would
+// be led for as long as it is asked again.
 func (h *Host) delegate() bool {
 	h.listHosts()
 	h.mu.Lock()
 	best := h.strongest()
-	delete(h.seen, best)
+	lately := h.now().Sub(h.delegated) < delegateEvery
 	term := h.term
+	if best != "" && !lately {
+		h.delegated = h.now()
+	}
 	h.mu.Unlock()
-	if best == "" {
+	if best == "" || lately {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(h.ctx, askWait)
@@ -234,7 +245,29 @@
 			h.listHosts()
 		}
 		h.dropRecent()
+		if h.orphaned() {
+			h.wg.Go(h.should)
+		}
+	}
+}
+
+// orphaned tells whether no lead has worked for so long that this host should
+// try, whoever the group names: that one may be unable to. One notices hosts that
+// wait for a lead that never comes. The hosts try one after the other.
+func (h *Host) orphaned() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leading != nil || h.leaving {
+		h.synced = h.now()
+		return false
+	}
+	rank := 0
+	for n := range h.hosts {
+		if n < h.cfg.Name {
+			rank++
+		}
 	}
+	return h.now().Sub(h.synced) > orphanAfter+time.Duration(rank)*orphanStep
 }
 
 func (h *Host) syncWith(lead string) {
@@ -248,6 +281,7 @@
 	}
 	h.mu.Lock()
 	h.pending, h.pendingAt = r.Pending, h.now()
+	h.synced = h.now()
 	h.mu.Unlock()
 	all := make(map[string]netip.AddrPort, len(r.Hosts))
 	for n, a := range r.Hosts {
