--- /dev/null
+++ b/internal/flow/flow_test.go
@@ -0,0 +1,97 @@
+package flow_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pollencroft/internal/flow"
+)
+
+func ExampleName_String() {
+	n := flow.Name{Job: "5c0e7a21d94b36f8", Step: 1, Index: 17}
+	fmt.Println(n, n.StepName())
+	// Output: 5c0e7a21d94b36f8.0.1.17 5c0e7a21d94b36f8.0.1
+}
+
+func TestNamesAreReadBack(t *testing.T) {
+	n := flow.Name{Job: "a", Round: 3, Step: 1, Index: 17}
+	got, ok := flow.ParseName(n.String())
+	require.True(t, ok)
+	require.Equal(t, n, got)
+	for _, bad := range []string{"", "a", "a.0.1", "a.0.1.x", "a.0.1.2.3", "a.0.-1.2"} {
+		_, ok := flow.ParseName(bad)
+		require.False(t, ok, bad)
+	}
+}
+
+// Rounds of a repeated job begin when they are due and not before, may overlap,
+// and the job is over after the last.
+func TestRoundsBeginWhenTheyAreDue(t *testing.T) {
+	now := time.Unix(100, 0)
+	spec := flow.Spec{ID: "a", Steps: []flow.Step{{Tasks: 1}}, Repeat: flow.Repeat{Count: 3, First: now.Add(time.Second), Every: time.Second}}
+	j := flow.New(spec, 1, now)
+	require.Empty(t, j.Begin(now.Add(999*time.Millisecond)))
+	require.Len(t, j.Begin(now.Add(2*time.Second)), 2)
+	finish := func(round int) {
+		task := j.Task(flow.Name{Job: "a", Round: round})
+		require.True(t, task.Move(flow.Finish, now))
+		task.Step.Done++
+		j.Settle(now)
+	}
+	finish(0)
+	finish(1)
+	require.False(t, j.State.Final())
+	require.Len(t, j.Begin(now.Add(3*time.Second)), 1)
+	finish(2)
+	require.Equal(t, flow.Completed, j.State)
+}
+
+// A record holds all that a successor must know: what is done, where a run may
+// be, how often a task failed, how far it got.
+func TestARecordBringsBackWhatMustSurvive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.UnixMilli(1_000_000)
+		spec := flow.Spec{ID: "a", Steps: []flow.Step{{Tasks: 3}, {Tasks: 2, After: []int{0}}}}
+		j := flow.New(spec, 7, now)
+		j.Begin(now)
+		j.Tasks(func(task *flow.Task) {
+			switch rapid.IntRange(0, 2).Draw(t, "state") {
+			case 1:
+				task.Run, task.Worker, task.Saved = 2, "w", "cp"
+				task.Move(flow.Assign, now)
+			case 2:
+				task.Run, task.Fails = 1, 1
+				task.Move(flow.Finish, now)
+				task.Step.Done++
+			}
+		})
+		b, err := json.Marshal(spec)
+		require.NoError(t, err)
+		var again flow.Spec
+		require.NoError(t, json.Unmarshal(b, &again))
+		got, err := flow.Restore(again, j.Record(), now)
+		require.NoError(t, err)
+		require.Equal(t, j.Number, got.Number)
+		j.Tasks(func(task *flow.Task) {
+			o := got.Task(task.Name)
+			require.Equal(t, []any{task.Run, task.Fails}, []any{o.Run, o.Fails})
+			switch task.State {
+			case flow.Assigned:
+				require.Equal(t, flow.Inherited, o.State)
+				require.Equal(t, []string{"w", "cp"}, []string{o.Worker, o.Saved})
+			default:
+				require.Equal(t, task.State, o.State)
+			}
+		})
+	})
+}
+
+func TestARecordThatCannotBeReadIsAnError(t *testing.T) {
+	_, err := flow.Restore(flow.Spec{ID: "a"}, []byte("{"), time.Time{})
+	require.ErrorAs(t, err, new(*flow.RecordError))
+}
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,56 @@
+package logs_test
+
+import (
+	"bytes"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/logs"
+)
+
+// Whoever reads the log has stopped. A decision that waited for its line would
+// stop with it.
+func TestAReaderThatStopsHoldsUpNothing(t *testing.T) {
+	r, out := io.Pipe()
+	w := logs.NewWriter(out)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 5000 {
+			_, _ = w.Write([]byte("line\n"))
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(time.Minute):
+		t.Fatal("writing waits for the reader")
+	}
+	require.Positive(t, w.Dropped())
+	require.NoError(t, r.Close())
+	w.Close(time.Minute)
+}
+
+// A flood of one kind of line is cut to its budget and told of; other kinds,
+// warnings and errors still pass.
+func TestAFloodStaysWithinItsBudget(t *testing.T) {
+	now := time.Unix(0, 0)
+	var buf bytes.Buffer
+	log := slog.New(logs.NewHandler(slog.NewTextHandler(&buf, nil), func() time.Time { return now }))
+	for range 10_000 {
+		log.Info("flood")
+		now = now.Add(time.Millisecond)
+	}
+	log.Info("other")
+	log.Warn("flood")
+	now = now.Add(time.Minute)
+	log.With("a", 1).WithGroup("g").Info("other")
+	text := buf.String()
+	require.LessOrEqual(t, strings.Count(text, "msg=flood"), 120+10*40+1)
+	require.Equal(t, 2, strings.Count(text, "msg=other"))
+	require.Contains(t, text, "lines were left out")
+}
