--- a/internal/flow/spec.go
+++ b/internal/flow/spec.go
@@ -109,7 +109,7 @@
 // Check returns a cell.ValueError for the first field that is out of bounds.
 func (s Spec) Check() error {
 	if len(s.Text) > maxText {
-		return &cell.ValueError{Field: "spec", Found: fmt.Sprintf("%d bytes", len(s.Text)), Allowed: fmt.Sprintf("up to %d", maxText)}
+		return &cell.ValueError{Field: "text", Found: fmt.Sprintf("%d bytes", len(s.Text)), Allowed: fmt.Sprintf("up to %d", maxText)}
 	}
 	if n := len(s.Steps); n < 1 || n > maxSteps {
 		return &cell.ValueError{Field: "steps", Found: strconv.Itoa(n), Allowed: fmt.Sprintf("1 to %d", maxSteps)}
@@ -122,10 +122,10 @@
 		tasks += st.Tasks
 	}
 	if tasks > maxTasks {
-		return &cell.ValueError{Field: "steps.count", Found: strconv.Itoa(tasks), Allowed: fmt.Sprintf("%d in all", maxTasks)}
+		return &cell.ValueError{Field: "steps.tasks", Found: strconv.Itoa(tasks), Allowed: fmt.Sprintf("%d in all", maxTasks)}
 	}
 	if s.Repeat.Count < 0 || s.Repeat.Count > 0 && s.Repeat.Every < 0 {
-		return &cell.ValueError{Field: "repeatCount", Found: strconv.Itoa(s.Repeat.Count), Allowed: "0 or more"}
+		return &cell.ValueError{Field: "repeat.count", Found: strconv.Itoa(s.Repeat.Count), Allowed: "0 or more"}
 	}
 	return nil
 }
@@ -135,7 +135,7 @@
 		return &cell.ValueError{Field: fmt.Sprintf("steps[%d].%s", i, field), Found: strconv.FormatInt(found, 10), Allowed: allowed}
 	}
 	if s.Tasks < 1 || s.Tasks > maxTasks {
-		return bad("count", int64(s.Tasks), fmt.Sprintf("1 to %d", maxTasks))
+		return bad("tasks", int64(s.Tasks), fmt.Sprintf("1 to %d", maxTasks))
 	}
 	if s.Size.CPU < 0 || s.Size.Mem < 0 || s.Size.Accel < 0 {
 		return bad("size", min(s.Size.CPU, s.Size.Mem, s.Size.Accel), "0 or more")
--- /dev/null
+++ b/internal/sched/load_test.go
@@ -0,0 +1,231 @@
+package sched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/cell"
+	"pollencroft/internal/flow"
+	"pollencroft/internal/sched"
+)
+
+// Bulk work fills the cell and more waits; scans come all the while. Each scan
+// starts at once, in the room that bulk may not take. Pattern: the users' mix,
+// 12 scans a second of 6 tasks on 5 cores for a second beside bulk at more than
+// the rest of the cell; the grounds are the pass office's sheet.
+func TestUrgentWorkStartsAtOnceBesideAFloodOfBulk(t *testing.T) {
+	b := newBench(t, 24)
+	for i := range 40 {
+		b.submit(fmt.Sprintf("bulk%02d", i), "print", bulk(8))
+	}
+	b.play(3 * time.Second)
+	for i := range 12 {
+		b.submit(fmt.Sprintf("scan%02d", i), "scan", scan(1), scan(1))
+		b.play(80 * time.Millisecond)
+	}
+	b.play(2 * time.Second)
+	late := 0
+	for i := range 12 {
+		if b.state(fmt.Sprintf("scan%02d", i)) != flow.Completed {
+			late++
+		}
+	}
+	require.Zero(t, late)
+	require.Empty(t, b.wrongs)
+}
+
+// A queue with advice: no start without a ticket, and at most one question at a
+// time for a step.
+func TestAdviceIsAskedBeforeAStart(t *testing.T) {
+	b := newBench(t, 12)
+	b.queues[0].Advice = &flow.Advice{Base: 24 * time.Millisecond, Each: 340 * time.Microsecond, Valid: 2500 * time.Millisecond}
+	b.step(sched.Queues{Version: 2, All: b.queues})
+	b.policy = func(_, worker string) bool { return worker >= "w06" }
+	b.submit("a", "scan", scan(6))
+	b.play(3 * time.Second)
+	require.Equal(t, flow.Completed, b.state("a"))
+	require.LessOrEqual(t, len(b.asks), 3)
+	for _, n := range []string{"w00", "w01", "w02", "w03", "w04", "w05"} {
+		require.Zero(t, b.workers[n].number, n)
+	}
+}
+
+// A job of many short tasks in three failure domains stays in one: when another
+// is cut off, the job goes on.
+func TestAJobStaysInOneFailureDomain(t *testing.T) {
+	b := newBench(t, 9)
+	b.submit("a", "scan", scan(6), scan(6))
+	b.play(200 * time.Millisecond)
+	domains := map[string]bool{}
+	for _, w := range b.inOrder() {
+		if len(w.runs) > 0 {
+			domains[w.info.Domain] = true
+		}
+	}
+	require.Len(t, domains, 1)
+}
+
+// Filling tasks take room only of memory; when a task that serves beside them
+// nears its bound they are held back, and let go again once it is calm.
+func TestFillingTasksAreHeldBackBesideATaskThatServes(t *testing.T) {
+	b := newBench(t, 1)
+	serve := flow.Step{Tasks: 1, Size: cell.Size{CPU: 20_000, Mem: 8 << 30}, Lasts: true, Target: 100 * time.Millisecond}
+	fill := flow.Step{Tasks: 2, Size: cell.Size{CPU: 10_000, Mem: 8 << 30}, Time: time.Minute, Fills: true}
+	b.submit("serve", "scan", serve)
+	b.submit("fill", "print", fill)
+	b.play(time.Second)
+	require.Len(t, b.workers["w00"].runs, 3)
+	tail := func(ms int64) {
+		ev := sched.Held{Worker: "w00", Look: true, Sent: b.now, Received: b.now, Clock: b.now}
+		for n, r := range b.workers["w00"].runs {
+			l := sched.Listed{Task: n, Run: r.run, Percent: 100}
+			if r.step.Target > 0 {
+				l.Figure = ms
+			}
+			ev.Running = append(ev.Running, l)
+		}
+		b.step(ev)
+	}
+	tail(95)
+	require.Len(t, b.paces, 2)
+	require.Zero(t, b.paces[0].Percent)
+	b.paces = nil
+	b.play(1200 * time.Millisecond)
+	tail(20)
+	require.NotEmpty(t, b.paces)
+	require.Positive(t, b.paces[0].Percent)
+}
+
+// The store is away and a worker falls silent. Tasks of which copies may run go
+// on starting; the first copy that is done counts and the job ends as done once.
+func TestCopiesNeitherWaitForTheStoreNorForASilentWorker(t *testing.T) {
+	b := newBench(t, 4)
+	b.copies = true
+	b.play(100 * time.Millisecond)
+	step := scan(8)
+	step.Copies = true
+	b.submit("a", "scan", step)
+	b.play(50 * time.Millisecond)
+	b.storeAway = true
+	next := scan(8)
+	next.Copies = true
+	b.submit("b", "scan", next)
+	b.play(200 * time.Millisecond)
+	started := 0
+	for n := range b.starts {
+		if n.Job == "b" {
+			started++
+		}
+	}
+	require.Equal(t, 8, started)
+	for _, w := range b.inOrder() {
+		if len(w.runs) > 0 {
+			w.silent = true
+			break
+		}
+	}
+	b.storeAway = false
+	b.play(4 * time.Second)
+	require.Equal(t, flow.Completed, b.state("a"))
+	require.Equal(t, flow.Completed, b.state("b"))
+}
+
+// A worker falls silent and returns with copies that were begun elsewhere
+// meanwhile. They still take its room, and work that was placed as if they did
+// not would overload it.
+func TestCopiesLeftOnAWorkerStillTakeItsRoom(t *testing.T) {
+	b := newBench(t, 3)
+	b.copies = true
+	b.play(100 * time.Millisecond)
+	step := scan(12)
+	step.Copies, step.Time = true, 5*time.Second
+	b.submit("a", "scan", step)
+	b.play(300 * time.Millisecond)
+	var cut *fakeWorker
+	for _, w := range b.inOrder() {
+		if len(w.runs) > 6 {
+			cut = w
+		}
+	}
+	require.NotNil(t, cut)
+	cut.silent = true
+	b.play(2500 * time.Millisecond)
+	b.submit("b", "scan", scan(24))
+	cut.silent = false
+	b.play(20 * time.Second)
+	require.Greater(t, total(b.starts), 12+24, "copies began elsewhere")
+	require.Equal(t, flow.Completed, b.state("a"))
+	require.Equal(t, flow.Completed, b.state("b"))
+	require.Empty(t, b.wrongs)
+}
+
+// A lead ends with copies started that it could not store. Its successor finds
+// them at their workers and goes on with them.
+func TestCopiesThatWereNotStoredAreFoundByTheNextLead(t *testing.T) {
+	b := newBench(t, 4)
+	b.copies = true
+	b.play(100 * time.Millisecond)
+	b.storeAway = true
+	step := scan(8)
+	step.Copies, step.Time = true, 3*time.Second
+	b.submit("a", "scan", step)
+	b.play(200 * time.Millisecond)
+	require.Equal(t, 8, total(b.starts))
+	b.storeAway = false
+	b.takeover()
+	b.play(4 * time.Second)
+	require.Equal(t, flow.Completed, b.state("a"))
+	require.LessOrEqual(t, total(b.starts), 16)
+}
+
+// The same events give the same decisions, to the order of each action.
+func TestTheCoreDecidesTheSameTwice(t *testing.T) {
+	play := func() string {
+		b := newBench(t, 9)
+		b.workers["w03"].fails = true
+		for i := range 20 {
+			b.submit(fmt.Sprintf("s%02d", i), "scan", scan(6), scan(3))
+			b.submit(fmt.Sprintf("b%02d", i), "print", bulk(5))
+			b.play(150 * time.Millisecond)
+		}
+		b.workers["w05"].silent = true
+		b.play(3 * time.Second)
+		return fmt.Sprint(b.starts, b.core.Pending(), len(b.asks))
+	}
+	require.Equal(t, play(), play())
+}
+
+// A worker works seven times slower while it answers every question. What it
+// runs of several jobs goes on elsewhere, and new work stays away from it.
+func TestRunsOnAWorkerThatCrawlsGoOnElsewhere(t *testing.T) {
+	b := newBench(t, 3)
+	b.workers["w01"].slow = 7
+	for i := range 6 {
+		b.submit(fmt.Sprintf("s%d", i), "scan", scan(4))
+	}
+	b.play(5 * time.Second)
+	for i := range 6 {
+		require.Equal(t, flow.Completed, b.state(fmt.Sprintf("s%d", i)))
+	}
+	require.Empty(t, b.wrongs)
+}
+
+// One task has five times the work that its estimate says. Begun again elsewhere
+// it would take as long once more.
+func TestALongTaskOnASoundWorkerIsLeftAlone(t *testing.T) {
+	b := newBench(t, 1)
+	for i := range 3 {
+		b.submit(fmt.Sprintf("s%d", i), "scan", scan(3))
+		b.play(400 * time.Millisecond)
+	}
+	long := b.workers["w00"].runs[flow.Name{Job: "s2"}]
+	require.NotNil(t, long)
+	long.ends = long.began.Add(5 * time.Second)
+	b.after(4*time.Second, func() { b.workers["w00"].end(flow.Name{Job: "s2"}, long, sched.EndDone) })
+	b.play(8 * time.Second)
+	require.Equal(t, flow.Completed, b.state("s2"))
+	require.Equal(t, 1, b.starts[flow.Name{Job: "s2"}])
+}
--- /dev/null
+++ b/internal/sched/worker_test.go
@@ -0,0 +1,287 @@
+package sched_test
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"pollencroft/internal/cell"
+	"pollencroft/internal/flow"
+	"pollencroft/internal/sched"
+)
+
+type fakeWorker struct {
+	b    *cellBench
+	info sched.Worker
+	// silent workers answer nothing, deaf ones leave orders undone as well.
+	silent, dead bool
+	// slow stretches all work; still stops it; fails ends every run as failed.
+	slow      float64
+	still     bool
+	fails     bool
+	lateStart time.Duration
+	fence     int64
+	deadline  time.Time
+	runs      map[flow.Name]*fakeRun
+	ends      []sched.End
+	number    int64
+	void      int64
+	tombs     map[flow.Name]int
+	waiting   []func()
+}
+
+type fakeRun struct {
+	run   int
+	began time.Time
+	ends  time.Time
+	step  flow.Step
+}
+
+func (w *fakeWorker) used() cell.Size {
+	var sum cell.Size
+	for _, r := range w.runs {
+		sum = sum.Add(r.step.Room())
+	}
+	return sum
+}
+
+func (w *fakeWorker) spec(n flow.Name) flow.Step { return w.b.specs[n.Job].Steps[n.Step] }
+
+func (w *fakeWorker) reply(term int64, ev sched.Event) {
+	if w.silent {
+		return
+	}
+	w.b.after(hop, func() { w.b.tell(term, ev) })
+}
+
+// unanswered tells the sender after its own timeout that nothing came.
+func (w *fakeWorker) unanswered(term int64, ev sched.Event) {
+	w.b.after(500*time.Millisecond, func() { w.b.tell(term, ev) })
+}
+
+func (w *fakeWorker) start(term int64, a sched.Start) {
+	answer := func(o sched.Outcome) {
+		w.reply(term, sched.Started{Task: a.Task, Run: a.Run, Worker: w.info.Life, Outcome: o})
+	}
+	if w.silent || w.dead {
+		w.unanswered(term, sched.Started{Task: a.Task, Run: a.Run, Worker: w.info.Life, Outcome: sched.Unanswered})
+		return
+	}
+	if late := w.lateStart; late > 0 {
+		w.unanswered(term, sched.Started{Task: a.Task, Run: a.Run, Worker: w.info.Life, Outcome: sched.Unanswered})
+		w.b.after(late, func() { w.begin(a) })
+		return
+	}
+	answer(w.begin(a))
+}
+
+func (w *fakeWorker) begin(a sched.Start) sched.Outcome {
+	switch {
+	case a.Term < w.fence:
+		return sched.Fenced
+	case w.b.now.After(a.Deadline):
+		return sched.NotTaken
+	case w.tombs[a.Task] >= a.Run:
+		return sched.NotTaken
+	}
+	w.fence = a.Term
+	if r, ok := w.runs[a.Task]; ok && r.run == a.Run {
+		return sched.Taken
+	}
+	w.b.check(w, a)
+	w.b.starts[a.Task]++
+	st := w.spec(a.Task)
+	r := &fakeRun{run: a.Run, began: w.b.now, ends: w.b.now.Add(time.Duration(float64(st.Time) * w.slow)), step: st}
+	w.runs[a.Task] = r
+	if a.Deadline.After(w.deadline) {
+		w.deadline = a.Deadline
+	}
+	if used := w.used(); !used.Fits(w.info.Size) {
+		w.b.wrong("%s is over its size: %+v", w.info.Life, used)
+	}
+	w.lapseLater()
+	if !st.Lasts && !w.still {
+		w.b.after(r.ends.Sub(w.b.now), func() { w.finish(a.Task, r) })
+	}
+	return sched.Taken
+}
+
+// check notes a start that must never happen.
+func (b *cellBench) check(w *fakeWorker, a sched.Start) {
+	if b.copies {
+		return
+	}
+	if at, ok := b.cancelled[a.Task.Job]; ok && b.now.Sub(at) > 2*hop+w.lateStart {
+		b.wrong("%s starts %s after its job was cancelled", a.Task, b.now.Sub(at))
+	}
+	if b.done[a.Task] {
+		b.wrong("%s starts after it was noted as done", a.Task)
+	}
+	for _, o := range b.workers {
+		if r, ok := o.runs[a.Task]; ok && !o.dead && o != w {
+			b.wrong("%s run %d on %s while run %d is on %s", a.Task, a.Run, w.info.Life, r.run, o.info.Life)
+		}
+	}
+}
+
+func (w *fakeWorker) finish(n flow.Name, r *fakeRun) {
+	if w.runs[n] != r || w.still || w.dead || w.b.now.Before(r.ends) {
+		return
+	}
+	how := sched.EndDone
+	if w.fails {
+		how = sched.EndFailed
+	}
+	if !r.step.Gang {
+		w.end(n, r, how)
+		return
+	}
+	w.b.finishGang(n, r, how)
+}
+
+// finishGang ends all members of a gang's run together, once the slowest is done.
+func (b *cellBench) finishGang(n flow.Name, r *fakeRun, how sched.Ending) {
+	type member struct {
+		w *fakeWorker
+		n flow.Name
+		r *fakeRun
+	}
+	var all []member
+	for _, w := range b.inOrder() {
+		for m, o := range w.runs {
+			if m.StepName() != n.StepName() || o.run != r.run || w.dead {
+				continue
+			}
+			if o.ends.After(b.now) || w.still {
+				b.after(100*time.Millisecond, func() { w.finish(m, o) })
+				return
+			}
+			all = append(all, member{w, m, o})
+		}
+	}
+	slices.SortFunc(all, func(x, y member) int { return x.n.Index - y.n.Index })
+	for _, m := range all {
+		m.w.end(m.n, m.r, how)
+	}
+}
+
+func (w *fakeWorker) end(n flow.Name, r *fakeRun, how sched.Ending) {
+	delete(w.runs, n)
+	w.tombs[n] = max(w.tombs[n], r.run)
+	w.number++
+	w.ends = append(w.ends, sched.End{Number: w.number, Task: n, Run: r.run, How: how})
+	w.wake()
+}
+
+func (w *fakeWorker) wake() {
+	all := w.waiting
+	w.waiting = nil
+	for _, f := range all {
+		f()
+	}
+}
+
+// lapseLater ends everything once the lease has run out.
+func (w *fakeWorker) lapseLater() {
+	at := w.deadline
+	w.b.after(at.Sub(w.b.now)+time.Millisecond, func() {
+		if w.deadline != at || w.dead {
+			return
+		}
+		// Ends that were not noted before a lapse never count as noted.
+		w.void = w.number
+		for _, n := range slices.SortedFunc(maps.Keys(w.runs), func(x, y flow.Name) int { return x.Index - y.Index }) {
+			w.end(n, w.runs[n], sched.EndLapsed)
+		}
+	})
+}
+
+func (w *fakeWorker) stop(term int64, a sched.Stop) {
+	if w.silent || w.dead {
+		w.unanswered(term, sched.Stopped{Task: a.Task, Run: a.Run, Worker: w.info.Life, Outcome: sched.Unanswered})
+		return
+	}
+	out := sched.Taken
+	if a.Term < w.fence {
+		out = sched.Fenced
+	} else {
+		w.fence = a.Term
+		w.tombs[a.Task] = max(w.tombs[a.Task], a.Run)
+		if r, ok := w.runs[a.Task]; ok && r.run == a.Run {
+			w.b.after(100*time.Millisecond, func() {
+				if w.runs[a.Task] == r {
+					w.end(a.Task, r, sched.EndStopped)
+				}
+			})
+		}
+	}
+	w.reply(term, sched.Stopped{Task: a.Task, Run: a.Run, Worker: w.info.Life, Outcome: out})
+}
+
+func (w *fakeWorker) hold(term int64, a sched.Hold, sent time.Time) {
+	ev := sched.Held{Worker: w.info.Life, Look: a.Look, Seen: a.Seen, Sent: sent}
+	if w.silent || w.dead {
+		ev.Outcome = sched.Unanswered
+		w.unanswered(term, ev)
+		return
+	}
+	if a.Term < w.fence {
+		ev.Outcome = sched.Fenced
+		w.reply(term, ev)
+		return
+	}
+	w.fence = a.Term
+	for len(w.ends) > 0 && w.ends[0].Number <= a.Seen {
+		if w.ends[0].How == sched.EndDone && w.ends[0].Number > w.void {
+			w.b.done[w.ends[0].Task] = true
+		}
+		w.ends = w.ends[1:]
+	}
+	if a.Deadline.After(w.deadline) {
+		w.deadline = a.Deadline
+		w.lapseLater()
+	}
+	answered := false
+	answer := func() {
+		if answered {
+			return
+		}
+		answered = true
+		if w.dead {
+			ev.Outcome = sched.Unanswered
+			w.unanswered(term, ev)
+			return
+		}
+		w.list(term, ev)
+	}
+	if a.Wait == 0 || len(w.ends) > 0 {
+		answer()
+		return
+	}
+	w.waiting = append(w.waiting, answer)
+	w.b.after(a.Wait, answer)
+}
+
+func (w *fakeWorker) list(term int64, ev sched.Held) {
+	if w.silent {
+		ev.Outcome = sched.Unanswered
+		w.unanswered(term, ev)
+		return
+	}
+	ev.Clock = w.b.now
+	for _, n := range slices.SortedFunc(maps.Keys(w.runs), func(x, y flow.Name) int { return strings.Compare(x.String(), y.String()) }) {
+		r := w.runs[n]
+		l := sched.Listed{Task: n, Run: r.run, Percent: 100}
+		if !r.step.Lasts && r.step.Time > 0 && !w.still {
+			l.Percent = int(100 * w.b.now.Sub(r.began) / r.ends.Sub(r.began))
+		}
+		if w.still {
+			l.Percent = 7
+		}
+		ev.Running = append(ev.Running, l)
+	}
+	ev.Ended = slices.Clone(w.ends)
+	ev.Received = w.b.now.Add(hop)
+	w.reply(term, ev)
+}
--- a/internal/store/routed_test.go
+++ b/internal/store/routed_test.go
@@ -37,11 +37,11 @@
 }
 
 var (
-	errRefused  = &store.RefusedError{Op: store.Append, Reason: "busy"}
-	errUnsure   = &store.UnansweredError{Op: store.Append, Cause: io.ErrUnexpectedEOF}
-	appendCall  = store.Call{Op: store.Append, Topic: "jobs"}
-	longRead    = store.Call{Op: store.Read, Topic: "op", Wait: time.Second}
-	contextTODO = context.Background()
+	errRefused = &store.RefusedError{Op: store.Append, Reason: "busy"}
+	errUnsure  = &store.UnansweredError{Op: store.Append, Cause: io.ErrUnexpectedEOF}
+	appendCall = store.Call{Op: store.Append, Topic: "jobs"}
+	longRead   = store.Call{Op: store.Read, Topic: "op", Wait: time.Second}
+	background = context.Background()
 )
 
 // A store that does not answer this host may still carry the append out; a peer
@@ -49,7 +49,7 @@
 // runs, and see it run.
 func TestNoAnswerThenARefusalIsNotARefusal(t *testing.T) {
 	r := routed(&way{err: errUnsure}, peers{"a": {err: errRefused}})
-	_, err := r.Do(contextTODO, appendCall)
+	_, err := r.Do(background, appendCall)
 	require.False(t, store.NotDone(err), "%v", err)
 	require.ErrorAs(t, err, new(*store.UnansweredError))
 }
@@ -57,13 +57,13 @@
 // The other way round: this host is refused, a peer's call has no answer.
 func TestARefusalThenNoAnswerIsNotARefusal(t *testing.T) {
 	r := routed(&way{err: errRefused}, peers{"a": {err: errUnsure}, "b": {err: errRefused}})
-	_, err := r.Do(contextTODO, appendCall)
+	_, err := r.Do(background, appendCall)
 	require.False(t, store.NotDone(err), "%v", err)
 }
 
 func TestAllWaysRefusedIsARefusal(t *testing.T) {
 	r := routed(&way{err: errRefused}, peers{"a": {err: errRefused}, "b": {err: errRefused}})
-	_, err := r.Do(contextTODO, appendCall)
+	_, err := r.Do(background, appendCall)
 	require.True(t, store.NotDone(err), "%v", err)
 }
 
@@ -73,11 +73,11 @@
 	direct, p := &way{err: errRefused}, peers{"a": {err: errRefused}, "b": {}}
 	r := routed(direct, p)
 	for range 5 {
-		_, err := r.Do(contextTODO, appendCall)
+		_, err := r.Do(background, appendCall)
 		require.NoError(t, err)
 	}
 	require.Equal(t, 1, direct.calls, "the direct way is left alone after it failed")
-	_, err := r.Direct(contextTODO, appendCall)
+	_, err := r.Direct(background, appendCall)
 	require.True(t, store.NotDone(err), "a peer is told at once that this host is turned away")
 }
 
@@ -85,7 +85,7 @@
 func TestAnAnswerThatIsAnErrorIsNotTriedElsewhere(t *testing.T) {
 	p := peers{"a": {}}
 	r := routed(&way{err: &store.FencedError{Epoch: 3}}, p)
-	_, err := r.Do(contextTODO, appendCall)
+	_, err := r.Do(background, appendCall)
 	require.ErrorAs(t, err, new(*store.FencedError))
 	require.Zero(t, p["a"].calls)
 	require.False(t, r.Good().IsZero())
@@ -95,7 +95,7 @@
 func TestALongReadIsNotMadeThroughAPeerAtOnce(t *testing.T) {
 	p := peers{"a": {}}
 	r := routed(&way{err: errUnsure}, p)
-	_, err := r.Do(contextTODO, longRead)
+	_, err := r.Do(background, longRead)
 	require.Error(t, err)
 	require.Zero(t, p["a"].calls)
 }
@@ -108,7 +108,7 @@
 		direct, p := &slow{wait: 600 * time.Millisecond}, peers{"a": {}}
 		r := routed(direct, p)
 		for range 4 {
-			_, err := r.Do(contextTODO, appendCall)
+			_, err := r.Do(background, appendCall)
 			require.NoError(t, err)
 			time.Sleep(time.Second)
 		}
@@ -135,7 +135,7 @@
 		r := routed(&slow{wait: time.Hour}, peers{"a": {}})
 		began := time.Now()
 		for range 10 {
-			_, err := r.Do(contextTODO, appendCall)
+			_, err := r.Do(background, appendCall)
 			require.NoError(t, err)
 		}
 		require.Less(t, time.Since(began), time.Second)
