--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
 	"pollencroft/internal/sched"
 )
