--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -58,23 +58,19 @@
 	pendingAt time.Time
 	// leading is the term that this host leads; nil when it does not.
 	leading *term
-	// leadSince is when this host heard of the lead first; looking is held while it
-	// asks whether to lead.
-	leadSince time.Time
-	// synced is when the lead answered last.
-	synced time.Time
-	// delegated is when this host asked another one to lead.
-	delegated time.Time
-	looking   sync.Mutex
-	// claims is held while the host tries to lead; claiming tells so.
-	claims   sync.Mutex
-	claiming bool
-	leaving  bool
+	// leadSince is when this host heard of the lead first, synced when the lead
+	// answered last, delegated when this host asked another one to lead.
+	leadSince, synced, delegated time.Time
+	// looking is held while the host asks whether it should lead, claims while it
+	// tries to; claiming tells of the latter.
+	looking, claims   sync.Mutex
+	claiming, leaving bool
 	// heirName is the host that this one asked to lead in its place.
 	heirName string
-	recent   map[string]time.Time
-	// seen are the hosts that asked this one.
-	seen map[string]sighting
+	// recent are the jobs that this host accepted lately, seen the hosts that asked
+	// it.
+	recent map[string]time.Time
+	seen   map[string]sighting
 }
 
 // New returns a host that is not started.
--- a/internal/sched/list.go
+++ b/internal/sched/list.go
@@ -2,6 +2,8 @@
 
 import "time"
 
+// setWorkers takes the platform's list. A worker that is not listed gets no work;
+// what it runs goes on as long as it answers.
 func (s *Sched) setWorkers(ev Workers) {
 	listed := make(map[string]bool, len(ev.All))
 	for _, l := range ev.All {
@@ -13,7 +15,8 @@
 			s.do(Note{ID: l.Life, What: "worker listed", Worker: l.Life, Detail: l.Domain})
 		}
 		if !w.Addr.IsValid() {
-			w.know(l)
+			// Only its life was known, from a former lead's records.
+			w.Worker = l
 		}
 		w.listed, w.unlisted = true, time.Time{}
 		if l.Draining && !w.draining {
@@ -30,13 +33,7 @@
 	}
 }
 
-// know takes over what the platform says of a worker of which only the life was
-// known, from a former lead's records.
-func (w *worker) know(l Worker) {
-	w.Worker = l
-}
-
-// drain moves what would not end in time; nothing more starts there.
+// drain notes that a worker leaves: nothing more starts there.
 func (s *Sched) drain(w *worker, left time.Duration) {
 	w.draining = true
 	w.leaves = s.now.Add(left)
--- a/internal/sched/start.go
+++ b/internal/sched/start.go
@@ -85,7 +85,6 @@
 	case Unanswered:
 		// It may begin now or seconds later. Only a stop makes sure that it
 		// does not, and the worker's list tells whether it did.
-		w.missed++
 		s.stop(t, "start without an answer")
 		return
 	case BadTicket:
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -43,7 +43,6 @@
 	full time.Time
 	// until is when the former lead's leases have lapsed, if that one told.
 	until  time.Time
-	missed int
 	health health
 	// speed is how fast its runs go, relative to their estimates.
 	speed float64
