--- /dev/null
+++ b/internal/entry/settings_test.go
@@ -0,0 +1,64 @@
+package entry_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/entry"
+)
+
+const settingsText = `name = "nord-1"
+domain = "nord"
+store = "10.0.0.1:80"
+parts = 16
+policy = "10.0.0.2:80"
+memory = 284
+later = "passed over"
+[listen]
+caller = "10.1.0.1:1"
+ready = "10.1.0.1:2"
+peer = "10.1.0.1:3"
+[times]
+lease = "10000ms"
+stop = "900ms"
+grace = "6.0s"
+keep = "120s"
+`
+
+func load(t *testing.T, text string) (entry.Settings, error) {
+	path := filepath.Join(t.TempDir(), "entry.toml")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return entry.Load(path)
+}
+
+func TestSettingsAreRead(t *testing.T) {
+	cfg, err := load(t, settingsText)
+	require.NoError(t, err)
+	require.Equal(t, entry.Duration(6*time.Second), cfg.Times.Grace)
+	require.Equal(t, uint16(3), cfg.Listen.Peer.Port())
+}
+
+// A key that is needed is missing or makes no sense. The start stops there and
+// names it, instead of a host that takes callers and can serve none.
+func TestAMissingOrWrongSettingIsNamed(t *testing.T) {
+	for key, line := range map[string]string{
+		"name": `name = "nord-1"`, "domain": `domain = "nord"`, "store": `store = "10.0.0.1:80"`, "parts": `parts = 16`,
+		"listen.caller": `caller = "10.1.0.1:1"`, "listen.ready": `ready = "10.1.0.1:2"`, "listen.peer": `peer = "10.1.0.1:3"`,
+		"times.lease": `lease = "10000ms"`, "times.stop": `stop = "900ms"`, "times.grace": `grace = "6.0s"`, "times.keep": `keep = "120s"`,
+	} {
+		_, err := load(t, strings.Replace(settingsText, line+"\n", "", 1))
+		require.ErrorAs(t, err, new(*entry.FieldError), key)
+		require.ErrorContains(t, err, key)
+	}
+	for _, bad := range []string{`policy = "nowhere"`, `store = "x"`, `parts = "many"`} {
+		key, _, _ := strings.Cut(bad, " ")
+		text := strings.Replace(settingsText, key+" = ", "#", 1)
+		_, err := load(t, bad+"\n"+text)
+		require.ErrorAs(t, err, new(*entry.FieldError), bad)
+	}
+}
