entry: count from when the store was read whether a job is unknown

Change: the time of the reading's begin counts. There is no test that fails without it: the stand-in's store cannot be slow yet.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -91,6 +91,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "begin a term")
 	}
+	// What is stored from here on may be missing in what is read.
+	read := h.now()
 	states, asks, next, err := h.readAll(ctx)
 	if err != nil {
 		return nil, errors.Wrap(err, "read what the former lead left")
@@ -98,7 +100,7 @@
 	if !claimed(states, mine) {
 		return nil, &LostClaimError{Term: number}
 	}
-	return h.newTerm(number, states, asks, next), nil
+	return h.newTerm(number, states, asks, next, read), nil
 }
 
 // BusyClaimError tells that another host leads or is about to.
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -61,15 +61,15 @@
 	orderWait = 500 * time.Millisecond
 )
 
-// newTerm starts a term from what the store holds.
-func (h *Host) newTerm(number int64, states []store.Record, asks [][]store.Record, next []int64) *term {
+// newTerm starts a term from what the store held when it was read.
+func (h *Host) newTerm(number int64, states []store.Record, asks [][]store.Record, next []int64, read time.Time) *term {
 	r := h.restore(states, asks)
 	limits := sched.DefaultLimits
 	limits.Lease = min(limits.Lease, time.Duration(h.cfg.Times.Lease)*95/100)
 	limits.StopGrace = time.Duration(h.cfg.Times.Stop)
 	limits.Keep = time.Duration(h.cfg.Times.Keep) * 5 / 4
 	t := &term{
-		h: h, number: number, began: h.now(), polled: h.now(), jobs: len(r.jobs) + len(r.fresh), kick: make(chan struct{}, 1), next: next, where: map[string]map[int]bool{}, listed: map[string]sched.Worker{},
+		h: h, number: number, began: h.now(), polled: read, jobs: len(r.jobs) + len(r.fresh), kick: make(chan struct{}, 1), next: next, where: map[string]map[int]bool{}, listed: map[string]sched.Worker{},
 		core: sched.New(limits, number, r.jobs), seq: 1,
 	}
 	t.ctx, t.cancel = context.WithCancel(h.ctx)
