entry: keep weak hosts from standing ready to lead

In all five a host of 0.19 cores led, for up to 9 s: the group deals 16 places among 44 hosts, so only 16 are listed and the named one may see no strong host to leave the lead to; once it leads it is so short of processor that the strong hosts' answers come after its 150 ms, so it never cedes.

Change: a host much weaker than the three strongest, as the lead tells, is in a group of bystanders; without a lead's word for 3.5 s it stands ready again.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -124,14 +124,14 @@
 	for n, a := range h.hosts {
 		hosts[n] = a.String()
 	}
-	claiming, leaving, heir := h.claiming, h.leaving, h.heirName
+	claiming, leaving, heir, enough := h.claiming, h.leaving, h.heirName, h.enoughPower()
 	h.mu.Unlock()
 	served := h.store.Fresh(leadFresh)
 	if t == nil || !served {
 		return peer.SyncReply{Leading: t != nil, Claiming: claiming, Leaving: leaving, Served: served, Heir: heir}
 	}
 	pending := t.pending()
-	return peer.SyncReply{Leading: true, Lead: true, Leaving: leaving, Served: true, Term: t.number, Pending: pending, Hosts: hosts}
+	return peer.SyncReply{Leading: true, Lead: true, Leaving: leaving, Served: true, Enough: enough, Term: t.number, Pending: pending, Hosts: hosts}
 }
 
 // relay has peers make calls to the store.
--- a/internal/entry/cell_test.go
+++ b/internal/entry/cell_test.go
@@ -18,6 +18,7 @@
 
 	"pollencroft/internal/entry"
 	"pollencroft/internal/standin/users"
+	"pollencroft/internal/store"
 )
 
 // settleTime bounds what a test waits for. It decides no verdict on a machine
@@ -205,3 +206,15 @@
 		}, settleTime, 20*time.Millisecond, "job %d", n)
 	}
 }
+
+// members lists the hosts that stand ready to lead.
+func (c *cell) members() []string {
+	a, err := c.log.For("").Do(c.t.Context(), store.Call{Op: store.Owners, Group: "hosts"})
+	require.NoError(c.t, err)
+	var all []string
+	for _, s := range a.Shares {
+		name, _, _ := strings.Cut(s.Member, " ")
+		all = append(all, name)
+	}
+	return all
+}
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -58,3 +58,6 @@
 	_, _ = h.askLead(name)
 	return given
 }
+
+// StandsReady tells whether the host may be named to lead.
+func (h *Host) StandsReady() bool { return h.candidate() }
--- /dev/null
+++ b/internal/entry/group.go
@@ -0,0 +1,173 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"pollencroft/internal/peer"
+	"pollencroft/internal/store"
+)
+
+const (
+	// group is the group of the hosts that stand ready to lead. Whoever holds the
+	// first partition of leadTopic should: it says who tries, never who may. Other
+	// hosts are in bystanders, which says nothing; being in one of the two shows a
+	// host that the store serves it.
+	group      = "hosts"
+	bystanders = "others"
+	// joinEvery and joinTTL keep a host in its group: a host that is gone is
+	// noticed within joinTTL and a joinEvery, for a tenth of a call each.
+	joinEvery = 300 * time.Millisecond
+	joinTTL   = time.Second
+	// enoughHosts is how many hosts have to be much stronger than one that does not
+	// stand ready to lead: of three, two may be lost.
+	enoughHosts = 3
+	// enoughFor is how long the lead's word on them holds: three of its answers.
+	// Without a lead for so long every host stands ready.
+	enoughFor = 3500 * time.Millisecond
+)
+
+// lifeBase is the base of the number that names a life of a host, the nanosecond
+// in which it began.
+const lifeBase = 36
+
+// memberName is how the group knows this life of the host: name, address, life,
+// power.
+func (h *Host) memberName() string {
+	return h.cfg.Name + " " + h.cfg.Listen.Peer.String() + " " + h.life() + " " + strconv.FormatFloat(h.cfg.Power, 'g', -1, 64)
+}
+
+// parseMember reads a member's name; false if it is none of ours.
+func parseMember(s string) (string, sighting, bool) {
+	fields := strings.Fields(s)
+	if len(fields) < 4 {
+		return "", sighting{}, false
+	}
+	addr, err := netip.ParseAddrPort(fields[1])
+	if err != nil {
+		return "", sighting{}, false
+	}
+	power, err := strconv.ParseFloat(fields[3], 64)
+	if err != nil {
+		return "", sighting{}, false
+	}
+	began, err := strconv.ParseInt(fields[2], lifeBase, 64)
+	return fields[0], sighting{addr: addr, power: power, began: time.Unix(0, began)}, err == nil
+}
+
+// leaveFormer takes former lives of this host out of the group. They are over,
+// and the group would keep their places for joinTTL: after a loss of all power
+// nobody would lead for that long.
+func (h *Host) leaveFormer() {
+	a, err := h.store.Do(h.ctx, store.Call{Op: store.Owners, Group: group})
+	if err != nil {
+		return
+	}
+	left := map[string]bool{h.memberName(): true}
+	for _, s := range a.Shares {
+		name, _, _ := strings.Cut(s.Member, " ")
+		if name != h.cfg.Name || left[s.Member] {
+			continue
+		}
+		left[s.Member] = true
+		if _, err := h.store.Do(h.ctx, store.Call{Op: store.Leave, Group: group, Member: s.Member}); err != nil {
+			h.log.Warn("entry: former life stays in the group.", "member", s.Member, "err", err)
+		}
+	}
+}
+
+// candidate tells whether the host should stand ready to lead. Where hosts differ,
+// a weak one that the group names leads so slowly that it cannot even be asked to
+// leave the lead to another; nearly no job would be served in time.
+func (h *Host) candidate() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leading != nil || h.cfg.Power*stronger > h.enough || h.now().Sub(h.synced) > enoughFor
+}
+
+// enoughPower is the power of the weakest of the enoughHosts strongest hosts;
+// zero if there are fewer. mu is held.
+func (h *Host) enoughPower() float64 {
+	powers := []float64{h.cfg.Power}
+	for _, s := range h.seen {
+		if h.now().Sub(s.at) < heardFor {
+			powers = append(powers, s.power)
+		}
+	}
+	if len(powers) < enoughHosts {
+		return 0
+	}
+	slices.Sort(powers)
+	return powers[len(powers)-enoughHosts]
+}
+
+// member keeps the host in its group for as long as it lives.
+func (h *Host) member() {
+	h.resume()
+	h.leaveFormer()
+	in, generation := "", int64(0)
+	for h.ctx.Err() == nil {
+		should := bystanders
+		if h.candidate() {
+			should = group
+		}
+		if in != should {
+			h.leaveGroup(in)
+			in, generation = should, 0
+		}
+		a, err := h.store.Do(h.ctx, store.Call{
+			Op: store.Join, Group: in, Member: h.memberName(), Topics: []string{leadTopic}, TTL: joinTTL, Generation: generation,
+		})
+		if h.gone() {
+			return
+		}
+		if err == nil {
+			generation = a.Generation
+			if in == group && slices.ContainsFunc(a.Shares, func(s store.Share) bool { return s.Part == 0 }) {
+				// It may wait for an answer; the host must not lapse meanwhile.
+				h.wg.Go(h.should)
+			}
+		}
+		wait(h.ctx, joinEvery)
+	}
+}
+
+// leaveGroup gives up the host's place; what it held is dealt to others at once.
+func (h *Host) leaveGroup(name string) {
+	if name == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(h.ctx, time.Second)
+	defer cancel()
+	if _, err := h.store.Do(ctx, store.Call{Op: store.Leave, Group: name, Member: h.memberName()}); err != nil {
+		h.log.Warn("entry: cannot leave the group.", "group", name, "err", err)
+	}
+}
+
+func (h *Host) gone() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leaving
+}
+
+// listHosts reads from the store which hosts there are.
+func (h *Host) listHosts() {
+	a, err := h.store.Do(h.ctx, store.Call{Op: store.Owners, Group: group})
+	if err != nil {
+		return
+	}
+	all := map[string]netip.AddrPort{}
+	for _, s := range a.Shares {
+		if name, seen, ok := parseMember(s.Member); ok {
+			all[name] = seen.addr
+			h.heard(peer.Sync{From: name, Addr: seen.addr, Power: seen.power, Began: seen.began})
+		}
+	}
+	if len(all) > 0 {
+		h.setHosts(all)
+	}
+}
--- a/internal/entry/heir.go
+++ b/internal/entry/heir.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"pollencroft/internal/peer"
-	"pollencroft/internal/store"
 )
 
 const (
@@ -51,11 +50,7 @@
 		t.end("planned stop")
 		h.tellHeir(ctx, heir, t.succeed())
 	}
-	ctx, done := context.WithTimeout(h.ctx, time.Second)
-	defer done()
-	if _, err := h.store.Do(ctx, store.Call{Op: store.Leave, Group: group, Member: h.memberName()}); err != nil {
-		h.log.Warn("entry: cannot leave the group.", "err", err)
-	}
+	h.leaveGroup(group)
 }
 
 // tellHeir tells all hosts, the heir first, who is to lead now. The others are told
@@ -89,6 +84,9 @@
 // leave; empty if there is none.
 func (h *Host) able(ctx context.Context, hosts []string) string {
 	for _, p := range hosts {
+		if ctx.Err() != nil {
+			break
+		}
 		ask, cancel := context.WithTimeout(ctx, heirWait)
 		var r peer.SyncReply
 		err := h.peers.Ask(ask, p, h.syncMessage(), &r)
--- a/internal/entry/heir_test.go
+++ b/internal/entry/heir_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -72,3 +74,24 @@
 	cancel()
 	<-served
 }
+
+// Some hosts are much weaker than others. One of them that led would be so short of
+// its processor that it could not even be asked to leave the lead to another, and
+// nearly no job would be served in time. So it does not stand ready while enough
+// strong ones do, and does again when they are gone.
+func TestAWeakHostStandsReadyOnlyWithoutStrongOnes(t *testing.T) {
+	c := newCell(t, 3, 2, 50*time.Millisecond)
+	weak := c.start("weak", func(cfg *entry.Settings) { cfg.Power = 0.2 })
+	require.Eventually(t, func() bool { return !weak.StandsReady() }, settleTime, 20*time.Millisecond)
+	require.Eventually(t, func() bool { return !slices.Contains(c.members(), "weak") }, settleTime, 20*time.Millisecond)
+	c.settled()
+	for _, h := range []string{"h0", "h1", "h2"} {
+		require.True(t, c.hosts[h].StandsReady())
+		c.hosts[h].Kill()
+		delete(c.hosts, h)
+	}
+	require.Eventually(t, weak.Leading, settleTime, 20*time.Millisecond)
+	require.Equal(t, http.StatusOK, c.submit(weak, 0).code)
+	c.finished(weak, 1)
+	require.Empty(t, c.oracle.Wrongs())
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -61,6 +61,8 @@
 	// leadSince is when this host heard of the lead first, synced when the lead
 	// answered last, delegated when this host asked another one to lead.
 	leadSince, synced, delegated time.Time
+	// enough is the power of which, as the lead says, there are enough hosts to lead.
+	enough float64
 	// mute is the host that left the last question about who leads without an answer,
 	// at muteAt.
 	mute   string
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"pollencroft/internal/peer"
@@ -13,13 +10,6 @@
 )
 
 const (
-	// group is the hosts' group at the store. Whoever holds the first partition
-	// of leadTopic should lead: it says who tries, never who may.
-	group = "hosts"
-	// joinEvery and joinTTL keep a host in the group: a host that is gone is
-	// noticed within joinTTL and a joinEvery, for a tenth of a call each.
-	joinEvery = 300 * time.Millisecond
-	joinTTL   = time.Second
 	// settle is how long a host that should lead waits for another one's claim:
 	// twice what a claim takes.
 	settle = 150 * time.Millisecond
@@ -49,55 +39,6 @@
 	heardFor = 3500 * time.Millisecond
 )
 
-// lifeBase is the base of the number that names a life of a host, the nanosecond
-// in which it began.
-const lifeBase = 36
-
-// memberName is how the group knows this life of the host: name, address, life,
-// power.
-func (h *Host) memberName() string {
-	return h.cfg.Name + " " + h.cfg.Listen.Peer.String() + " " + h.life() + " " + strconv.FormatFloat(h.cfg.Power, 'g', -1, 64)
-}
-
-// parseMember reads a member's name; false if it is none of ours.
-func parseMember(s string) (string, sighting, bool) {
-	fields := strings.Fields(s)
-	if len(fields) < 4 {
-		return "", sighting{}, false
-	}
-	addr, err := netip.ParseAddrPort(fields[1])
-	if err != nil {
-		return "", sighting{}, false
-	}
-	power, err := strconv.ParseFloat(fields[3], 64)
-	if err != nil {
-		return "", sighting{}, false
-	}
-	began, err := strconv.ParseInt(fields[2], lifeBase, 64)
-	return fields[0], sighting{addr: addr, power: power, began: time.Unix(0, began)}, err == nil
-}
-
-// leaveFormer takes former lives of this host out of the group. They are over,
-// and the group would keep their places for joinTTL: after a loss of all power
-// nobody would lead for that long.
-func (h *Host) leaveFormer() {
-	a, err := h.store.Do(h.ctx, store.Call{Op: store.Owners, Group: group})
-	if err != nil {
-		return
-	}
-	left := map[string]bool{h.memberName(): true}
-	for _, s := range a.Shares {
-		name, _, _ := strings.Cut(s.Member, " ")
-		if name != h.cfg.Name || left[s.Member] {
-			continue
-		}
-		left[s.Member] = true
-		if _, err := h.store.Do(h.ctx, store.Call{Op: store.Leave, Group: group, Member: s.Member}); err != nil {
-			h.log.Warn("entry: former life stays in the group.", "member", s.Member, "err", err)
-		}
-	}
-}
-
 // resume takes up the term of this host's own former life: nobody else can know
 // as early that it is over.
 func (h *Host) resume() {
@@ -106,39 +47,15 @@
 		return
 	}
 	h.readLead(all)
-	if name, _ := h.leadNow(); name == h.cfg.Name {
+	switch name, _ := h.leadNow(); name {
+	case h.cfg.Name:
 		h.claim("a former life of this host led")
+	case "":
+	default:
+		h.syncWith(name)
 	}
 }
 
-func (h *Host) member() {
-	h.resume()
-	h.leaveFormer()
-	var generation int64
-	for h.ctx.Err() == nil {
-		a, err := h.store.Do(h.ctx, store.Call{
-			Op: store.Join, Group: group, Member: h.memberName(), Topics: []string{leadTopic}, TTL: joinTTL, Generation: generation,
-		})
-		if h.gone() {
-			return
-		}
-		if err == nil {
-			generation = a.Generation
-			if slices.ContainsFunc(a.Shares, func(s store.Share) bool { return s.Part == 0 }) {
-				// It may wait for an answer; the host must not lapse meanwhile.
-				h.wg.Go(h.should)
-			}
-		}
-		wait(h.ctx, joinEvery)
-	}
-}
-
-func (h *Host) gone() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.leaving
-}
-
 // should is called while the group says that this host leads. A lead that works
 // is left alone: the group deals its partitions anew without a reason at times.
 func (h *Host) should() {
@@ -278,7 +195,7 @@
 	}
 	h.mu.Lock()
 	h.pending, h.pendingAt = r.Pending, h.now()
-	h.synced = h.now()
+	h.synced, h.enough = h.now(), r.Enough
 	h.mu.Unlock()
 	all := make(map[string]netip.AddrPort, len(r.Hosts))
 	for n, a := range r.Hosts {
@@ -349,24 +266,6 @@
 	return all
 }
 
-// listHosts reads from the store which hosts there are.
-func (h *Host) listHosts() {
-	a, err := h.store.Do(h.ctx, store.Call{Op: store.Owners, Group: group})
-	if err != nil {
-		return
-	}
-	all := map[string]netip.AddrPort{}
-	for _, s := range a.Shares {
-		if name, seen, ok := parseMember(s.Member); ok {
-			all[name] = seen.addr
-			h.heard(peer.Sync{From: name, Addr: seen.addr, Power: seen.power, Began: seen.began})
-		}
-	}
-	if len(all) > 0 {
-		h.setHosts(all)
-	}
-}
-
 // keepRecent is longer than a job may take to be known to the lead.
 const keepRecent = 10 * time.Second
 
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -199,7 +199,10 @@
 	Leaving  bool
 	Served   bool
 	// Heir is the host that was asked to lead when this one left.
-	Heir    string
+	Heir string
+	// Enough is a power that enough hosts have: much weaker ones need not stand
+	// ready to lead.
+	Enough  float64
 	Term    int64
 	Pending map[string]int
 	Hosts   map[string]string
