entry, store: go on while the store is down for a part of its partitions

Cause: the pages' store can be down for a share of its partitions. A refusal of one partition also closed the host's direct way to all others for 0.5 s.

Ruled out: the lead (no change of it), the workers.

Change: progress in one of three partitions that lie apart, with a version, all fenced before any is read; jobs at another partition when the host's own does not take them; the direct way is judged by partition. Found beside it: an ended job's progress was dropped while the drop of its spec could fail, after which the next lead would have run the job again; now the spec goes first.

Costs: a fourth call in a claim; nobody can take over while one of the three partitions is down.

--- /dev/null
+++ b/internal/entry/book.go
@@ -0,0 +1,173 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"pollencroft/internal/store"
+)
+
+// book writes the progress of jobs to the store under a term's fence.
+//
+// The store may be down for some partitions and serve the others. With the progress
+// in one partition, nothing would start or be shown as completed for as long as that
+// one is down, and every caller would see his job late. So a partition that does not
+// answer is left for the next one. A record may then lie in several; it carries a
+// version, and the newest counts. A candidate fences all partitions before it reads
+// any, so nothing can be stored behind its back.
+type book struct {
+	log   store.Log
+	lines *slog.Logger
+	wg    *sync.WaitGroup
+	term  int64
+
+	mu sync.Mutex
+	// slots are the partitions, the one that was served last first.
+	slots []*slot
+}
+
+// slot is one partition as this term writes to it.
+type slot struct {
+	part int
+	// seq numbers the term's next append there; busy tells that one has no answer
+	// yet. It has to be repeated until it has: the store takes no number before the
+	// one that it follows.
+	seq  int64
+	busy bool
+	// drops are jobs whose record goes with the next append.
+	drops []string
+}
+
+const (
+	// mostDrops is how many drops wait for a partition that is not written to.
+	mostDrops = 256
+	// busyWait is the pause while every partition has an append without an answer.
+	busyWait = 20 * time.Millisecond
+)
+
+func newBook(log store.Log, lines *slog.Logger, wg *sync.WaitGroup, term int64, parts []int) *book {
+	b := &book{log: log, lines: lines, wg: wg, term: term}
+	for _, p := range parts {
+		// The claim was the first append.
+		b.slots = append(b.slots, &slot{part: p, seq: 1})
+	}
+	return b
+}
+
+// append stores records in one partition. It returns an error only if the term
+// cannot go on, or ctx has ended.
+func (b *book) append(ctx context.Context, records []store.Record, patience time.Duration) error {
+	for {
+		free := b.take()
+		if len(free) == 0 {
+			if !wait(ctx, busyWait) {
+				return ctx.Err()
+			}
+			continue
+		}
+		first, tried, _, err := spread(ctx, b.wg, len(free), patience, func(i int) (struct{}, error) {
+			return struct{}{}, b.write(ctx, free[i], records)
+		})
+		for _, s := range free[tried:] {
+			b.release(s)
+		}
+		switch {
+		case err == nil:
+			b.prefer(free[first])
+			return nil
+		case ctx.Err() != nil || !store.Away(err):
+			return err
+		}
+		if !wait(ctx, appendAgain) {
+			return ctx.Err()
+		}
+	}
+}
+
+// take reserves the partitions without an append under way.
+func (b *book) take() []*slot {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var free []*slot
+	for _, s := range b.slots {
+		if !s.busy {
+			s.busy = true
+			free = append(free, s)
+		}
+	}
+	return free
+}
+
+func (b *book) release(s *slot) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s.busy = false
+}
+
+func (b *book) prefer(s *slot) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.slots[0] == s {
+		return
+	}
+	b.lines.Info("lead: progress goes to another partition.", "part", s.part, "before", b.slots[0].part, "term", b.term)
+	i := slices.Index(b.slots, s)
+	b.slots = slices.Insert(slices.Delete(b.slots, i, i+1), 0, s)
+}
+
+// write appends to one partition and repeats what has no answer under the same
+// number, which the store carries out once. The slot is free again after that.
+func (b *book) write(ctx context.Context, s *slot, records []store.Record) error {
+	b.mu.Lock()
+	drops := s.drops
+	s.drops = nil
+	b.mu.Unlock()
+	all := slices.Clone(records)
+	for _, id := range drops {
+		all = append(all, store.Record{Key: id})
+	}
+	c := store.Call{Op: store.Append, Topic: stateTopic, Part: s.part, Keyed: true, Epoch: b.term, Seq: s.seq, Records: all}
+	unsure := false
+	for {
+		_, err := b.log.Do(ctx, c)
+		switch {
+		case err == nil:
+			s.seq++
+			b.release(s)
+			return nil
+		case store.NotDone(err) && !unsure:
+			b.mu.Lock()
+			s.drops = append(drops, s.drops...)
+			b.mu.Unlock()
+			b.release(s)
+			return err
+		case !store.Away(err):
+			b.lines.Warn("lead: partition takes nothing of this term any more.", "part", s.part, "term", b.term, "err", err)
+			return err
+		}
+		unsure = true
+		if !wait(ctx, appendAgain) {
+			return err
+		}
+	}
+}
+
+// drop forgets a job's progress in all partitions, with what is appended there next.
+func (b *book) drop(ctx context.Context, id string) {
+	b.mu.Lock()
+	var full []*slot
+	for _, s := range b.slots {
+		s.drops = append(s.drops, id)
+		if len(s.drops) > mostDrops && !s.busy {
+			s.busy = true
+			full = append(full, s)
+		}
+	}
+	b.mu.Unlock()
+	for _, s := range full {
+		b.wg.Go(func() { _ = b.write(ctx, s, nil) })
+	}
+}
--- /dev/null
+++ b/internal/entry/book_test.go
@@ -0,0 +1,221 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/entry"
+	"pollencroft/internal/standin/users"
+	"pollencroft/internal/store"
+)
+
+// patience of the tests' appends; a partition that works answers at once.
+const patience = 30 * time.Millisecond
+
+func newBook(t *testing.T, term int64) (*users.Log, *entry.Book) {
+	log := users.NewLog(16, time.Now)
+	b := entry.NewBook(t, log.For("lead"), term, []int{0, 5, 10})
+	for _, p := range []int{0, 5, 10} {
+		claim(t, log, p, term)
+	}
+	return log, b
+}
+
+func claim(t *testing.T, log *users.Log, part int, term int64) {
+	_, err := log.For("").Do(t.Context(), store.Call{
+		Op: store.Append, Topic: "state", Part: part, Keyed: true, Epoch: term, Records: []store.Record{{Key: "!", Value: []byte("x")}},
+	})
+	require.NoError(t, err)
+}
+
+// newest lists the records of a partition without its claim.
+func newest(t *testing.T, log *users.Log, part int) map[string]string {
+	all, _, err := store.Table(t.Context(), log.For(""), "state", part)
+	require.NoError(t, err)
+	got := map[string]string{}
+	for _, r := range all {
+		if r.Key != "!" {
+			got[r.Key] = string(r.Value)
+		}
+	}
+	return got
+}
+
+func record(key, value string) []store.Record {
+	return []store.Record{{Key: key, Value: []byte(value)}}
+}
+
+// The store is down for some partitions, in each way that it can be. What the lead
+// stores goes to another one, at once after a refusal; with one partition for all,
+// nothing would start until it is back, and every job would be late.
+func TestAPartitionThatIsDownStopsNothing(t *testing.T) {
+	for _, fault := range []users.Fault{users.Busy, users.Silent, users.Lost} {
+		log, b := newBook(t, 7)
+		require.NoError(t, b.Append(t.Context(), record("a", "1"), patience))
+		require.Equal(t, map[string]string{"a": "1"}, newest(t, log, 0))
+		log.BreakPart("state", 0, fault)
+		log.BreakPart("state", 5, fault)
+		require.NoError(t, b.Append(t.Context(), record("a", "2"), patience))
+		require.Equal(t, map[string]string{"a": "2"}, newest(t, log, 10))
+		log.BreakPart("state", 0, users.None)
+		log.BreakPart("state", 5, users.None)
+		// What had no answer is repeated until it has one; later numbers follow.
+		for range 40 {
+			require.NoError(t, b.Append(t.Context(), record("a", "3"), patience))
+		}
+		require.Equal(t, map[string]string{"a": "3"}, newest(t, log, 10))
+	}
+}
+
+// Another lead has claimed. Whichever partition the former one turns to, it may
+// store nothing any more; its successor has read them all by then.
+func TestASuccessorFencesEveryPartition(t *testing.T) {
+	for _, down := range []int{0, 5} {
+		log, b := newBook(t, 7)
+		for _, p := range []int{0, 5, 10} {
+			claim(t, log, p, 8)
+		}
+		log.BreakPart("state", down, users.Busy)
+		err := b.Append(t.Context(), record("a", "1"), patience)
+		require.ErrorAs(t, err, new(*store.FencedError))
+		log.BreakPart("state", down, users.None)
+		for _, p := range []int{0, 5, 10} {
+			require.Empty(t, newest(t, log, p))
+		}
+	}
+}
+
+// While every partition is away the append waits and is not lost.
+func TestAnAppendWaitsForAnyPartition(t *testing.T) {
+	log, b := newBook(t, 7)
+	for _, p := range []int{0, 5, 10} {
+		log.BreakPart("state", p, users.Busy)
+	}
+	var stored atomic.Bool
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if b.Append(context.WithoutCancel(t.Context()), record("a", "1"), patience) == nil {
+			stored.Store(true)
+		}
+	}()
+	time.Sleep(10 * patience)
+	require.False(t, stored.Load())
+	log.BreakPart("state", 5, users.None)
+	<-done
+	require.True(t, stored.Load())
+	require.Equal(t, map[string]string{"a": "1"}, newest(t, log, 5))
+}
+
+// An ended job is forgotten in every partition that may hold its record. Left in
+// one, it would be read as the newest once the others are gone.
+func TestAForgottenJobIsDroppedEverywhere(t *testing.T) {
+	log, b := newBook(t, 7)
+	require.NoError(t, b.Append(t.Context(), record("a", "1"), patience))
+	log.BreakPart("state", 0, users.Busy)
+	require.NoError(t, b.Append(t.Context(), record("a", "2"), patience))
+	b.Drop(t.Context(), "a")
+	log.BreakPart("state", 0, users.None)
+	log.BreakPart("state", 5, users.Busy)
+	require.NoError(t, b.Append(t.Context(), record("b", "1"), patience))
+	log.BreakPart("state", 5, users.None)
+	log.BreakPart("state", 0, users.Busy)
+	log.BreakPart("state", 10, users.Busy)
+	require.NoError(t, b.Append(t.Context(), record("b", "2"), patience))
+	for _, p := range []int{0, 5, 10} {
+		log.BreakPart("state", p, users.None)
+		require.NotContains(t, newest(t, log, p), "a")
+	}
+}
+
+// The partitions go down one after the other under load, and all hosts die after
+// that. The next lead reads records of several partitions; every job ends as done
+// and no task runs a second time.
+func TestJobsOutliveAStoreThatIsPartlyDown(t *testing.T) {
+	c := newCell(t, 3, 4, 150*time.Millisecond)
+	jobs := 0
+	for _, down := range []int{0, 5, 10} {
+		c.log.BreakPart("state", down, users.Busy)
+		for range 4 {
+			require.Equal(t, http.StatusOK, c.submit(c.follower(), jobs).code)
+			jobs++
+		}
+		c.finished(c.follower(), jobs-1)
+		c.log.BreakPart("state", down, users.None)
+	}
+	for _, h := range c.hosts {
+		h.Kill()
+	}
+	for name := range c.hosts {
+		c.start(name)
+	}
+	c.settled()
+	c.finished(c.follower(), jobs)
+	require.Empty(t, c.oracle.Wrongs())
+	for task, n := range c.oracle.Runs() {
+		require.Equal(t, 1, n, task)
+	}
+}
+
+// The partition to which a host appends jobs is down. The host appends to another
+// one; its callers would be refused otherwise while the host beside it accepts.
+func TestJobsAreAcceptedWhileAPartitionIsDown(t *testing.T) {
+	c := newCell(t, 2, 2, 50*time.Millisecond)
+	h := c.follower()
+	for _, fault := range []users.Fault{users.Busy, users.Silent} {
+		own := h.JobsPart()
+		c.log.BreakPart("jobs", own, fault)
+		n := int(fault)
+		require.Equal(t, http.StatusOK, c.submit(h, n).code)
+		require.NotEqual(t, own, h.JobsPart())
+		c.log.BreakPart("jobs", own, users.None)
+	}
+	for _, fault := range []users.Fault{users.Busy, users.Silent} {
+		require.Eventually(t, func() bool {
+			_, body := c.get(h.cfg.Listen.Caller, prefix+id(int(fault)))
+			return body == `{"state":"completed"}`
+		}, settleTime, 20*time.Millisecond)
+	}
+	require.Empty(t, c.oracle.Wrongs())
+}
+
+// An ended job is forgotten while the store does not take the drop of its spec. If
+// its progress were dropped all the same, the next lead would find a job that
+// nothing was done of, and its caller would see a pass spent twice.
+func TestAJobIsNotRunAgainAfterItIsForgotten(t *testing.T) {
+	c := newCell(t, 1, 2, 50*time.Millisecond)
+	c.hosts["h0"].Kill()
+	delete(c.hosts, "h0")
+	h := c.start("short", func(cfg *entry.Settings) { cfg.Times.Keep = entry.Duration(800 * time.Millisecond) })
+	c.settled()
+	require.Equal(t, http.StatusOK, c.submit(h, 0).code)
+	c.finished(h, 1)
+	for p := range 16 {
+		c.log.BreakPart("jobs", p, users.Busy)
+	}
+	require.Eventually(t, func() bool { return !h.Knows(id(0)) }, settleTime, 20*time.Millisecond)
+	for p := range 16 {
+		c.log.BreakPart("jobs", p, users.None)
+	}
+	completed := func(n int) {
+		require.Equal(t, http.StatusOK, c.submit(h, n).code)
+		require.Eventually(t, func() bool {
+			_, body := c.get(h.cfg.Listen.Caller, prefix+id(n))
+			return body == `{"state":"completed"}`
+		}, settleTime, 20*time.Millisecond)
+	}
+	// The next append carries drops, if there are any.
+	completed(1)
+	h.Kill()
+	h = c.start("short")
+	c.settled()
+	completed(2)
+	for task, n := range c.oracle.Runs() {
+		require.Equal(t, 1, n, task)
+	}
+}
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -80,7 +80,7 @@
 // log's end, which only rises, so it is above all former ones; two hosts that
 // saw the same end would share it, and each reads back whose claim was stored.
 // A slow store takes a third of a second for a call, and nothing is led
-// meanwhile: there are three calls one after the other, and no more.
+// meanwhile: there are four calls one after the other, and no more.
 func (h *Host) begin(ctx context.Context) (*term, error) {
 	a, err := h.store.Do(ctx, store.Call{Op: store.Newest, Topic: stateTopic})
 	if err != nil {
@@ -99,14 +99,33 @@
 	}
 	// What is stored from here on may be missing in what is read.
 	read := h.now()
-	states, asks, next, err := h.readAll(ctx)
+	states, asks, next, err := h.readAll(ctx, number, mine)
 	if err != nil {
 		return nil, errors.Wrap(err, "read what the former lead left")
 	}
-	if !claimed(states, mine) {
+	if !claimed(states[0], mine) {
 		return nil, &LostClaimError{Term: number}
 	}
-	return h.newTerm(number, states, asks, next, read), nil
+	return h.newTerm(number, slices.Concat(states...), asks, next, read), nil
+}
+
+// stateParts lists the partitions of stateTopic. The first decides who leads.
+func (h *Host) stateParts() []int { return partsFrom(0, h.cfg.Parts) }
+
+// readState fences a partition of stateTopic for the term, if that is not done yet,
+// and reads it. Read before it is fenced, it might miss what a former lead stores
+// after that, and a run would begin a second time.
+func (h *Host) readState(ctx context.Context, part int, number int64, mine string) ([]store.Record, error) {
+	if part != h.stateParts()[0] {
+		_, err := h.store.Do(ctx, store.Call{
+			Op: store.Append, Topic: stateTopic, Part: part, Keyed: true, Epoch: number, Records: []store.Record{{Key: claimKey, Value: []byte(mine)}},
+		})
+		if err != nil {
+			return nil, errors.Wrapf(err, "fence partition %d", part)
+		}
+	}
+	all, _, err := store.Table(ctx, h.store, stateTopic, part)
+	return all, err
 }
 
 // BusyClaimError tells that another host leads or is about to.
@@ -139,13 +158,17 @@
 
 // readAll reads progress and jobs at once, and where to go on in each partition
 // of the jobs.
-func (h *Host) readAll(ctx context.Context) (states []store.Record, asks [][]store.Record, next []int64, err error) {
+func (h *Host) readAll(ctx context.Context, number int64, mine string) (states, asks [][]store.Record, next []int64, err error) {
+	parts := h.stateParts()
+	states = make([][]store.Record, len(parts))
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error {
-		var err error
-		states, _, err = store.Table(ctx, h.store, stateTopic, 0)
-		return err
-	})
+	for i, p := range parts {
+		g.Go(func() error {
+			var err error
+			states[i], err = h.readState(ctx, p, number, mine)
+			return err
+		})
+	}
 	g.Go(func() error {
 		var err error
 		asks, next, err = h.readJobs(ctx)
@@ -187,7 +210,7 @@
 	had := map[string]bool{}
 	for _, s := range states {
 		if s.Key != claimKey && len(s.Value) > 0 {
-			progress[s.Key] = s.Value
+			progress[s.Key] = flow.Newer(progress[s.Key], s.Value)
 		}
 	}
 	for _, a := range slices.Concat(asks...) {
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -1,8 +1,14 @@
 package entry
 
 import (
+	"context"
+	"log/slog"
 	"net/netip"
+	"sync"
+	"testing"
 	"time"
+
+	"pollencroft/internal/store"
 )
 
 // Kill ends the host at once, as a signal that cannot be caught does.
@@ -61,3 +67,54 @@
 
 // StandsReady tells whether the host may be named to lead.
 func (h *Host) StandsReady() bool { return h.candidate() }
+
+// Book is the writer of progress.
+type Book struct{ *book }
+
+// NewBook returns a writer whose term has claimed the partitions.
+func NewBook(t *testing.T, log store.Log, term int64, parts []int) *Book {
+	wg := &sync.WaitGroup{}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	return &Book{newBook(until{log, ctx}, slog.New(slog.DiscardHandler), wg, term, parts)}
+}
+
+// until ends calls with the test.
+type until struct {
+	log store.Log
+	ctx context.Context
+}
+
+func (u until) Do(ctx context.Context, c store.Call) (store.Answer, error) {
+	// A call that has no answer is given up, as a host does.
+	ctx, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	defer context.AfterFunc(u.ctx, cancel)()
+	return u.log.Do(ctx, c)
+}
+
+// Append stores records.
+func (b *Book) Append(ctx context.Context, records []store.Record, patience time.Duration) error {
+	return b.append(ctx, records, patience)
+}
+
+// Drop forgets a job.
+func (b *Book) Drop(ctx context.Context, id string) { b.drop(ctx, id) }
+
+// JobsPart is the partition to which the host appends jobs first.
+func (h *Host) JobsPart() int { return h.inbox.parts[0] }
+
+// Knows tells whether the host leads and knows the job.
+func (h *Host) Knows(id string) bool { return h.localState(id).Known }
+
+// BeginTerm begins a term with nothing, as if the reading of what the store holds
+// had begun at some time.
+func (h *Host) BeginTerm(number int64, read time.Time) {
+	h.newTerm(number, nil, nil, make([]int64, h.cfg.Parts), read)
+}
+
+// Unsure tells whether the lead leaves open whether there is a job.
+func (h *Host) Unsure(id string) bool { return h.localState(id).Unsure }
--- a/internal/entry/heir_test.go
+++ b/internal/entry/heir_test.go
@@ -95,3 +95,17 @@
 	c.finished(weak, 1)
 	require.Empty(t, c.oracle.Wrongs())
 }
+
+// A new lead reads for seconds at a slow store, and a job is accepted meanwhile in a
+// partition that it has read. It must not tell that there is no such job: what it
+// knows is as old as the beginning of its reading. Callers were told that jobs they
+// had handed in never were.
+func TestALeadKnowsOnlyWhatWasStoredBeforeItRead(t *testing.T) {
+	c := newCell(t, 1, 1, 50*time.Millisecond)
+	h := c.leader()
+	require.False(t, h.Unsure(id(0)), "it has just read")
+	h.BeginTerm(1<<40, time.Now().Add(-3*time.Second))
+	require.True(t, h.Unsure(id(0)))
+	code, _ := c.get(h.cfg.Listen.Caller, prefix+id(0))
+	require.Equal(t, http.StatusServiceUnavailable, code)
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -105,13 +105,14 @@
 
 func (h *Host) count(name string) { metrics.GetOrRegisterCounter(name, h.metrics).Inc(1) }
 
-func (h *Host) storeLost(ok bool, err error) {
+func (h *Host) storeLost(c store.Call, ok bool, err error) {
+	what := slog.String("what", c.Topic+c.Group)
 	if ok {
-		h.log.Info("store: answers this host again.")
+		h.log.Info("store: answers this host again.", what, "part", c.Part)
 		return
 	}
 	h.count("store.lost")
-	h.log.Warn("store: does not serve this host.", "err", err)
+	h.log.Warn("store: does not serve this host.", what, "part", c.Part, "err", err)
 }
 
 // Start listens and begins to follow the platform.
--- a/internal/entry/inbox.go
+++ b/internal/entry/inbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,9 +22,10 @@
 
 // inbox stores what callers hand in, many in one append while one is under way.
 type inbox struct {
-	h    *Host
-	part int
-	asks chan ask
+	h *Host
+	// parts are where it may append, its own partition first.
+	parts []int
+	asks  chan ask
 }
 
 type ask struct {
@@ -45,8 +47,8 @@
 )
 
 func newInbox(h *Host) *inbox {
-	part := int(xxhash.Sum64String(h.cfg.Name) % uint64(h.cfg.Parts))
-	return &inbox{h: h, part: part, asks: make(chan ask, mostAsks)}
+	own := int(xxhash.Sum64String(h.cfg.Name) % uint64(h.cfg.Parts))
+	return &inbox{h: h, parts: partsFrom(own, h.cfg.Parts), asks: make(chan ask, mostAsks)}
 }
 
 // put stores a record. After a store.RefusedError it is certain that it is not
@@ -97,18 +99,23 @@
 	return all
 }
 
-// store appends until there is an answer or nobody waits any more. An append
-// that is repeated says the same under the same keys.
+// store appends until there is an answer or nobody waits any more, at another
+// partition if the host's own one is down. An append that is repeated says the same
+// under the same keys.
 func (b *inbox) store(all []ask) {
 	records := make([]store.Record, len(all))
 	for i, a := range all {
 		records[i] = a.record
 	}
+	parts := slices.Clone(b.parts)
 	unsure := false
 	for {
-		got, err := b.h.store.Do(b.h.ctx, store.Call{Op: store.Append, Topic: jobsTopic, Part: b.part, Keyed: true, Records: records})
+		first, _, got, err := spread(b.h.ctx, &b.h.wg, len(parts), b.h.spreadPatience(), func(i int) (store.Answer, error) {
+			return b.h.store.Do(b.h.ctx, store.Call{Op: store.Append, Topic: jobsTopic, Part: parts[i], Keyed: true, Records: records})
+		})
 		if err == nil {
-			b.h.hand(b.part, got.Offset, records)
+			b.h.hand(parts[first], got.Offset, records)
+			b.parts[0], b.parts[first] = b.parts[first], b.parts[0]
 			finish(all, nil)
 			return
 		}
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
 	"pollencroft/internal/peer"
@@ -33,9 +31,8 @@
 	mu   sync.Mutex
 	core *sched.Sched
 	over bool
-	// seq numbers the appends; next is by partition the first offset of jobsTopic
-	// that was not taken.
-	seq  int64
+	book *book
+	// next is by partition the first offset of jobsTopic that was not taken.
 	next []int64
 	// polled is when the last look through all partitions began.
 	polled time.Time
@@ -75,7 +72,7 @@
 	t := &term{
 		h: h, number: number, read: read, began: began, polled: read, jobs: len(r.jobs) + len(r.fresh), open: len(r.fresh),
 		kick: make(chan struct{}, 1), next: next, where: map[string]map[int]bool{}, listed: map[string]sched.Worker{},
-		core: sched.New(limits, number, r.jobs), seq: 1,
+		core: sched.New(limits, number, r.jobs), book: newBook(h.store, h.log, &h.wg, number, h.stateParts()),
 	}
 	for _, j := range r.jobs {
 		if !j.State.Final() {
@@ -174,18 +171,7 @@
 		return
 	}
 	acts := t.core.Step(t.h.now(), ev)
-	var changes []sched.Change
-	seq := t.seq
-	for _, a := range acts {
-		if a, ok := a.(sched.Append); ok {
-			changes = a.Changes
-			t.seq++
-		}
-	}
 	t.mu.Unlock()
-	if changes != nil {
-		t.h.wg.Go(func() { t.append(seq, changes) })
-	}
 	for _, a := range acts {
 		t.carry(a)
 	}
@@ -198,6 +184,8 @@
 func (t *term) carry(a sched.Action) {
 	switch a := a.(type) {
 	case sched.Append:
+		// The core has one append under way at a time.
+		t.h.wg.Go(func() { t.append(a.Changes) })
 	case sched.Hold:
 		t.h.wg.Go(func() { t.hold(a) })
 	case sched.Start:
@@ -242,30 +230,24 @@
 	t.step(got)
 }
 
-// append stores changes under the term's fence. It is repeated under the same
-// number until it is answered: the store carries a number out once.
-func (t *term) append(seq int64, changes []sched.Change) {
-	c := store.Call{Op: store.Append, Topic: stateTopic, Keyed: true, Epoch: t.number, Seq: seq}
-	for _, ch := range changes {
-		c.Records = append(c.Records, store.Record{Key: ch.Key, Value: ch.Value})
+// append stores changes under the term's fence.
+func (t *term) append(changes []sched.Change) {
+	records := make([]store.Record, len(changes))
+	for i, ch := range changes {
+		records[i] = store.Record{Key: ch.Key, Value: ch.Value}
 	}
-	for t.ctx.Err() == nil {
-		_, err := t.h.store.Do(t.ctx, c)
-		var unsure *store.UnansweredError
-		switch {
-		case err == nil:
-			t.step(sched.Appended{})
-			return
-		case store.NotDone(err), errors.As(err, &unsure):
-			wait(t.ctx, appendAgain)
-		default:
-			t.end("append: " + err.Error())
-			return
-		}
+	err := t.book.append(t.ctx, records, t.h.spreadPatience())
+	switch {
+	case err == nil:
+		t.step(sched.Appended{})
+	case t.ctx.Err() == nil:
+		t.end("append: " + err.Error())
 	}
 }
 
-// forget drops an ended job from the store.
+// forget drops an ended job from the store: its spec, and only once that is gone its
+// progress. The other way round, a lead that takes over in between would find a job
+// that nothing was done of, and run it again.
 func (t *term) forget(id string) {
 	t.mu.Lock()
 	parts := t.where[id]
@@ -275,8 +257,10 @@
 		c := store.Call{Op: store.Append, Topic: jobsTopic, Part: part, Keyed: true, Records: []store.Record{{Key: id}, {Key: id + cancelMark}}}
 		if _, err := t.h.store.Do(t.ctx, c); err != nil {
 			t.h.log.Warn("lead: ended job is not dropped.", "id", id, "part", part, "err", err)
+			return
 		}
 	}
+	t.book.drop(t.ctx, id)
 }
 
 // ticks steps the core when it is due, and gives up a term that the store does
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -12,6 +13,7 @@
 // record is what must survive of a job beside its spec: which tasks are done,
 // where a run may be, and how far it got.
 type record struct {
+	Version
 	State  State         `json:"s"`
 	Began  int64         `json:"b"`
 	Number int64         `json:"n"`
@@ -28,6 +30,30 @@
 	Steps [][]taskRecord `json:"s"`
 }
 
+// Version orders the records of a job: the term that wrote it, and its place among
+// that term's appends. The records lie in several partitions, and the one that was
+// written last counts.
+type Version struct {
+	Term   int64 `json:"t,omitempty"`
+	Append int64 `json:"a,omitempty"`
+}
+
+// Newer returns the record that was written later; one that cannot be read counts
+// as the older one, and none as still older.
+func Newer(a, b []byte) []byte {
+	var va, vb Version
+	switch {
+	case a == nil:
+		return b
+	case json.Unmarshal(b, &vb) != nil:
+		return a
+	case json.Unmarshal(a, &va) != nil, cmp.Or(cmp.Compare(va.Term, vb.Term), cmp.Compare(va.Append, vb.Append)) < 0:
+		return b
+	default:
+		return a
+	}
+}
+
 // taskRecord leaves out tasks that never ran.
 type taskRecord struct {
 	Index  int    `json:"i"`
@@ -52,8 +78,8 @@
 func (e *RecordError) Unwrap() error { return e.Cause }
 
 // Record encodes the job's progress.
-func (j *Job) Record() []byte {
-	rec := record{State: j.State, Began: j.Began.UnixMilli(), Number: j.Number, Next: j.Next}
+func (j *Job) Record(v Version) []byte {
+	rec := record{Version: v, State: j.State, Began: j.Began.UnixMilli(), Number: j.Number, Next: j.Next}
 	if j.State.Final() {
 		rec.Ended = j.Ended.UnixMilli()
 		rec.Strays = slices.ContainsFunc(j.Spec.Steps, func(s Step) bool { return s.Copies })
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -179,7 +179,7 @@
 // Action is what the scheduler core asks its edge to do.
 type Action interface{ action() }
 
-// Change is the new progress of a job; without a value the job is forgotten.
+// Change is the new progress of a job.
 type Change struct {
 	Key   string
 	Value []byte
@@ -240,7 +240,7 @@
 	Within time.Duration
 }
 
-// Forget drops a job that ended long ago from where it was accepted.
+// Forget drops a job that ended long ago: its spec and then its progress.
 type Forget struct{ ID string }
 
 // Depose tells that a lead of a later term was seen: this one has ended.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -34,8 +34,8 @@
 	dirty map[string]*flow.Job
 	// early are runs that may start before they are stored.
 	early []runKey
-	// forgotten are jobs whose progress is to be dropped.
-	forgotten []string
+	// appends counts what was stored.
+	appends int64
 	// next is what the next append will make certain, flying what the one under
 	// way will; nil when none is.
 	next   *batch
@@ -219,17 +219,15 @@
 	if s.flying != nil || s.now.Sub(s.last) < s.limits.Gather {
 		return
 	}
-	if len(s.dirty) == 0 && len(s.next.seen) == 0 && len(s.forgotten) == 0 {
+	if len(s.dirty) == 0 && len(s.next.seen) == 0 {
 		return
 	}
+	s.appends++
+	version := flow.Version{Term: s.term, Append: s.appends}
 	var changes []Change
-	for _, id := range s.forgotten {
-		changes = append(changes, Change{Key: id})
-	}
-	s.forgotten = nil
 	for _, id := range slices.Sorted(maps.Keys(s.dirty)) {
 		j := s.dirty[id]
-		changes = append(changes, Change{Key: id, Value: j.Record()})
+		changes = append(changes, Change{Key: id, Value: j.Record(version)})
 		s.next.shown = append(s.next.shown, j)
 	}
 	clear(s.dirty)
@@ -278,14 +276,15 @@
 	}
 }
 
-// forget drops jobs whose end was told for long enough.
+// forget drops jobs whose end was told for long enough, first where they were
+// accepted and only then their progress: a spec without progress is a new job to
+// the next lead, which would run it again.
 func (s *Sched) forget() {
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		j := s.jobs[id]
 		if j.State.Final() && j.Shown.Final() && s.now.Sub(j.Ended) > s.limits.Keep {
 			delete(s.jobs, id)
 			delete(s.open, id)
-			s.forgotten = append(s.forgotten, id)
 			s.do(Forget{ID: id})
 		}
 	}
--- a/internal/store/routed.go
+++ b/internal/store/routed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,7 +20,7 @@
 	// slower is by how much patience exceeds the answers of late: a store that is
 	// slow is slow for peers too, and asking twice would make it slower.
 	slower = 2
-	// avoid is how long the direct way is left alone after it refused.
+	// avoid is how long the direct way to a partition is left alone after it refused.
 	avoid = 500 * time.Millisecond
 	// most bounds one call in all, besides the time it asks the store to wait.
 	most = 2800 * time.Millisecond
@@ -46,21 +47,43 @@
 	direct Log
 	relay  Relay
 	now    func() time.Time
-	// lost is told when the direct way fails and comes back.
-	lost func(ok bool, err error)
+	// lost is told when the direct way of a call fails and comes back.
+	lost func(c Call, ok bool, err error)
 	mu   sync.Mutex
-	// closed is until when the direct way is not tried; suspect tells that its
-	// last call failed.
-	closed  time.Time
-	suspect bool
+	// targets are the partitions and groups by name. The store may serve some and
+	// not others: a refusal of one says nothing of the rest.
+	targets map[string]*target
+	// failed tells that the last direct call failed, to whichever target.
+	failed bool
 	// answers is about how long answers took lately, the longest counting most.
 	answers time.Duration
 	good    time.Time
 }
 
+// target is one partition or group on the direct way: until when it is not tried,
+// and whether its last call failed.
+type target struct {
+	closed  time.Time
+	suspect bool
+}
+
 // NewRouted returns a log that knows both ways; lost may not wait.
-func NewRouted(direct Log, relay Relay, now func() time.Time, lost func(ok bool, err error)) *Routed {
-	return &Routed{direct: direct, relay: relay, now: now, lost: lost}
+func NewRouted(direct Log, relay Relay, now func() time.Time, lost func(c Call, ok bool, err error)) *Routed {
+	return &Routed{direct: direct, relay: relay, now: now, lost: lost, targets: map[string]*target{}}
+}
+
+// target returns what is known of what a call is for; mu is held.
+func (r *Routed) target(c Call) *target {
+	name := c.Topic + "/" + strconv.Itoa(c.Part)
+	if c.Group != "" {
+		name = c.Group
+	}
+	t, ok := r.targets[name]
+	if !ok {
+		t = &target{}
+		r.targets[name] = t
+	}
+	return t
 }
 
 // Good is when the store answered this host last, on whichever way.
@@ -70,6 +93,13 @@
 	return r.good
 }
 
+// Usual is about how long the store's answers took lately, the longest counting most.
+func (r *Routed) Usual() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answers
+}
+
 // Fresh tells whether the store answered this host within d, or within what its
 // answers take of late if that is longer.
 func (r *Routed) Fresh(d time.Duration) bool {
@@ -80,7 +110,7 @@
 
 // Direct makes the call on the direct way only, for a peer.
 func (r *Routed) Direct(ctx context.Context, c Call) (Answer, error) {
-	if r.isClosed() {
+	if r.isClosed(c) {
 		return Answer{}, &RefusedError{Op: c.Op, Reason: "this host is turned away as well"}
 	}
 	return r.try(ctx, c)
@@ -95,7 +125,7 @@
 func (r *Routed) Do(ctx context.Context, c Call) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, most+c.Wait)
 	defer cancel()
-	if r.isClosed() {
+	if r.isClosed(c) {
 		return r.around(ctx, c)
 	}
 	direct := make(chan result, 1)
@@ -107,29 +137,29 @@
 		a, err := r.try(ctx, c)
 		direct <- result{a, err}
 	}()
-	hedge := time.NewTimer(r.patience() + c.Wait)
+	hedge := time.NewTimer(r.patience(c) + c.Wait)
 	defer hedge.Stop()
 	select {
 	case got := <-direct:
-		if !away(got.err) || c.Wait > 0 {
+		if !Away(got.err) || c.Wait > 0 {
 			// A read that waits is made again soon; a peer's time is not for that.
 			return got.answer, got.err
 		}
 		a, err := r.around(ctx, c)
-		return a, worse(c, got.err, err)
+		return a, Worse(got.err, err)
 	case <-hedge.C:
 	}
-	r.doubt()
+	r.doubt(c)
 	peers := make(chan result, 1)
 	go func() {
 		a, err := r.around(ctx, c)
 		peers <- result{a, err}
 	}()
-	return first(c, direct, peers)
+	return first(direct, peers)
 }
 
 // first returns the first answer of either way, or both ways' failure.
-func first(c Call, direct, peers <-chan result) (Answer, error) {
+func first(direct, peers <-chan result) (Answer, error) {
 	var failed error
 	for range 2 {
 		var got result
@@ -137,23 +167,23 @@
 		case got = <-direct:
 		case got = <-peers:
 		}
-		if !away(got.err) {
+		if !Away(got.err) {
 			return got.answer, got.err
 		}
-		failed = worse(c, failed, got.err)
+		failed = Worse(failed, got.err)
 	}
 	return Answer{}, failed
 }
 
-// worse joins the failures of two ways: only if both refused was nothing done.
-func worse(c Call, a, b error) error {
+// Worse joins the failures of two tries: only if both refused was nothing done.
+func Worse(a, b error) error {
 	switch {
 	case b == nil:
 		return nil
-	case a == nil || NotDone(a) && NotDone(b) || !away(b):
+	case a == nil || NotDone(a) && NotDone(b) || !Away(b):
 		return b
 	case NotDone(b):
-		return &UnansweredError{Op: c.Op, Cause: a}
+		return a
 	default:
 		return b
 	}
@@ -168,10 +198,10 @@
 			break
 		}
 		a, err := r.ask(ctx, p, c)
-		if !away(err) {
+		if !Away(err) {
 			return a, err
 		}
-		failed = worse(c, failed, err)
+		failed = Worse(failed, err)
 	}
 	if failed == nil {
 		failed = &RefusedError{Op: c.Op, Reason: "no way to the store"}
@@ -180,10 +210,10 @@
 }
 
 func (r *Routed) ask(ctx context.Context, p string, c Call) (Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*r.patience()+patience)
+	ctx, cancel := context.WithTimeout(ctx, 2*r.patience(c)+patience)
 	defer cancel()
 	a, err := r.relay.Do(ctx, p, c)
-	if !away(err) {
+	if !Away(err) {
 		r.mu.Lock()
 		r.good = r.now()
 		r.mu.Unlock()
@@ -191,27 +221,27 @@
 	return a, err
 }
 
-func (r *Routed) isClosed() bool {
+func (r *Routed) isClosed(c Call) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.now().Before(r.closed)
+	return r.now().Before(r.target(c).closed)
 }
 
 // patience is how long to wait for the direct way before a peer is asked.
-func (r *Routed) patience() time.Duration {
+func (r *Routed) patience(c Call) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.suspect {
+	if r.failed || r.target(c).suspect {
 		return max(suspicion, slower*r.answers)
 	}
 	return max(patience, slower*r.answers)
 }
 
 // doubt notes that the direct way has not answered for longer than usual.
-func (r *Routed) doubt() {
+func (r *Routed) doubt(c Call) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.suspect = true
+	r.target(c).suspect, r.failed = true, true
 }
 
 func (r *Routed) try(ctx context.Context, c Call) (Answer, error) {
@@ -224,28 +254,30 @@
 // tell takes note of how a direct call went.
 func (r *Routed) tell(c Call, took time.Duration, err error) {
 	r.mu.Lock()
-	was := r.suspect
+	t := r.target(c)
+	was := t.suspect
+	r.failed = Away(err)
 	switch {
-	case !away(err):
-		r.suspect, r.closed, r.good = false, time.Time{}, r.now()
+	case !r.failed:
+		t.suspect, t.closed, r.good = false, time.Time{}, r.now()
 		if c.Wait == 0 {
 			r.answers = max(time.Duration(fade*float64(r.answers)), took)
 		}
 	default:
-		r.suspect = true
+		t.suspect = true
 		if NotDone(err) {
-			r.closed = r.now().Add(avoid)
+			t.closed = r.now().Add(avoid)
 		}
 	}
-	is := r.suspect
+	is := t.suspect
 	r.mu.Unlock()
 	if was != is {
-		r.lost(!is, err)
+		r.lost(c, !is, err)
 	}
 }
 
-// away tells whether the store did not serve this host at all.
-func away(err error) bool {
+// Away tells whether the store did not serve this host at all.
+func Away(err error) bool {
 	var unanswered *UnansweredError
 	return NotDone(err) || errors.As(err, &unanswered)
 }
