entry: ask a silent lead once on the way to a claim

Cause: the successor of a lead in a cut failure domain waited 400 ms for its answer and 100 ms two times more, after 150 ms of settling; a lead younger than 6 s was given 2.5 s, as weak hosts needed, which do not lead any more.

Change: 250 ms, beside the settling, and no second question within 0.7 s; a young lead gets 1 s for 3 s; hosts join their group each 200 ms.

--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -21,7 +21,7 @@
 	bystanders = "others"
 	// joinEvery and joinTTL keep a host in its group: a host that is gone is
 	// noticed within joinTTL and a joinEvery, for a tenth of a call each.
-	joinEvery = 300 * time.Millisecond
+	joinEvery = 200 * time.Millisecond
 	joinTTL   = time.Second
 	// enoughHosts is how many hosts have to be much stronger than one that does not
 	// stand ready to lead: of three, two may be lost.
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -18,17 +18,18 @@
 	syncEvery = time.Second
 	// askWait bounds a question to a peer: ten times what a busy one takes.
 	askWait = 400 * time.Millisecond
-	// muteFor is for how long a lead that left a question without an answer is asked
-	// with less patience, and muteWait that patience: ten times what an idle host
-	// takes to answer.
-	muteFor  = 2 * time.Second
-	muteWait = 100 * time.Millisecond
+	// leadWait is how long a lead may take to say that it leads: a hundred times what
+	// an idle one takes, twice what one takes whose processor's share is used up for a
+	// period. The group names another host only if it heard nothing for joinTTL.
+	leadWait = 250 * time.Millisecond
+	// muteFor is for how long a host that left that question without an answer is not
+	// asked again: about what a claim takes, after which another one is asked.
+	muteFor = 700 * time.Millisecond
 	// youngTerm is for how long a new lead is busy with what it took over, and
-	// youngWait how long its answer may take then: a host of 0.19 cores reads 350
-	// workers in about two seconds. Taken for dead it would be fenced off, and so
-	// would the next one.
-	youngTerm = 6 * time.Second
-	youngWait = 2500 * time.Millisecond
+	// youngWait how long its answer may take then. Taken for dead it would be fenced
+	// off, and so would the next one.
+	youngTerm = 3 * time.Second
+	youngWait = time.Second
 	// orphanAfter is how long a host is without a lead before it tries whoever the
 	// group names: twice what a change of the lead takes. orphanStep parts the
 	// hosts by what a claim takes.
@@ -64,12 +65,13 @@
 	}
 	defer h.looking.Unlock()
 	lead, leading := h.leadNow()
+	asked := h.now()
 	if leading || h.leads(lead) {
 		return
 	}
 	// Another host may lead since, or be about to: a lead that leaves asks one to
 	// succeed it, and the group names another.
-	if lead != "" && !wait(h.ctx, settle) {
+	if lead != "" && !wait(h.ctx, settle-h.now().Sub(asked)) {
 		return
 	}
 	if all, _, err := store.Table(h.ctx, h.store, leadTopic, 0); err == nil {
@@ -108,14 +110,14 @@
 	return err == nil && (r.Lead || r.Claiming)
 }
 
-// askLead asks a host whether it leads. One that left a question without an answer
-// just now is asked again only briefly: three full waits for a dead lead would
-// leave all starts at rest for a second more.
+// askLead asks a host whether it leads. One that left the question without an answer
+// just now is not asked again: on the way to a claim it would be waited for three
+// times, with all starts at rest.
 func (h *Host) askLead(name string) (peer.SyncReply, error) {
-	if name == "" || name == h.cfg.Name {
+	if name == "" || name == h.cfg.Name || h.isMute(name) {
 		return peer.SyncReply{}, &NoLeadError{}
 	}
-	ctx, cancel := context.WithTimeout(h.ctx, h.leadPatience(name))
+	ctx, cancel := context.WithTimeout(h.ctx, h.leadPatience())
 	defer cancel()
 	var r peer.SyncReply
 	err := h.peers.Ask(ctx, name, h.syncMessage(), &r)
@@ -130,17 +132,20 @@
 	return r, err
 }
 
-func (h *Host) leadPatience(name string) time.Duration {
+func (h *Host) isMute(name string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	switch {
-	case h.mute == name && h.now().Sub(h.muteAt) < muteFor:
-		return muteWait
-	case h.now().Sub(h.leadSince) < youngTerm:
+	return h.mute == name && h.now().Sub(h.muteAt) < muteFor
+}
+
+// leadPatience is how long the lead may take to answer.
+func (h *Host) leadPatience() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.now().Sub(h.leadSince) < youngTerm {
 		return youngWait
-	default:
-		return askWait
 	}
+	return leadWait
 }
 
 // sync keeps what callers are told, and the list of hosts, as the lead has them.
