entry: leave out records that a later append has stored already

Ruled out: the claim, the reading, the order of the records' versions.

Change: each partition's writer knows the newest append that it holds of each job and leaves older records out. The random histories had a store that merged versions and could not see it; TestTheNewestRecordIsNeverWrittenOver plays the writer itself and fails without the change. A soak of real processes begins in soak/.

--- a/internal/entry/book.go
+++ b/internal/entry/book.go
@@ -37,6 +37,8 @@
 	// one that it follows.
 	seq  int64
 	busy bool
+	// stored is by job the number of the newest append there that holds its record.
+	stored map[string]int64
 	// drops are jobs whose record goes with the next append.
 	drops []string
 }
@@ -52,15 +54,16 @@
 	b := &book{log: log, lines: lines, wg: wg, term: term}
 	for _, p := range parts {
 		// The claim was the first append.
-		b.slots = append(b.slots, &slot{part: p, seq: 1})
+		b.slots = append(b.slots, &slot{part: p, seq: 1, stored: map[string]int64{}})
 	}
 	return b
 }
 
-// append stores records in one partition: the first that has no append under way,
-// the next one at once after a refusal, and after patience while there is no answer.
-// It returns an error only if the term cannot go on, or ctx has ended.
-func (b *book) append(ctx context.Context, records []store.Record, patience time.Duration) error {
+// append stores the records of the append of that number in one partition: the first
+// that has no append under way, the next one at once after a refusal, and after
+// patience while there is no answer. It returns an error only if the term cannot go
+// on, or ctx has ended.
+func (b *book) append(ctx context.Context, number int64, records []store.Record, patience time.Duration) error {
 	type result struct {
 		s   *slot
 		err error
@@ -73,7 +76,7 @@
 		switch {
 		case s != nil:
 			flying++
-			b.wg.Go(func() { results <- result{s, b.write(ctx, s, records)} })
+			b.wg.Go(func() { results <- result{s, b.write(ctx, s, number, records)} })
 		case flying == 0:
 			clear(failed)
 			pause = busyWait
@@ -134,15 +137,29 @@
 
 // write appends to one partition and repeats what has no answer under the same
 // number, which the store carries out once. The slot is free again after that.
-func (b *book) write(ctx context.Context, s *slot, records []store.Record) error {
+//
+// A partition keeps the record that was written last, not the one with the newest
+// version. An append that was tried elsewhere in vain may come here after a later
+// one, and its records of the same jobs are left out: a successor would take a job
+// that is told as completed for one that runs, and run it again.
+func (b *book) write(ctx context.Context, s *slot, number int64, records []store.Record) error {
 	b.mu.Lock()
 	drops := s.drops
 	s.drops = nil
 	b.mu.Unlock()
-	all := slices.Clone(records)
+	var all []store.Record
+	for _, r := range records {
+		if s.stored[r.Key] < number {
+			all = append(all, r)
+		}
+	}
 	for _, id := range drops {
 		all = append(all, store.Record{Key: id})
 	}
+	if len(all) == 0 {
+		b.release(s)
+		return nil
+	}
 	c := store.Call{Op: store.Append, Topic: stateTopic, Part: s.part, Keyed: true, Epoch: b.term, Seq: s.seq, Records: all}
 	unsure := false
 	for {
@@ -150,6 +167,12 @@
 		switch {
 		case err == nil:
 			s.seq++
+			for _, r := range all {
+				s.stored[r.Key] = max(s.stored[r.Key], number)
+			}
+			for _, id := range drops {
+				delete(s.stored, id)
+			}
 			b.release(s)
 			return nil
 		case store.NotDone(err) && !unsure:
@@ -182,6 +205,6 @@
 	}
 	b.mu.Unlock()
 	for _, s := range full {
-		b.wg.Go(func() { _ = b.write(ctx, s, nil) })
+		b.wg.Go(func() { _ = b.write(ctx, s, 0, nil) })
 	}
 }
--- a/internal/entry/book_test.go
+++ b/internal/entry/book_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pollencroft/internal/entry"
+	"pollencroft/internal/flow"
 	"pollencroft/internal/standin/users"
 	"pollencroft/internal/store"
 )
@@ -46,6 +51,11 @@
 	return got
 }
 
+// numbers counts appends.
+var numbers atomic.Int64
+
+func next() int64 { return numbers.Add(1) }
+
 func record(key, value string) []store.Record {
 	return []store.Record{{Key: key, Value: []byte(value)}}
 }
@@ -56,17 +66,17 @@
 func TestAPartitionThatIsDownStopsNothing(t *testing.T) {
 	for _, fault := range []users.Fault{users.Busy, users.Silent, users.Lost} {
 		log, b := newBook(t, 7)
-		require.NoError(t, b.Append(t.Context(), record("a", "1"), patience))
+		require.NoError(t, b.Append(t.Context(), next(), record("a", "1"), patience))
 		require.Equal(t, map[string]string{"a": "1"}, newest(t, log, 0))
 		log.BreakPart("state", 0, fault)
 		log.BreakPart("state", 5, fault)
-		require.NoError(t, b.Append(t.Context(), record("a", "2"), patience))
+		require.NoError(t, b.Append(t.Context(), next(), record("a", "2"), patience))
 		require.Equal(t, map[string]string{"a": "2"}, newest(t, log, 10))
 		log.BreakPart("state", 0, users.None)
 		log.BreakPart("state", 5, users.None)
 		// What had no answer is repeated until it has one; later numbers follow.
 		for range 40 {
-			require.NoError(t, b.Append(t.Context(), record("a", "3"), patience))
+			require.NoError(t, b.Append(t.Context(), next(), record("a", "3"), patience))
 		}
 		require.Equal(t, map[string]string{"a": "3"}, newest(t, log, 10))
 	}
@@ -81,7 +91,7 @@
 			claim(t, log, p, 8)
 		}
 		log.BreakPart("state", down, users.Busy)
-		err := b.Append(t.Context(), record("a", "1"), patience)
+		err := b.Append(t.Context(), next(), record("a", "1"), patience)
 		require.ErrorAs(t, err, new(*store.FencedError))
 		log.BreakPart("state", down, users.None)
 		for _, p := range []int{0, 5, 10} {
@@ -100,7 +110,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if b.Append(context.WithoutCancel(t.Context()), record("a", "1"), patience) == nil {
+		if b.Append(context.WithoutCancel(t.Context()), next(), record("a", "1"), patience) == nil {
 			stored.Store(true)
 		}
 	}()
@@ -116,17 +126,17 @@
 // one, it would be read as the newest once the others are gone.
 func TestAForgottenJobIsDroppedEverywhere(t *testing.T) {
 	log, b := newBook(t, 7)
-	require.NoError(t, b.Append(t.Context(), record("a", "1"), patience))
+	require.NoError(t, b.Append(t.Context(), next(), record("a", "1"), patience))
 	log.BreakPart("state", 0, users.Busy)
-	require.NoError(t, b.Append(t.Context(), record("a", "2"), patience))
+	require.NoError(t, b.Append(t.Context(), next(), record("a", "2"), patience))
 	b.Drop(t.Context(), "a")
 	log.BreakPart("state", 0, users.None)
 	log.BreakPart("state", 5, users.Busy)
-	require.NoError(t, b.Append(t.Context(), record("b", "1"), patience))
+	require.NoError(t, b.Append(t.Context(), next(), record("b", "1"), patience))
 	log.BreakPart("state", 5, users.None)
 	log.BreakPart("state", 0, users.Busy)
 	log.BreakPart("state", 10, users.Busy)
-	require.NoError(t, b.Append(t.Context(), record("b", "2"), patience))
+	require.NoError(t, b.Append(t.Context(), next(), record("b", "2"), patience))
 	for _, p := range []int{0, 5, 10} {
 		log.BreakPart("state", p, users.None)
 		require.NotContains(t, newest(t, log, p), "a")
@@ -219,3 +229,61 @@
 		require.Equal(t, 1, n, task)
 	}
 }
+
+// Appends are under way beside each other while partitions refuse, fall silent and
+// lose answers at random, so an append may be tried at one partition in vain and come
+// to another after a later one. A partition keeps what was written last. Whatever
+// happens, the newest record that is found for a job is at least as new as the last
+// one whose append was told as stored; an older one would run a job again that was
+// told as completed.
+func TestTheNewestRecordIsNeverWrittenOver(t *testing.T) {
+	for seed := range uint64(8) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		log, b := newBook(t, 7)
+		keys := []string{"a", "b", "c"}
+		var mu sync.Mutex
+		told := map[string]int64{}
+		var wg sync.WaitGroup
+		turns := make(chan struct{}, 3)
+		for n := int64(1); n <= 120; n++ {
+			if r.IntN(3) == 0 {
+				// One of them is served at any time.
+				up := r.IntN(3)
+				for i, p := range []int{0, 5, 10} {
+					fault := []users.Fault{users.None, users.Busy, users.Silent, users.Lost}[r.IntN(4)]
+					if i == up {
+						fault = users.None
+					}
+					log.BreakPart("state", p, fault)
+				}
+			}
+			key := keys[r.IntN(len(keys))]
+			turns <- struct{}{}
+			wg.Go(func() {
+				defer func() { <-turns }()
+				if b.Append(t.Context(), n, record(key, fmt.Sprintf(`{"t":7,"a":%d}`, n)), 5*time.Millisecond) != nil {
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				told[key] = max(told[key], n)
+			})
+			time.Sleep(time.Duration(r.IntN(4)) * time.Millisecond)
+		}
+		wg.Wait()
+		for _, p := range []int{0, 5, 10} {
+			log.BreakPart("state", p, users.None)
+		}
+		for _, key := range keys {
+			var best []byte
+			for _, p := range []int{0, 5, 10} {
+				if v, ok := newest(t, log, p)[key]; ok {
+					best = flow.Newer(best, []byte(v))
+				}
+			}
+			var v flow.Version
+			require.NoError(t, json.Unmarshal(best, &v))
+			require.GreaterOrEqual(t, v.Append, told[key], "seed %d, job %s", seed, key)
+		}
+	}
+}
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -97,9 +97,9 @@
 	return u.log.Do(ctx, c)
 }
 
-// Append stores records.
-func (b *Book) Append(ctx context.Context, records []store.Record, patience time.Duration) error {
-	return b.append(ctx, records, patience)
+// Append stores the records of an append.
+func (b *Book) Append(ctx context.Context, number int64, records []store.Record, patience time.Duration) error {
+	return b.append(ctx, number, records, patience)
 }
 
 // Drop forgets a job.
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -242,7 +242,7 @@
 	for i, ch := range a.Changes {
 		records[i] = store.Record{Key: ch.Key, Value: ch.Value}
 	}
-	err := t.book.append(t.ctx, records, t.h.spreadPatience())
+	err := t.book.append(t.ctx, a.Number, records, t.h.spreadPatience())
 	switch {
 	case err == nil:
 		t.step(sched.Appended{Number: a.Number})
--- a/internal/standin/users/worker.go
+++ b/internal/standin/users/worker.go
@@ -22,11 +22,13 @@
 	at   map[string]string
 	done map[string]bool
 	runs map[string]int
+	// finished are the tasks of which a run ended as done.
+	finished map[string]bool
 }
 
 // NewOracle returns an oracle that has seen nothing.
 func NewOracle() *Oracle {
-	return &Oracle{at: map[string]string{}, done: map[string]bool{}, runs: map[string]int{}}
+	return &Oracle{at: map[string]string{}, done: map[string]bool{}, runs: map[string]int{}, finished: map[string]bool{}}
 }
 
 // Wrongs lists what went wrong.
@@ -43,6 +45,13 @@
 	return maps.Clone(o.runs)
 }
 
+// Finished tells whether a run of the task ended as done.
+func (o *Oracle) Finished(task string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.finished[task]
+}
+
 func (o *Oracle) begin(task, worker string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -56,10 +65,13 @@
 	o.runs[task]++
 }
 
-func (o *Oracle) end(task string) {
+func (o *Oracle) end(task string, done bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.at, task)
+	if done {
+		o.finished[task] = true
+	}
 }
 
 func (o *Oracle) noted(task string) {
@@ -118,7 +130,7 @@
 	w.mu.Lock()
 	for task, r := range w.runs {
 		r.timer.Stop()
-		w.oracle.end(task)
+		w.oracle.end(task, false)
 	}
 	clear(w.runs)
 	w.mu.Unlock()
@@ -141,10 +153,16 @@
 	return len(w.runs)
 }
 
+// Address is where the worker listens.
+func (w *Worker) Address() string { return strings.TrimPrefix(w.server.URL, "http://") }
+
 // Entry is what the worker writes of itself into the store.
-func (w *Worker) Entry(service, zone string) []byte {
+func (w *Worker) Entry(service, zone string) []byte { return w.EntryAt(w.Address(), service, zone) }
+
+// EntryAt is the same for a worker that is reached at another address.
+func (w *Worker) EntryAt(addr, service, zone string) []byte {
 	b, _ := json.Marshal(map[string]any{
-		"service": service, "address": strings.TrimPrefix(w.server.URL, "http://"), "zone": zone, "state": "ready",
+		"service": service, "address": addr, "zone": zone, "state": "ready",
 		"capacity": map[string]int64{"cpu": 64_000, "memMb": 262_144}, "labels": []string{"a", "r1-1"}, "seq": 1,
 	})
 	return b
@@ -233,7 +251,7 @@
 // end takes a run off the worker; mu is held.
 func (w *Worker) end(task string, r *run, how string) {
 	delete(w.runs, task)
-	w.oracle.end(task)
+	w.oracle.end(task, how == "done")
 	w.tombs[task] = max(w.tombs[task], r.number)
 	w.number++
 	w.ends = append(w.ends, ended{w.number, task, r.number, how})
--- /dev/null
+++ b/soak/callers_test.go
@@ -0,0 +1,212 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	body = `{"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"estimateMs":400},{"count":3,"cpu":500,"memMb":256,"estimateMs":400,"after":[0]}]}`
+	// visible is how long after its confirmation a job may be unknown.
+	visible = 3 * time.Second
+	// patience is how long a caller waits for an answer.
+	patience = 3 * time.Second
+)
+
+// job is one job as its caller knows it.
+type job struct {
+	id string
+	// accepted and cancelled are when that was confirmed; refused tells that every
+	// answer said that it was not stored.
+	accepted, cancelled time.Time
+	asked               bool
+	refused             bool
+	state               string
+}
+
+// callers hand in jobs, ask for them and cancel some, over connections that they keep
+// open, and note every answer that breaks a promise.
+type callers struct {
+	c      *cell
+	client *http.Client
+	mu     sync.Mutex
+	jobs   []*job
+	wrongs []string
+}
+
+func newCallers(c *cell) *callers {
+	return &callers{c: c, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+}
+
+func (a *callers) wrong(format string, args ...any) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.wrongs = append(a.wrongs, fmt.Sprintf(format, args...))
+}
+
+// call makes a request; code 0 is no answer.
+func (a *callers) call(h *host, method, path string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var text io.Reader
+	if method == http.MethodPost {
+		text = strings.NewReader(body)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.caller.Listen+path, text)
+	if err != nil {
+		return 0, ""
+	}
+	req.Host = "jobs.example"
+	req.Header.Set("X-Deadline-Ms", "3000")
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") == "" {
+		a.wrong("%s %s is refused without a time to come back", method, path)
+	}
+	return resp.StatusCode, string(b)
+}
+
+// handIn submits one job at one or two hosts, as a caller that tries again.
+func (a *callers) handIn(n int, tries []*host) {
+	j := &job{id: fmt.Sprintf("%016x", n), refused: true}
+	a.mu.Lock()
+	a.jobs = append(a.jobs, j)
+	a.mu.Unlock()
+	for _, h := range tries {
+		code, _ := a.call(h, http.MethodPost, "/scan/"+j.id)
+		a.mu.Lock()
+		if code == http.StatusOK {
+			j.accepted, j.refused = time.Now(), false
+		}
+		if code != http.StatusServiceUnavailable {
+			j.refused = false
+		}
+		a.mu.Unlock()
+		if code == http.StatusOK {
+			return
+		}
+	}
+}
+
+// look asks a host for a job's state and holds it against what was told before.
+func (a *callers) look(j *job, h *host) {
+	a.mu.Lock()
+	accepted, before, asked := j.accepted, j.state, j.asked
+	a.mu.Unlock()
+	if accepted.IsZero() {
+		return
+	}
+	sent := time.Now()
+	code, text := a.call(h, http.MethodGet, "/scan/"+j.id)
+	if code == http.StatusGone && sent.Sub(accepted) > visible {
+		a.wrong("job %s is unknown at %s %s after its confirmation", j.id, h.name, sent.Sub(accepted))
+	}
+	if code != http.StatusOK {
+		return
+	}
+	state := strings.TrimSuffix(strings.TrimPrefix(text, `{"state":"`), `"}`)
+	switch {
+	case state == "failed":
+		a.wrong("job %s is told as failed, and no task failed", j.id)
+	case state == "cancelled" && !asked:
+		a.wrong("job %s is told as cancelled, and nobody asked for it", j.id)
+	case (before == "completed" || before == "cancelled") && state != before:
+		a.wrong("job %s is told as %s after it was %s", j.id, state, before)
+	case state == "completed" && before != state:
+		a.finished(j.id)
+	}
+	a.mu.Lock()
+	j.state = state
+	a.mu.Unlock()
+}
+
+// finished checks that all tasks of a job that is told as completed were done.
+func (a *callers) finished(id string) {
+	for step, n := range []int{4, 3} {
+		for i := range n {
+			if task := fmt.Sprintf("%s.0.%d.%d", id, step, i); !a.c.oracle.Finished(task) {
+				a.wrong("job %s is told as completed before %s was done", id, task)
+			}
+		}
+	}
+}
+
+func (a *callers) cancel(j *job, h *host) {
+	a.mu.Lock()
+	open := !j.accepted.IsZero() && j.state != "completed"
+	j.asked = j.asked || open
+	a.mu.Unlock()
+	if !open {
+		return
+	}
+	if code, _ := a.call(h, http.MethodDelete, "/scan/"+j.id); code == http.StatusOK {
+		a.mu.Lock()
+		j.cancelled = time.Now()
+		a.mu.Unlock()
+	}
+}
+
+// list returns the jobs that were handed in so far.
+func (a *callers) list() []*job {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]*job(nil), a.jobs...)
+}
+
+// run hands in a job every 120 ms and does as much of the rest, until ctx ends.
+func (a *callers) run(ctx context.Context, r *rand.Rand) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	tick := time.NewTicker(120 * time.Millisecond)
+	defer tick.Stop()
+	for n := 1; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		first, second := a.c.hosts[r.IntN(hosts)], a.c.hosts[r.IntN(hosts)]
+		asked, cancels, which := a.c.hosts[r.IntN(hosts)], r.IntN(12) == 0, r.IntN(20)
+		wg.Go(func() { a.handIn(n, []*host{first, second}) })
+		all := a.list()
+		if len(all) <= which {
+			continue
+		}
+		j := all[len(all)-1-which]
+		wg.Go(func() {
+			if cancels {
+				a.cancel(j, asked)
+				return
+			}
+			a.look(j, asked)
+		})
+	}
+}
+
+// settled tells whether every job that was accepted is over, and asks for the rest.
+func (a *callers) settled(h *host) bool {
+	over := true
+	for _, j := range a.list() {
+		a.mu.Lock()
+		open := !j.accepted.IsZero() && j.state != "completed" && j.state != "cancelled"
+		a.mu.Unlock()
+		if open {
+			a.look(j, h)
+			over = false
+		}
+	}
+	return over
+}
--- /dev/null
+++ b/soak/cell_test.go
@@ -0,0 +1,232 @@
+package soak_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/standin/users"
+)
+
+const (
+	hosts   = 4
+	workers = 6
+	// work is how long each task takes: long enough that faults meet it.
+	work = 400 * time.Millisecond
+	// parts is how many partitions a topic has.
+	parts = 16
+)
+
+const table = `{"version":1,"routes":[{"name":"scan","host":"jobs.example","pathPrefix":"/scan/","service":"pass","priority":0,
+"maxAttempts":3,"stretch":1.5,"targetLatencyMs":250}],"services":[{"name":"pass"}],"limits":{"maxBodyBytes":20000}}`
+
+var binary = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "pollencroft-soak")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "pollencroft")
+	out, err := exec.Command("go", "build", "-o", path, "..").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return path, nil
+})
+
+// cell is a few hosts as processes, with a proxy on each of their ways to the store
+// and to callers, and one in front of each worker.
+type cell struct {
+	t       *testing.T
+	dir     string
+	proxies *toxiproxy.ApiServer
+	log     *users.Log
+	oracle  *users.Oracle
+	hosts   []*host
+	mu      sync.Mutex
+	workers []*worker
+	lives   int
+	busy    sync.WaitGroup
+}
+
+// host is one host: its process, and the ways to and from it.
+type host struct {
+	name   string
+	file   string
+	ready  netip.AddrPort
+	caller *toxiproxy.Proxy
+	store  *toxiproxy.Proxy
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	gone   chan struct{}
+	out    *os.File
+}
+
+type worker struct {
+	*users.Worker
+	proxy *toxiproxy.Proxy
+}
+
+func newCell(t *testing.T) *cell {
+	path, err := binary()
+	require.NoError(t, err)
+	dir, err := os.MkdirTemp("", "pollencroft-soak-logs")
+	require.NoError(t, err)
+	c := &cell{
+		t: t, dir: dir, log: users.NewLog(parts, time.Now), oracle: users.NewOracle(),
+		proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop()),
+	}
+	c.log.Put("op", "config", []byte(table))
+	for range workers {
+		c.workers = append(c.workers, c.newWorker())
+	}
+	for i := range hosts {
+		c.hosts = append(c.hosts, c.newHost(fmt.Sprintf("h%d", i), fmt.Sprintf("zone%d", i%3)))
+	}
+	for _, h := range c.hosts {
+		h.start(t, path)
+	}
+	t.Cleanup(func() {
+		c.busy.Wait()
+		for _, h := range c.hosts {
+			h.signal(syscall.SIGKILL)
+			<-h.gone
+			_ = h.out.Close()
+		}
+		if t.Failed() {
+			t.Log("logs of the hosts: " + dir)
+			return
+		}
+		_ = os.RemoveAll(dir)
+	})
+	require.Eventually(t, c.served, time.Minute, 50*time.Millisecond)
+	return c
+}
+
+func (c *cell) proxy(name, upstream string) *toxiproxy.Proxy {
+	p := toxiproxy.NewProxy(c.proxies, name, "127.0.0.1:0", upstream)
+	require.NoError(c.t, p.Start())
+	c.t.Cleanup(p.Stop)
+	return p
+}
+
+// newWorker begins a life of a worker and lists it.
+func (c *cell) newWorker() *worker {
+	c.lives++
+	w := users.NewWorker(fmt.Sprintf("w%d", c.lives), work, c.oracle)
+	c.t.Cleanup(w.Close)
+	p := c.proxy("worker "+w.ID, w.Address())
+	c.log.Put("servers", w.ID, w.EntryAt(p.Listen, "pass", fmt.Sprintf("zone%d", c.lives%3)))
+	return &worker{w, p}
+}
+
+// crash ends a worker's life, with all that runs there, and begins another one.
+func (c *cell) crash(i int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.workers[i]
+	old.Close()
+	c.log.Put("servers", old.ID, nil)
+	c.workers[i] = c.newWorker()
+}
+
+func (c *cell) worker(i int) *worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.workers[i]
+}
+
+func freeAddr(t *testing.T) netip.AddrPort {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+func (c *cell) newHost(name, zone string) *host {
+	store := httptest.NewServer(c.log.Handler(func(*http.Request) string { return name }))
+	c.t.Cleanup(func() {
+		store.CloseClientConnections()
+		store.Close()
+	})
+	caller := freeAddr(c.t)
+	h := &host{name: name, file: filepath.Join(c.dir, name+".toml"), ready: freeAddr(c.t)}
+	h.caller = c.proxy("caller "+name, caller.String())
+	h.store = c.proxy("store "+name, strings.TrimPrefix(store.URL, "http://"))
+	text := fmt.Sprintf(`name = %q
+domain = %q
+store = %q
+parts = %d
+power = 1.0
+log = "info"
+[listen]
+caller = %q
+ready = %q
+peer = %q
+[times]
+lease = "10s"
+stop = "900ms"
+grace = "6s"
+keep = "120s"
+`, name, zone, h.store.Listen, parts, caller, h.ready, freeAddr(c.t))
+	require.NoError(c.t, os.WriteFile(h.file, []byte(text), 0o600))
+	out, err := os.Create(filepath.Join(c.dir, name+".log"))
+	require.NoError(c.t, err)
+	h.out = out
+	return h
+}
+
+// start begins a life of the host's process.
+func (h *host) start(t *testing.T, path string) {
+	cmd := exec.Command(path, "entry", "--settings", h.file)
+	cmd.Stdout, cmd.Stderr = h.out, h.out
+	require.NoError(t, cmd.Start())
+	gone := make(chan struct{})
+	go func() {
+		_ = cmd.Wait()
+		close(gone)
+	}()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cmd, h.gone = cmd, gone
+}
+
+// signal sends a signal to this life of the process and returns what tells its end.
+func (h *host) signal(s os.Signal) <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	// A process that is gone takes none.
+	_ = h.cmd.Process.Signal(s)
+	return h.gone
+}
+
+// served tells whether every host is ready.
+func (c *cell) served() bool {
+	for _, h := range c.hosts {
+		resp, err := http.Get("http://" + h.ready.String() + "/pollencroft/ready")
+		if err != nil {
+			return false
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/soak/faults_test.go
@@ -0,0 +1,196 @@
+package soak_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/Shopify/toxiproxy/v2"
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/standin/users"
+)
+
+// fault is one disturbance; it lasts for d and ends what it began.
+type fault struct {
+	name string
+	do   func(c *cell, r *rand.Rand, d time.Duration) func()
+}
+
+// faults are what may come, in any order, more than once and beside each other.
+var faults = []fault{
+	{"host is killed and comes back", func(c *cell, r *rand.Rand, d time.Duration) func() { return c.restart(c.host(r), syscall.SIGKILL, d) }},
+	{"host is stopped as planned and comes back", func(c *cell, r *rand.Rand, d time.Duration) func() {
+		return c.restart(c.host(r), syscall.SIGTERM, d/4)
+	}},
+	{"two hosts are stopped as planned in a row", func(c *cell, r *rand.Rand, d time.Duration) func() {
+		i := r.IntN(hosts)
+		return both(c.restart(c.hosts[i], syscall.SIGTERM, d/4), c.restart(c.hosts[(i+1)%hosts], syscall.SIGTERM, d/2))
+	}},
+	{"all hosts are killed and come back", func(c *cell, _ *rand.Rand, d time.Duration) func() {
+		var all []func()
+		for _, h := range c.hosts {
+			all = append(all, c.restart(h, syscall.SIGKILL, d/4))
+		}
+		return both(all...)
+	}},
+	{"host is paused", func(c *cell, r *rand.Rand, d time.Duration) func() {
+		h := c.host(r)
+		h.signal(syscall.SIGSTOP)
+		return after(d, func() { h.signal(syscall.SIGCONT) })
+	}},
+	{"host is paused for longer than a lead is waited for", func(c *cell, r *rand.Rand, _ time.Duration) func() {
+		h := c.host(r)
+		h.signal(syscall.SIGSTOP)
+		return after(9*time.Second, func() { h.signal(syscall.SIGCONT) })
+	}},
+	{"settings change", func(c *cell, r *rand.Rand, _ time.Duration) func() {
+		h := c.host(r)
+		b, err := os.ReadFile(h.file)
+		require.NoError(c.t, err)
+		require.NoError(c.t, os.WriteFile(h.file, append(b, "# changed\n"...), 0o600))
+		h.signal(syscall.SIGHUP)
+		return func() {}
+	}},
+	{"way to the store is silent", func(c *cell, r *rand.Rand, d time.Duration) func() {
+		return c.toxic(c.host(r).store, "timeout", stream(r), `"timeout":0`, d)
+	}},
+	{"way to the store is reset", func(c *cell, r *rand.Rand, d time.Duration) func() {
+		return c.toxic(c.host(r).store, "reset_peer", stream(r), `"timeout":20`, d)
+	}},
+	{"ways to the store are slow", func(c *cell, _ *rand.Rand, d time.Duration) func() {
+		var all []func()
+		for _, h := range c.hosts {
+			all = append(all, c.toxic(h.store, "latency", "downstream", `"latency":200,"jitter":50`, d))
+		}
+		return both(all...)
+	}},
+	{"callers' connections are reset", func(c *cell, r *rand.Rand, d time.Duration) func() {
+		return c.toxic(c.host(r).caller, "reset_peer", "downstream", `"timeout":30`, d/2)
+	}},
+	{"worker does not answer", func(c *cell, r *rand.Rand, d time.Duration) func() {
+		return c.toxic(c.worker(r.IntN(workers)).proxy, "timeout", stream(r), `"timeout":0`, d)
+	}},
+	{"worker answers late", func(c *cell, r *rand.Rand, d time.Duration) func() {
+		return c.toxic(c.worker(r.IntN(workers)).proxy, "latency", "downstream", `"latency":350,"jitter":300`, d)
+	}},
+	{"worker leaves orders without an answer", func(c *cell, r *rand.Rand, _ time.Duration) func() {
+		c.worker(r.IntN(workers)).DropOrders(1+r.IntN(6), r.IntN(2) == 0)
+		return func() {}
+	}},
+	{"worker crashes and comes back", func(c *cell, r *rand.Rand, _ time.Duration) func() {
+		c.crash(r.IntN(workers))
+		return func() {}
+	}},
+	{"store refuses all", func(c *cell, _ *rand.Rand, d time.Duration) func() { return c.store("", users.Busy, d) }},
+	{"store is silent", func(c *cell, _ *rand.Rand, d time.Duration) func() { return c.store("", users.Silent, d) }},
+	{"store loses its answers", func(c *cell, _ *rand.Rand, d time.Duration) func() { return c.store("", users.Lost, d/2) }},
+	{"store turns a host away", func(c *cell, r *rand.Rand, d time.Duration) func() {
+		return c.store(c.host(r).name, []users.Fault{users.Busy, users.Silent, users.Lost}[r.IntN(3)], d)
+	}},
+	{"store is down for some partitions", func(c *cell, r *rand.Rand, d time.Duration) func() {
+		f := []users.Fault{users.Busy, users.Silent}[r.IntN(2)]
+		var down []int
+		for p := range parts {
+			if r.IntN(3) == 0 {
+				down = append(down, p)
+			}
+		}
+		set := func(f users.Fault) {
+			for _, p := range down {
+				c.log.BreakPart("state", p, f)
+				c.log.BreakPart("jobs", p, f)
+			}
+		}
+		set(f)
+		return after(d, func() { set(users.None) })
+	}},
+}
+
+func (c *cell) host(r *rand.Rand) *host { return c.hosts[r.IntN(hosts)] }
+
+func stream(r *rand.Rand) string { return []string{"upstream", "downstream"}[r.IntN(2)] }
+
+func both(all ...func()) func() {
+	return func() {
+		for _, f := range all {
+			f()
+		}
+	}
+}
+
+func after(d time.Duration, f func()) func() {
+	return func() {
+		time.Sleep(d)
+		f()
+	}
+}
+
+// restart ends a host's process and begins another life of it d after its end.
+func (c *cell) restart(h *host, s syscall.Signal, d time.Duration) func() {
+	gone := h.signal(s)
+	return func() {
+		<-gone
+		time.Sleep(d)
+		path, err := binary()
+		require.NoError(c.t, err)
+		h.mu.Lock()
+		again := h.gone == gone
+		h.mu.Unlock()
+		// Two faults may have ended the same life.
+		if again {
+			h.start(c.t, path)
+		}
+	}
+}
+
+func (c *cell) store(name string, f users.Fault, d time.Duration) func() {
+	c.log.Break(name, f)
+	return after(d, func() { c.log.Break(name, users.None) })
+}
+
+// toxic disturbs what goes through a proxy.
+func (c *cell) toxic(p *toxiproxy.Proxy, kind, stream, attributes string, d time.Duration) func() {
+	name := fmt.Sprintf("%s %s %d", kind, stream, time.Now().UnixNano())
+	text := fmt.Sprintf(`{"name":%q,"type":%q,"stream":%q,"attributes":{%s}}`, name, kind, stream, attributes)
+	if !json.Valid([]byte(text)) {
+		c.t.Errorf("toxic %s", text)
+	}
+	_, err := p.Toxics.AddToxicJson(strings.NewReader(text))
+	if err != nil {
+		c.t.Errorf("toxic %s: %s", text, err)
+	}
+	return after(d, func() { _ = p.Toxics.RemoveToxic(context.Background(), name) })
+}
+
+// disturb begins a fault every few hundred milliseconds until ctx ends, and returns
+// what it did, and when.
+func (c *cell) disturb(ctx context.Context, r *rand.Rand) []string {
+	began := time.Now()
+	var said []string
+	for {
+		f, d := faults[r.IntN(len(faults))], time.Duration(300+r.IntN(4000))*time.Millisecond
+		pause := time.Duration(100+r.IntN(1500)) * time.Millisecond
+		select {
+		case <-ctx.Done():
+			return said
+		case <-time.After(pause):
+		}
+		said = append(said, fmt.Sprintf("%.3f s: %s, for %s", time.Since(began).Seconds(), f.name, d))
+		end := f.do(c, r, d)
+		c.busy.Go(end)
+	}
+}
+
+// calm ends what is left: every host runs, and nothing is broken.
+func (c *cell) calm() {
+	c.log.Break("", users.None)
+	for _, h := range c.hosts {
+		h.signal(syscall.SIGCONT)
+	}
+}
