--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -187,7 +187,8 @@
 func (h *Host) tell(ctx context.Context, w http.ResponseWriter, id string) {
 	state, known, err := h.stateOf(ctx, id)
 	switch {
-	case err != nil && h.isRecent(id), err == nil && !known && h.isRecent(id):
+	case err == nil && !known && h.isRecent(id):
+		// The lead has not heard of it yet, so nothing of it has begun.
 		reply(w, http.StatusOK, platform.StateBody(flow.Queued))
 	case err != nil:
 		h.refuse(w, http.StatusServiceUnavailable, id, "no lead answers: "+err.Error())
--- a/internal/entry/cell_test.go
+++ b/internal/entry/cell_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -94,10 +93,9 @@
 }
 
 func freePort(t *testing.T) netip.AddrPort {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := users.FreeAddr()
 	require.NoError(t, err)
-	defer ln.Close()
-	return netip.MustParseAddrPort(ln.Addr().String())
+	return addr
 }
 
 // start starts a host, or a new life of it at the same addresses.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -304,3 +304,23 @@
 	cancel()
 	<-joined
 }
+
+// A host accepted a job, another one told that it is completed, and then no lead can
+// be asked. The host does not know the job's state and must not tell an earlier one:
+// its caller would believe that a completed job waits again.
+func TestAStateThatNobodyKnowsIsNotTold(t *testing.T) {
+	c := newCell(t, 2, 2, 50*time.Millisecond)
+	lead, f := c.leader(), c.follower()
+	require.Equal(t, http.StatusOK, c.submit(f, 0).code)
+	c.finished(f, 1)
+	c.log.Break("", users.Silent)
+	lead.Kill()
+	delete(c.hosts, lead.cfg.Name)
+	for range 10 {
+		a := c.call(f.cfg.Listen.Caller, http.MethodGet, prefix+id(0), "")
+		require.Equal(t, http.StatusServiceUnavailable, a.code, a.body)
+		require.NotEmpty(t, a.header.Get("Retry-After"))
+	}
+	c.log.Break("", users.None)
+	c.finished(f, 1)
+}
--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -152,10 +151,9 @@
 }
 
 func freeAddr(t *testing.T) netip.AddrPort {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := users.FreeAddr()
 	require.NoError(t, err)
-	defer ln.Close()
-	return netip.MustParseAddrPort(ln.Addr().String())
+	return addr
 }
 
 func (c *cell) newHost(name, zone string) *host {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,7 +20,14 @@
 )
 
 // failedOnce are seeds that ever failed, each with a line on the cause.
-var failedOnce = []uint64{}
+var failedOnce = []uint64{
+	// A host that had accepted a job told it as queued while no lead could be asked,
+	// after another host had told it as completed.
+	125,
+	// An append that was tried at one partition in vain came to another one after a
+	// later append, whose records it wrote over; a completed job ran again.
+	141,
+}
 
 // calm is how long hosts have, once no fault is left, to bring every job to its end:
 // leases of 10 s run out, and a lead is given up after 8 s, one after the other.
