entry: announce a lead until it is stored, and follow the one that is found

The others asked the former lead, left the lead to the new one when the group named them, and never followed it: no host could tell a state for 90 s, and for ever.

Ruled out: the lead (its scheduler went on and finished all jobs), the store.

Change: the announcement is repeated until it is stored or the term ends; a host that finds another one leading on its way to a claim follows it.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -71,7 +71,7 @@
 		"lead: term begins.", "term", t.number, "why", why, "jobs", t.jobs, "open", t.open,
 		"fencing", t.read.Sub(began), "reading", t.began.Sub(t.read), "restoring", h.now().Sub(t.began),
 	)
-	h.announce(ctx, t.number)
+	h.announce(t)
 }
 
 // begin fences off all former leads and reads what they left.
@@ -147,6 +147,11 @@
 	}
 	h.peers.Set(name, seen.addr)
 	r, err := h.askLead(name)
+	if err == nil && r.Lead {
+		// Its announcement may be lost. Everybody would leave the lead to it, and
+		// nobody would know it; callers would be told for ever that no host leads.
+		h.setLead(leadRecord{Name: name, Addr: seen.addr, Term: r.Term})
+	}
 	return name, err == nil && (r.Lead || r.Claiming)
 }
 
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -143,3 +143,9 @@
 func (h *Host) LearnLead(name string, addr netip.AddrPort, term int64) {
 	h.setLead(leadRecord{Name: name, Addr: addr, Term: term})
 }
+
+// LeadName is the host that this one takes for the lead.
+func (h *Host) LeadName() string {
+	name, _ := h.leadNow()
+	return name
+}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"encoding/json"
 	"net/netip"
 	"time"
@@ -146,16 +145,30 @@
 	}
 }
 
-// announce tells all hosts that this one leads.
-func (h *Host) announce(ctx context.Context, term int64) {
-	l := leadRecord{Name: h.cfg.Name, Addr: h.cfg.Listen.Peer, Term: term}
+// announceAgain is the pause before an announcement without an answer is repeated.
+const announceAgain = 300 * time.Millisecond
+
+// announce tells all hosts that this one leads, and goes on until it is stored: a
+// host that never hears of it asks the former lead for ever.
+func (h *Host) announce(t *term) {
+	l := leadRecord{Name: h.cfg.Name, Addr: h.cfg.Listen.Peer, Term: t.number}
 	h.setLead(l)
 	b, err := json.Marshal(l)
 	if err != nil {
 		h.log.Error("lead: cannot be announced.", "err", err)
 		return
 	}
-	if _, err := h.store.Do(ctx, store.Call{Op: store.Append, Topic: leadTopic, Keyed: true, Records: []store.Record{{Key: leadKey, Value: b}}}); err != nil {
-		h.log.Warn("lead: announcement has no answer.", "term", term, "err", err)
-	}
+	c := store.Call{Op: store.Append, Topic: leadTopic, Keyed: true, Records: []store.Record{{Key: leadKey, Value: b}}}
+	h.wg.Go(func() {
+		for {
+			_, err := h.store.Do(t.ctx, c)
+			if err == nil || t.ctx.Err() != nil {
+				return
+			}
+			h.log.Warn("lead: announcement has no answer.", "term", t.number, "err", err)
+			if !wait(t.ctx, announceAgain) {
+				return
+			}
+		}
+	})
 }
--- a/internal/entry/heir_test.go
+++ b/internal/entry/heir_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -149,3 +150,43 @@
 	h.LearnLead(lead.cfg.Name, lead.cfg.Listen.Peer, 7)
 	require.Eventually(t, func() bool { return lead.Heard() == 1 }, settleTime, 5*time.Millisecond)
 }
+
+// The announcement of a new lead is not stored at first. The other hosts go on asking
+// the dead one, and none of them claims, since the new one says that it leads; their
+// callers would be told for ever that no host leads.
+func TestALeadIsAnnouncedUntilItIsStored(t *testing.T) {
+	c := newCell(t, 3, 2, 50*time.Millisecond)
+	c.log.BreakPart("lead", 0, users.Busy)
+	dead := c.leader()
+	dead.Kill()
+	delete(c.hosts, dead.cfg.Name)
+	require.Eventually(t, func() bool { return c.leader() != nil }, settleTime, 20*time.Millisecond)
+	c.log.BreakPart("lead", 0, users.None)
+	f := c.follower()
+	require.Equal(t, http.StatusOK, c.submit(f, 0).code)
+	c.finished(f, 1)
+}
+
+// The group names a host while another one leads of which it has not heard. It leaves
+// the lead to that one and follows it from then on.
+func TestAHostFollowsTheLeadThatItFinds(t *testing.T) {
+	c := newCell(t, 1, 1, 50*time.Millisecond)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	other := peer.NewServer(func(context.Context, peer.Message) (any, error) {
+		return peer.SyncReply{Leading: true, Lead: true, Served: true, Term: 1 << 40}, nil
+	})
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		other.Serve(ctx, ln)
+	}()
+	h := c.leader()
+	h.Kill()
+	c.log.Put("state", "!", fmt.Appendf(nil, "other %s life 1 nonce", ln.Addr()))
+	h = c.start(h.cfg.Name)
+	require.Eventually(t, func() bool { return h.LeadName() == "other" }, settleTime, 20*time.Millisecond)
+	cancel()
+	<-served
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,6 +27,9 @@
 	// An append that was tried at one partition in vain came to another one after a
 	// later append, whose records it wrote over; a completed job ran again.
 	141,
+	// The announcement of a lead had no answer. Nobody claimed beside it and nobody
+	// knew it: no host could tell a state any more.
+	121,
 }
 
 // calm is how long hosts have, once no fault is left, to bring every job to its end:
