sched: keep a cancellation that comes before its job

Cause: the core dropped a cancellation of a job that it did not know. The two may be stored by different hosts, and a new lead reads their partitions in any order; the job then ran although its caller was told that it is cancelled.

The book's write is split.

Before: TestACancellationThatComesBeforeItsJobCounts fails, the job completes.

--- a/internal/entry/book.go
+++ b/internal/entry/book.go
@@ -137,48 +137,26 @@
 
 // write appends to one partition and repeats what has no answer under the same
 // number, which the store carries out once. The slot is free again after that.
-//
-// A partition keeps the record that was written last, not the one with the newest
-// version. An append that was tried elsewhere in vain may come here after a later
-// one, and its records of the same jobs are left out: a successor would take a job
-// that is told as completed for one that runs, and run it again.
 func (b *book) write(ctx context.Context, s *slot, number int64, records []store.Record) error {
-	b.mu.Lock()
-	drops := s.drops
-	s.drops = nil
-	b.mu.Unlock()
-	var all []store.Record
-	for _, r := range records {
-		if s.stored[r.Key] < number {
-			all = append(all, r)
-		}
-	}
+	c := store.Call{Op: store.Append, Topic: stateTopic, Part: s.part, Keyed: true, Epoch: b.term, Seq: s.seq, Records: s.missing(number, records)}
+	drops := b.takeDrops(s)
 	for _, id := range drops {
-		all = append(all, store.Record{Key: id})
+		c.Records = append(c.Records, store.Record{Key: id})
 	}
-	if len(all) == 0 {
+	if len(c.Records) == 0 {
 		b.release(s)
 		return nil
 	}
-	c := store.Call{Op: store.Append, Topic: stateTopic, Part: s.part, Keyed: true, Epoch: b.term, Seq: s.seq, Records: all}
 	unsure := false
 	for {
 		_, err := b.log.Do(ctx, c)
 		switch {
 		case err == nil:
-			s.seq++
-			for _, r := range all {
-				s.stored[r.Key] = max(s.stored[r.Key], number)
-			}
-			for _, id := range drops {
-				delete(s.stored, id)
-			}
+			s.wrote(number, c.Records)
 			b.release(s)
 			return nil
 		case store.NotDone(err) && !unsure:
-			b.mu.Lock()
-			s.drops = append(drops, s.drops...)
-			b.mu.Unlock()
+			b.putDrops(s, drops)
 			b.release(s)
 			return err
 		case !store.Away(err):
@@ -192,6 +170,46 @@
 	}
 }
 
+// missing leaves out the records of which the partition holds a newer one. It keeps
+// what was written last, not what has the newest version, and an append that was
+// tried elsewhere in vain may come here after a later one. A successor would take a
+// job that is told as completed for one that runs, and run it again.
+func (s *slot) missing(number int64, records []store.Record) []store.Record {
+	var all []store.Record
+	for _, r := range records {
+		if s.stored[r.Key] < number {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+// wrote notes what the append of that number left in the partition.
+func (s *slot) wrote(number int64, records []store.Record) {
+	s.seq++
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			delete(s.stored, r.Key)
+			continue
+		}
+		s.stored[r.Key] = number
+	}
+}
+
+func (b *book) takeDrops(s *slot) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	drops := s.drops
+	s.drops = nil
+	return drops
+}
+
+func (b *book) putDrops(s *slot, drops []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s.drops = append(drops, s.drops...)
+}
+
 // drop forgets a job's progress in all partitions, with what is appended there next.
 func (b *book) drop(ctx context.Context, id string) {
 	b.mu.Lock()
@@ -205,6 +223,11 @@
 	}
 	b.mu.Unlock()
 	for _, s := range full {
-		b.wg.Go(func() { _ = b.write(ctx, s, 0, nil) })
+		b.wg.Go(func() {
+			if err := b.write(ctx, s, 0, nil); err != nil {
+				// They stay for the next append there.
+				b.lines.Warn("lead: ended jobs are not dropped.", "part", s.part, "err", err)
+			}
+		})
 	}
 }
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -12,11 +12,23 @@
 	j.Begin(s.now)
 	s.touch(j)
 	s.do(Note{ID: spec.ID, What: "queued", Detail: spec.Queue.Name})
+	if _, ok := s.cancels[spec.ID]; ok {
+		delete(s.cancels, spec.ID)
+		s.cancel(spec.ID)
+	}
 }
 
+// cancel stops a job. It may be heard of before the job itself, since the two may be
+// stored by different hosts; dropped then, the job would run although its caller was
+// told that it is cancelled.
 func (s *Sched) cancel(id string) {
 	j, ok := s.jobs[id]
-	if !ok || j.State.Final() {
+	switch {
+	case !ok:
+		s.cancels[id] = s.now
+		s.do(Note{ID: id, What: "cancelled before it is known"})
+		return
+	case j.State.Final():
 		return
 	}
 	s.do(Note{ID: id, What: "cancelled by its caller"})
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -326,3 +326,18 @@
 	require.Equal(t, flow.Completed, b.state("b"))
 	require.Empty(t, b.wrongs)
 }
+
+// A job is accepted at one host and cancelled at another, while the lead changes. The
+// next lead hears of the cancellation first. Its caller was told that the job is
+// cancelled, so no task of it may start.
+func TestACancellationThatComesBeforeItsJobCounts(t *testing.T) {
+	b := newBench(t, 3)
+	b.play(100 * time.Millisecond)
+	b.cancel("a")
+	b.play(50 * time.Millisecond)
+	b.submit("a", "scan", scan(2), scan(1))
+	b.play(3 * time.Second)
+	require.Equal(t, flow.Cancelled, b.state("a"))
+	require.Empty(t, b.starts)
+	require.Empty(t, b.wrongs)
+}
