--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -124,11 +124,11 @@
 	for n, a := range h.hosts {
 		hosts[n] = a.String()
 	}
-	claiming, leaving, heir, enough := h.claiming, h.leaving, h.heirName, h.enoughPower()
+	claiming, leaving, successor, enough := h.claiming, h.leaving, h.successor, h.enoughPower()
 	h.mu.Unlock()
 	served := h.store.Fresh(leadFresh)
 	if t == nil || !served {
-		return peer.SyncReply{Leading: t != nil, Claiming: claiming, Leaving: leaving, Served: served, Heir: heir}
+		return peer.SyncReply{Leading: t != nil, Claiming: claiming, Leaving: leaving, Served: served, Successor: successor}
 	}
 	pending := t.pending()
 	return peer.SyncReply{Leading: true, Lead: true, Leaving: leaving, Served: true, Enough: enough, Term: t.number, Pending: pending, Hosts: hosts}
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -45,7 +45,7 @@
 	busy := h.leading != nil || h.leaving
 	h.claiming = !busy
 	if !busy {
-		h.heirName = ""
+		h.successor = ""
 	}
 	h.mu.Unlock()
 	if busy {
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -44,7 +44,7 @@
 	Began time.Time
 }
 
-// ByPower orders hosts as heirs.
+// ByPower orders hosts as successors.
 func ByPower(seen map[string]Sighting) []string {
 	all := map[string]sighting{}
 	for n, s := range seen {
@@ -54,7 +54,7 @@
 }
 
 // Heard is how many other hosts were heard of lately.
-func (h *Host) Heard() int { return len(h.heirs()) }
+func (h *Host) Heard() int { return len(h.successors()) }
 
 // Know names the address of a peer.
 func (h *Host) Know(name, addr string) { h.peers.Set(name, netip.MustParseAddrPort(addr)) }
@@ -69,18 +69,18 @@
 // StandsReady tells whether the host may be named to lead.
 func (h *Host) StandsReady() bool { return h.candidate() }
 
-// Book is the writer of progress.
-type Book struct{ *book }
+// Journal is the writer of progress.
+type Journal struct{ *journal }
 
-// NewBook returns a writer whose term has claimed the partitions.
-func NewBook(t *testing.T, log store.Log, term int64, parts []int) *Book {
+// NewJournal returns a writer whose term has claimed the partitions.
+func NewJournal(t *testing.T, log store.Log, term int64, parts []int) *Journal {
 	wg := &sync.WaitGroup{}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() {
 		cancel()
 		wg.Wait()
 	})
-	return &Book{newBook(until{log, ctx}, slog.New(slog.DiscardHandler), wg, term, parts)}
+	return &Journal{newJournal(until{log, ctx}, slog.New(slog.DiscardHandler), wg, term, parts)}
 }
 
 // until ends calls with the test.
@@ -98,12 +98,12 @@
 }
 
 // Append stores the records of an append.
-func (b *Book) Append(ctx context.Context, number int64, records []store.Record, patience time.Duration) error {
+func (b *Journal) Append(ctx context.Context, number int64, records []store.Record, patience time.Duration) error {
 	return b.append(ctx, number, records, patience)
 }
 
 // Drop forgets a job.
-func (b *Book) Drop(ctx context.Context, id string) { b.drop(ctx, id) }
+func (b *Journal) Drop(ctx context.Context, id string) { b.drop(ctx, id) }
 
 // JobsPart is the partition to which the host appends jobs first.
 func (h *Host) JobsPart() int { return h.inbox.parts[0] }
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -15,10 +15,10 @@
 const (
 	// group is the group of the hosts that stand ready to lead. Whoever holds the
 	// first partition of leadTopic should: it says who tries, never who may. Other
-	// hosts are in bystanders, which says nothing; being in one of the two shows a
+	// hosts are in observers, which says nothing; being in one of the two shows a
 	// host that the store serves it.
-	group      = "hosts"
-	bystanders = "others"
+	group     = "hosts"
+	observers = "others"
 	// joinEvery and joinTTL keep a host in its group: a host that is gone is
 	// noticed within joinTTL and a joinEvery, for a tenth of a call each.
 	joinEvery = 200 * time.Millisecond
@@ -111,7 +111,7 @@
 	h.leaveFormer()
 	in, generation := "", int64(0)
 	for h.ctx.Err() == nil {
-		should := bystanders
+		should := observers
 		if h.candidate() {
 			should = group
 		}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -71,8 +71,8 @@
 	// tries to; claiming tells of the latter.
 	looking, claims   sync.Mutex
 	claiming, leaving bool
-	// heirName is the host that this one asked to lead in its place.
-	heirName string
+	// successor is the host that this one asked to lead in its place.
+	successor string
 	// recent are the jobs that this host accepted lately, seen the hosts that asked
 	// it.
 	recent map[string]time.Time
--- a/internal/entry/book_test.go
+++ b/internal/entry/journal_test.go
@@ -22,9 +22,9 @@
 // patience of the tests' appends; a partition that works answers at once.
 const patience = 30 * time.Millisecond
 
-func newBook(t *testing.T, term int64) (*users.Log, *entry.Book) {
+func newJournal(t *testing.T, term int64) (*users.Log, *entry.Journal) {
 	log := users.NewLog(16, time.Now)
-	b := entry.NewBook(t, log.For("lead"), term, []int{0, 5, 10})
+	b := entry.NewJournal(t, log.For("lead"), term, []int{0, 5, 10})
 	for _, p := range []int{0, 5, 10} {
 		claim(t, log, p, term)
 	}
@@ -65,7 +65,7 @@
 // nothing would start until it is back, and every job would be late.
 func TestAPartitionThatIsDownStopsNothing(t *testing.T) {
 	for _, fault := range []users.Fault{users.Busy, users.Silent, users.Lost} {
-		log, b := newBook(t, 7)
+		log, b := newJournal(t, 7)
 		require.NoError(t, b.Append(t.Context(), next(), record("a", "1"), patience))
 		require.Equal(t, map[string]string{"a": "1"}, newest(t, log, 0))
 		log.BreakPart("state", 0, fault)
@@ -86,7 +86,7 @@
 // store nothing any more; its successor has read them all by then.
 func TestASuccessorFencesEveryPartition(t *testing.T) {
 	for _, down := range []int{0, 5} {
-		log, b := newBook(t, 7)
+		log, b := newJournal(t, 7)
 		for _, p := range []int{0, 5, 10} {
 			claim(t, log, p, 8)
 		}
@@ -102,7 +102,7 @@
 
 // While every partition is away the append waits and is not lost.
 func TestAnAppendWaitsForAnyPartition(t *testing.T) {
-	log, b := newBook(t, 7)
+	log, b := newJournal(t, 7)
 	for _, p := range []int{0, 5, 10} {
 		log.BreakPart("state", p, users.Busy)
 	}
@@ -125,7 +125,7 @@
 // An ended job is forgotten in every partition that may hold its record. Left in
 // one, it would be read as the newest once the others are gone.
 func TestAForgottenJobIsDroppedEverywhere(t *testing.T) {
-	log, b := newBook(t, 7)
+	log, b := newJournal(t, 7)
 	require.NoError(t, b.Append(t.Context(), next(), record("a", "1"), patience))
 	log.BreakPart("state", 0, users.Busy)
 	require.NoError(t, b.Append(t.Context(), next(), record("a", "2"), patience))
@@ -239,7 +239,7 @@
 func TestTheNewestRecordIsNeverWrittenOver(t *testing.T) {
 	for seed := range uint64(8) {
 		r := rand.New(rand.NewPCG(seed, 0))
-		log, b := newBook(t, 7)
+		log, b := newJournal(t, 7)
 		keys := []string{"a", "b", "c"}
 		var mu sync.Mutex
 		told := map[string]int64{}
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -101,11 +101,11 @@
 }
 
 // leads asks a host whether it leads and is served by the store, or is about to;
-// of one that left, whether its heir does.
+// of one that left, whether its successor does.
 func (h *Host) leads(name string) bool {
 	r, err := h.askLead(name)
-	if err == nil && r.Heir != "" {
-		r, err = h.askLead(r.Heir)
+	if err == nil && r.Successor != "" {
+		r, err = h.askLead(r.Successor)
 	}
 	return err == nil && (r.Lead || r.Claiming)
 }
--- a/internal/entry/heir.go
+++ b/internal/entry/succession.go
@@ -22,10 +22,10 @@
 	delegateEvery = 15 * time.Second
 )
 
-// succeed takes over from a lead that leaves, or lets its heir do so.
+// succeed takes over from a lead that leaves, or lets its successor do so.
 func (h *Host) succeed(m peer.Succeed) {
-	if m.Heir != h.cfg.Name {
-		h.follower(m.Heir, m.Term)
+	if m.Successor != h.cfg.Name {
+		h.follower(m.Successor, m.Term)
 		return
 	}
 	bounds := make(map[string]time.Duration, len(m.Bounds))
@@ -45,40 +45,41 @@
 	ctx, cancel := context.WithTimeout(h.ctx, time.Second)
 	defer cancel()
 	if t != nil {
-		// It leads on while an heir is looked for.
-		heir := h.able(ctx, h.heirs())
+		// It leads on while a successor is looked for.
+		successor := h.able(ctx, h.successors())
 		t.end("planned stop")
-		h.tellHeir(ctx, heir, t.succeed())
+		h.tellSuccessor(ctx, successor, t.succeed())
 	}
 	h.leaveGroup(group)
 }
 
-// tellHeir tells all hosts, the heir first, who is to lead now. The others are told
-// at once: one in a failure domain that is cut off would use up the time of all.
-func (h *Host) tellHeir(ctx context.Context, heir string, succeed peer.Succeed) {
-	succeed.Heir = heir
+// tellSuccessor tells all hosts, the successor first, who is to lead now. The others
+// are told at once: one in a failure domain that is cut off would use up the time of
+// all.
+func (h *Host) tellSuccessor(ctx context.Context, successor string, succeed peer.Succeed) {
+	succeed.Successor = successor
 	h.mu.Lock()
-	h.heirName = heir
+	h.successor = successor
 	h.mu.Unlock()
 	tell := func(p string) {
 		if err := h.peers.Tell(ctx, p, succeed); err != nil {
-			h.log.Warn("entry: peer was not told of the heir.", "peer", p, "err", err)
+			h.log.Warn("entry: peer was not told of the successor.", "peer", p, "err", err)
 		}
 	}
-	if heir != "" {
-		tell(heir)
+	if successor != "" {
+		tell(successor)
 	}
 	var wg sync.WaitGroup
 	for _, p := range h.others() {
-		if p != heir {
+		if p != successor {
 			wg.Go(func() { tell(p) })
 		}
 	}
 	wg.Wait()
 }
 
-// heirWait bounds the question whether a host can lead.
-const heirWait = 150 * time.Millisecond
+// successorWait bounds the question whether a host can lead.
+const successorWait = 150 * time.Millisecond
 
 // able is the first of the hosts that answers, is served by the store and does not
 // leave; empty if there is none.
@@ -87,7 +88,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		ask, cancel := context.WithTimeout(ctx, heirWait)
+		ask, cancel := context.WithTimeout(ctx, successorWait)
 		var r peer.SyncReply
 		err := h.peers.Ask(ask, p, h.syncMessage(), &r)
 		cancel()
@@ -98,8 +99,8 @@
 	return ""
 }
 
-// heirs lists the other hosts that were heard of lately, the best heir first.
-func (h *Host) heirs() []string {
+// successors lists the other hosts that were heard of lately, the best successor first.
+func (h *Host) successors() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	lately := map[string]sighting{}
@@ -137,12 +138,12 @@
 		return
 	}
 	t.end("a stronger host leads")
-	h.tellHeir(ctx, best, t.succeed())
+	h.tellSuccessor(ctx, best, t.succeed())
 }
 
 // strongerHosts lists the hosts that should lead in place of this one.
 func (h *Host) strongerHosts() []string {
-	all := h.heirs()
+	all := h.successors()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return slices.DeleteFunc(all, func(n string) bool { return h.seen[n].power < h.cfg.Power*stronger })
@@ -170,7 +171,7 @@
 	h.delegated = h.now()
 	h.mu.Unlock()
 	h.log.Info("lead: left to a stronger host.", "host", best)
-	h.tellHeir(ctx, best, peer.Succeed{Term: term})
+	h.tellSuccessor(ctx, best, peer.Succeed{Term: term})
 	h.follower(best, term)
 	return true
 }
--- a/internal/entry/heir_test.go
+++ b/internal/entry/succession_test.go
@@ -22,7 +22,7 @@
 // reads, and again when it leaves the lead to a strong one; if one took over that
 // is stopped next, again. Callers would see their jobs late three times in a row.
 // The pattern is that of a rolling restart of a grown site.
-func TestTheStrongestAndYoungestHostIsTheHeir(t *testing.T) {
+func TestTheStrongestAndYoungestHostIsTheSuccessor(t *testing.T) {
 	at := time.Unix(1000, 0)
 	seen := map[string]entry.Sighting{
 		"weak":      {Power: 0.192, Began: at.Add(time.Hour)},
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -28,11 +28,11 @@
 	cancel     context.CancelFunc
 	kick       chan struct{}
 
-	mu     sync.Mutex
-	core   *sched.Sched
-	over   bool
-	book   *book
-	orders *orders
+	mu      sync.Mutex
+	core    *sched.Sched
+	over    bool
+	journal *journal
+	orders  *orders
 	// next is by partition the first offset of jobsTopic that was not taken.
 	next []int64
 	// polled is when the last look through all partitions began.
@@ -72,7 +72,7 @@
 	t := &term{
 		h: h, number: number, read: read, began: began, polled: read, jobs: len(r.jobs) + len(r.fresh), open: len(r.fresh),
 		kick: make(chan struct{}, 1), next: next, where: map[string]map[int]bool{}, listed: map[string]sched.Worker{},
-		core: sched.New(limits, number, r.jobs), book: newBook(h.store, h.log, &h.wg, number, h.stateParts()), orders: newOrders(),
+		core: sched.New(limits, number, r.jobs), journal: newJournal(h.store, h.log, &h.wg, number, h.stateParts()), orders: newOrders(),
 	}
 	for _, j := range r.jobs {
 		if !j.State.Final() {
@@ -242,7 +242,7 @@
 	for i, ch := range a.Changes {
 		records[i] = store.Record{Key: ch.Key, Value: ch.Value}
 	}
-	err := t.book.append(t.ctx, a.Number, records, t.h.spreadPatience())
+	err := t.journal.append(t.ctx, a.Number, records, t.h.spreadPatience())
 	switch {
 	case err == nil:
 		t.step(sched.Appended{Number: a.Number})
@@ -266,7 +266,7 @@
 			return
 		}
 	}
-	t.book.drop(t.ctx, id)
+	t.journal.drop(t.ctx, id)
 }
 
 // ticks steps the core when it is due, and gives up a term that the store does
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -21,7 +21,7 @@
 // Beat is a heartbeat; it has no answer.
 type Beat struct{ member.Beat }
 
-// Relay asks to run a request on the peer's slots; the answer is a call.Reply.
+// Relay asks to run a request on the peer's writers; the answer is a call.Reply.
 // Left is how long the caller still waits: the deadline itself would be wrong
 // by as much as the clocks of the two hosts differ.
 type Relay struct {
@@ -76,7 +76,7 @@
 	Notes []trail.Note `json:",omitempty"`
 }
 
-// Slots tells what a host says of the shares of slots; it has no answer.
+// Slots tells what a host says of the shares of writers; it has no answer.
 type Slots struct {
 	share.Word
 	// Leaving names backend servers that told the sender that they leave.
@@ -111,7 +111,7 @@
 func (AskTrail) method() string  { return "trail" }
 func (CancelJob) method() string { return "cancel" }
 func (Keep) method() string      { return "keep" }
-func (Slots) method() string     { return "slots" }
+func (Slots) method() string     { return "writers" }
 func (Records) method() string   { return "records" }
 func (Listed) method() string    { return "listed" }
 func (Leave) method() string     { return "leave" }
@@ -201,8 +201,8 @@
 	Claiming bool
 	Leaving  bool
 	Served   bool
-	// Heir is the host that was asked to lead when this one left.
-	Heir string
+	// Successor is the host that was asked to lead when this one left.
+	Successor string
 	// Enough is a power that enough hosts have: much weaker ones need not stand
 	// ready to lead.
 	Enough  float64
@@ -234,13 +234,13 @@
 	Number int64 `json:",omitempty"`
 }
 
-// Succeed tells all hosts that the sender leaves and that Heir is to take over;
+// Succeed tells all hosts that the sender leaves and that Successor is to take over;
 // it has no answer. Bounds tell of each worker that does not answer how much longer
 // anything may run there.
 type Succeed struct {
-	Term   int64
-	Heir   string
-	Bounds map[string]cell.Duration
+	Term      int64
+	Successor string
+	Bounds    map[string]cell.Duration
 }
 
 func (Hand) method() string      { return "hand" }
