--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -16,7 +16,7 @@
 	"pollencroft/internal/standin/users"
 )
 
-// fault is one disturbance; it lasts for d and ends what it began.
+// fault is one thing that goes wrong, for d; what it returns ends it.
 type fault struct {
 	name string
 	do   func(c *cell, r *rand.Rand, d time.Duration) func()
