--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -30,25 +29,6 @@
 	until time.Time
 }
 
-// host is an entry host that can ask the policy service, which takes one
-// question of each host at a time.
-type host struct {
-	// busy is until when the questions that it was given take; long tells of one
-	// for a queue that is not the most urgent.
-	busy time.Time
-	long bool
-	// bad is until when it is not asked because a question failed there, and rest
-	// how long that was.
-	bad  time.Time
-	rest time.Duration
-}
-
-func (h *host) failed(now time.Time) {
-	h.rest = min(max(2*h.rest, restAfter), mostRest)
-	h.bad = now.Add(h.rest)
-	h.busy = now
-}
-
 const (
 	// margin is how long before a ticket runs out it is used no more: a start
 	// has to be stored and sent in that time.
@@ -65,31 +45,8 @@
 	// rateWeight the weight of a new measurement.
 	firstRate  = 0.5
 	rateWeight = 0.1
-	// urgentHosts is the share of the hosts that is kept free of long questions.
-	urgentHosts = 0.4
-	// mostAhead is how much work a host may have ahead of a question: what comes later
-	// waits for whichever host is free first. The service turns away the 33rd question
-	// of a host, and 32 urgent ones take a second.
-	mostAhead = 250 * time.Millisecond
-	// restAfter is how long a host whose question failed gets none; it doubles up
-	// to mostRest while they go on failing.
-	restAfter = time.Second
-	mostRest  = 4 * time.Second
 )
 
-func (s *Sched) setHosts(ev Hosts) {
-	for _, n := range ev.Names {
-		if _, ok := s.hosts[n]; !ok {
-			s.hosts[n] = &host{}
-		}
-	}
-	for n := range s.hosts {
-		if !slices.Contains(ev.Names, n) {
-			delete(s.hosts, n)
-		}
-	}
-}
-
 // ticket returns the ticket with which a task may start on a worker; false if
 // there is none that holds. Queues without advice need none.
 func (s *Sched) ticket(t *flow.Task, w *worker) (string, bool) {
@@ -237,56 +194,6 @@
 	return int(max(n, 1))
 }
 
-// long tells whether a queue is not among the most urgent ones.
-func (s *Sched) long(q flow.Queue) bool {
-	for _, other := range s.queues {
-		if other.Rank < q.Rank {
-			return true
-		}
-	}
-	return false
-}
-
-// askableNow is askable, which gives the same answer to all queues of a kind
-// until a pass has found no host: a backlog of a thousand steps asks once.
-func (s *Sched) askableNow(q flow.Queue) string {
-	kind := 0
-	if s.long(q) {
-		kind = 1
-	}
-	if s.unaskable[kind] {
-		return ""
-	}
-	name := s.askable(q)
-	s.unaskable[kind] = name == ""
-	return name
-}
-
-// askable chooses the host for a question; none if all would keep it waiting.
-// Long questions go to idle hosts only, and never to all: an urgent one would
-// wait behind them at every host.
-func (s *Sched) askable(q flow.Queue) string {
-	long := s.long(q)
-	busy := 0
-	best := ""
-	for n, h := range s.hosts {
-		if h.long && h.busy.After(s.now) {
-			busy++
-		}
-		if s.now.Before(h.bad) || long && h.busy.After(s.now) || h.busy.Sub(s.now) > mostAhead {
-			continue
-		}
-		if best == "" || h.busy.Before(s.hosts[best].busy) || h.busy.Equal(s.hosts[best].busy) && n < best {
-			best = n
-		}
-	}
-	most := max(len(s.hosts)-int(math.Ceil(urgentHosts*float64(len(s.hosts)))), 1)
-	if long && busy >= most {
-		return ""
-	}
-	return best
-}
-
 func (s *Sched) advised(ev Advised) {
 	for _, st := range s.asked() {
 		a := s.advice[st]
