sched: keep hosts free of long questions by what urgent ones take

Cause: 0.4 of the hosts were kept free of long questions whatever the urgent ones took. On the new deployment those took half a host of nine, and gangs kept the other five busy; of bulk steps nobody asked the policy service, with a third of the GPUs free. Change: kept are one and two for each host that urgent questions keep busy, averaged over 2 s, and 0.4 of them at the most.

--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -30,7 +30,9 @@
 	hosts   map[string]*host
 	advice  map[*flow.Stage]*advice
 	rates   map[string]float64
-	stops   map[runKey]*stop
+	// urgent is what the questions of the most urgent queues take of the hosts.
+	urgent usage
+	stops  map[runKey]*stop
 	// cancels are when jobs that are not known yet were cancelled.
 	cancels map[string]time.Time
 	// dirty are jobs whose progress is not in an append yet.
