sched: bound what is asked by the room that questions claim

Cause: a step was asked about only if all that waited before it, in processors, left room. Gangs that waited for GPUs took all processors in that sum, and single GPUs stayed free while a hundred steps that wanted one were never asked about. Change: a question under way claims the room that its answer is likely to take, worker by worker and in every resource, for that pass; whoever comes later may ask about the rest. A gang is asked about only if what may be allowed would hold all its members.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -69,6 +69,11 @@
 	return Size{CPU: s.CPU - o.CPU, Mem: s.Mem - o.Mem, Accel: s.Accel - o.Accel}
 }
 
+// Times returns a part of s, or a multiple.
+func (s Size) Times(f float64) Size {
+	return Size{CPU: int64(f * float64(s.CPU)), Mem: int64(f * float64(s.Mem)), Accel: int64(f * float64(s.Accel))}
+}
+
 // Fits tells whether s goes into room in every part.
 func (s Size) Fits(room Size) bool {
 	return s.CPU <= room.CPU && s.Mem <= room.Mem && s.Accel <= room.Accel
--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -36,6 +36,10 @@
 	// overdue is how long after its expected time a question is given up: the
 	// service is punctual, and what is late is lost in a cut or at a busy host.
 	overdue = 500 * time.Millisecond
+	// lookAgain is the pause after no worker was found worth asking about for a step
+	// that is not of the most urgent kind: a backlog of thousands would be looked
+	// through, worker by worker, in every pass.
+	lookAgain = 100 * time.Millisecond
 	// mostNamed is how many workers one question may name.
 	mostNamed = 100
 	// spare is by how much more workers are named than the tasks need by the
@@ -98,7 +102,11 @@
 		a = &advice{good: map[string]ticket{}, bad: map[string]bool{}}
 		s.advice[r.stage] = a
 	}
-	if !a.asked.IsZero() || s.now.Before(a.again) {
+	if !a.asked.IsZero() {
+		s.claim(r, a)
+		return
+	}
+	if s.now.Before(a.again) || p.lacks(r.stage.Spec.Room()) {
 		return
 	}
 	name := s.askableNow(r.queue)
@@ -107,6 +115,9 @@
 	}
 	named := s.worthNaming(r, a, p, n)
 	if len(named) == 0 {
+		if s.long(r.queue) {
+			a.again = s.now.Add(lookAgain)
+		}
 		return
 	}
 	cost := r.queue.Advice.Cost(len(named))
@@ -121,9 +132,35 @@
 	}
 	a.asked, a.host, a.named, a.gives = s.now, name, named, h.busy.Add(overdue)
 	a.valid, a.queue = r.queue.Advice.Valid, r.queue.Name
+	s.claim(r, a)
 	s.do(Ask{Host: name, Step: r.stage.Tasks[0].Name.StepName(), Workers: named, Within: a.gives.Sub(s.now)})
 }
 
+// claim books the room that the answer of a step's question is likely to take, so that
+// nobody asks for a later step about the same hole.
+func (s *Sched) claim(r ready, a *advice) {
+	room := r.stage.Spec.Room()
+	for _, life := range a.named {
+		w, ok := s.workers[life]
+		if !ok || !room.Fits(w.free()) {
+			continue
+		}
+		part := s.rate(r.queue)
+		if _, known := a.good[life]; known {
+			part = 1
+		}
+		w.claimed = w.claimed.Add(room.Times(part * float64(r.hold(w))))
+	}
+}
+
+// rate is the measured share of workers that may run a step of a queue.
+func (s *Sched) rate(q flow.Queue) float64 {
+	if rate, ok := s.rates[q.Name]; ok {
+		return rate
+	}
+	return firstRate
+}
+
 // candidate is a worker that may be named in a question.
 type candidate struct {
 	life string
@@ -148,22 +185,32 @@
 // best first, and as many as the tasks need.
 func (s *Sched) worthNaming(r ready, a *advice, p *pool, n int) []string {
 	var all []candidate
+	room, some, most := r.stage.Spec.Room(), false, 0
 	for _, w := range p.workers {
-		if a.bad[w.Life] || !s.fits(r, r.tasks[0], w) {
+		if !room.Fits(w.free().Sub(w.claimed)) {
+			continue
+		}
+		some = true
+		if a.bad[w.Life] || !s.suits(r, r.tasks[0], w) {
 			continue
 		}
 		got, known := a.good[w.Life]
+		most += r.hold(w)
 		if known && s.now.Before(got.until) {
 			// It has a ticket and was passed over for another reason.
 			continue
 		}
 		all = append(all, candidate{life: w.Life, tasks: r.hold(w), known: known, cost: s.cost(r, w)})
 	}
-	slices.SortStableFunc(all, candidate.compare)
-	rate, ok := s.rates[r.queue.Name]
-	if !ok {
-		rate = firstRate
+	if !some {
+		p.none = append(p.none, room)
+	}
+	if r.stage.Spec.Gang && most < n {
+		// It could not start whatever the answer is.
+		return nil
 	}
+	slices.SortStableFunc(all, candidate.compare)
+	rate := s.rate(r.queue)
 	want := float64(n) * spare
 	var named []string
 	for _, c := range all {
@@ -191,6 +238,9 @@
 	if room.Mem > 0 {
 		n = min(n, free.Mem/room.Mem)
 	}
+	if room.Accel > 0 {
+		n = min(n, free.Accel/room.Accel)
+	}
 	if st.Apart > 0 {
 		n = min(n, int64(st.Apart-w.count(r.stage)))
 	}
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -17,8 +17,7 @@
 		return
 	}
 	need := r.stage.Spec.Room().CPU * int64(len(tasks))
-	if need > p.free-keep {
-		p.free -= need
+	if keep > 0 && need > p.left-keep {
 		return
 	}
 	var put []*worker
@@ -29,7 +28,6 @@
 		if r.queue.Advice != nil {
 			s.consider(r, p, len(tasks))
 		}
-		p.free -= need
 		return
 	}
 	run, saved := 0, ""
@@ -41,6 +39,7 @@
 		t.Saved = saved
 		s.assign(t, put[i], run+1)
 	}
+	p.left -= need
 }
 
 // gangRoom finds a worker for each member; nil if there is not room for all.
--- /dev/null
+++ b/internal/sched/gpu_test.go
@@ -0,0 +1,70 @@
+package sched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/cell"
+	"pollencroft/internal/flow"
+	"pollencroft/internal/sched"
+)
+
+// gpuBench is a cell of workers with eight GPUs and two queues whose steps the policy
+// service has to allow: render, of gangs that want up to a whole worker for each member,
+// and size, of single GPUs, which is less urgent. Costs of questions and shares of allowed
+// workers are those of an inspection firm's sheet.
+func gpuBench(t *testing.T, workers int) *cellBench {
+	b := newBench(t, workers)
+	for _, w := range b.workers {
+		w.info.Size = cell.Size{CPU: 128_000, Mem: 512 << 30, Accel: 8}
+	}
+	b.list()
+	b.queues = []flow.Queue{
+		{
+			Name: "render", Service: "pass", Rank: 1, Attempts: 3, Stretch: 2.2, Slack: time.Second,
+			Advice: &flow.Advice{Base: 490 * time.Millisecond, Each: 7 * time.Millisecond, Valid: 2 * time.Second},
+		},
+		{
+			Name: "size", Service: "pass", Rank: 2, Attempts: 3, Stretch: 4, Slack: 3 * time.Second,
+			Advice: &flow.Advice{Base: 140 * time.Millisecond, Each: 2 * time.Millisecond, Valid: 2 * time.Second},
+		},
+	}
+	b.step(sched.Queues{Version: 2, All: b.queues})
+	return b
+}
+
+func render(members int, gpus int64) flow.Step {
+	return flow.Step{Tasks: members, Size: cell.Size{CPU: 62_000, Mem: 180 << 30, Accel: gpus}, Time: 3600 * time.Millisecond, Gang: true, Saves: true}
+}
+
+func size(tasks int) flow.Step {
+	return flow.Step{Tasks: tasks, Size: cell.Size{CPU: 11_000, Mem: 33 << 30, Accel: 1}, Time: 3800 * time.Millisecond, Saves: true}
+}
+
+// Gangs wait for whole workers that the policy service allows them, and there are more
+// of them than all processors could hold. Steps of single GPUs that other workers have
+// room for start all the same. When what waits before them was taken from the room that
+// may be asked about, nobody asked for them: at an inspection firm's measured load 100
+// tasks waited half a minute beside a third of all GPUs.
+func TestStepsThatCannotStartDoNotHideOthers(t *testing.T) {
+	b := gpuBench(t, 8)
+	gangs := map[string]bool{}
+	b.policy = func(step, worker string) bool {
+		if gangs[step] {
+			return worker == "w00"
+		}
+		return true
+	}
+	for i := range 12 {
+		id := fmt.Sprintf("gang%02d", i)
+		gangs[id+".0.0"] = true
+		b.submit(id, "render", render(2, 8))
+	}
+	b.submit("size", "size", size(8))
+	b.play(18 * time.Second) // what a caller of size is promised
+	require.Equal(t, flow.Completed, b.state("size"))
+	require.Empty(t, b.wrongs)
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -69,10 +69,15 @@
 // pool is the room of one service in one pass.
 type pool struct {
 	workers []*worker
-	whole   int64
-	// free is what is left after all that stand before in the queue have what
-	// they wait for; it bounds what is asked of the policy service ahead.
-	free int64
+	// whole are the processors of all, left those that are free now.
+	whole, left int64
+	// none are rooms that no worker has any more in this pass.
+	none []cell.Size
+}
+
+// lacks tells whether it was seen in this pass that no worker has so much room.
+func (p *pool) lacks(room cell.Size) bool {
+	return slices.ContainsFunc(p.none, func(n cell.Size) bool { return n.Fits(room) })
 }
 
 func (s *Sched) pools() map[string]*pool {
@@ -88,7 +93,8 @@
 		}
 		p.workers = append(p.workers, w)
 		p.whole += w.Size.CPU
-		p.free += max(w.free().CPU, 0)
+		p.left += max(w.free().CPU, 0)
+		w.claimed = cell.Size{}
 	}
 	return all
 }
@@ -129,28 +135,18 @@
 	left := r.tasks
 	// Without a ticket no worker may have it: a backlog of such steps is passed over
 	// without looking at a single worker.
-	for len(left) > 0 && s.ticketed(r) && (keep == 0 || p.room() >= keep+need) {
+	for len(left) > 0 && s.ticketed(r) && (keep == 0 || p.left >= keep+need) {
 		w := s.best(r, left[0], p.workers)
 		if w == nil {
 			break
 		}
 		s.assign(left[0], w, left[0].Run+1)
+		p.left -= need
 		left = left[1:]
 	}
-	p.free -= int64(len(r.tasks)-len(left)) * need
-	if len(left) > 0 && r.queue.Advice != nil && p.free-keep >= need {
+	if len(left) > 0 && r.queue.Advice != nil && p.left-keep >= need {
 		s.consider(r, p, len(left))
 	}
-	p.free -= int64(len(left)) * need
-}
-
-// room is what is free now.
-func (p *pool) room() int64 {
-	var n int64
-	for _, w := range p.workers {
-		n += max(w.free().CPU, 0)
-	}
-	return n
 }
 
 // best is the worker that a task fits best; nil if none may have it.
@@ -173,10 +169,13 @@
 
 // fits tells whether a worker has room for a task and may run it, tickets aside.
 func (s *Sched) fits(r ready, t *flow.Task, w *worker) bool {
+	return r.stage.Spec.Room().Fits(w.free()) && s.suits(r, t, w)
+}
+
+// suits tells whether a worker may run a task once it has room, tickets aside.
+func (s *Sched) suits(r ready, t *flow.Task, w *worker) bool {
 	st := r.stage.Spec
 	switch {
-	case !st.Room().Fits(w.free()):
-		return false
 	case s.now.Before(w.full) || !w.health.open(s.now, len(w.tasks)):
 		return false
 	case st.Label != "" && !slices.Contains(w.Labels, st.Label):
