sched: name more workers in a question while that is nearly free

Cause: a question named as many workers as the tasks need by the usual share of allowed ones. A gang asked three or four times, half a second of a host each, until it knew one that it may use. Change: a question may take a quarter longer to name workers beyond that, without room too; the answer is for good. It still claims only the room that the tasks need.

--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -45,6 +45,11 @@
 	// spare is by how much more workers are named than the tasks need by the
 	// measured share of good ones.
 	spare = 1.3
+	// moreCost is by what share a question may take longer to learn of more workers than
+	// the tasks need now: the answer is for good, and the next question names none in
+	// vain. It is nearly free where the service takes most of its time for a question
+	// whatever it names.
+	moreCost = 0.25
 	// firstRate is the share of good workers before any was measured, and
 	// rateWeight the weight of a new measurement.
 	firstRate  = 0.5
@@ -140,6 +145,7 @@
 // nobody asks for a later step about the same hole.
 func (s *Sched) claim(r ready, a *advice) {
 	room := r.stage.Spec.Room()
+	want := float64(len(r.tasks))
 	for _, life := range a.named {
 		w, ok := s.workers[life]
 		if !ok || !room.Fits(w.free()) {
@@ -149,7 +155,11 @@
 		if _, known := a.good[life]; known {
 			part = 1
 		}
-		w.claimed = w.claimed.Add(room.Times(part * float64(r.hold(w))))
+		likely := min(part*float64(r.hold(w)), want)
+		w.claimed = w.claimed.Add(room.Times(likely))
+		if want -= likely; want <= 0 {
+			return
+		}
 	}
 }
 
@@ -184,17 +194,20 @@
 // worthNaming lists workers that have room for the step and may be allowed, the
 // best first, and as many as the tasks need.
 func (s *Sched) worthNaming(r ready, a *advice, p *pool, n int) []string {
-	var all []candidate
+	var all, later []candidate
 	room, some, most := r.stage.Spec.Room(), false, 0
 	for _, w := range p.workers {
+		got, known := a.good[w.Life]
 		if !room.Fits(w.free().Sub(w.claimed)) {
+			if !known && !a.bad[w.Life] && room.Fits(w.Size) && s.suits(r, r.tasks[0], w) {
+				later = append(later, candidate{life: w.Life, cost: s.cost(r, w)})
+			}
 			continue
 		}
 		some = true
 		if a.bad[w.Life] || !s.suits(r, r.tasks[0], w) {
 			continue
 		}
-		got, known := a.good[w.Life]
 		most += r.hold(w)
 		if known && s.now.Before(got.until) {
 			// It has a ticket and was passed over for another reason.
@@ -205,16 +218,18 @@
 	if !some {
 		p.none = append(p.none, room)
 	}
-	if r.stage.Spec.Gang && most < n {
-		// It could not start whatever the answer is.
+	if len(all) == 0 || r.stage.Spec.Gang && most < n {
+		// Nothing could start whatever the answer is.
 		return nil
 	}
 	slices.SortStableFunc(all, candidate.compare)
+	slices.SortStableFunc(later, candidate.compare)
 	rate := s.rate(r.queue)
+	more := mostMore(r.queue.Advice)
 	want := float64(n) * spare
 	var named []string
-	for _, c := range all {
-		if want <= 0 || len(named) == mostNamed {
+	for _, c := range append(all, later...) {
+		if want <= 0 && len(named) >= more || len(named) == mostNamed {
 			break
 		}
 		named = append(named, c.life)
@@ -227,6 +242,14 @@
 	return named
 }
 
+// mostMore is how many workers a question may name without taking much longer.
+func mostMore(a *flow.Advice) int {
+	if a.Each <= 0 {
+		return mostNamed
+	}
+	return int(moreCost * float64(a.Base) / float64(a.Each))
+}
+
 // hold is how many of the step's tasks a worker has room for.
 func (r ready) hold(w *worker) int {
 	st := r.stage.Spec
--- a/internal/sched/gpu_test.go
+++ b/internal/sched/gpu_test.go
@@ -17,8 +17,9 @@
 // and size, of single GPUs, which is less urgent. Costs of questions and shares of allowed
 // workers are those of an inspection firm's sheet.
 func gpuBench(t *testing.T, workers int) *cellBench {
-	b := newBench(t, workers)
-	for _, w := range b.workers {
+	b := newBench(t, 0)
+	for i := range workers {
+		w := b.addWorker(fmt.Sprintf("w%02d", i), i)
 		w.info.Size = cell.Size{CPU: 128_000, Mem: 512 << 30, Accel: 8}
 	}
 	b.list()
@@ -68,3 +69,17 @@
 	require.Equal(t, flow.Completed, b.state("size"))
 	require.Empty(t, b.wrongs)
 }
+
+// A question about a gang takes the policy service half a second whatever it names. Asked
+// about a few workers at a time, a gang would ask three or four times until it finds the
+// one that it may use, and every host would be busy with such questions. One question
+// for each step tells all there is to know.
+func TestAQuestionLearnsOfAllWorkersWhileThatIsCheap(t *testing.T) {
+	b := gpuBench(t, 8)
+	b.policy = func(_, worker string) bool { return worker == "w00" }
+	for i := range 6 {
+		b.submit(fmt.Sprintf("gang%02d", i), "render", render(2, 8))
+	}
+	b.play(10 * time.Second)
+	require.Len(t, b.asks, 6)
+}
