sched: get tickets while workers are still full; mechanisms can be switched off

Cause: a step was asked about only once a worker had room, and the room stayed empty for the half second of a gang's question, each time anew. Change: hosts that nothing else needs now ask ahead for the first steps that wait, half of the service's size in all; one host is left for what may start now. The settings' off names mechanisms that are not used; each has a test that fails without it.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"time"
 
@@ -74,6 +75,17 @@
 	return Size{CPU: int64(f * float64(s.CPU)), Mem: int64(f * float64(s.Mem)), Accel: int64(f * float64(s.Accel))}
 }
 
+// Into returns how many of s go into room; math.MaxInt64 if s takes nothing.
+func (s Size) Into(room Size) int64 {
+	n := int64(math.MaxInt64)
+	for _, p := range [...][2]int64{{s.CPU, room.CPU}, {s.Mem, room.Mem}, {s.Accel, room.Accel}} {
+		if p[0] > 0 {
+			n = min(n, max(p[1], 0)/p[0])
+		}
+	}
+	return n
+}
+
 // Fits tells whether s goes into room in every part.
 func (s Size) Fits(room Size) bool {
 	return s.CPU <= room.CPU && s.Mem <= room.Mem && s.Accel <= room.Accel
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/pelletier/go-toml/v2"
+
+	"pollencroft/internal/sched"
 )
 
 // Settings are those of one entry host on the users' platform. Unknown keys are
@@ -44,6 +47,8 @@
 		Keep Duration `toml:"keep"`
 	} `toml:"times"`
 	Log string `toml:"log"`
+	// Off names mechanisms of the scheduler that are not used.
+	Off []sched.Mechanism `toml:"off"`
 }
 
 // Duration is a time in a settings file.
@@ -99,6 +104,11 @@
 			return &FieldError{Path: path, Key: "policy", Reason: err.Error()}
 		}
 	}
+	for _, m := range s.Off {
+		if !slices.Contains(sched.Mechanisms(), m) {
+			return &FieldError{Path: path, Key: "off", Reason: fmt.Sprintf("%q is none of %q", m, sched.Mechanisms())}
+		}
+	}
 	times := map[string]Duration{"times.lease": s.Times.Lease, "times.stop": s.Times.Stop, "times.grace": s.Times.Grace, "times.keep": s.Times.Keep}
 	for key, d := range times {
 		if d <= 0 {
--- a/internal/entry/settings_test.go
+++ b/internal/entry/settings_test.go
@@ -55,7 +55,7 @@
 		require.ErrorAs(t, err, new(*entry.FieldError), key)
 		require.ErrorContains(t, err, key)
 	}
-	for _, bad := range []string{`policy = "nowhere"`, `store = "x"`, `parts = "many"`} {
+	for _, bad := range []string{`policy = "nowhere"`, `store = "x"`, `parts = "many"`, `off = ["gravity"]`} {
 		key, _, _ := strings.Cut(bad, " ")
 		text := strings.Replace(settingsText, key+" = ", "#", 1)
 		_, err := load(t, bad+"\n"+text)
--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -102,11 +102,7 @@
 
 // consider asks the policy service about a step of which n tasks wait.
 func (s *Sched) consider(r ready, p *pool, n int) {
-	a, ok := s.advice[r.stage]
-	if !ok {
-		a = &advice{good: map[string]ticket{}, bad: map[string]bool{}}
-		s.advice[r.stage] = a
-	}
+	a := s.adviceOn(r.stage)
 	if !a.asked.IsZero() {
 		s.claim(r, a)
 		return
@@ -125,6 +121,22 @@
 		}
 		return
 	}
+	s.ask(r, a, name, named)
+	s.claim(r, a)
+}
+
+// adviceOn is what is known of a step.
+func (s *Sched) adviceOn(st *flow.Stage) *advice {
+	a, ok := s.advice[st]
+	if !ok {
+		a = &advice{good: map[string]ticket{}, bad: map[string]bool{}}
+		s.advice[st] = a
+	}
+	return a
+}
+
+// ask has a host ask the policy service.
+func (s *Sched) ask(r ready, a *advice, name string, named []string) {
 	cost := r.queue.Advice.Cost(len(named))
 	h := s.hosts[name]
 	if h.busy.Before(s.now) {
@@ -137,7 +149,6 @@
 	}
 	a.asked, a.host, a.named, a.gives = s.now, name, named, h.busy.Add(overdue)
 	a.valid, a.queue = r.queue.Advice.Valid, r.queue.Name
-	s.claim(r, a)
 	s.do(Ask{Host: name, Step: r.stage.Tasks[0].Name.StepName(), Workers: named, Within: a.gives.Sub(s.now)})
 }
 
@@ -225,7 +236,7 @@
 	slices.SortStableFunc(all, candidate.compare)
 	slices.SortStableFunc(later, candidate.compare)
 	rate := s.rate(r.queue)
-	more := mostMore(r.queue.Advice)
+	more := s.mostMore(r.queue.Advice)
 	want := float64(n) * spare
 	var named []string
 	for _, c := range append(all, later...) {
@@ -243,8 +254,11 @@
 }
 
 // mostMore is how many workers a question may name without taking much longer.
-func mostMore(a *flow.Advice) int {
-	if a.Each <= 0 {
+func (s *Sched) mostMore(a *flow.Advice) int {
+	switch {
+	case !s.on(NameMore):
+		return 0
+	case a.Each <= 0:
 		return mostNamed
 	}
 	return int(moreCost * float64(a.Base) / float64(a.Each))
@@ -253,17 +267,7 @@
 // hold is how many of the step's tasks a worker has room for.
 func (r ready) hold(w *worker) int {
 	st := r.stage.Spec
-	free, room := w.free(), st.Room()
-	n := int64(len(r.tasks))
-	if room.CPU > 0 {
-		n = min(n, free.CPU/room.CPU)
-	}
-	if room.Mem > 0 {
-		n = min(n, free.Mem/room.Mem)
-	}
-	if room.Accel > 0 {
-		n = min(n, free.Accel/room.Accel)
-	}
+	n := min(int64(len(r.tasks)), st.Room().Into(w.free()))
 	if st.Apart > 0 {
 		n = min(n, int64(st.Apart-w.count(r.stage)))
 	}
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"maps"
 	"net/netip"
+	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,13 +41,15 @@
 	// storeTime is how long the store takes for an append; nil is 3 ms.
 	storeTime func() time.Duration
 	// copies tells that runs of one task may be beside each other.
-	copies  bool
-	policy  func(step, worker string) bool
-	asks    []sched.Ask
-	paces   []sched.Pace
-	deposed bool
-	queues  []flow.Queue
-	wrongs  []string
+	copies bool
+	policy func(step, worker string) bool
+	// policyTime is how long the policy service takes for a question; nil is 30 ms.
+	policyTime func(sched.Ask) time.Duration
+	asks       []sched.Ask
+	paces      []sched.Pace
+	deposed    bool
+	queues     []flow.Queue
+	wrongs     []string
 	// done are tasks that ended as done and were noted.
 	done map[flow.Name]bool
 	// starts counts by task.
@@ -64,7 +68,9 @@
 		specs: map[string]flow.Spec{}, done: map[flow.Name]bool{}, cancelled: map[string]time.Time{}, starts: map[flow.Name]int{},
 		queues: []flow.Queue{{Name: "scan", Service: "pass", Rank: 0, Attempts: 3}, {Name: "print", Service: "pass", Rank: 2, Attempts: 4}},
 	}
-	b.core = sched.New(sched.DefaultLimits, b.term, nil)
+	limits := sched.DefaultLimits
+	limits.Off = off()
+	b.core = sched.New(limits, b.term, nil)
 	for i := range workers {
 		b.addWorker(fmt.Sprintf("w%02d", i), i)
 	}
@@ -83,6 +89,16 @@
 	return w
 }
 
+// off reads from POLLENCROFT_OFF which mechanisms the tests do without: each of them has
+// a test that fails then.
+func off() []sched.Mechanism {
+	var all []sched.Mechanism
+	for name := range strings.FieldsSeq(os.Getenv("POLLENCROFT_OFF")) {
+		all = append(all, sched.Mechanism(name))
+	}
+	return all
+}
+
 // list tells the core all workers that live.
 func (b *cellBench) list() {
 	var ev sched.Workers
@@ -168,7 +184,11 @@
 		b.paces = append(b.paces, a)
 	case sched.Ask:
 		b.asks = append(b.asks, a)
-		b.after(30*time.Millisecond, func() { b.advise(term, a) })
+		took := 30 * time.Millisecond
+		if b.policyTime != nil {
+			took = b.policyTime(a)
+		}
+		b.after(took, func() { b.advise(term, a) })
 	case sched.Depose:
 		b.deposed = true
 	}
--- a/internal/sched/gpu_test.go
+++ b/internal/sched/gpu_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,6 +35,9 @@
 		},
 	}
 	b.step(sched.Queues{Version: 2, All: b.queues})
+	b.policyTime = func(a sched.Ask) time.Duration {
+		return b.specs[strings.Split(a.Step, ".")[0]].Queue.Advice.Cost(len(a.Workers))
+	}
 	return b
 }
 
@@ -83,3 +87,56 @@
 	b.play(10 * time.Second)
 	require.Len(t, b.asks, 6)
 }
+
+// Gangs that take a whole worker each wait for the only one, and the policy service takes
+// half a second for a question. Asked when the worker is free, each gang leaves it idle
+// for that time; with a ticket got before, only the first one does.
+func TestTicketsAreGotWhileAWorkerIsStillFull(t *testing.T) {
+	b := gpuBench(t, 1)
+	const gangs = 4
+	for i := range gangs {
+		b.submit(fmt.Sprintf("gang%d", i), "render", render(1, 8))
+	}
+	question := b.queues[0].Advice.Cost(1)
+	b.play(gangs*render(1, 8).Time + 2*question)
+	for i := range gangs {
+		require.Equal(t, flow.Completed, b.state(fmt.Sprintf("gang%d", i)))
+	}
+}
+
+// Bulk alone waits: all hosts but one ask for it. While scans keep asking, as many hosts
+// as they need are left to them, and no scan waits behind a question of half a second.
+// Four hosts of nine were kept for scans that took half of one; bulk waited half a minute
+// beside idle workers.
+func TestHostsAreKeptForUrgentQuestionsAsTheyNeed(t *testing.T) {
+	b := gpuBench(t, 13)
+	b.step(sched.Hosts{Names: []string{"h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8", "h9"}})
+	for i := range 12 {
+		b.submit(fmt.Sprintf("gang%02d", i), "render", render(1, 4))
+	}
+	b.play(100 * time.Millisecond)
+	require.Len(t, b.asks, 8)
+
+	b = gpuBench(t, 13)
+	b.queues = append(b.queues, flow.Queue{
+		Name: "scan", Service: "pass", Attempts: 3, Stretch: 1.5, Slack: 250 * time.Millisecond,
+		Advice: &flow.Advice{Base: 12 * time.Millisecond, Each: 180 * time.Microsecond, Valid: 2 * time.Second},
+	})
+	b.step(sched.Queues{Version: 3, All: b.queues})
+	b.step(sched.Hosts{Names: []string{"h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8", "h9"}})
+	began := map[string]time.Time{}
+	for i := range 100 {
+		if i%5 == 0 {
+			b.submit(fmt.Sprintf("gang%02d", i), "render", render(1, 4))
+		}
+		id := fmt.Sprintf("scan%02d", i)
+		b.submit(id, "scan", scan(1))
+		began[id] = b.now
+		b.play(20 * time.Millisecond)
+	}
+	// The question, the append, the work and its end.
+	b.play(1200 * time.Millisecond)
+	for id := range began {
+		require.Equal(t, flow.Completed, b.state(id), id)
+	}
+}
--- a/internal/sched/hosts.go
+++ b/internal/sched/hosts.go
@@ -81,6 +81,9 @@
 // asks about.
 func (s *Sched) kept() int {
 	most := int(math.Ceil(urgentHosts * float64(len(s.hosts))))
+	if !s.on(KeepFewHosts) {
+		return most
+	}
 	return min(1+int(math.Ceil(urgentSpare*s.urgent.now(s.now))), most)
 }
 
@@ -104,7 +107,7 @@
 	if s.unaskable[kind] {
 		return ""
 	}
-	name := s.askable(q)
+	name := s.askable(q, 0)
 	s.unaskable[kind] = name == ""
 	return name
 }
@@ -112,7 +115,8 @@
 // askable chooses the host for a question; none if all would keep it waiting.
 // Long questions go to idle hosts only, and never to all: an urgent one would
 // wait behind them at every host.
-func (s *Sched) askable(q flow.Queue) string {
+// Of the hosts that long questions may take so many are left.
+func (s *Sched) askable(q flow.Queue, leave int) string {
 	long := s.long(q)
 	busy := 0
 	best := ""
@@ -128,7 +132,7 @@
 		}
 	}
 	most := max(len(s.hosts)-s.kept(), 1)
-	if long && busy >= most {
+	if long && busy+leave >= most {
 		return ""
 	}
 	return best
--- a/internal/sched/limits.go
+++ b/internal/sched/limits.go
@@ -19,6 +19,8 @@
 	// Wait is how long a hold waits for an end: the least time between two looks
 	// at a worker on which nothing ends.
 	Wait time.Duration
+	// Off are the mechanisms that are not used; none by default.
+	Off []Mechanism
 }
 
 // DefaultLimits suit the platform's longest lease of 10 s and its waits of 2 s:
--- /dev/null
+++ b/internal/sched/mechanism.go
@@ -0,0 +1,23 @@
+package sched
+
+import "slices"
+
+// Mechanism is a part of the policy that can be switched off, so that its worth can be
+// measured, and so that an operator can do without one that misbehaves.
+type Mechanism string
+
+// The mechanisms.
+const (
+	// KeepFewHosts keeps hosts free of long questions by what urgent ones take.
+	KeepFewHosts Mechanism = "keep-few-hosts"
+	// NameMore learns of more workers with a question than the tasks need now.
+	NameMore Mechanism = "name-more"
+	// AskAhead gets tickets while workers are still full.
+	AskAhead Mechanism = "ask-ahead"
+)
+
+// Mechanisms lists all of them.
+func Mechanisms() []Mechanism { return []Mechanism{KeepFewHosts, NameMore, AskAhead} }
+
+// on tells whether a mechanism is in use.
+func (s *Sched) on(m Mechanism) bool { return !slices.Contains(s.limits.Off, m) }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -71,6 +71,9 @@
 	workers []*worker
 	// whole are the processors of all, left those that are free now.
 	whole, left int64
+	// size is what all workers have in every resource, ahead what the steps wait for
+	// that have tickets, or will, before there is room.
+	size, ahead cell.Size
 	// none are rooms that no worker has any more in this pass.
 	none []cell.Size
 }
@@ -93,6 +96,7 @@
 		}
 		p.workers = append(p.workers, w)
 		p.whole += w.Size.CPU
+		p.size = p.size.Add(w.Size)
 		p.left += max(w.free().CPU, 0)
 		w.claimed = cell.Size{}
 	}
@@ -123,6 +127,11 @@
 		}
 		s.fill(r, p, keep)
 	}
+	for _, r := range steps {
+		if p, ok := pools[r.queue.Service]; ok {
+			s.askAhead(r, p)
+		}
+	}
 }
 
 // fill places what it can of one step.
