sched: within a rank, first what can still be in time

Cause: the oldest went first. After an outage or a burst each step waited for the whole queue, and for seconds all ended just too late.

--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -157,6 +157,8 @@
 	Next int
 	// Ended is when a final state was reached.
 	Ended time.Time
+	// chains is by step how long the way from its begin to the job's end takes.
+	chains []time.Duration
 }
 
 // New returns a job that was just accepted.
--- a/internal/flow/objective.go
+++ b/internal/flow/objective.go
@@ -1,6 +1,9 @@
 package flow
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Chain is how long the job's steps take one after the other, as estimated, when
 // nothing waits.
@@ -29,5 +32,22 @@
 	return time.Duration(s.Queue.Stretch*float64(s.Chain())) + s.Queue.Slack
 }
 
+// Left is how long the job takes from the begin of a step on, as estimated.
+func (j *Job) Left(st *Stage) time.Duration {
+	if j.chains == nil {
+		j.chains = j.Spec.chains()
+	}
+	return j.chains[st.Index]
+}
+
+// Objective is how long after its acceptance the job should end under what the table
+// says of its queue now.
+func (j *Job) Objective(q Queue) time.Duration {
+	if j.chains == nil {
+		j.chains = j.Spec.chains()
+	}
+	return time.Duration(q.Stretch*float64(slices.Max(j.chains))) + q.Slack
+}
+
 // Spare is how long the job can wait in all and still end in time.
 func (s Spec) Spare() time.Duration { return max(s.Objective()-s.Chain(), 0) }
--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -14,10 +14,12 @@
 	NameMore Mechanism = "name-more"
 	// AskAhead gets tickets while workers are still full.
 	AskAhead Mechanism = "ask-ahead"
+	// InTimeFirst has work go first that can still be in time.
+	InTimeFirst Mechanism = "in-time-first"
 )
 
 // Mechanisms lists all of them.
-func Mechanisms() []Mechanism { return []Mechanism{KeepFewHosts, NameMore, AskAhead} }
+func Mechanisms() []Mechanism { return []Mechanism{KeepFewHosts, NameMore, AskAhead, InTimeFirst} }
 
 // on tells whether a mechanism is in use.
 func (s *Sched) on(m Mechanism) bool { return !slices.Contains(s.limits.Off, m) }
