sched: hold room for wide tasks, and let bulk give way to urgent work

Cause: a task of half a worker or more, such as one of 4 or 8 GPUs, waited up to half a minute beside bulk of single GPUs that took whatever was given back. Changes: room for those that wait is held on the allowed workers that will have it first, a quarter of the service at most; and less urgent tasks that save their progress and whose job has the time are stopped for a task that has tickets and can still be in time, each twice at most.

--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -209,7 +209,7 @@
 	room, some, most := r.stage.Spec.Room(), false, 0
 	for _, w := range p.workers {
 		got, known := a.good[w.Life]
-		if !room.Fits(w.free().Sub(w.claimed)) {
+		if !room.Fits(w.open().Sub(w.claimed)) {
 			if !known && !a.bad[w.Life] && room.Fits(w.Size) && s.suits(r, r.tasks[0], w) {
 				later = append(later, candidate{life: w.Life, cost: s.cost(r, w)})
 			}
--- a/internal/sched/chance.go
+++ b/internal/sched/chance.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
@@ -44,12 +45,8 @@
 	if !s.on(InTimeFirst) || st.Spec.Lasts {
 		return inTime
 	}
-	began := j.Began
-	if !r.Due.IsZero() {
-		began = r.Due
-	}
 	objective := j.Objective(q)
-	waited := s.now.Sub(began)
+	waited := s.waited(j, r)
 	ends := waited + j.Left(st)
 	switch {
 	case objective <= 0, ends <= objective:
@@ -63,6 +60,14 @@
 	}
 }
 
+// waited is how long ago a job was accepted, or its round was due.
+func (s *Sched) waited(j *flow.Job, r *flow.Round) time.Duration {
+	if r.Due.IsZero() {
+		return s.now.Sub(j.Began)
+	}
+	return s.now.Sub(r.Due)
+}
+
 // rescue lets the oldest of the starved steps go before others, as far as the starved
 // ones that run leave of their share. Without it late work would wait for as long as
 // newer work comes; without the share all that was late together would be first together
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -28,6 +28,7 @@
 		if r.queue.Advice != nil {
 			s.consider(r, p, len(tasks))
 		}
+		s.reserve(r, p, len(tasks))
 		return
 	}
 	run, saved := 0, ""
@@ -66,7 +67,7 @@
 	for _, w := range workers {
 		if _, ok := s.ticket(r.tasks[0], w); ok && s.fits(r, r.tasks[0], w) {
 			able = append(able, w)
-			room[w] = w.free()
+			room[w] = w.open()
 		}
 	}
 	slices.SortStableFunc(able, func(a, b *worker) int { return int(room[b].CPU - room[a].CPU) })
--- a/internal/sched/gpu_test.go
+++ b/internal/sched/gpu_test.go
@@ -140,3 +140,51 @@
 		require.Equal(t, flow.Completed, b.state(id), id)
 	}
 }
+
+// wide is one task that takes all GPUs of a worker.
+func wide() flow.Step {
+	st := render(1, 8)
+	st.Gang = false
+	return st
+}
+
+// flood keeps a cell full of tasks of one GPU, with more of them waiting than there is
+// room for, of jobs that have time to spare. Only one worker is allowed for the wide task
+// that comes then. It returns how long that one took.
+func flood(t *testing.T, single flow.Step) time.Duration {
+	b := gpuBench(t, 2)
+	b.policy = func(step, worker string) bool { return step != "wide.0.0" || worker == "w00" }
+	n := 0
+	more := func() {
+		b.submit(fmt.Sprintf("size%03d", n), "size", single)
+		n++
+		b.play(200 * time.Millisecond)
+	}
+	for range 20 {
+		more()
+	}
+	b.submit("wide", "render", wide())
+	began := b.now
+	for b.state("wide") != flow.Completed && b.now.Sub(began) < time.Minute {
+		more()
+	}
+	require.Empty(t, b.wrongs)
+	return b.now.Sub(began)
+}
+
+// Tasks of one GPU come without end and take every GPU that is given back. A task that
+// wants all of a worker would never see one empty; it gets one in the time that its
+// caller was promised, since what is given back on its worker is held for it.
+func TestRoomIsHeldForAWideTask(t *testing.T) {
+	single := size(1)
+	single.Saves = false
+	// 2.2 times its work and a second.
+	require.Less(t, flood(t, single), 8900*time.Millisecond)
+}
+
+// The same, but the small tasks save their progress and have time to spare. The wide task
+// is more urgent and does not wait for them: it begins after its question and the stops.
+func TestBulkGivesWayToMoreUrgentTasks(t *testing.T) {
+	question, stop := 560*time.Millisecond, time.Second
+	require.Less(t, flood(t, size(1)), question+stop+wide().Time)
+}
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -72,6 +72,7 @@
 	for _, r := range j.Rounds {
 		for _, st := range r.Stages {
 			delete(s.advice, st)
+			delete(s.yields, st)
 		}
 	}
 	clear(j.Rounds)
--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -14,12 +14,18 @@
 	NameMore Mechanism = "name-more"
 	// AskAhead gets tickets while workers are still full.
 	AskAhead Mechanism = "ask-ahead"
+	// ReserveForWide holds room for tasks that need half a worker or more.
+	ReserveForWide Mechanism = "reserve-for-wide"
+	// GiveWay stops bulk that saves its progress for more urgent work.
+	GiveWay Mechanism = "give-way"
 	// InTimeFirst has work go first that can still be in time.
 	InTimeFirst Mechanism = "in-time-first"
 )
 
 // Mechanisms lists all of them.
-func Mechanisms() []Mechanism { return []Mechanism{KeepFewHosts, NameMore, AskAhead, InTimeFirst} }
+func Mechanisms() []Mechanism {
+	return []Mechanism{KeepFewHosts, NameMore, AskAhead, ReserveForWide, GiveWay, InTimeFirst}
+}
 
 // on tells whether a mechanism is in use.
 func (s *Sched) on(m Mechanism) bool { return !slices.Contains(s.limits.Off, m) }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -79,6 +79,8 @@
 	// size is what all workers have in every resource, ahead what the steps wait for
 	// that have tickets, or will, before there is room.
 	size, ahead cell.Size
+	// reserved is what is held free for wide tasks.
+	reserved cell.Size
 	// none are rooms that no worker has any more in this pass.
 	none []cell.Size
 }
@@ -103,7 +105,7 @@
 		p.whole += w.Size.CPU
 		p.size = p.size.Add(w.Size)
 		p.left += max(w.free().CPU, 0)
-		w.claimed = cell.Size{}
+		w.claimed, w.reserved = cell.Size{}, cell.Size{}
 	}
 	return all
 }
@@ -164,6 +166,10 @@
 	if len(left) > 0 && r.queue.Advice != nil && p.left-keep >= need {
 		s.consider(r, p, len(left))
 	}
+	if len(left) > 0 {
+		s.giveWay(r, p, len(left))
+		s.reserve(r, p, len(left))
+	}
 }
 
 // best is the worker that a task fits best; nil if none may have it.
@@ -186,7 +192,7 @@
 
 // fits tells whether a worker has room for a task and may run it, tickets aside.
 func (s *Sched) fits(r ready, t *flow.Task, w *worker) bool {
-	return r.stage.Spec.Room().Fits(w.free()) && s.suits(r, t, w)
+	return r.stage.Spec.Room().Fits(w.open()) && s.suits(r, t, w)
 }
 
 // suits tells whether a worker may run a task once it has room, tickets aside.
--- /dev/null
+++ b/internal/sched/reserve.go
@@ -0,0 +1,88 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"pollencroft/internal/cell"
+)
+
+const (
+	// wideShare is the part of a worker from which a task counts as wide: two of them
+	// cannot be beside each other, so the room for one hardly comes by itself.
+	wideShare = 0.5
+	// reservedShare is how much of a service's workers may be held free for wide tasks
+	// that wait: the first of them wait for what ends soon, and what is held for later
+	// ones would stand idle for longer than a task takes.
+	reservedShare = 0.25
+)
+
+// reserve holds room for n wide tasks that could not start, on the workers that will have
+// it first. Tasks of one processor or GPU find room on any worker all the time; a task
+// that wants half of one or all would hardly see it, however urgent it is.
+func (s *Sched) reserve(r ready, p *pool, n int) {
+	room := r.stage.Spec.Room()
+	if !s.on(ReserveForWide) || p.reserved.Share(p.size) > reservedShare {
+		return
+	}
+	type option struct {
+		w  *worker
+		at time.Time
+	}
+	var all []option
+	for _, w := range p.workers {
+		if room.Share(w.Size) < wideShare || !s.allowed(r, w) || !s.suits(r, r.tasks[0], w) {
+			continue
+		}
+		if at, ok := s.freeAt(w, room.Add(w.reserved)); ok {
+			all = append(all, option{w, at})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b option) int { return a.at.Compare(b.at) })
+	for _, o := range all {
+		for k := room.Into(o.w.Size.Sub(o.w.reserved)); k > 0 && n > 0; k-- {
+			o.w.reserved = o.w.reserved.Add(room)
+			p.reserved = p.reserved.Add(room)
+			n--
+		}
+	}
+}
+
+// allowed tells whether the policy service said that a worker may run the step.
+func (s *Sched) allowed(r ready, w *worker) bool {
+	if r.queue.Advice == nil {
+		return true
+	}
+	a, ok := s.advice[r.stage]
+	if !ok {
+		return false
+	}
+	_, good := a.good[w.Life]
+	return good
+}
+
+// freeAt is when a worker will have so much room if nothing else is begun there; false if
+// it never will.
+func (s *Sched) freeAt(w *worker, room cell.Size) (time.Time, bool) {
+	free := w.free()
+	if room.Fits(free) {
+		return s.now, true
+	}
+	type end struct {
+		at   time.Time
+		size cell.Size
+	}
+	var ends []end
+	for _, t := range w.inOrder() {
+		if !t.Spec().Lasts {
+			ends = append(ends, end{t.Since.Add(t.Spec().Time), t.Spec().Room()})
+		}
+	}
+	slices.SortStableFunc(ends, func(a, b end) int { return a.at.Compare(b.at) })
+	for _, e := range ends {
+		if free = free.Add(e.size); room.Fits(free) {
+			return e.at, true
+		}
+	}
+	return time.Time{}, false
+}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -22,6 +22,8 @@
 	// claimed is the room that questions under way of steps before are likely to
 	// take, in this pass.
 	claimed cell.Size
+	// reserved is the room that is held free for wide tasks of steps before, in this pass.
+	reserved cell.Size
 	// loose are runs that are not followed any more and may still be there; they
 	// take room until the worker certainly does not have them.
 	loose map[runKey]looseRun
@@ -80,6 +82,9 @@
 
 func (w *worker) free() cell.Size { return w.Size.Sub(w.used) }
 
+// open is what is free and not held for a wide task.
+func (w *worker) open() cell.Size { return w.free().Sub(w.reserved) }
+
 // silent tells whether the worker leaves calls without an answer.
 func (w *worker) silent(now time.Time) bool {
 	return !w.doubt.IsZero() && now.Sub(w.doubt) > silentAfter
--- /dev/null
+++ b/internal/sched/yield.go
@@ -0,0 +1,112 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"pollencroft/internal/flow"
+)
+
+const (
+	// yieldFor is how long room that others were stopped for is kept for the step that
+	// it is for: a stop takes as long as the platform allows it, up to a second, and
+	// the list that shows its end a little more.
+	yieldFor = 2 * time.Second
+	// mostYields is how often a task is stopped for others; each time costs it a
+	// question, a restore and the way back into the queue.
+	mostYields = 2
+	// yieldCost is about what being stopped takes a task: the stop, a question, the
+	// wait for another place and the restore.
+	yieldCost = 3 * time.Second
+)
+
+// yield is room on a worker that others were stopped for.
+type yield struct {
+	worker string
+	until  time.Time
+}
+
+// giveWay stops less urgent tasks that save their progress for n tasks that can still be
+// in time and have tickets. Room for a wide task hardly comes by itself: what one small
+// task leaves another takes. One notices wide ones that wait for half a minute beside
+// bulk that has time to spare.
+func (s *Sched) giveWay(r ready, p *pool, n int) {
+	if !s.on(GiveWay) || r.class != inTime || r.stage.Spec.Gang {
+		return
+	}
+	room := r.stage.Spec.Room()
+	s.yields[r.stage] = slices.DeleteFunc(s.yields[r.stage], func(y yield) bool { return !s.now.Before(y.until) })
+	for _, y := range s.yields[r.stage] {
+		if w, ok := s.workers[y.worker]; ok {
+			w.reserved = w.reserved.Add(room)
+			n--
+		}
+	}
+	for ; n > 0; n-- {
+		w, victims := s.cheapest(r, p)
+		if w == nil {
+			return
+		}
+		for _, t := range victims {
+			t.Yields++
+			s.stop(t, "gives way to "+r.stage.Tasks[0].Name.StepName())
+		}
+		w.reserved = w.reserved.Add(room)
+		s.yields[r.stage] = append(s.yields[r.stage], yield{w.Life, s.now.Add(yieldFor)})
+	}
+}
+
+// cheapest finds the worker on which the fewest tasks have to be stopped for one of the
+// step; nil if there is none.
+func (s *Sched) cheapest(r ready, p *pool) (*worker, []*flow.Task) {
+	var best *worker
+	var least []*flow.Task
+	for _, w := range p.workers {
+		if _, ok := s.ticket(r.tasks[0], w); !ok || !s.suits(r, r.tasks[0], w) {
+			continue
+		}
+		victims, ok := s.victims(r, w)
+		if ok && (best == nil || len(victims) < len(least)) {
+			best, least = w, victims
+		}
+	}
+	return best, least
+}
+
+// victims are the tasks to stop on a worker, those first that began last and have the
+// least to restore; false if that makes no room.
+func (s *Sched) victims(r ready, w *worker) ([]*flow.Task, bool) {
+	room, open := r.stage.Spec.Room(), w.open()
+	if !room.Fits(w.Size.Sub(w.reserved)) {
+		return nil, false
+	}
+	var all []*flow.Task
+	for _, t := range w.inOrder() {
+		if s.mayYield(t, r) {
+			all = append(all, t)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b *flow.Task) int { return b.Since.Compare(a.Since) })
+	for i, t := range all {
+		if room.Fits(open) {
+			return all[:i], true
+		}
+		open = open.Add(t.Spec().Room())
+	}
+	return all, room.Fits(open)
+}
+
+// mayYield tells whether a task may be stopped for a step: it is less urgent, saves its
+// progress and its job has the time.
+func (s *Sched) mayYield(t *flow.Task, r ready) bool {
+	st := t.Spec()
+	q := s.queue(t.Job)
+	if t.State != flow.Running || !st.Saves || st.Gang || st.Lasts || st.Fills || q.Rank <= r.queue.Rank || t.Yields >= mostYields {
+		return false
+	}
+	round, ok := t.Job.Rounds[t.Name.Round]
+	if !ok {
+		return false
+	}
+	return s.waited(t.Job, round)+yieldCost+t.Job.Left(t.Step) <= t.Job.Objective(q)
+}
