store: ask a peer at once while this host is cut off

One urgent job in five was late. Change: after a second without any direct answer, peers are asked at once and the direct way beside them.

--- a/internal/store/routed.go
+++ b/internal/store/routed.go
@@ -17,6 +17,11 @@
 	patience = 450 * time.Millisecond
 	// suspicion is the same while the direct way did not answer lately.
 	suspicion = 25 * time.Millisecond
+	// cutAfter is how long the direct way goes without any answer before calls are made
+	// through a peer at once, and only beside that on the direct way. A host that is cut
+	// off from the store stays so for seconds, and each call of a lead there, three for
+	// a step of a job, would wait for suspicion in vain.
+	cutAfter = time.Second
 	// slower is by how much patience exceeds the answers of late: a store that is
 	// slow is slow for peers too, and asking twice would make it slower.
 	slower = 2
@@ -58,6 +63,8 @@
 	// answers is about how long answers took lately, the longest counting most.
 	answers time.Duration
 	good    time.Time
+	// directly is when the direct way answered last.
+	directly time.Time
 }
 
 // target is one partition or group on the direct way: until when it is not tried,
@@ -231,10 +238,14 @@
 func (r *Routed) patience(c Call) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.failed || r.target(c).suspect {
+	switch {
+	case r.failed && r.target(c).suspect && r.now().Sub(r.directly) > max(cutAfter, slower*r.answers):
+		return 0
+	case r.failed || r.target(c).suspect:
 		return max(suspicion, slower*r.answers)
+	default:
+		return max(patience, slower*r.answers)
 	}
-	return max(patience, slower*r.answers)
 }
 
 // doubt notes that the direct way has not answered for longer than usual.
@@ -259,7 +270,7 @@
 	r.failed = Away(err)
 	switch {
 	case !r.failed:
-		t.suspect, t.closed, r.good = false, time.Time{}, r.now()
+		t.suspect, t.closed, r.good, r.directly = false, time.Time{}, r.now(), r.now()
 		if c.Wait == 0 {
 			r.answers = max(time.Duration(fade*float64(r.answers)), took)
 		}
--- a/internal/store/routed_test.go
+++ b/internal/store/routed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -117,9 +118,13 @@
 }
 
 // slow answers after a while, if it is waited for.
-type slow struct{ wait time.Duration }
+type slow struct {
+	wait  time.Duration
+	calls atomic.Int64
+}
 
 func (s *slow) Do(ctx context.Context, c store.Call) (store.Answer, error) {
+	s.calls.Add(1)
 	select {
 	case <-time.After(s.wait):
 		return store.Answer{}, nil
@@ -170,3 +175,26 @@
 	p.served++
 	return store.Answer{End: 1}, nil
 }
+
+// The store's answers do not reach this host any more, and nothing refuses its calls.
+// Peers are served. Every call of a lead there would wait for the direct way first, three
+// for each step of a job, and one urgent job in five would be late for as long as the cut
+// lasts. After a second without an answer peers are asked at once.
+func TestAHostThatIsCutOffAsksAPeerAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct, p := &slow{wait: time.Minute}, peers{"a": {}}
+		r := routed(direct, p)
+		for range 40 {
+			_, err := r.Do(background, appendCall)
+			require.NoError(t, err)
+			time.Sleep(50 * time.Millisecond)
+		}
+		began, tried := time.Now(), direct.calls.Load()
+		_, err := r.Do(background, appendCall)
+		require.NoError(t, err)
+		require.Zero(t, time.Since(began))
+		synctest.Wait()
+		require.Greater(t, direct.calls.Load(), tried, "the direct way is still tried beside it")
+		time.Sleep(2 * time.Minute)
+	})
+}
