sched, store: go on at once when the platform's store returns

Cause 1: entries of workers that lapsed with the store are back two seconds after it; all workers stood idle for 0.45 s in the moment when all callers had waited. Change: a worker that answers is used for two seconds after its entry lapsed or it answers again. Cause 2: what a lead sent into a silence of the store was never answered and waited for to the end of its 2.8 s: nothing began or was told as completed until 1.6 s after the store's return. Change: an answer after a second without any has what is under way made again. Conclusion: both kept for what callers see; each has a test that fails without it.

--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -99,6 +99,7 @@
 // read takes over a worker's lists.
 func (s *Sched) read(w *worker, ev Held) {
 	if !w.doubt.IsZero() {
+		w.back = s.now
 		s.do(Note{ID: w.Life, What: "worker answers again", Worker: w.Life})
 	}
 	w.doubt = time.Time{}
--- a/internal/sched/list.go
+++ b/internal/sched/list.go
@@ -29,6 +29,7 @@
 		if !listed[life] && w.listed {
 			w.listed, w.unlisted = false, s.now
 			s.do(Note{ID: life, What: "worker not listed", Worker: life})
+			s.look(w)
 		}
 	}
 }
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -327,3 +327,26 @@
 		require.Equal(t, flow.Completed, b.state(fmt.Sprintf("scan%02d", i)))
 	}
 }
+
+// The store returns after an outage in which the workers' entries lapsed: the first list
+// is empty, and full again within two seconds. All who waited for the store come in that
+// moment. The workers answer all the while, and work starts on them at once.
+func TestWorkersThatAnswerAreUsedWhileTheirEntriesAreAway(t *testing.T) {
+	b := newBench(t, 6)
+	b.play(time.Second)
+	b.step(sched.Workers{})
+	b.submit("a", "scan", scan(6))
+	b.play(200 * time.Millisecond)
+	require.Equal(t, 6, total(b.starts))
+	b.play(2 * time.Second)
+	require.Equal(t, flow.Completed, b.state("a"))
+
+	// What is still missing after that has left.
+	b.submit("b", "scan", scan(6))
+	b.play(2 * time.Second)
+	require.Equal(t, 6, total(b.starts))
+	b.list()
+	b.play(2 * time.Second)
+	require.Equal(t, flow.Completed, b.state("b"))
+	require.Empty(t, b.wrongs)
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -93,7 +93,7 @@
 func (s *Sched) pools() map[string]*pool {
 	all := map[string]*pool{}
 	for _, w := range s.lives() {
-		if !w.usable() {
+		if !w.usable(s.now) {
 			continue
 		}
 		p, ok := all[w.Service]
--- a/internal/sched/start.go
+++ b/internal/sched/start.go
@@ -33,7 +33,7 @@
 		return
 	}
 	w, ok := s.workers[t.Worker]
-	if !ok || !w.usable() {
+	if !ok || !w.usable(s.now) {
 		s.gone(t, "worker left before the start")
 		return
 	}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -42,8 +42,10 @@
 	lookAgain        bool
 	again, asked     time.Time
 	doubt            time.Time
-	dead             bool
-	unlisted         time.Time
+	// back is when it answered again after that.
+	back     time.Time
+	dead     bool
+	unlisted time.Time
 	// full is until when it gets no work because it refused some.
 	full time.Time
 	// until is when the former lead's leases have lapsed, if that one told.
@@ -90,9 +92,17 @@
 	return !w.doubt.IsZero() && now.Sub(w.doubt) > silentAfter
 }
 
-// usable tells whether the worker may get work at all.
-func (w *worker) usable() bool {
-	return w.listed && w.fenced && !w.dead && !w.draining && w.doubt.IsZero()
+// usable tells whether the worker may get work at all. Entries lapse while the platform's
+// store is away, and are back up to two seconds after it; a worker that answers although
+// it is not listed has not left. Without work until it is listed again, all workers would
+// stand idle in the moment when everybody has waited for the store.
+func (w *worker) usable(now time.Time) bool {
+	since := w.unlisted
+	if w.back.After(since) {
+		since = w.back
+	}
+	listed := w.listed || now.Sub(since) < lapsedFor && w.read.After(w.unlisted)
+	return listed && w.fenced && !w.dead && !w.draining && w.doubt.IsZero()
 }
 
 // clockAt is the worker's time now, or later than that if its clock is slow.
--- a/internal/store/routed.go
+++ b/internal/store/routed.go
@@ -18,7 +18,8 @@
 	// suspicion is the same while the direct way did not answer lately.
 	suspicion = 25 * time.Millisecond
 	// cutAfter is how long the direct way goes without any answer before calls are made
-	// through a peer at once, and only beside that on the direct way. A host that is cut
+	// through a peer at once, and only beside that on the direct way; an answer after that
+	// has all calls made again that are still under way. A host that is cut
 	// off from the store stays so for seconds, and each call of a lead there, three for
 	// a step of a job, would wait for suspicion in vain.
 	cutAfter = time.Second
@@ -65,6 +66,8 @@
 	good    time.Time
 	// directly is when the direct way answered last.
 	directly time.Time
+	// revived is closed when it answers after cutAfter without any answer.
+	revived chan struct{}
 }
 
 // target is one partition or group on the direct way: until when it is not tried,
@@ -76,7 +79,7 @@
 
 // NewRouted returns a log that knows both ways; lost may not wait.
 func NewRouted(direct Log, relay Relay, now func() time.Time, lost func(c Call, ok bool, err error)) *Routed {
-	return &Routed{direct: direct, relay: relay, now: now, lost: lost, targets: map[string]*target{}}
+	return &Routed{direct: direct, relay: relay, now: now, lost: lost, targets: map[string]*target{}, revived: make(chan struct{})}
 }
 
 // target returns what is known of what a call is for; mu is held.
@@ -255,11 +258,35 @@
 	r.target(c).suspect, r.failed = true, true
 }
 
+// try makes the call on the direct way, and again when the store answers after it was
+// silent. What was sent into the silence is never answered, and would be waited for to
+// the end of its time: a lead stored nothing for 1.6 s after the store was back, and
+// nothing began or was told as completed. That it is made twice is safe, as above.
 func (r *Routed) try(ctx context.Context, c Call) (Answer, error) {
-	began := r.now()
-	a, err := r.direct.Do(ctx, c)
-	r.tell(c, r.now().Sub(began), err)
-	return a, err
+	for {
+		began, revival := r.now(), r.revival()
+		attempt, cancel := context.WithCancel(ctx)
+		done := make(chan result, 1)
+		go func() {
+			a, err := r.direct.Do(attempt, c)
+			done <- result{a, err}
+		}()
+		select {
+		case got := <-done:
+			cancel()
+			r.tell(c, r.now().Sub(began), got.err)
+			return got.answer, got.err
+		case <-revival:
+			cancel()
+		}
+	}
+}
+
+// revival is closed when the store answers after it was silent.
+func (r *Routed) revival() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.revived
 }
 
 // tell takes note of how a direct call went.
@@ -270,6 +297,10 @@
 	r.failed = Away(err)
 	switch {
 	case !r.failed:
+		if r.now().Sub(r.directly) > max(cutAfter, slower*r.answers) {
+			close(r.revived)
+			r.revived = make(chan struct{})
+		}
 		t.suspect, t.closed, r.good, r.directly = false, time.Time{}, r.now(), r.now()
 		if c.Wait == 0 {
 			r.answers = max(time.Duration(fade*float64(r.answers)), took)
--- a/internal/store/routed_test.go
+++ b/internal/store/routed_test.go
@@ -198,3 +198,40 @@
 		time.Sleep(2 * time.Minute)
 	})
 }
+
+// silentUntil never answers what is sent to it before some moment, not even after it.
+type silentUntil struct{ at time.Time }
+
+func (s *silentUntil) Do(ctx context.Context, c store.Call) (store.Answer, error) {
+	if time.Now().Before(s.at) {
+		<-ctx.Done()
+		return store.Answer{}, &store.UnansweredError{Op: c.Op, Cause: ctx.Err()}
+	}
+	return store.Answer{}, nil
+}
+
+// The store is silent for all hosts for some seconds, and answers again. What a lead sent
+// shortly before is lost. Waited for to the end of its time, nothing would begin or be
+// told as completed for two seconds more, in the moment when everybody has waited.
+func TestCallsSentIntoASilenceAreMadeAgainAfterIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct := &silentUntil{}
+		r := routed(direct, peers{})
+		_, err := r.Do(background, appendCall)
+		require.NoError(t, err)
+		direct.at = time.Now().Add(4 * time.Second)
+		time.Sleep(3500 * time.Millisecond)
+		answered := make(chan time.Time, 1)
+		go func() {
+			if _, err := r.Do(background, appendCall); err == nil {
+				answered <- time.Now()
+			}
+		}()
+		time.Sleep(600 * time.Millisecond)
+		_, err = r.Do(background, store.Call{Op: store.Join, Group: "hosts"})
+		require.NoError(t, err)
+		synctest.Wait()
+		require.Len(t, answered, 1)
+		time.Sleep(time.Minute)
+	})
+}
