sched: count failed copies that a former lead could not store

Copies start before they are stored; the new lead passed over the end of a run that no record names, and noted it. Change: an end as failed of a newer run than the record's counts as an attempt. Test: TestFailedCopiesThatWereNotStoredAreCounted; without the change the successor goes on starting.

--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -57,17 +57,41 @@
 	return true
 }
 
-// endedCopy takes the end of a copy that is not the one that is followed: the
-// first that is done counts, and the other one is stopped.
-func (s *Sched) endedCopy(e End) {
+// endedCopy takes the end of a copy that is not the one that is followed.
+func (s *Sched) endedCopy(w *worker, e End) {
 	j, ok := s.jobs[e.Task.Job]
-	if !ok || e.How != EndDone || j.State.Final() {
+	if !ok || j.State.Final() {
 		return
 	}
 	t := j.Task(e.Task)
 	if t == nil || !t.Spec().Copies || t.State == flow.Done {
 		return
 	}
+	switch e.How {
+	case EndDone:
+		s.doneCopy(t)
+	case EndFailed:
+		s.failedCopy(w, t, e)
+	}
+}
+
+// failedCopy counts a run that failed and that no record names: a former lead started it
+// and could not store that any more. Left out, its task would be tried more often than
+// its caller allows. A run that is not newer than what the record says was counted with it.
+func (s *Sched) failedCopy(w *worker, t *flow.Task, e End) {
+	beside := t.Out() && t.Worker != w.Life && e.Run == t.Run
+	if e.Run <= t.Run && !beside {
+		return
+	}
+	if !t.Out() {
+		t.Run = e.Run
+	}
+	s.tried(t)
+}
+
+// doneCopy ends a task of which a copy is done: the first one counts, and the other one
+// is stopped.
+func (s *Sched) doneCopy(t *flow.Task) {
 	if w, ok := s.workers[t.Worker]; ok && t.Out() && t.State != flow.Assigned {
 		s.do(Stop{To: w.Address, Term: s.term, Task: t.Name, Run: t.Run})
 		w.loosen(runKey{t.Name, t.Run}, t.Spec().Room(), s.now)
--- a/internal/sched/ends.go
+++ b/internal/sched/ends.go
@@ -67,7 +67,7 @@
 func (s *Sched) ended(w *worker, e End, clock time.Time) {
 	t := s.task(runKey{e.Task, e.Run})
 	if t == nil || t.Worker != w.Life || !t.Out() {
-		s.endedCopy(e)
+		s.endedCopy(w, e)
 		return
 	}
 	if e.Saved != "" {
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -130,12 +130,17 @@
 
 // failed counts a failed run and gives the job up after too many.
 func (s *Sched) failed(t *flow.Task) {
-	t.Fails++
 	t.Avoid = t.Worker
-	j := t.Job
-	most := s.queue(j).Attempts
 	s.gone(t, "failed")
-	if j.State.Final() || t.Spec().Lasts || t.Fails < most {
+	s.tried(t)
+}
+
+// tried counts a failure of a task.
+func (s *Sched) tried(t *flow.Task) {
+	t.Fails++
+	j := t.Job
+	s.touch(j)
+	if j.State.Final() || t.Spec().Lasts || t.Fails < s.queue(j).Attempts {
 		return
 	}
 	s.do(Note{ID: j.Spec.ID, What: "failed for good", Detail: t.Name.String()})
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -350,3 +350,30 @@
 	require.Equal(t, flow.Completed, b.state("b"))
 	require.Empty(t, b.wrongs)
 }
+
+// Copies start before they are stored. The store is away, a task fails as often as its
+// caller allows, and the lead goes without having stored any of that. Its successor finds
+// the ends at the workers and counts them; it would try three times more.
+func TestFailedCopiesThatWereNotStoredAreCounted(t *testing.T) {
+	b := newBench(t, 4)
+	b.copies = true
+	for _, w := range b.workers {
+		w.fails = true
+	}
+	b.play(100 * time.Millisecond)
+	b.storeAway = true
+	step := scan(1)
+	step.Copies = true
+	b.submit("a", "scan", step)
+	b.play(4 * time.Second)
+	require.Equal(t, 3, total(b.starts))
+	b.storeAway = false
+	b.takeover()
+	// It may start one more before it has read all workers.
+	b.play(200 * time.Millisecond)
+	require.LessOrEqual(t, total(b.starts), 4)
+	known := total(b.starts)
+	b.play(4 * time.Second)
+	require.Equal(t, flow.Failed, b.state("a"))
+	require.Equal(t, known, total(b.starts))
+}
