entry, store: an heir for the lead, and the peer that was served first

Change: the lead names an heir to all hosts; when the connection to the lead ends and a new one is refused, the heir tells the others and claims. The lead's next life asks whom others follow before it claims. Change: the peer that was served last is asked first, and a host that is cut off refuses to make calls for others.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -124,14 +124,17 @@
 	for n, a := range h.hosts {
 		hosts[n] = a.String()
 	}
-	claiming, leaving, successor, enough := h.claiming, h.leaving, h.successor, h.enoughPower()
+	claiming, leaving, successor, enough, follows := h.claiming, h.leaving, h.successor, h.enoughPower(), h.lead
 	h.mu.Unlock()
 	served := h.store.Fresh(leadFresh)
 	if t == nil || !served {
-		return peer.SyncReply{Leading: t != nil, Claiming: claiming, Leaving: leaving, Served: served, Successor: successor}
+		return peer.SyncReply{Leading: t != nil, Claiming: claiming, Leaving: leaving, Served: served, Successor: successor, Follows: follows}
 	}
 	pending := t.pending()
-	return peer.SyncReply{Leading: true, Lead: true, Leaving: leaving, Served: true, Enough: enough, Term: t.number, Pending: pending, Hosts: hosts}
+	return peer.SyncReply{
+		Leading: true, Lead: true, Leaving: leaving, Served: true, Heir: h.heirNow(), Follows: follows,
+		Enough: enough, Term: t.number, Pending: pending, Hosts: hosts,
+	}
 }
 
 // relay has peers make calls to the store.
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -163,3 +163,10 @@
 	_, ok := h.hosts[name]
 	return h.leading != nil && ok
 }
+
+// Heir is the host that the lead wants to lead if it dies, as this one knows it.
+func (h *Host) Heir() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.heir
+}
--- /dev/null
+++ b/internal/entry/heir.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pollencroft/internal/peer"
+)
+
+// A lead whose process dies says nothing more, and the group at the store notices it only
+// when the lead's place has lapsed. But the connections of a dead process are closed by
+// its host, and new ones are refused: whoever was connected knows within a millisecond
+// that it gives no orders any more. So a lead tells all hosts who is to lead after it, its
+// heir, and that one claims at once. It says who tries; the store still says who may.
+
+const (
+	// goneWait bounds the question whether a process is gone. A refusal takes one way to
+	// the host and back.
+	goneWait = 100 * time.Millisecond
+	// followsWait bounds the question whom other hosts follow, a few ways to a host and
+	// back: after a loss of all power nobody answers it, and nothing is led meanwhile.
+	followsWait = 50 * time.Millisecond
+	// mostAsked is how many hosts are asked that.
+	mostAsked = 3
+)
+
+// peerLost is called when a connection to a host has ended.
+func (h *Host) peerLost(name string) {
+	h.mu.Lock()
+	mine := h.leading == nil && !h.leaving && name == h.lead && h.heir == h.cfg.Name
+	h.mu.Unlock()
+	if mine {
+		h.wg.Go(func() { h.inherit(name) })
+	}
+}
+
+// inherit claims if the lead's process is gone.
+func (h *Host) inherit(lead string) {
+	ctx, cancel := context.WithTimeout(h.ctx, goneWait)
+	defer cancel()
+	if !h.peers.Gone(ctx, lead) {
+		return
+	}
+	term := h.termNow()
+	h.log.Info("lead: its process is gone.", "host", lead, "term", term)
+	// Others would claim beside this one, above all the dead one's next life.
+	for _, p := range h.others() {
+		if p != lead {
+			h.wg.Go(func() { h.tellHeir(p, term) })
+		}
+	}
+	h.claim("the lead's process is gone")
+}
+
+func (h *Host) tellHeir(p string, term int64) {
+	ctx, cancel := context.WithTimeout(h.ctx, askWait)
+	defer cancel()
+	if err := h.peers.Tell(ctx, p, peer.Succeed{Term: term, Successor: h.cfg.Name}); err != nil {
+		h.log.Warn("entry: peer was not told of the successor.", "peer", p, "err", err)
+	}
+}
+
+// heirNow is whom the lead wants to lead after it: the strongest host, of equals the one
+// that began last.
+func (h *Host) heirNow() string {
+	if all := h.successors(); len(all) > 0 {
+		return all[0]
+	}
+	return ""
+}
+
+// followed is the host that others follow instead of this one, if that one leads or is
+// about to; empty if there is none. A lead that comes back at once would otherwise claim
+// beside its heir, and at a slow store two claims cost each other seconds.
+func (h *Host) followed() string {
+	ctx, cancel := context.WithTimeout(h.ctx, followsWait)
+	defer cancel()
+	all := h.others()
+	names := make([]string, min(len(all), mostAsked))
+	var wg sync.WaitGroup
+	for i := range names {
+		wg.Go(func() {
+			var r peer.SyncReply
+			if err := h.peers.Ask(ctx, all[i], h.syncMessage(), &r); err == nil {
+				names[i] = r.Follows
+			}
+		})
+	}
+	wg.Wait()
+	for _, name := range names {
+		if name != "" && name != h.cfg.Name && h.leads(name) {
+			return name
+		}
+	}
+	return ""
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -73,6 +73,8 @@
 	claiming, leaving bool
 	// successor is the host that this one asked to lead in its place.
 	successor string
+	// heir is the host that the lead wants to lead if it dies.
+	heir string
 	// recent are the jobs that this host accepted lately, seen the hosts that asked
 	// it.
 	recent map[string]time.Time
@@ -94,6 +96,7 @@
 		}
 		h.policy = platform.NewPolicy(c, addr)
 	}
+	h.peers.Lost(h.peerLost)
 	h.synced = now()
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.store = store.NewRouted(platform.NewStore(c, cfg.Store), relay{h}, now, h.storeLost)
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -40,9 +40,13 @@
 	heardFor = 3500 * time.Millisecond
 )
 
-// resume takes up the term of this host's own former life: nobody else can know
-// as early that it is over.
+// resume takes up the term of this host's own former life, unless its heir has done so.
 func (h *Host) resume() {
+	listed := make(chan struct{})
+	h.wg.Go(func() {
+		defer close(listed)
+		h.listHosts()
+	})
 	all, _, err := store.Table(h.ctx, h.store, leadTopic, 0)
 	if err != nil {
 		return
@@ -50,6 +54,12 @@
 	h.readLead(all)
 	switch name, _ := h.leadNow(); name {
 	case h.cfg.Name:
+		<-listed
+		if heir := h.followed(); heir != "" {
+			h.log.Info("lead: another host leads in place of this one's former life.", "host", heir)
+			h.follower(heir, h.termNow())
+			return
+		}
 		h.claim("a former life of this host led")
 	case "":
 	default:
@@ -100,6 +110,12 @@
 	return h.lead, h.leading != nil
 }
 
+func (h *Host) termNow() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.term
+}
+
 // leads asks a host whether it leads and is served by the store, or is about to;
 // of one that left, whether its successor does.
 func (h *Host) leads(name string) bool {
@@ -200,7 +216,7 @@
 	}
 	h.mu.Lock()
 	h.pending, h.pendingAt = r.Pending, h.now()
-	h.synced, h.enough = h.now(), r.Enough
+	h.synced, h.enough, h.heir = h.now(), r.Enough, r.Heir
 	h.mu.Unlock()
 	all := make(map[string]netip.AddrPort, len(r.Hosts))
 	for n, a := range r.Hosts {
--- a/internal/entry/succession_test.go
+++ b/internal/entry/succession_test.go
@@ -202,3 +202,28 @@
 	lead.Hear("new", freePort(t))
 	require.True(t, lead.Uses("new"))
 }
+
+// The lead's process is killed. Its connections are closed and new ones refused, so that
+// its heir knows at once and claims; with the group at the store alone nobody would lead
+// until the dead host's place has lapsed, a second, and on a slow store three.
+func TestTheHeirLeadsOnceTheLeadsProcessIsGone(t *testing.T) {
+	c := newCell(t, 3, 2, 50*time.Millisecond)
+	c.settled()
+	lead := c.leader()
+	require.Eventually(t, func() bool {
+		heirs := 0
+		for _, h := range c.hosts {
+			if h.Heir() != "" {
+				heirs++
+			}
+		}
+		return heirs == 2
+	}, settleTime, 20*time.Millisecond)
+	lead.Kill()
+	delete(c.hosts, lead.cfg.Name)
+	require.Eventually(t, func() bool { return c.leader() != nil }, settleTime, 5*time.Millisecond)
+	require.Contains(t, c.lines.String(), "the lead's process is gone")
+	require.Equal(t, http.StatusOK, c.submit(c.leader(), 0).code)
+	c.finished(c.leader(), 1)
+	require.Empty(t, c.oracle.Wrongs())
+}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -203,6 +203,10 @@
 	Served   bool
 	// Successor is the host that was asked to lead when this one left.
 	Successor string
+	// Heir is the host that is to lead if this one dies, Follows the one that it takes
+	// for the lead.
+	Heir    string
+	Follows string
 	// Enough is a power that enough hosts have: much weaker ones need not stand
 	// ready to lead.
 	Enough  float64
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -13,6 +13,7 @@
 	"reflect"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -175,11 +176,29 @@
 	silent atomic.Int64
 	dial   func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	idle   func(name string) time.Duration
+	lost   func(name string)
 }
 
 // NewClients returns clients for the peers at these addresses.
 func NewClients(addrs map[string]netip.AddrPort) *Clients {
-	return &Clients{addrs: addrs, conns: map[lane]*link{}, dial: dialTCP}
+	return &Clients{addrs: addrs, conns: map[lane]*link{}, dial: dialTCP, lost: func(string) {}}
+}
+
+// Lost sets what is told when a connection to a peer has ended, for whatever reason. It
+// must be called before the first message.
+func (c *Clients) Lost(f func(name string)) { c.lost = f }
+
+// Gone tells whether a peer's host answers and says that nothing listens there.
+func (c *Clients) Gone(ctx context.Context, name string) bool {
+	c.mu.Lock()
+	addr := c.addrs[name]
+	c.mu.Unlock()
+	raw, err := c.dial(ctx, addr)
+	if err == nil {
+		_ = raw.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // Set says where a peer is reached from now on. A host that comes back at
@@ -298,6 +317,10 @@
 		return cur
 	}
 	c.conns[at] = fresh
+	go func() {
+		<-fresh.rpc.DisconnectNotify()
+		c.lost(at.name)
+	}()
 	return fresh
 }
 
--- a/internal/store/routed.go
+++ b/internal/store/routed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -68,6 +69,8 @@
 	directly time.Time
 	// revived is closed when it answers after cutAfter without any answer.
 	revived chan struct{}
+	// served is the peer that was served last.
+	served string
 }
 
 // target is one partition or group on the direct way: until when it is not tried,
@@ -118,9 +121,10 @@
 	return r.now().Sub(r.good) < max(d, slower*r.answers+d/2)
 }
 
-// Direct makes the call on the direct way only, for a peer.
+// Direct makes the call on the direct way only, for a peer. While this host is cut off it
+// does nothing: the peer would wait for an answer that does not come.
 func (r *Routed) Direct(ctx context.Context, c Call) (Answer, error) {
-	if r.isClosed(c) {
+	if r.isClosed(c) || r.isCut(c) {
 		return Answer{}, &RefusedError{Op: c.Op, Reason: "this host is turned away as well"}
 	}
 	return r.try(ctx, c)
@@ -203,11 +207,12 @@
 func (r *Routed) around(ctx context.Context, c Call) (Answer, error) {
 	c.Wait = min(c.Wait, patience)
 	var failed error
-	for _, p := range r.relay.Peers() {
+	for _, p := range r.peers() {
 		if ctx.Err() != nil {
 			break
 		}
 		a, err := r.ask(ctx, p, c)
+		r.remember(p, err)
 		if !Away(err) {
 			return a, err
 		}
@@ -219,6 +224,30 @@
 	return Answer{}, failed
 }
 
+// peers lists the peers to ask, first the one that was served last: another may be cut off
+// as well, and each call would wait for it.
+func (r *Routed) peers() []string {
+	all := slices.Clone(r.relay.Peers())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if i := slices.Index(all, r.served); i > 0 {
+		all = slices.Insert(slices.Delete(all, i, i+1), 0, r.served)
+	}
+	return all
+}
+
+// remember notes whether a peer was served.
+func (r *Routed) remember(p string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case !Away(err):
+		r.served = p
+	case r.served == p:
+		r.served = ""
+	}
+}
+
 func (r *Routed) ask(ctx context.Context, p string, c Call) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*r.patience(c)+patience)
 	defer cancel()
@@ -231,6 +260,18 @@
 	return a, err
 }
 
+// isCut tells whether no direct call has had an answer for so long that none is expected.
+func (r *Routed) isCut(c Call) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cut(c)
+}
+
+// cut is isCut; mu is held.
+func (r *Routed) cut(c Call) bool {
+	return r.failed && r.target(c).suspect && r.now().Sub(r.directly) > max(cutAfter, slower*r.answers)
+}
+
 func (r *Routed) isClosed(c Call) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -242,7 +283,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case r.failed && r.target(c).suspect && r.now().Sub(r.directly) > max(cutAfter, slower*r.answers):
+	case r.cut(c):
 		return 0
 	case r.failed || r.target(c).suspect:
 		return max(suspicion, slower*r.answers)
--- a/internal/store/routed_test.go
+++ b/internal/store/routed_test.go
@@ -235,3 +235,50 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Two hosts are cut off from the store, and the first of the peers that one of them asks is
+// the other. Each call of a lead there waited for that one first, half a second, and urgent
+// jobs of half a second took three. The peer that was served last is asked first.
+func TestAPeerThatWasServedIsAskedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cutPeer := &slow{wait: time.Minute}
+		r := store.NewRouted(&slow{wait: time.Minute}, mixed{"a": cutPeer, "b": &way{}}, time.Now, func(store.Call, bool, error) {})
+		for range 6 {
+			_, err := r.Do(background, appendCall)
+			require.NoError(t, err)
+		}
+		asked, began := cutPeer.calls.Load(), time.Now()
+		_, err := r.Do(background, appendCall)
+		require.NoError(t, err)
+		require.Equal(t, asked, cutPeer.calls.Load())
+		require.Less(t, time.Since(began), 50*time.Millisecond)
+		time.Sleep(2 * time.Minute)
+	})
+}
+
+// mixed are peers of unlike kinds.
+type mixed map[string]store.Log
+
+func (m mixed) Peers() []string { return []string{"a", "b", "c"}[:len(m)] }
+
+func (m mixed) Do(ctx context.Context, name string, c store.Call) (store.Answer, error) {
+	return m[name].Do(ctx, c)
+}
+
+// A host that is cut off is asked by another one to make a call for it. It says at once
+// that it cannot, and has not: the other one would wait for an answer that does not come.
+func TestAHostThatIsCutOffMakesNoCallsForPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := routed(&slow{wait: time.Minute}, peers{"a": {}})
+		for range 30 {
+			_, err := r.Do(background, appendCall)
+			require.NoError(t, err)
+			time.Sleep(50 * time.Millisecond)
+		}
+		began := time.Now()
+		_, err := r.Direct(background, appendCall)
+		require.True(t, store.NotDone(err))
+		require.Zero(t, time.Since(began))
+		time.Sleep(2 * time.Minute)
+	})
+}
