--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"fmt"
 	"maps"
 	"net/netip"
@@ -27,7 +28,7 @@
 	core    *sched.Sched
 	term    int64
 	workers map[string]*fakeWorker
-	events  []timed
+	events  agenda
 	order   int
 	// stored is what the store holds: the progress of jobs.
 	stored map[string][]byte
@@ -112,13 +113,27 @@
 
 func (b *cellBench) after(d time.Duration, f func()) {
 	b.order++
-	ev := timed{at: b.now.Add(d), order: b.order, run: f}
-	i, _ := slices.BinarySearchFunc(b.events, ev, timed.compare)
-	b.events = slices.Insert(b.events, i, ev)
+	heap.Push(&b.events, timed{at: b.now.Add(d), order: b.order, run: f})
 }
 
 func (t timed) compare(o timed) int { return cmp.Or(t.at.Compare(o.at), t.order-o.order) }
 
+// agenda is what comes next, as a heap.
+type agenda []timed
+
+func (a agenda) Len() int           { return len(a) }
+func (a agenda) Less(i, j int) bool { return a[i].compare(a[j]) < 0 }
+func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)        { *a = append(*a, x.(timed)) }
+
+func (a *agenda) Pop() any {
+	last := len(*a) - 1
+	ev := (*a)[last]
+	(*a)[last] = timed{}
+	*a = (*a)[:last]
+	return ev
+}
+
 // hop is one way to a worker or to the store.
 const hop = 500 * time.Microsecond
 
@@ -132,7 +147,7 @@
 			if ev.at.After(until) {
 				break
 			}
-			b.events = b.events[1:]
+			heap.Pop(&b.events)
 			if ev.at.After(b.now) {
 				b.now = ev.at
 			}
--- a/internal/sched/gpu_test.go
+++ b/internal/sched/gpu_test.go
@@ -36,7 +36,7 @@
 	}
 	b.step(sched.Queues{Version: 2, All: b.queues})
 	b.policyTime = func(a sched.Ask) time.Duration {
-		return b.specs[strings.Split(a.Step, ".")[0]].Queue.Advice.Cost(len(a.Workers))
+		return b.specs[jobOf(a.Step)].Queue.Advice.Cost(len(a.Workers))
 	}
 	return b
 }
@@ -188,3 +188,8 @@
 	question, stop := 560*time.Millisecond, time.Second
 	require.Less(t, flood(t, size(1)), question+stop+wide().Time)
 }
+
+func jobOf(step string) string {
+	id, _, _ := strings.Cut(step, ".")
+	return id
+}
--- /dev/null
+++ b/internal/sched/grown_test.go
@@ -0,0 +1,123 @@
+package sched_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pollencroft/internal/cell"
+	"pollencroft/internal/flow"
+	"pollencroft/internal/sched"
+)
+
+// kind is a queue with the steps of its jobs and how many of them come in a second.
+type kind struct {
+	queue flow.Queue
+	rate  float64
+	good  float64
+	step  func(r *rand.Rand) flow.Step
+}
+
+func around(r *rand.Rand, mean time.Duration) time.Duration {
+	return time.Duration(float64(mean) * (0.5 + r.Float64()))
+}
+
+// firm is what an inspection firm asks for with 252 workers for reports and 98 with eight
+// GPUs each, as its sheet says: rates, widths, sizes, costs of questions and shares of
+// allowed workers.
+func firm() []kind {
+	advice := func(base, each time.Duration) *flow.Advice {
+		return &flow.Advice{Base: base, Each: each, Valid: 2 * time.Second}
+	}
+	const us = time.Microsecond
+	return []kind{
+		{
+			flow.Queue{Name: "summary", Service: "desk", Attempts: 3, Stretch: 1.5, Slack: 250 * time.Millisecond, Advice: advice(12*time.Millisecond, 180*us)},
+			55, 0.7, func(r *rand.Rand) flow.Step {
+				return flow.Step{Tasks: 1 + r.IntN(20), Size: cell.Size{CPU: 11_000, Mem: 12 << 30}, Time: around(r, 560*time.Millisecond), Copies: r.IntN(3) == 0}
+			},
+		},
+		{
+			flow.Queue{Name: "review", Service: "desk", Rank: 2, Attempts: 3, Stretch: 4, Slack: 3 * time.Second, Advice: advice(170*time.Millisecond, 2400*us)},
+			2.3, 0.45, func(r *rand.Rand) flow.Step {
+				return flow.Step{Tasks: 1 + r.IntN(36), Size: cell.Size{CPU: 18_000, Mem: 38 << 30}, Time: around(r, 5600*time.Millisecond), Saves: r.IntN(5) > 0}
+			},
+		},
+		{
+			flow.Queue{Name: "render", Service: "lab", Rank: 1, Attempts: 3, Stretch: 2.2, Slack: time.Second, Advice: advice(490*time.Millisecond, 7*time.Millisecond)},
+			4.5, 0.3, func(r *rand.Rand) flow.Step {
+				st := render(1+r.IntN(9), int64(2)<<r.IntN(3))
+				st.Gang, st.Time = r.IntN(2) == 0, around(r, st.Time)
+				return st
+			},
+		},
+		{
+			flow.Queue{Name: "size", Service: "lab", Rank: 2, Attempts: 3, Stretch: 4, Slack: 3 * time.Second, Advice: advice(140*time.Millisecond, 2*time.Millisecond)},
+			5, 0.45, func(r *rand.Rand) flow.Step {
+				st := size(1 + r.IntN(25))
+				st.Time = around(r, st.Time)
+				return st
+			},
+		},
+	}
+}
+
+// newFirm is the cell of such a firm.
+func newFirm(t *testing.T, kinds []kind) *cellBench {
+	b := newBench(t, 0)
+	for i := range 350 {
+		w := b.addWorker(fmt.Sprintf("w%03d", i), i)
+		w.info.Service, w.info.Size = "desk", cell.Size{CPU: 64_000, Mem: 256 << 30}
+		if i >= 252 {
+			w.info.Service, w.info.Size = "lab", cell.Size{CPU: 128_000, Mem: 512 << 30, Accel: 8}
+		}
+	}
+	b.list()
+	b.queues = nil
+	good := map[string]float64{}
+	for _, k := range kinds {
+		b.queues = append(b.queues, k.queue)
+		good[k.queue.Name] = k.good
+	}
+	b.step(sched.Queues{Version: 2, All: b.queues})
+	var hosts []string
+	for i := range 40 {
+		hosts = append(hosts, fmt.Sprintf("h%02d", i))
+	}
+	b.step(sched.Hosts{Names: hosts})
+	b.policy = func(step, worker string) bool {
+		share := good[b.specs[jobOf(step)].Queue.Name]
+		return float64(xxhash.Sum64String(step+worker)%1000) < 1000*share
+	}
+	b.policyTime = func(a sched.Ask) time.Duration { return b.specs[jobOf(a.Step)].Queue.Advice.Cost(len(a.Workers)) }
+	return b
+}
+
+// come hands in what comes in d.
+func (b *cellBench) come(r *rand.Rand, kinds []kind, d time.Duration) {
+	const every = 10 * time.Millisecond
+	for range int(d / every) {
+		for _, k := range kinds {
+			if r.Float64() < k.rate*every.Seconds() {
+				b.submit(fmt.Sprintf("%s%06d", k.queue.Name, len(b.specs)), k.queue.Name, k.step(r))
+			}
+		}
+		b.play(every)
+	}
+}
+
+// A second of the lead's work at the load that the firm's sheet tells, after ten seconds
+// of it. The weakest host that leads such a cell has 0.8 of a core for this and for the
+// wire.
+func BenchmarkASecondOfAFirm(b *testing.B) {
+	kinds := firm()
+	c := newFirm(&testing.T{}, kinds)
+	r := rand.New(rand.NewPCG(1, 2))
+	c.come(r, kinds, 10*time.Second)
+	for b.Loop() {
+		c.come(r, kinds, time.Second)
+	}
+}
--- a/internal/sched/yield.go
+++ b/internal/sched/yield.go
@@ -62,6 +62,9 @@
 	var best *worker
 	var least []*flow.Task
 	for _, w := range p.workers {
+		if r.stage.Spec.Room().Share(w.Size) < wideShare {
+			continue
+		}
 		if _, ok := s.ticket(r.tasks[0], w); !ok || !s.suits(r, r.tasks[0], w) {
 			continue
 		}
--- a/internal/store/routed.go
+++ b/internal/store/routed.go
@@ -169,17 +169,20 @@
 		a, err := r.around(ctx, c)
 		peers <- result{a, err}
 	}()
-	return first(direct, peers)
+	return first(ctx, c, direct, peers)
 }
 
-// first returns the first answer of either way, or both ways' failure.
-func first(direct, peers <-chan result) (Answer, error) {
+// first returns the first answer of either way, or both ways' failure. What has no answer
+// when the time is over may still be carried out.
+func first(ctx context.Context, c Call, direct, peers <-chan result) (Answer, error) {
 	var failed error
 	for range 2 {
 		var got result
 		select {
 		case got = <-direct:
 		case got = <-peers:
+		case <-ctx.Done():
+			return Answer{}, &UnansweredError{Op: c.Op, Cause: ctx.Err()}
 		}
 		if !Away(got.err) {
 			return got.answer, got.err
--- a/internal/store/routed_test.go
+++ b/internal/store/routed_test.go
@@ -282,3 +282,20 @@
 		time.Sleep(2 * time.Minute)
 	})
 }
+
+// A host finds out with short calls whether a silent store is back. Waited for to the end
+// of the direct way's time, each would take seconds, and callers would be refused for as
+// long although the store serves again.
+func TestACallEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := routed(&slow{wait: time.Minute}, peers{"a": {err: errRefused}})
+		ctx, cancel := context.WithTimeout(background, 600*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		_, err := r.Do(ctx, store.Call{Op: store.Join, Group: "hosts"})
+		require.False(t, store.NotDone(err))
+		require.ErrorAs(t, err, new(*store.UnansweredError))
+		require.Equal(t, 600*time.Millisecond, time.Since(began))
+		time.Sleep(time.Minute)
+	})
+}
