--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -203,98 +202,6 @@
 	return firstRate
 }
 
-// candidate is a worker that may be named in a question.
-type candidate struct {
-	life string
-	// tasks is how many it has room for, known that it was allowed before.
-	tasks int
-	known bool
-	cost  float64
-}
-
-func (c candidate) compare(o candidate) int {
-	switch {
-	case c.known && !o.known:
-		return -1
-	case !c.known && o.known:
-		return 1
-	default:
-		return cmp.Compare(c.cost, o.cost)
-	}
-}
-
-// worthNaming lists workers that have room for the step and may be allowed, the
-// best first, and as many as the tasks need.
-func (s *Sched) worthNaming(r ready, a *advice, p *pool, n int) []string {
-	var all, later []candidate
-	room, some, most := r.stage.Spec.Room(), false, 0
-	for _, w := range p.workers {
-		got, known := a.good[w.Life]
-		if !room.Fits(w.open().Sub(w.claimed)) {
-			if !known && !a.bad[w.Life] && room.Fits(w.Size) && s.suits(r, r.tasks[0], w) {
-				later = append(later, candidate{life: w.Life, cost: s.cost(r, w)})
-			}
-			continue
-		}
-		some = true
-		if a.bad[w.Life] || !s.suits(r, r.tasks[0], w) {
-			continue
-		}
-		most += r.hold(w)
-		if known && s.now.Before(got.until) {
-			// It has a ticket and was passed over for another reason.
-			continue
-		}
-		all = append(all, candidate{life: w.Life, tasks: r.hold(w), known: known, cost: s.cost(r, w)})
-	}
-	if !some {
-		p.none = append(p.none, room)
-	}
-	if len(all) == 0 || r.stage.Spec.Gang && most < n {
-		// Nothing could start whatever the answer is.
-		return nil
-	}
-	slices.SortStableFunc(all, candidate.compare)
-	slices.SortStableFunc(later, candidate.compare)
-	rate := s.rate(r.queue)
-	more := s.mostMore(r.queue.Advice)
-	want := float64(n) * spare
-	var named []string
-	for _, c := range append(all, later...) {
-		if want <= 0 && len(named) >= more || len(named) == mostNamed {
-			break
-		}
-		named = append(named, c.life)
-		if c.known {
-			want -= float64(c.tasks)
-			continue
-		}
-		want -= rate * float64(c.tasks)
-	}
-	return named
-}
-
-// mostMore is how many workers a question may name without taking much longer.
-func (s *Sched) mostMore(a *flow.Advice) int {
-	switch {
-	case !s.on(NameMore):
-		return 0
-	case a.Each <= 0:
-		return mostNamed
-	}
-	return int(moreCost * float64(a.Base) / float64(a.Each))
-}
-
-// hold is how many of the step's tasks a worker has room for.
-func (r ready) hold(w *worker) int {
-	st := r.stage.Spec
-	n := min(int64(len(r.tasks)), st.Room().Into(w.free()))
-	if st.Apart > 0 {
-		n = min(n, int64(st.Apart-w.count(r.stage)))
-	}
-	return int(max(n, 1))
-}
-
 func (s *Sched) advised(ev Advised) {
 	for _, st := range s.asked() {
 		a := s.advice[st]
