--- a/internal/sched/chance.go
+++ b/internal/sched/chance.go
@@ -75,7 +75,7 @@
 func (s *Sched) rescue(steps []ready, pools map[string]*pool) {
 	var waiting []*ready
 	for i := range steps {
-		if steps[i].class == starved {
+		if steps[i].chance == starved {
 			waiting = append(waiting, &steps[i])
 		}
 	}
@@ -93,7 +93,7 @@
 		need := r.stage.Spec.Room().Times(float64(len(r.tasks)))
 		if sum := taken[name].Add(need); taken[name] == (cell.Size{}) || sum.Share(p.size) <= starvedShare {
 			taken[name] = sum
-			r.class = inTime
+			r.chance = inTime
 			continue
 		}
 		// Smaller ones would pass it by for ever.
--- a/internal/sched/hosts.go
+++ b/internal/sched/hosts.go
@@ -31,8 +31,8 @@
 	// urgentHosts is the largest share of the hosts that is kept free of long questions.
 	urgentHosts = 0.4
 	// urgentSpare is how many hosts are kept free for each that urgent questions keep
-	// busy, besides one: with two for one, of questions that come at random one in
-	// eight waits, and then for one other.
+	// busy, besides one: of questions that come at random and take one host's time, one
+	// in eleven finds all three hosts busy.
 	urgentSpare = 2
 	// urgentFor is over how long the time of urgent questions is averaged: longer than
 	// one burst lets pass between two, shorter than a burst.
