--- a/internal/sched/gpu_test.go
+++ b/internal/sched/gpu_test.go
@@ -104,6 +104,43 @@
 	}
 }
 
+// Bulk alone waits: all hosts but one ask for it. While scans keep asking, as many hosts
+// as they need are left to them, and no scan waits behind a question of half a second.
+// Four hosts of nine were kept for scans that took half of one; bulk waited half a minute
+// beside idle workers.
+func TestHostsAreKeptForUrgentQuestionsAsTheyNeed(t *testing.T) {
+	b := gpuBench(t, 13)
+	b.step(sched.Hosts{Names: []string{"h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8", "h9"}})
+	for i := range 12 {
+		b.submit(fmt.Sprintf("gang%02d", i), "render", render(1, 4))
+	}
+	b.play(100 * time.Millisecond)
+	require.Len(t, b.asks, 8)
+
+	b = gpuBench(t, 13)
+	b.queues = append(b.queues, flow.Queue{
+		Name: "scan", Service: "pass", Attempts: 3, Stretch: 1.5, Slack: 250 * time.Millisecond,
+		Advice: &flow.Advice{Base: 12 * time.Millisecond, Each: 180 * time.Microsecond, Valid: 2 * time.Second},
+	})
+	b.step(sched.Queues{Version: 3, All: b.queues})
+	b.step(sched.Hosts{Names: []string{"h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8", "h9"}})
+	began := map[string]time.Time{}
+	for i := range 100 {
+		if i%5 == 0 {
+			b.submit(fmt.Sprintf("gang%02d", i), "render", render(1, 4))
+		}
+		id := fmt.Sprintf("scan%02d", i)
+		b.submit(id, "scan", scan(1))
+		began[id] = b.now
+		b.play(20 * time.Millisecond)
+	}
+	// The question, the append, the work and its end.
+	b.play(1200 * time.Millisecond)
+	for id := range began {
+		require.Equal(t, flow.Completed, b.state(id), id)
+	}
+}
+
 // wide is one task that takes all GPUs of a worker.
 func wide() flow.Step {
 	st := render(1, 8)
--- a/internal/sched/hosts.go
+++ b/internal/sched/hosts.go
@@ -28,8 +28,15 @@
 }
 
 const (
-	// urgentHosts is the share of the hosts that is kept free of long questions.
+	// urgentHosts is the largest share of the hosts that is kept free of long questions.
 	urgentHosts = 0.4
+	// urgentSpare is how many hosts are kept free for each that urgent questions keep
+	// busy, besides one: of questions that come at random and take one host's time, one
+	// in eleven finds all three hosts busy.
+	urgentSpare = 2
+	// urgentFor is over how long the time of urgent questions is averaged: longer than
+	// one burst lets pass between two, shorter than a burst.
+	urgentFor = 2 * time.Second
 	// mostAhead is how much work a host may have ahead of a question: what comes later
 	// waits for whichever host is free first. The service turns away the 33rd question
 	// of a host, and 32 urgent ones take a second.
@@ -53,6 +60,33 @@
 	}
 }
 
+// usage is how many hosts questions keep busy, averaged over a time that fades.
+type usage struct {
+	load float64
+	at   time.Time
+}
+
+func (u *usage) add(cost time.Duration, now time.Time) {
+	u.load = u.now(now) + cost.Seconds()/urgentFor.Seconds()
+	u.at = now
+}
+
+func (u *usage) now(now time.Time) float64 {
+	return u.load * math.Exp(-now.Sub(u.at).Seconds()/urgentFor.Seconds())
+}
+
+// kept is how many hosts are kept free of long questions, as many as the urgent ones of
+// late need. An urgent question takes a tenth of a long one's time and would wait for
+// all of it; but each host that is kept free for nothing leaves workers idle that nobody
+// asks about.
+func (s *Sched) kept() int {
+	most := int(math.Ceil(urgentHosts * float64(len(s.hosts))))
+	if !s.on(KeepFewHosts) {
+		return most
+	}
+	return min(1+int(math.Ceil(urgentSpare*s.urgent.now(s.now))), most)
+}
+
 // long tells whether a queue is not among the most urgent ones.
 func (s *Sched) long(q flow.Queue) bool {
 	for _, other := range s.queues {
@@ -97,7 +131,7 @@
 			best = n
 		}
 	}
-	most := max(len(s.hosts)-int(math.Ceil(urgentHosts*float64(len(s.hosts)))), 1)
+	most := max(len(s.hosts)-s.kept(), 1)
 	if long && busy+leave >= most {
 		return ""
 	}
--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -8,6 +8,8 @@
 
 // The mechanisms.
 const (
+	// KeepFewHosts keeps hosts free of long questions by what urgent ones take.
+	KeepFewHosts Mechanism = "keep-few-hosts"
 	// NameMore learns of more workers with a question than the tasks need now.
 	NameMore Mechanism = "name-more"
 	// AskAhead gets tickets while workers are still full.
@@ -16,11 +18,13 @@
 	ReserveForWide Mechanism = "reserve-for-wide"
 	// GiveWay stops bulk that saves its progress for more urgent work.
 	GiveWay Mechanism = "give-way"
+	// InTimeFirst has work go first that can still be in time.
+	InTimeFirst Mechanism = "in-time-first"
 )
 
 // Mechanisms lists all of them.
 func Mechanisms() []Mechanism {
-	return []Mechanism{NameMore, AskAhead, ReserveForWide, GiveWay}
+	return []Mechanism{KeepFewHosts, NameMore, AskAhead, ReserveForWide, GiveWay, InTimeFirst}
 }
 
 // on tells whether a mechanism is in use.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -20,10 +20,12 @@
 	round *flow.Round
 	queue flow.Queue
 	tasks []*flow.Task
+	// chance is the step's chance to be in time.
+	chance chance
 }
 
 // waiting lists the steps that may run, the most urgent first.
-func (s *Sched) waiting() []ready {
+func (s *Sched) waiting(pools map[string]*pool) []ready {
 	var all []ready
 	for _, j := range s.open {
 		if j.State.Final() {
@@ -36,15 +38,18 @@
 					continue
 				}
 				if tasks := waitingOf(st); len(tasks) > 0 {
-					all = append(all, ready{stage: st, job: j, round: r, queue: q, tasks: tasks})
+					all = append(all, ready{stage: st, job: j, round: r, queue: q, tasks: tasks, chance: s.chance(j, r, st, q)})
 				}
 			}
 		}
 	}
+	s.rescue(all, pools)
 	slices.SortFunc(all, func(a, b ready) int {
 		switch {
 		case a.queue.Rank != b.queue.Rank:
 			return a.queue.Rank - b.queue.Rank
+		case a.chance != b.chance:
+			return int(a.chance - b.chance)
 		case a.job.Number != b.job.Number:
 			return int(a.job.Number - b.job.Number)
 		case a.round.Index != b.round.Index:
@@ -108,11 +113,14 @@
 // place gives room to what waits, in order, and asks the policy service about
 // steps that could start.
 func (s *Sched) place() {
-	steps := s.waiting()
-	if len(steps) == 0 {
+	if len(s.open) == 0 {
 		return
 	}
 	pools := s.pools()
+	steps := s.waiting(pools)
+	if len(steps) == 0 {
+		return
+	}
 	s.unaskable = [2]bool{}
 	top := steps[0].queue.Rank
 	for _, q := range s.queues {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -32,6 +32,8 @@
 	hosts  map[string]*host
 	advice map[*flow.Stage]*advice
 	rates  map[string]float64
+	// urgent is what the questions of the most urgent queues take of the hosts.
+	urgent usage
 	stops  map[runKey]*stop
 	// yields are rooms that others were stopped for.
 	yields map[*flow.Stage][]yield
--- a/internal/sched/yield.go
+++ b/internal/sched/yield.go
@@ -31,7 +31,7 @@
 // task leaves another takes. One notices wide ones that wait for half a minute beside
 // bulk that has time to spare.
 func (s *Sched) giveWay(r ready, p *pool, n int) {
-	if !s.on(GiveWay) || !s.inTime(r.job, r.round, r.stage, 0) || r.stage.Spec.Gang {
+	if !s.on(GiveWay) || r.chance != inTime || r.stage.Spec.Gang {
 		return
 	}
 	room := r.stage.Spec.Room()
@@ -111,15 +111,5 @@
 	if !ok {
 		return false
 	}
-	return s.inTime(t.Job, round, t.Step, yieldCost)
-}
-
-// inTime tells whether a job can end when its caller was promised, if nothing but a pause
-// holds it up from the begin of a step on.
-func (s *Sched) inTime(j *flow.Job, r *flow.Round, st *flow.Stage, pause time.Duration) bool {
-	began := j.Began
-	if !r.Due.IsZero() {
-		began = r.Due
-	}
-	return s.now.Sub(began)+pause+j.Left(st) <= j.Objective(s.queue(j))
+	return s.waited(t.Job, round)+yieldCost+t.Job.Left(t.Step) <= t.Job.Objective(q)
 }
