peer: take a link for ended once a question has failed for that

The library fails the questions under way before it tells that the connection has ended; between the two the link still counted as open. A caller would hear twice that nobody knows.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -39,6 +39,8 @@
 type link struct {
 	raw net.Conn
 	rpc *jsonrpc2.Conn
+	// ended tells that a question failed because the link has ended.
+	ended atomic.Bool
 	// open counts questions without an answer; good is when the last answer
 	// came, in nanoseconds since began.
 	open  atomic.Int64
@@ -84,7 +86,13 @@
 	l.good.Store(int64(time.Since(l.began)))
 }
 
+// closed tells whether the link has ended. The library fails the questions under way
+// before it says that the link has ended; whoever then asked again at once was given the
+// same link, and heard a second time that nobody knows.
 func (l *link) closed() bool {
+	if l.ended.Load() {
+		return true
+	}
 	select {
 	case <-l.rpc.DisconnectNotify():
 		return true
@@ -106,7 +114,11 @@
 		// Counted before it is written: making the message takes time as well.
 		l.sent.Add(int64(len(r.Request.Body)))
 	}
-	return l.rpc.Call(ctx, m.method(), m, into)
+	err := l.rpc.Call(ctx, m.method(), m, into)
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		l.ended.Store(true)
+	}
+	return err
 }
 
 // answered tells whether an answer came, be it a refusal.
