--- a/internal/entry/heir.go
+++ b/internal/entry/heir.go
@@ -45,22 +45,20 @@
 	term := h.termNow()
 	h.log.Info("lead: its process is gone.", "host", lead, "term", term)
 	// Others would claim beside this one, above all the dead one's next life.
+	succeed := peer.Succeed{Term: term, Successor: h.cfg.Name}
 	for _, p := range h.others() {
-		if p != lead {
-			h.wg.Go(func() { h.tellHeir(p, term) })
+		if p == lead {
+			continue
 		}
+		h.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(h.ctx, askWait)
+			defer cancel()
+			h.tellOne(ctx, p, succeed)
+		})
 	}
 	h.claim("the lead's process is gone")
 }
 
-func (h *Host) tellHeir(p string, term int64) {
-	ctx, cancel := context.WithTimeout(h.ctx, askWait)
-	defer cancel()
-	if err := h.peers.Tell(ctx, p, peer.Succeed{Term: term, Successor: h.cfg.Name}); err != nil {
-		h.log.Warn("entry: peer was not told of the successor.", "peer", p, "err", err)
-	}
-}
-
 // heirNow is whom the lead wants to lead after it: the strongest host, of equals the one
 // that began last.
 func (h *Host) heirNow() string {
--- a/internal/entry/succession.go
+++ b/internal/entry/succession.go
@@ -61,23 +61,24 @@
 	h.mu.Lock()
 	h.successor = successor
 	h.mu.Unlock()
-	tell := func(p string) {
-		if err := h.peers.Tell(ctx, p, succeed); err != nil {
-			h.log.Warn("entry: peer was not told of the successor.", "peer", p, "err", err)
-		}
-	}
 	if successor != "" {
-		tell(successor)
+		h.tellOne(ctx, successor, succeed)
 	}
 	var wg sync.WaitGroup
 	for _, p := range h.others() {
 		if p != successor {
-			wg.Go(func() { tell(p) })
+			wg.Go(func() { h.tellOne(ctx, p, succeed) })
 		}
 	}
 	wg.Wait()
 }
 
+func (h *Host) tellOne(ctx context.Context, p string, succeed peer.Succeed) {
+	if err := h.peers.Tell(ctx, p, succeed); err != nil {
+		h.log.Warn("entry: peer was not told of the successor.", "peer", p, "err", err)
+	}
+}
+
 // successorWait bounds the question whether a host can lead.
 const successorWait = 150 * time.Millisecond
 
--- a/internal/flow/objective_test.go
+++ b/internal/flow/objective_test.go
@@ -9,11 +9,18 @@
 
 // Two steps may run beside each other and a third one waits for both: the job takes
 // as long as the longer way through them, and may take 1.5 times that and a second.
-func ExampleSpec_Spare() {
-	s := flow.Spec{
-		Queue: flow.Queue{Stretch: 1.5, Slack: time.Second},
-		Steps: []flow.Step{{Time: 2 * time.Second}, {Time: 5 * time.Second}, {Time: time.Second, After: []int{0, 1}}},
+func ExampleJob_Objective() {
+	q := flow.Queue{Stretch: 1.5, Slack: time.Second}
+	s := flow.Spec{Queue: q, Steps: []flow.Step{{Time: 2 * time.Second}, {Time: 5 * time.Second}, {Time: time.Second, After: []int{0, 1}}}}
+	j := flow.New(s, 1, time.Time{})
+	j.Begin(time.Time{})
+	fmt.Println(j.Objective(q))
+	for _, st := range j.Rounds[0].Stages {
+		fmt.Println(j.Left(st))
 	}
-	fmt.Println(s.Chain(), s.Objective(), s.Spare())
-	// Output: 6s 10s 4s
+	// Output:
+	// 10s
+	// 3s
+	// 6s
+	// 1s
 }
--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -124,7 +124,7 @@
 func (s *Sched) consider(r ready, p *pool, n int) {
 	a := s.adviceOn(r.stage)
 	if !a.asked.IsZero() {
-		s.claim(r, a)
+		s.book(r, a)
 		return
 	}
 	if s.now.Before(a.again) || p.lacks(r.stage.Spec.Room()) {
@@ -142,7 +142,7 @@
 		return
 	}
 	s.ask(r, a, name, named)
-	s.claim(r, a)
+	s.book(r, a)
 }
 
 // adviceOn is what is known of a step.
@@ -172,9 +172,9 @@
 	s.do(Ask{Host: name, Step: r.stage.Tasks[0].Name.StepName(), Workers: named, Within: a.gives.Sub(s.now)})
 }
 
-// claim books the room that the answer of a step's question is likely to take, so that
+// book sets aside the room that the answer of a step's question is likely to take, so that
 // nobody asks for a later step about the same hole.
-func (s *Sched) claim(r ready, a *advice) {
+func (s *Sched) book(r ready, a *advice) {
 	room := r.stage.Spec.Room()
 	want := float64(len(r.tasks))
 	for _, life := range a.named {
@@ -187,7 +187,7 @@
 			part = 1
 		}
 		likely := min(part*float64(r.hold(w)), want)
-		w.claimed = w.claimed.Add(room.Times(likely))
+		w.booked = w.booked.Add(room.Times(likely))
 		if want -= likely; want <= 0 {
 			return
 		}
--- a/internal/sched/naming.go
+++ b/internal/sched/naming.go
@@ -66,7 +66,7 @@
 	room, some := r.stage.Spec.Room(), false
 	for _, w := range p.workers {
 		got, known := a.good[w.Life]
-		fits := room.Fits(w.open().Sub(w.claimed))
+		fits := room.Fits(w.open().Sub(w.booked))
 		some = some || fits
 		switch {
 		case a.bad[w.Life] || !room.Fits(w.Size) || !s.suits(r, r.tasks[0], w):
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -105,7 +105,7 @@
 		p.whole += w.Size.CPU
 		p.size = p.size.Add(w.Size)
 		p.left += max(w.free().CPU, 0)
-		w.claimed, w.reserved = cell.Size{}, cell.Size{}
+		w.booked, w.reserved = cell.Size{}, cell.Size{}
 	}
 	return all
 }
