sched, entry: tell what steps wait for

The lead told starts and ends, not why a step stood still between them. It counts by reason (a host that could ask, the policy service's answer, room) and tells of a step after 4 s and each time that it doubled; histograms by rank of waits and first starts, of appends and of answers of the policy service are on the metrics address. Missing: waits for an append and for a silent worker by step, and explain by waits.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -227,6 +227,8 @@
 func (h *Host) ask(ctx context.Context, a sched.Ask) sched.Advised {
 	ctx, cancel := context.WithTimeout(ctx, min(a.Within, longestAdvice))
 	defer cancel()
+	began := h.now()
+	defer func() { h.observe("advice.answer", h.now().Sub(began)) }()
 	if a.Host == h.cfg.Name {
 		good, err := h.advise(ctx, a.Step, a.Workers)
 		return h.advised(a, good, err)
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -147,7 +147,7 @@
 	}
 	began := h.now()
 	err = h.inbox.put(ctx, store.Record{Key: id, Value: b})
-	metrics.GetOrRegisterTimer("caller.store", h.metrics).Update(h.now().Sub(began))
+	h.observe("caller.store", h.now().Sub(began))
 	switch {
 	case err == nil:
 		h.accepted(id)
--- a/internal/entry/cell_test.go
+++ b/internal/entry/cell_test.go
@@ -105,6 +105,7 @@
 		r = &running{store: httptest.NewServer(c.log.Handler(func(*http.Request) string { return name }))}
 		r.cfg = entry.Settings{Name: name, Domain: "zone0", Store: addrOf(c.t, r.store), Parts: 16}
 		r.cfg.Listen.Caller, r.cfg.Listen.Ready, r.cfg.Listen.Peer = freePort(c.t), freePort(c.t), freePort(c.t)
+		r.cfg.Listen.Metrics = freePort(c.t)
 		r.cfg.Times.Lease, r.cfg.Times.Stop = entry.Duration(10*time.Second), entry.Duration(900*time.Millisecond)
 		r.cfg.Times.Grace, r.cfg.Times.Keep = entry.Duration(3*time.Second), entry.Duration(2*time.Minute)
 		r.cfg.Power = 1
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"pollencroft/internal/flow"
@@ -66,7 +65,7 @@
 		return
 	}
 	h.count("lead.claimed")
-	metrics.GetOrRegisterTimer("lead.takeover", h.metrics).Update(h.now().Sub(began))
+	h.observe("lead.takeover", h.now().Sub(began))
 	h.log.Info(
 		"lead: term begins.", "term", t.number, "why", why, "jobs", t.jobs, "open", t.open,
 		"fencing", t.read.Sub(began), "reading", t.began.Sub(t.read), "restoring", h.now().Sub(t.began),
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -29,6 +29,20 @@
 	require.Equal(t, `{"pending":0}`, body)
 }
 
+// Somebody asks why jobs were late. The lead's metrics tell how long they waited until
+// their first start, for what, and how long the store took.
+func TestTheLeadServesHistogramsOfWaits(t *testing.T) {
+	c := newCell(t, 1, 2, 50*time.Millisecond)
+	lead := c.leader()
+	require.Equal(t, http.StatusOK, c.submit(lead, 0).code)
+	c.finished(lead, 1)
+	code, body := c.get(lead.cfg.Listen.Metrics, "/metrics")
+	require.Equal(t, http.StatusOK, code)
+	for _, name := range []string{"caller.store", "lead.append", "job.start.rank0", "step.wait.rank0"} {
+		require.Contains(t, body, "timer "+name+"\n")
+	}
+}
+
 func TestWhatIsNotThereIsToldSo(t *testing.T) {
 	c := newCell(t, 2, 1, 50*time.Millisecond)
 	for _, h := range c.hosts {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"maps"
 	"net"
@@ -108,6 +109,22 @@
 
 func (h *Host) count(name string) { metrics.GetOrRegisterCounter(name, h.metrics).Inc(1) }
 
+// observe adds to a histogram.
+func (h *Host) observe(name string, d time.Duration) {
+	metrics.GetOrRegisterTimer(name, h.metrics).Update(d)
+}
+
+// waited adds to the histograms of what steps wait for, by the rank of their queue: queues
+// come and go with the table, and ranks are few.
+func (h *Host) waited(w sched.Waited) {
+	h.observe(fmt.Sprintf("step.wait.rank%d", w.Rank), w.By.Total())
+	for r, d := range w.By {
+		if d > 0 {
+			h.observe(fmt.Sprintf("step.wait.rank%d.%s", w.Rank, sched.Reason(r)), d)
+		}
+	}
+}
+
 func (h *Host) storeLost(c store.Call, ok bool, err error) {
 	what := slog.String("what", c.Topic+c.Group)
 	if ok {
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -212,6 +213,10 @@
 		t.h.wg.Go(func() { t.forget(a.ID) })
 	case sched.Depose:
 		t.end("worker " + a.Worker + " obeys a later term")
+	case sched.Waited:
+		t.h.waited(a)
+	case sched.Begun:
+		t.h.observe(fmt.Sprintf("job.start.rank%d", a.Rank), a.After)
 	case sched.Note:
 		t.h.log.Info("sched: "+a.What+".", "id", a.ID, "worker", a.Worker, "run", a.Run, "term", t.number, "detail", a.Detail)
 	}
@@ -243,7 +248,9 @@
 	for i, ch := range a.Changes {
 		records[i] = store.Record{Key: ch.Key, Value: ch.Value}
 	}
+	began := t.h.now()
 	err := t.journal.append(t.ctx, a.Number, records, t.h.spreadPatience())
+	t.h.observe("lead.append", t.h.now().Sub(began))
 	switch {
 	case err == nil:
 		t.step(sched.Appended{Number: a.Number})
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -49,6 +49,10 @@
 	asks       []sched.Ask
 	paces      []sched.Pace
 	deposed    bool
+	// waited, begun and long are what the core told of waits.
+	waited []sched.Waited
+	begun  []sched.Begun
+	long   []sched.Note
 	// inCore is the real time that was spent in the core.
 	inCore time.Duration
 	queues []flow.Queue
@@ -211,6 +215,14 @@
 		b.after(took, func() { b.advise(term, a) })
 	case sched.Depose:
 		b.deposed = true
+	case sched.Waited:
+		b.waited = append(b.waited, a)
+	case sched.Begun:
+		b.begun = append(b.begun, a)
+	case sched.Note:
+		if a.What == "step waits" {
+			b.long = append(b.long, a)
+		}
 	}
 }
 
--- a/internal/sched/gpu_test.go
+++ b/internal/sched/gpu_test.go
@@ -193,3 +193,32 @@
 	id, _, _ := strings.Cut(step, ".")
 	return id
 }
+
+// A worker is taken for eight seconds, and a job that wants it waits. Whoever asks why it is
+// late learns how long it waited for the policy service's answer and how long for room; a
+// line tells of it while it still waits.
+func TestAStepTellsWhatItWaitsFor(t *testing.T) {
+	b := gpuBench(t, 1)
+	long := wide()
+	long.Time, long.Saves = 8*time.Second, false
+	b.submit("first", "render", long)
+	b.play(time.Second)
+	require.Len(t, b.waited, 1)
+	question := b.queues[0].Advice.Cost(1)
+	require.InDelta(t, question.Seconds(), b.waited[0].By[sched.ForAdvice].Seconds(), 0.05)
+	require.Zero(t, b.waited[0].By[sched.ForRoom])
+
+	b.submit("second", "render", wide())
+	b.play(6 * time.Second)
+	require.Len(t, b.long, 1)
+	require.Equal(t, "second.0.0", b.long[0].ID)
+	require.Contains(t, b.long[0].Detail, "room 3")
+	b.play(4 * time.Second)
+	require.Len(t, b.waited, 2)
+	// The rest of eight seconds, of which the questions for tickets take a part.
+	require.InDelta(t, 7.55, b.waited[1].By.Total().Seconds(), 0.1)
+	require.Greater(t, b.waited[1].By[sched.ForRoom], b.waited[1].By[sched.ForAdvice])
+	require.Equal(t, 1, b.waited[1].Rank)
+	require.Len(t, b.begun, 2)
+	require.InDelta(t, 7.6, b.begun[1].After.Seconds(), 0.1)
+}
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -73,6 +73,7 @@
 		for _, st := range r.Stages {
 			delete(s.advice, st)
 			delete(s.yields, st)
+			delete(s.waits, st)
 		}
 	}
 	clear(j.Rounds)
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -251,6 +251,19 @@
 // Depose tells that a lead of a later term was seen: this one has ended.
 type Depose struct{ Worker string }
 
+// Waited tells how long a step waited, and for what, until all its tasks had room. Rank is
+// its queue's.
+type Waited struct {
+	Rank int
+	By   Waits
+}
+
+// Begun tells how long after its acceptance a job's first task began.
+type Begun struct {
+	Rank  int
+	After time.Duration
+}
+
 // Note tells of a decision, for the log.
 type Note struct {
 	ID, What string
@@ -267,4 +280,6 @@
 func (Ask) action()    {}
 func (Forget) action() {}
 func (Depose) action() {}
+func (Waited) action() {}
+func (Begun) action()  {}
 func (Note) action()   {}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -142,6 +142,7 @@
 			s.askAhead(r, p)
 		}
 	}
+	s.account(steps)
 }
 
 // fill places what it can of one step.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -35,6 +35,8 @@
 	// urgent is what the questions of the most urgent queues take of the hosts.
 	urgent usage
 	stops  map[runKey]*stop
+	// waits are steps that wait.
+	waits map[*flow.Stage]*wait
 	// yields are rooms that others were stopped for.
 	yields map[*flow.Stage][]yield
 	// cancels are when jobs that are not known yet were cancelled.
@@ -85,7 +87,7 @@
 	s := &Sched{
 		limits: limits, term: term, queues: map[string]flow.Queue{}, jobs: map[string]*flow.Job{}, open: map[string]*flow.Job{},
 		workers: map[string]*worker{}, hosts: map[string]*host{}, advice: map[*flow.Stage]*advice{}, rates: map[string]float64{},
-		stops: map[runKey]*stop{}, yields: map[*flow.Stage][]yield{}, cancels: map[string]time.Time{}, dirty: map[string]*flow.Job{}, next: newBatch(),
+		stops: map[runKey]*stop{}, yields: map[*flow.Stage][]yield{}, waits: map[*flow.Stage]*wait{}, cancels: map[string]time.Time{}, dirty: map[string]*flow.Job{}, next: newBatch(),
 	}
 	for _, j := range jobs {
 		s.jobs[j.Spec.ID] = j
--- a/internal/sched/start.go
+++ b/internal/sched/start.go
@@ -107,6 +107,7 @@
 	}
 	if t.Job.State == flow.Queued {
 		t.Job.State = flow.Active
+		s.begun(t.Job)
 		s.touch(t.Job)
 	}
 }
--- /dev/null
+++ b/internal/sched/waits.go
@@ -0,0 +1,112 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"pollencroft/internal/flow"
+)
+
+// Reason is what a step with tasks that could run waits for.
+type Reason int
+
+// The reasons.
+const (
+	// ForHost is a host that can ask the policy service, ForAdvice its answer, ForRoom a
+	// worker that the step may use and that has room.
+	ForHost Reason = iota
+	ForAdvice
+	ForRoom
+	reasons
+)
+
+var reasonNames = [reasons]string{"host", "advice", "room"}
+
+// String returns the reason for logs and metrics.
+func (r Reason) String() string { return reasonNames[r] }
+
+// Waits are times by reason.
+type Waits [reasons]time.Duration
+
+// Total is the sum over all reasons.
+func (w Waits) Total() time.Duration {
+	var sum time.Duration
+	for _, d := range w {
+		sum += d
+	}
+	return sum
+}
+
+// String returns the times that are not zero, for logs.
+func (w Waits) String() string {
+	var all []string
+	for r, d := range w {
+		if d > 0 {
+			all = append(all, fmt.Sprintf("%s %s", Reason(r), d.Round(time.Millisecond)))
+		}
+	}
+	return strings.Join(all, ", ")
+}
+
+// firstLong is the wait from which a step is told of, and from there each time that it has
+// doubled: longer than anything urgent may take, and rare enough in a full cell.
+const firstLong = 4 * time.Second
+
+// wait is a step that waits, since at for a reason; it is told of once it has waited until
+// long.
+type wait struct {
+	by   Waits
+	at   time.Time
+	why  Reason
+	long time.Duration
+}
+
+// account adds what has passed since the last pass to what each step waits for now, and
+// tells of those that have room for all their tasks. One cannot see from starts alone why a
+// job is late: for room, for the policy service, or for a host that could ask it.
+func (s *Sched) account(steps []ready) {
+	for _, r := range steps {
+		w, ok := s.waits[r.stage]
+		if !ok {
+			w = &wait{at: s.now, long: firstLong}
+			s.waits[r.stage] = w
+		}
+		w.by[w.why] += s.now.Sub(w.at)
+		w.at, w.why = s.now, s.waitsFor(r)
+		if !slices.ContainsFunc(r.stage.Tasks, func(t *flow.Task) bool { return t.State == flow.Waiting }) {
+			delete(s.waits, r.stage)
+			s.do(Waited{Rank: r.queue.Rank, By: w.by})
+			continue
+		}
+		if total := w.by.Total(); total >= w.long {
+			w.long = 2 * total
+			s.do(Note{ID: r.stage.Tasks[0].Name.StepName(), What: "step waits", Detail: w.by.String()})
+		}
+	}
+}
+
+// waitsFor is what a step waits for in this pass.
+func (s *Sched) waitsFor(r ready) Reason {
+	kind := 0
+	if s.long(r.queue) {
+		kind = 1
+	}
+	a, ok := s.advice[r.stage]
+	switch {
+	case r.queue.Advice == nil, s.ticketed(r):
+		return ForRoom
+	case ok && !a.asked.IsZero():
+		return ForAdvice
+	case s.unaskable[kind]:
+		return ForHost
+	default:
+		return ForRoom
+	}
+}
+
+// begun tells how long a job waited from its acceptance to its first start.
+func (s *Sched) begun(j *flow.Job) {
+	s.do(Begun{Rank: s.queue(j).Rank, After: s.now.Sub(j.Began)})
+}
