test, lead: what tells the causes of a doubled task apart

A failed play of a cell told only the job's trail at its last lead. The lead now logs each decision on a job, the stand-ins' workers keep what happened to each task (start, its holder and deadline, end), the cell's tests print it for what was lost or ran twice and keep the hosts' logs in the test's artifact directory, and the cluster tests of a failure domain print the hosts' logs when they fail.

--- a/internal/host/cluster_test.go
+++ b/internal/host/cluster_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,6 +34,24 @@
 	operators []netip.AddrPort
 }
 
+// lines gathers what the hosts of a cluster log.
+type lines struct {
+	mu  sync.Mutex
+	all strings.Builder
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.Write(b)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.String()
+}
+
 func newCluster(t *testing.T, n int) *cluster {
 	t.Helper()
 	local := netip.MustParseAddrPort("127.0.0.1:0")
@@ -40,6 +59,12 @@
 	c, err := standin.NewCell(users, local, time.Now)
 	require.NoError(t, err)
 	t.Cleanup(c.Close)
+	told := &lines{}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(told.String())
+		}
+	})
 	cl := &cluster{T: t, cell: c, hosts: map[string]*host.Host{}, ask: map[string]*client.Client{}}
 	var all []settings.Settings
 	var socks []host.Listeners
@@ -60,7 +85,7 @@
 				cfg.Peers = append(cfg.Peers, settings.Peer{Name: other.Name, Domain: other.Domain, Address: other.Listen.Peer})
 			}
 		}
-		h := host.New(cfg, slog.New(slog.DiscardHandler), time.Now)
+		h := host.New(cfg, slog.New(slog.NewTextHandler(told, nil)).With("host", cfg.Name), time.Now)
 		h.Start(socks[i])
 		t.Cleanup(h.Kill)
 		cl.hosts[cfg.Name], cl.ask[cfg.Name] = h, client.New(cfg.Listen.Caller, "", nil)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -212,6 +212,7 @@
 }
 
 func (l *Lead) note(id, what string) {
+	l.Log.Info("lead: job.", "id", id, "what", what)
 	l.Trail.Add(trail.Note{At: l.Clock(), ID: id, Part: "lead", What: what})
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -24,11 +24,13 @@
 	anchor anchor
 	tasks  map[string]*Task
 	record WorkerRecord
-	nextID int
-	mark   int64
-	gone   map[string]int64
-	area   float64
-	marked time.Time
+	// history holds by task what was asked and what came of it, in order.
+	history map[string][]Step
+	nextID  int
+	mark    int64
+	gone    map[string]int64
+	area    float64
+	marked  time.Time
 }
 
 type anchor struct {
@@ -41,7 +43,7 @@
 func NewWorker(size cell.Size, over *Oversight, clock func() time.Time) *Worker {
 	return &Worker{
 		size: size, clock: clock, over: over, resume: make(chan struct{}), tasks: map[string]*Task{}, gone: map[string]int64{},
-		record: WorkerRecord{Started: map[string]int{}, Ended: map[string]string{}}, marked: clock(),
+		record: WorkerRecord{Started: map[string]int{}, Ended: map[string]string{}}, marked: clock(), history: map[string][]Step{},
 	}
 }
 
@@ -116,6 +118,7 @@
 	k.change(t)
 	k.area += at.Sub(t.began).Seconds() * float64(t.Size.CPU)
 	k.record.Ended[t.ID] = state
+	k.tell(t.ID, Step{At: at, What: state, Holder: t.Holder, Lease: t.Lease})
 	k.over.ended(t.ID, copyKey{k, t.Lease})
 }
 
@@ -240,6 +243,7 @@
 func (k *Worker) start(ask WorkerAsk) (int, WorkerSays) {
 	if ask.Deadline > 0 && k.now().UnixMilli() > ask.Deadline {
 		k.record.Late++
+		k.tell(ask.ID, Step{At: k.clock(), What: "late", Holder: ask.Holder})
 		return http.StatusGone, WorkerSays{}
 	}
 	now := k.clock()
@@ -260,6 +264,7 @@
 	delete(k.gone, t.ID)
 	k.change(t)
 	k.record.Started[t.ID]++
+	k.tell(t.ID, Step{At: now, What: "started", Holder: t.Holder, Lease: t.Lease, Left: time.Duration(ask.Deadline-k.now().UnixMilli()) * time.Millisecond})
 	k.watch(t)
 	if !k.used().Fits(k.size) {
 		k.record.Overfilled++
@@ -270,6 +275,15 @@
 	return http.StatusOK, WorkerSays{}
 }
 
+func (k *Worker) tell(id string, s Step) { k.history[id] = append(k.history[id], s) }
+
+// History is what happened to a task here, in order.
+func (k *Worker) History(id string) []Step {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Clone(k.history[id])
+}
+
 func stretch(d time.Duration, by float64) time.Duration {
 	if by <= 0 {
 		return d
--- a/internal/standin/workerwire.go
+++ b/internal/standin/workerwire.go
@@ -56,6 +56,15 @@
 	TaskLapsed  = "lapsed"
 )
 
+// Step is one thing that happened to a task on a worker. Left is how long the deadline of a
+// start was still away.
+type Step struct {
+	At            time.Time
+	What          string
+	Holder, Lease string
+	Left          time.Duration
+}
+
 // WorkerRecord is what a worker saw go wrong.
 type WorkerRecord struct {
 	// Overfilled counts starts that took the worker over its size.
--- a/test/bench_test.go
+++ b/test/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -121,7 +122,7 @@
 
 func (b *bench) makeNodes() {
 	addrs := freeAddrs(b.t, 3*6)
-	dir := b.t.TempDir()
+	dir := b.t.ArtifactDir()
 	for i, domain := range b.users.Domains {
 		for k := range b.users.Hosts[i] {
 			n := &node{name: fmt.Sprintf("%s-%d", domain, k+1), domain: domain, peers: map[string]*toxiproxy.Proxy{}}
@@ -196,6 +197,7 @@
 	for _, id := range slices.Concat(lost, twice) {
 		job := jobOf(id)
 		b.t.Logf("%s, what its lead tells:\n%s", id, b.story(job))
+		b.t.Logf("%s, what workers did:\n%s", id, b.history(id))
 		for _, n := range b.nodes {
 			if told := b.told(n, func(line string) bool { return strings.Contains(line, job) }); len(told) > 0 {
 				b.t.Logf("%s of %s, the first %d of %d lines:\n%s", n.name, id, mostLines, len(told), strings.Join(told[:min(len(told), mostLines)], "\n"))
@@ -204,6 +206,19 @@
 	}
 }
 
+// history is what workers did for a task.
+func (b *bench) history(id string) string {
+	var all []string
+	for _, name := range slices.Sorted(maps.Keys(b.cell.Workers)) {
+		for _, s := range b.cell.Workers[name].History(id) {
+			all = append(all, fmt.Sprintf("%s %s %s for %s, lease %q, deadline in %s",
+				s.At.Format("15:04:05.000"), name, s.What, s.Holder, s.Lease, s.Left))
+		}
+	}
+	slices.Sort(all)
+	return strings.Join(all, "\n")
+}
+
 // jobOf is the job of a task, whose name is the job's, a dot and a number. A job's own name has
 // dots too, and ends in an id that is no number.
 func jobOf(id string) string {
