job: an answer counts only for the start that it is for

Callers could see a task run twice. A start to a worker that fails everything is listed as failed before its own answer is read; the task is placed again, and the late answer was taken for that of the next start, which is still under way: confirmed, its absence from the next list of that worker meant that it had gone, and it was started a third time beside it; lost, it set the former deadline; refused, it was queued at once. A stop that is confirmed late had the same effect on the next stay of the task.

Each stay of a task on a worker now has a number that goes with its start and stops and comes back with their answers; answers to former ones change nothing. With the comparison switched off the four new tests fail; tests that confirmed a start without naming it name it now.

--- a/internal/job/inherit.go
+++ b/internal/job/inherit.go
@@ -175,9 +175,9 @@
 		case "waiting":
 			names = append(names, t.id)
 		case "stopping":
-			acts = append(acts, Stop{Task: t.id, Worker: t.worker})
+			acts = append(acts, Stop{Task: t.id, Worker: t.worker, Attempt: t.attempt})
 		case "pausing":
-			acts = append(acts, Pause{Task: t.id, Worker: t.worker})
+			acts = append(acts, Pause{Task: t.id, Worker: t.worker, Attempt: t.attempt})
 		}
 	}
 	return append(acts, j.wantAll(jb, names)...)
--- a/internal/job/inherit_test.go
+++ b/internal/job/inherit_test.go
@@ -25,12 +25,18 @@
 
 func listed(id, state string) job.Listed { return job.Listed{ID: id, State: state, Lease: "l-" + id} }
 
+// confirm puts a task on a worker, which confirms the start.
+func confirm(j *job.Jobs, task, worker string) {
+	for _, a := range only[job.Start](j.Step(now, job.Put{Task: task, Worker: worker})) {
+		j.Step(now, job.Started{Task: task, Attempt: a.Attempt})
+	}
+}
+
 func started(tasks int) *job.Jobs {
 	j := job.New()
 	j.Step(now, job.Submit{Spec: spec(tasks)})
 	for i := range tasks {
-		j.Step(now, job.Put{Task: job.TaskID("d.r.j", i), Worker: "w1"})
-		j.Step(now, job.Started{Task: job.TaskID("d.r.j", i)})
+		confirm(j, job.TaskID("d.r.j", i), "w1")
 	}
 	return j
 }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -26,10 +26,12 @@
 )
 
 type task struct {
-	id       string
-	job      *job
-	state    chart.State
-	worker   string
+	id     string
+	job    *job
+	state  chart.State
+	worker string
+	// attempt numbers the task's stay on its worker.
+	attempt  int64
 	tries    int64
 	deadline time.Time
 	sent     bool
@@ -65,6 +67,8 @@
 	budgets map[string]float64
 	// ended are jobs whose end is kept, oldest first.
 	ended []string
+	// attempts counts the stays of all tasks on workers.
+	attempts int64
 }
 
 // New returns a core that knows no job.
@@ -116,13 +120,13 @@
 	case Put:
 		return j.put(now, ev)
 	case Started:
-		return j.started(now, ev.Task)
+		return j.answered(ev.Task, ev.Attempt, func() []Action { return j.started(now, ev.Task) })
 	case NotStarted:
-		return j.again(ev.Task, "refused")
+		return j.answered(ev.Task, ev.Attempt, func() []Action { return j.again(ev.Task, "refused") })
 	case Unsure:
-		return j.unsure(ev)
+		return j.answered(ev.Task, ev.Attempt, func() []Action { return j.unsure(ev) })
 	case Stopped:
-		return j.stopped(ev.Task)
+		return j.answered(ev.Task, ev.Attempt, func() []Action { return j.stopped(ev.Task) })
 	case Preempt:
 		return j.pause(ev.Task)
 	case Seen:
@@ -132,6 +136,14 @@
 	}
 }
 
+// answered takes a worker's answer unless the task has left the worker since.
+func (j *Jobs) answered(id string, attempt int64, take func() []Action) []Action {
+	if t, ok := j.tasks[id]; !ok || t.attempt != attempt {
+		return nil
+	}
+	return take()
+}
+
 func (j *Jobs) submit(now time.Time, spec Spec) []Action {
 	if _, ok := j.jobs[spec.ID]; ok {
 		return nil
@@ -160,10 +172,12 @@
 	if t.worker != "" {
 		delete(j.on[t.worker], t.id)
 	}
-	t.worker, t.since, t.lease = worker, now, ""
+	t.worker, t.since, t.lease, t.attempt = worker, now, "", 0
 	if worker == "" {
 		return
 	}
+	j.attempts++
+	t.attempt = j.attempts
 	if j.on[worker] == nil {
 		j.on[worker] = map[string]*task{}
 	}
@@ -193,7 +207,7 @@
 	j.move(t, ev.Worker, now)
 	t.tries++
 	t.sent = true
-	return []Action{Start{Spec: t.job.spec, Task: t.id, Worker: ev.Worker}}
+	return []Action{Start{Spec: t.job.spec, Task: t.id, Worker: ev.Worker, Attempt: t.attempt}}
 }
 
 func (j *Jobs) started(now time.Time, id string) []Action {
@@ -267,7 +281,7 @@
 		t.move("cancel")
 		if t.state == "stopping" {
 			if worker != "" {
-				acts = append(acts, Stop{Task: t.id, Worker: worker})
+				acts = append(acts, Stop{Task: t.id, Worker: worker, Attempt: t.attempt})
 			}
 			continue
 		}
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -28,8 +28,8 @@
 func TestUnsureStartWaitsForItsDeadline(t *testing.T) {
 	j := job.New()
 	j.Step(now, job.Submit{Spec: spec(1)})
-	j.Step(now, job.Put{Task: "d.r.j.0", Worker: "w1"})
-	require.Empty(t, j.Step(now, job.Unsure{Task: "d.r.j.0", Deadline: now.Add(time.Second)}))
+	start := startOf(t, j, "d.r.j.0", "w1")
+	require.Empty(t, j.Step(now, job.Unsure{Task: "d.r.j.0", Attempt: start.Attempt, Deadline: now.Add(time.Second)}))
 	require.Empty(t, j.Step(now, job.Seen{Worker: "w1", Clock: now}))
 	acts := j.Step(now, job.Seen{Worker: "w1", Clock: now.Add(2 * time.Second)})
 	require.IsType(t, job.Want{}, acts[1])
@@ -54,8 +54,7 @@
 	j := job.New()
 	j.Step(now, job.Submit{Spec: spec(1)})
 	for range 2 {
-		j.Step(now, job.Put{Task: "d.r.j.0", Worker: "w1"})
-		j.Step(now, job.Started{Task: "d.r.j.0"})
+		confirm(j, "d.r.j.0", "w1")
 		j.Step(now, job.Seen{Worker: "w1", Clock: now, Tasks: []job.Listed{{ID: "d.r.j.0", State: "failed"}}})
 	}
 	require.Equal(t, "failed", state(t, j))
--- a/internal/job/messages.go
+++ b/internal/job/messages.go
@@ -31,21 +31,32 @@
 // Put tells that a task got room on a worker.
 type Put struct{ Task, Worker string }
 
-// Started tells that a worker confirmed a start.
-type Started struct{ Task string }
+// Started tells that a worker confirmed a start. Attempt is that of the start: an
+// answer may come after the task has left the worker, and says nothing of its next start.
+type Started struct {
+	Task    string
+	Attempt int64
+}
 
 // NotStarted tells that a start was certainly not carried out.
-type NotStarted struct{ Task string }
+type NotStarted struct {
+	Task    string
+	Attempt int64
+}
 
 // Unsure tells that a start had no answer. It is dead on arrival after
 // Deadline in the worker's clock.
 type Unsure struct {
 	Task     string
+	Attempt  int64
 	Deadline time.Time
 }
 
 // Stopped tells that a worker confirmed that a task runs no longer.
-type Stopped struct{ Task string }
+type Stopped struct {
+	Task    string
+	Attempt int64
+}
 
 // Seen is all that one worker lists, at Clock in its own time. Sent is when
 // it was asked, by this host's clock.
@@ -98,7 +109,10 @@
 }
 
 // Pause asks a worker to checkpoint a task and then to stop it.
-type Pause struct{ Task, Worker string }
+type Pause struct {
+	Task, Worker string
+	Attempt      int64
+}
 
 // Result tells how a task came to its end on a worker, and how long after its
 // confirmed start.
@@ -108,14 +122,18 @@
 	Run               time.Duration
 }
 
-// Start asks a worker to start a task.
+// Start asks a worker to start a task. Attempt names the start in its answer.
 type Start struct {
 	Spec         Spec
 	Task, Worker string
+	Attempt      int64
 }
 
 // Stop asks a worker to stop a task.
-type Stop struct{ Task, Worker string }
+type Stop struct {
+	Task, Worker string
+	Attempt      int64
+}
 
 // Free tells the placement that a task takes or wants room no longer.
 type Free struct{ Task string }
--- a/internal/job/retry.go
+++ b/internal/job/retry.go
@@ -81,7 +81,7 @@
 	if !ok || t.job.census || !t.move("pause") {
 		return nil
 	}
-	return []Action{Pause{Task: id, Worker: t.worker}}
+	return []Action{Pause{Task: id, Worker: t.worker, Attempt: t.attempt}}
 }
 
 // paused queues a task again that was stopped for others. Being stopped is not
--- a/internal/job/retry_test.go
+++ b/internal/job/retry_test.go
@@ -20,8 +20,7 @@
 func put(j *job.Jobs, wants []job.Want) {
 	for _, w := range wants {
 		for i, id := range w.Tasks {
-			j.Step(now, job.Put{Task: id, Worker: fmt.Sprintf("w%d", i)})
-			j.Step(now, job.Started{Task: id})
+			confirm(j, id, fmt.Sprintf("w%d", i))
 		}
 	}
 }
@@ -33,10 +32,10 @@
 	j := job.New()
 	put(j, only[job.Want](j.Step(now, job.Submit{Spec: gang(3)})))
 	acts := j.Step(now, seen("w1", now.Add(time.Second)))
-	require.Equal(t, []job.Pause{{Task: "d.r.j.0", Worker: "w0"}, {Task: "d.r.j.2", Worker: "w2"}}, only[job.Pause](acts))
+	require.Equal(t, []job.Pause{{Task: "d.r.j.0", Worker: "w0", Attempt: 1}, {Task: "d.r.j.2", Worker: "w2", Attempt: 3}}, only[job.Pause](acts))
 	require.Empty(t, only[job.Want](acts))
-	require.Empty(t, only[job.Want](j.Step(now, job.Stopped{Task: "d.r.j.0"})))
-	want := only[job.Want](j.Step(now, job.Stopped{Task: "d.r.j.2"}))
+	require.Empty(t, only[job.Want](j.Step(now, job.Stopped{Task: "d.r.j.0", Attempt: 1})))
+	want := only[job.Want](j.Step(now, job.Stopped{Task: "d.r.j.2", Attempt: 3}))
 	require.Len(t, want, 1)
 	require.Equal(t, []string{"d.r.j.0", "d.r.j.1", "d.r.j.2"}, want[0].Tasks)
 	put(j, want)
@@ -50,13 +49,13 @@
 func TestPreemptionUsesUpNoTry(t *testing.T) {
 	j := job.New()
 	wants := only[job.Want](j.Step(now, job.Submit{Spec: spec(1)}))
-	for range 5 {
+	for n := range int64(5) {
 		put(j, wants)
 		acts := j.Step(now, job.Preempt{Task: "d.r.j.0"})
-		require.Equal(t, []job.Action{job.Pause{Task: "d.r.j.0", Worker: "w0"}}, acts)
+		require.Equal(t, []job.Action{job.Pause{Task: "d.r.j.0", Worker: "w0", Attempt: n + 1}}, acts)
 		require.Empty(t, j.Step(now, job.Preempt{Task: "d.r.j.0"}), "once is enough")
 		require.Empty(t, only[job.Free](j.Step(now, seen("w0", now.Add(-time.Second)))))
-		wants = only[job.Want](j.Step(now, job.Stopped{Task: "d.r.j.0"}))
+		wants = only[job.Want](j.Step(now, job.Stopped{Task: "d.r.j.0", Attempt: n + 1}))
 		require.Len(t, wants, 1)
 	}
 	put(j, wants)
@@ -70,7 +69,7 @@
 	j := started(1)
 	j.Step(now, job.Preempt{Task: "d.r.j.0"})
 	acts := j.Step(now, seen("w1", now.Add(time.Second), listed("d.r.j.0", "running")))
-	require.Equal(t, []job.Action{job.Pause{Task: "d.r.j.0", Worker: "w1"}}, acts)
+	require.Equal(t, []job.Action{job.Pause{Task: "d.r.j.0", Worker: "w1", Attempt: 1}}, acts)
 	acts = j.Step(now, seen("w1", now.Add(2*time.Second), listed("d.r.j.0", "stopped")))
 	require.Len(t, only[job.Want](acts), 1)
 }
@@ -85,7 +84,7 @@
 	j = started(1)
 	j.Step(now, job.Preempt{Task: "d.r.j.0"})
 	require.Len(t, only[job.Stop](j.Step(now, job.Cancel{ID: "d.r.j"})), 1)
-	require.Empty(t, only[job.Want](j.Step(now, job.Stopped{Task: "d.r.j.0"})))
+	require.Empty(t, only[job.Want](j.Step(now, job.Stopped{Task: "d.r.j.0", Attempt: 1})))
 	require.Equal(t, "cancelled", state(t, j))
 }
 
--- a/internal/job/seen.go
+++ b/internal/job/seen.go
@@ -52,10 +52,10 @@
 	switch l.State {
 	case workerRunning:
 		if t.state == "stopping" {
-			return []Action{Stop{Task: t.id, Worker: t.worker}}
+			return []Action{Stop{Task: t.id, Worker: t.worker, Attempt: t.attempt}}
 		}
 		if t.state == "pausing" {
-			return []Action{Pause{Task: t.id, Worker: t.worker}}
+			return []Action{Pause{Task: t.id, Worker: t.worker, Attempt: t.attempt}}
 		}
 		if t.state == "unsure" {
 			t.move("found")
--- /dev/null
+++ b/internal/job/stale_test.go
@@ -0,0 +1,73 @@
+package job_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/job"
+)
+
+// startOf puts a task on a worker and returns the start that is sent for it.
+func startOf(t *testing.T, j *job.Jobs, task, worker string) job.Start {
+	t.Helper()
+	starts := only[job.Start](j.Step(now, job.Put{Task: task, Worker: worker}))
+	require.Len(t, starts, 1)
+	return starts[0]
+}
+
+// failedOn has a worker list a task as failed before the start's own answer is there.
+func failedOn(t *testing.T, j *job.Jobs, task, worker string) {
+	t.Helper()
+	acts := j.Step(now, seen(worker, now.Add(time.Second), listed(task, "failed")))
+	require.Len(t, only[job.Want](acts), 1)
+}
+
+// Guards against a task that runs twice: the confirmation of a try that has failed
+// meanwhile is taken for that of the next try, whose start is still under way.
+func TestLateConfirmationOfAFormerTryChangesNothing(t *testing.T) {
+	j := job.New()
+	j.Step(now, job.Submit{Spec: spec(1)})
+	first := startOf(t, j, "d.r.j.0", "w1")
+	failedOn(t, j, "d.r.j.0", "w1")
+	startOf(t, j, "d.r.j.0", "w2")
+	j.Step(now, job.Started{Task: "d.r.j.0", Attempt: first.Attempt})
+	require.Empty(t, j.Step(now, seen("w2", now.Add(time.Second))), "the start to w2 may still land")
+}
+
+// Guards against a task that runs twice: the lost answer of a former try sets an
+// earlier deadline for the next one.
+func TestLostAnswerOfAFormerTryChangesNothing(t *testing.T) {
+	j := job.New()
+	j.Step(now, job.Submit{Spec: spec(1)})
+	first := startOf(t, j, "d.r.j.0", "w1")
+	failedOn(t, j, "d.r.j.0", "w1")
+	startOf(t, j, "d.r.j.0", "w2")
+	j.Step(now, job.Sent{Task: "d.r.j.0", Deadline: now.Add(5 * time.Second)})
+	j.Step(now, job.Unsure{Task: "d.r.j.0", Attempt: first.Attempt, Deadline: now.Add(time.Second)})
+	require.Empty(t, j.Step(now, seen("w2", now.Add(2*time.Second))), "the start to w2 may still land")
+}
+
+// Guards against a task that runs twice: a former try's refusal is taken for one of the next try.
+func TestLateRefusalOfAFormerTryChangesNothing(t *testing.T) {
+	j := job.New()
+	j.Step(now, job.Submit{Spec: spec(1)})
+	first := startOf(t, j, "d.r.j.0", "w1")
+	failedOn(t, j, "d.r.j.0", "w1")
+	startOf(t, j, "d.r.j.0", "w2")
+	require.Empty(t, j.Step(now, job.NotStarted{Task: "d.r.j.0", Attempt: first.Attempt}))
+}
+
+// Guards against a task that runs twice: a stop that was confirmed on one worker is taken for
+// the stop of the same task on its next worker.
+func TestLateStopOfAFormerTryChangesNothing(t *testing.T) {
+	j := job.New()
+	put(j, only[job.Want](j.Step(now, job.Submit{Spec: spec(1)})))
+	first := only[job.Pause](j.Step(now, job.Preempt{Task: "d.r.j.0"}))[0]
+	j.Step(now, seen("w0", now.Add(time.Second), listed("d.r.j.0", "stopped")))
+	next := startOf(t, j, "d.r.j.0", "w1")
+	j.Step(now, job.Started{Task: "d.r.j.0", Attempt: next.Attempt})
+	j.Step(now, job.Preempt{Task: "d.r.j.0"})
+	require.Empty(t, j.Step(now, job.Stopped{Task: "d.r.j.0", Attempt: first.Attempt}))
+}
--- a/internal/lead/start.go
+++ b/internal/lead/start.go
@@ -38,7 +38,7 @@
 func (l *Lead) lapsed(a job.Start) {
 	l.lease(lease.Tick{})
 	l.place(place.Down{Worker: a.Worker})
-	l.job(job.NotStarted{Task: a.Task})
+	l.job(job.NotStarted{Task: a.Task, Attempt: a.Attempt})
 }
 
 func (l *Lead) sendStart(ctx context.Context, a job.Start, size cell.Size, deadline time.Time) {
@@ -54,16 +54,16 @@
 	switch {
 	case err == nil:
 		l.lease(lease.Answered{Worker: a.Worker, Task: a.Task, Sure: true, Run: a.Spec.Time.Duration})
-		l.job(job.Started{Task: a.Task})
+		l.job(job.Started{Task: a.Task, Attempt: a.Attempt})
 	case errors.As(err, &late):
 		l.Count("lead.late")
 		l.lease(lease.Answered{Worker: a.Worker, Task: a.Task, Sure: true})
-		l.job(job.NotStarted{Task: a.Task})
+		l.job(job.NotStarted{Task: a.Task, Attempt: a.Attempt})
 	default:
 		l.Count("lead.unsure")
 		l.lease(lease.Answered{Worker: a.Worker, Task: a.Task})
 		l.note(a.Spec.ID, "start of "+a.Task+" has no answer")
-		l.job(job.Unsure{Task: a.Task, Deadline: deadline})
+		l.job(job.Unsure{Task: a.Task, Attempt: a.Attempt, Deadline: deadline})
 	}
 }
 
--- a/internal/lead/stop.go
+++ b/internal/lead/stop.go
@@ -16,7 +16,7 @@
 
 // stop asks until the worker confirms.
 func (l *Lead) stop(ctx context.Context, a job.Stop) {
-	l.stopped(a.Task, a.Worker, l.Workers.Stop(ctx, l.address(a.Worker), a.Task))
+	l.stopped(a.Worker, job.Stopped{Task: a.Task, Attempt: a.Attempt}, l.Workers.Stop(ctx, l.address(a.Worker), a.Task))
 }
 
 // pause checkpoints a task and then stops it. Without an answer to the first
@@ -28,23 +28,23 @@
 	if err == nil {
 		err = l.Workers.Stop(ctx, addr, a.Task)
 	}
-	l.stopped(a.Task, a.Worker, err)
+	l.stopped(a.Worker, job.Stopped{Task: a.Task, Attempt: a.Attempt}, err)
 }
 
 // stopped takes note of a stop's answer. A stop whose answer is lost, or that
 // overtook the start, is followed by a look at the worker's list, which brings
 // the next stop as long as the task runs.
-func (l *Lead) stopped(task, on string, err error) {
+func (l *Lead) stopped(on string, ev job.Stopped, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var gone *worker.GoneError
 	switch {
 	case err == nil:
-		l.job(job.Stopped{Task: task})
+		l.job(ev)
 	case errors.As(err, &gone):
 		l.lease(lease.Look{Worker: on})
 	default:
-		l.Log.Warn("lead: stop has no answer.", "task", task, "worker", on, "err", err)
+		l.Log.Warn("lead: stop has no answer.", "task", ev.Task, "worker", on, "err", err)
 		l.lease(lease.Look{Worker: on, After: stopRetry})
 	}
 }
--- a/internal/model/actions.go
+++ b/internal/model/actions.go
@@ -167,7 +167,7 @@
 		w.lease(h, lease.Lost{Worker: m.worker})
 	case "start":
 		w.lease(h, lease.Answered{Worker: m.worker, Task: m.task})
-		w.job(h, job.Unsure{Task: m.task, Deadline: m.deadline})
+		w.job(h, job.Unsure{Task: m.task, Attempt: m.attempt, Deadline: m.deadline})
 	}
 }
 
@@ -177,10 +177,10 @@
 	case m.kind == "start":
 		w.lease(h, lease.Answered{Worker: m.worker, Task: m.task, Sure: true})
 		if m.late {
-			w.job(h, job.NotStarted{Task: m.task})
+			w.job(h, job.NotStarted{Task: m.task, Attempt: m.attempt})
 			return
 		}
-		w.job(h, job.Started{Task: m.task})
+		w.job(h, job.Started{Task: m.task, Attempt: m.attempt})
 	case m.kind == "give":
 	case m.refused:
 		w.overtake(h, takeover.Sign{Worker: m.worker})
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -50,6 +50,7 @@
 type message struct {
 	kind, host, holder, worker, task, lease string
 	inc                                     int
+	attempt                                 int64
 	ttl, long                               time.Duration
 	deadline                                time.Time
 	sent                                    time.Time
@@ -252,7 +253,7 @@
 func (w *World) start(h *host, a job.Start) {
 	deadline, ok := h.leases.Deadline(w.now, a.Worker)
 	if !ok {
-		w.job(h, job.NotStarted{Task: a.Task})
+		w.job(h, job.NotStarted{Task: a.Task, Attempt: a.Attempt})
 		return
 	}
 	w.job(h, job.Sent{Task: a.Task, Deadline: deadline})
@@ -260,7 +261,7 @@
 	if w.rules.NoDeadline {
 		deadline = time.Time{}
 	}
-	w.send(h, message{kind: "start", worker: a.Worker, task: a.Task, ttl: ttl, deadline: deadline})
+	w.send(h, message{kind: "start", worker: a.Worker, task: a.Task, attempt: a.Attempt, ttl: ttl, deadline: deadline})
 }
 
 // fill places waiting tasks on held workers that are empty as far as the host
