job: a peer's list says nothing of jobs that it was not asked for

While a job has tasks on workers of other hosts its lead asks those what they list, and names its jobs. A job that was handed over between question and answer is not among them; its unsure start was missing from the answer, the worker's clock was past its deadline, and the task was started again although it ran there.

The answer is now applied to the jobs of the question only. Without the condition TestListOfOtherJobsProvesNothing fails. Found by reading; not seen in a play.

--- a/internal/host/takeover.go
+++ b/internal/host/takeover.go
@@ -138,7 +138,7 @@
 		c.Views = append(c.Views, lead.View{Worker: w.Name, Clock: w.Clock, Age: w.Age.Duration, Tasks: w.Tasks})
 	}
 	h.takeOver()
-	h.lead.Answered(name, asked, c)
+	h.lead.Answered(name, asked, m.Jobs, c)
 }
 
 // census answers a peer's question. Jobs that this host is about to lead, or
--- a/internal/job/messages.go
+++ b/internal/job/messages.go
@@ -65,6 +65,8 @@
 	Clock  time.Time
 	Sent   time.Time
 	Tasks  []Listed
+	// Jobs are those that the list is about; nil: all.
+	Jobs []string
 	// Gone tells that the worker was silent for longer than any lease runs,
 	// so that nothing runs there.
 	Gone bool
--- a/internal/job/seen.go
+++ b/internal/job/seen.go
@@ -16,7 +16,7 @@
 		acts = append(acts, j.read(now, ev.Worker, l)...)
 	}
 	for _, id := range slices.Sorted(maps.Keys(j.on[ev.Worker])) {
-		if !listed[id] {
+		if !listed[id] && (ev.Jobs == nil || slices.Contains(ev.Jobs, j.tasks[id].job.spec.ID)) {
 			acts = append(acts, j.missing(j.tasks[id], ev)...)
 		}
 	}
--- a/internal/job/stale_test.go
+++ b/internal/job/stale_test.go
@@ -71,3 +71,18 @@
 	j.Step(now, job.Preempt{Task: "d.r.j.0"})
 	require.Empty(t, j.Step(now, job.Stopped{Task: "d.r.j.0", Attempt: first.Attempt}))
 }
+
+// Guards against a task that runs twice: a peer lists only the tasks of the jobs that it was
+// asked for, and says nothing of a start of a job that was handed over since the question.
+func TestListOfOtherJobsProvesNothing(t *testing.T) {
+	j := job.New()
+	j.Step(now, job.Adopt{Carry: job.Carry{Spec: spec(1), State: "waiting", Tasks: []job.CarriedTask{
+		{State: "unsure", Worker: "w1", Tries: 1, Deadline: now, Sent: true},
+	}}})
+	list := seen("w1", now.Add(2*time.Second))
+	list.Jobs = []string{"d.r.other"}
+	require.Empty(t, j.Step(now, list))
+	list.Jobs = append(list.Jobs, "d.r.j")
+	acts := j.Step(now, list)
+	require.Len(t, only[job.Want](acts), 1)
+}
--- a/internal/lead/fault_test.go
+++ b/internal/lead/fault_test.go
@@ -198,7 +198,7 @@
 		for _, name := range []string{"a", "b"} {
 			ids, waits := p.hosts[name].Question()
 			other := map[string]string{"a": "b", "b": "a"}[name]
-			p.hosts[name].Answered(other, p.now, p.hosts[other].Census(name, ids, waits))
+			p.hosts[name].Answered(other, p.now, ids, p.hosts[other].Census(name, ids, waits))
 		}
 	}
 	require.Equal(t, "running", p.state("a", "one"))
--- a/internal/lead/inherit.go
+++ b/internal/lead/inherit.go
@@ -275,7 +275,8 @@
 // Answered takes a peer's answer to a question that was sent at asked. A
 // worker that this host holds, or held since then, is passed over: what the
 // peer told of it is older than what this host knows.
-func (l *Lead) Answered(host string, asked time.Time, c Census) {
+// The peer lists tasks of the jobs that were asked for, and no others.
+func (l *Lead) Answered(host string, asked time.Time, ids []string, c Census) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ev := takeover.Answer{Host: host, Asked: asked, Leads: c.Leads, Waits: c.Waits}
@@ -285,7 +286,7 @@
 			continue
 		}
 		ev.Workers = append(ev.Workers, v.Worker)
-		l.job(job.Seen{Worker: v.Worker, Clock: v.Clock, Sent: asked.Add(-v.Age), Tasks: v.Tasks})
+		l.job(job.Seen{Worker: v.Worker, Clock: v.Clock, Sent: asked.Add(-v.Age), Tasks: v.Tasks, Jobs: ids})
 	}
 	l.takeover(ev)
 }
--- a/internal/measure/takeover.go
+++ b/internal/measure/takeover.go
@@ -121,7 +121,7 @@
 	ids, waits := h.lead.Question()
 	for _, other := range r.hosts {
 		if other != h && slices.Contains(r.live, other.name) {
-			h.lead.Answered(other.name, r.now, other.lead.Census(h.name, ids, waits))
+			h.lead.Answered(other.name, r.now, ids, other.lead.Census(h.name, ids, waits))
 		}
 	}
 }
