lease: two starts of one task under way to a worker are two

The anchor of a worker is kept while a start to it has no answer. Starts were noted by task: when a task failed before its start's answer was read and was started again on the same worker, the first answer took away the note of both, the anchor was given back, and the next holder read the list before the second start landed: an overfull worker, or a task beside its copy. Starts are counted now; the new test fails on the former code. Found by reading, after the same confusion in the job core.

--- a/internal/lease/fault_test.go
+++ b/internal/lease/fault_test.go
@@ -85,6 +85,18 @@
 	require.Equal(t, []lease.Give{{Worker: "w1", Lease: ""}}, kinds[lease.Give](sure))
 }
 
+// Guards against an overfull worker: a task is started again on the worker while the answer to
+// its former start is still to come; that answer must not free the anchor under the second start.
+func TestAnchorIsNotGivenBackUnderASecondStartOfATask(t *testing.T) {
+	l := lease.New(limits)
+	hold(t, l)
+	l.Step(start, lease.Sent{Worker: "w1", Task: "t"})
+	l.Step(start, lease.Sent{Worker: "w1", Task: "t"})
+	require.Empty(t, kinds[lease.Give](l.Step(start, lease.Lead{})))
+	require.Empty(t, kinds[lease.Give](l.Step(start, lease.Answered{Worker: "w1", Task: "t", Sure: true})))
+	require.Len(t, kinds[lease.Give](l.Step(start, lease.Answered{Worker: "w1", Task: "t", Sure: true})), 1)
+}
+
 // The answer to that start is lost: nobody knows whether it will still land.
 // The anchor is left to lapse, since the start is dead by then.
 func TestAnchorLapsesUnderAnUnsureStart(t *testing.T) {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -25,9 +25,9 @@
 	// reading is the last answer, with all tasks that the worker lists.
 	reading Reading
 	tasks   map[string]Task
-	// flying are starts without an answer. risk is when the last start whose
+	// flying counts by task the starts without an answer. risk is when the last start whose
 	// answer was lost is surely dead.
-	flying map[string]bool
+	flying map[string]int
 	risk   time.Time
 	over   time.Time
 	// looks are the times at which started tasks are expected to end.
@@ -73,7 +73,7 @@
 func (l *Leases) lead(names []string) []Action {
 	for _, name := range names {
 		if _, ok := l.workers[name]; !ok {
-			l.workers[name] = &worker{state: life.Start(), flying: map[string]bool{}}
+			l.workers[name] = &worker{state: life.Start(), flying: map[string]int{}}
 		}
 	}
 	var acts []Action
@@ -195,7 +195,7 @@
 
 func (l *Leases) sent(ev Sent) {
 	if w, ok := l.workers[ev.Worker]; ok {
-		w.flying[ev.Task] = true
+		w.flying[ev.Task]++
 	}
 }
 
@@ -204,7 +204,9 @@
 	if !ok {
 		return
 	}
-	delete(w.flying, ev.Task)
+	if w.flying[ev.Task]--; w.flying[ev.Task] <= 0 {
+		delete(w.flying, ev.Task)
+	}
 	if !ev.Sure && w.over.After(w.risk) {
 		w.risk = w.over
 	}
