member: a heartbeat that was overtaken is passed over

Heartbeats are sent and handled side by side, and one from before the peer heard this host could arrive after the next.

Heartbeats are numbered; an older one of the same incarnation changes nothing. TestOvertakenHeartbeatIsPassedOver fails on the former code.

--- a/internal/host/beat.go
+++ b/internal/host/beat.go
@@ -63,8 +63,9 @@
 	free, waiting := h.relay.Load()
 	now := h.clock()
 	h.mu.Lock()
+	h.beats++
 	b := member.Beat{
-		Name: h.cfg.Name, Incarnation: h.incarnation, Next: h.table.Wants(), Mark: uint32(h.table.Mark()),
+		Name: h.cfg.Name, Incarnation: h.incarnation, Seq: h.beats, Next: h.table.Wants(), Mark: uint32(h.table.Mark()),
 		Free: free, Queued: waiting, Leaving: !h.Ready(), Ack: h.members.Hears(now, name), Period: cell.Duration{Duration: period},
 	}
 	h.mu.Unlock()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -64,8 +64,10 @@
 
 	mu      sync.Mutex
 	members *member.Members
-	table   *table.Table
-	grown   chan struct{}
+	// beats counts the heartbeats of this incarnation.
+	beats int64
+	table *table.Table
+	grown chan struct{}
 	// told… is what repeatShares has told last.
 	toldWord    share.Word
 	toldLeaving []string
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -74,10 +74,11 @@
 }
 
 // hear keeps the newest incarnation: a message that a dead predecessor left in
-// the network would otherwise bring the predecessor back to life.
+// the network would otherwise bring the predecessor back to life. An older heartbeat of the
+// same incarnation may tell that it did not hear this host yet.
 func (m *Members) hear(now time.Time, b Beat) {
 	old, ok := m.peers[b.Name]
-	if ok && old.Incarnation > b.Incarnation {
+	if ok && (old.Incarnation > b.Incarnation || old.Incarnation == b.Incarnation && old.Seq > b.Seq) {
 		return
 	}
 	p := peerState{Beat: b, first: old.first}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -35,6 +35,16 @@
 	require.Equal(t, 5, m.Beats()[0].Free)
 }
 
+// Guards against two hosts that lead one rack: a heartbeat from before the peer heard this host
+// overtakes the next one, and this host takes the peer for gone.
+func TestOvertakenHeartbeatIsPassedOver(t *testing.T) {
+	m := member.New(member.Beat{Name: "a"})
+	m.Step(now, member.Heard{Beat: member.Beat{Name: "b", Seq: 2, Ack: true}})
+	require.Empty(t, m.Step(now, member.Heard{Beat: member.Beat{Name: "b", Seq: 1}}))
+	require.Equal(t, []string{"a", "b"}, m.Live())
+	require.NotEmpty(t, m.Step(now, member.Heard{Beat: member.Beat{Name: "b", Seq: 3}}))
+}
+
 func TestRankNamesTwoDifferentHosts(t *testing.T) {
 	for _, key := range []string{"a", "b", "c", "d", "e", "f"} {
 		first, second := member.Rank(key, []string{"x", "y", "z"})
--- a/internal/member/messages.go
+++ b/internal/member/messages.go
@@ -41,12 +41,14 @@
 
 // Beat is one heartbeat: who sends it, since when it runs, what load it
 // carries, which table offset it waits for and the mark of its table there. Ack
-// tells the receiver that its own heartbeats arrive at the sender. Domain does
-// not travel: each host knows its peers' from its settings.
+// tells the receiver that its own heartbeats arrive at the sender. Seq numbers an
+// incarnation's heartbeats, which may overtake each other. Domain does not travel:
+// each host knows its peers' from its settings.
 type Beat struct {
 	Name        string        `json:"name"`
 	Domain      string        `json:"-"`
 	Incarnation int64         `json:"inc"`
+	Seq         int64         `json:"seq"`
 	Next        int64         `json:"next"`
 	Mark        uint32        `json:"mark"`
 	Free        int           `json:"free"`
