job: what a worker lists of a former start is not the end of the next

Callers saw a task run twice, and its workers were overfull. A new lead takes a worker, gives it a waiting task at once, and then reads the worker's list, which still shows the task's former start there: failed under a lead that stopped, or lapsed under one that was paused or killed. That line was taken for the end of the start that was just sent; the task got room elsewhere, and both starts ran.

The former lead's start of task 17 failed on worker-00 at 14.265; the restarted host takes worker-00 at 18.452, sends the start of task 17 and notes in the same millisecond that it failed there, and sends it to worker-01 at 18.494; worker-00 has started it at 18.453 and worker-01 at 18.499.

A line that tells of no run counts now only when the list is later than all that may still land: after the start was confirmed, or, without an answer, after its deadline in the worker's clock. A line that tells of a run counts for a start without an answer only if the list was asked for after the start was sent. The same condition decided already what a missing line means. TestListOfAFormerStartSaysNothingOfTheNext plays this with two leads and the stand-ins in virtual time, and it and the four tests of the core fail on the former code. Tests that listed a failure at the time of the start, or before its answer, do so later now: no worker can.

Handed-over tasks that failed are noticed a renewal later than before.

--- /dev/null
+++ b/internal/job/former_test.go
@@ -0,0 +1,67 @@
+package job_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/job"
+)
+
+// over are the states in which a worker lists a start that came to nothing.
+var over = []string{"failed", "stopped", "lapsed"}
+
+// Guards against a task that runs twice: the line of its former start on the same worker is
+// taken for the end of a start that is still under way.
+func TestLineOfAFormerStartDoesNotEndTheNext(t *testing.T) {
+	for _, state := range over {
+		j := job.New()
+		j.Step(now, job.Submit{Spec: spec(1)})
+		next := startOf(t, j, "d.r.j.0", "w1")
+		line := listed("d.r.j.0", state)
+		require.Empty(t, j.Step(now, seen("w1", now.Add(-time.Second), line)), "a list from before the start")
+		require.Empty(t, j.Step(now, seen("w1", now.Add(time.Second), line)), "the start has not landed yet")
+		j.Step(now.Add(2*time.Second), job.Started{Task: "d.r.j.0", Attempt: next.Attempt})
+		require.Empty(t, j.Step(now, seen("w1", now.Add(time.Second), line)), "a list from before the confirmation")
+		require.Len(t, only[job.Want](j.Step(now, seen("w1", now.Add(3*time.Second), line))), 1, state)
+	}
+}
+
+// Guards against a task that runs twice: the same with the start's answer lost, so that it may
+// land until its deadline.
+func TestLineOfAFormerStartDoesNotEndAnUnsureOne(t *testing.T) {
+	for _, state := range []string{"stopped", "lapsed"} {
+		j := job.New()
+		j.Step(now, job.Submit{Spec: spec(1)})
+		next := startOf(t, j, "d.r.j.0", "w1")
+		deadline := now.Add(3 * time.Second)
+		j.Step(now, job.Sent{Task: "d.r.j.0", Deadline: deadline})
+		j.Step(now, job.Unsure{Task: "d.r.j.0", Attempt: next.Attempt, Deadline: deadline})
+		line := listed("d.r.j.0", state)
+		require.Empty(t, j.Step(now, seen("w1", now.Add(2*time.Second), line)))
+		require.Len(t, only[job.Want](j.Step(now, seen("w1", now.Add(4*time.Second), line))), 1, state)
+	}
+}
+
+// Guards against a task that runs twice: a task is stopped and started again on the same worker,
+// and a list from before the stop shows it running.
+func TestLineOfAStoppedStartDoesNotConfirmTheNext(t *testing.T) {
+	j := job.New()
+	j.Step(now, job.Submit{Spec: spec(1)})
+	startOf(t, j, "d.r.j.0", "w1")
+	require.Empty(t, j.Step(now, seen("w1", now.Add(-time.Second), listed("d.r.j.0", "running"))))
+	require.Empty(t, only[job.Want](j.Step(now, seen("w1", now.Add(time.Second)))))
+}
+
+// Guards against a task that runs twice: the start of a task that is being stopped has no answer
+// yet, and the line of its former start is taken for the stop.
+func TestLineOfAFormerStartDoesNotStopTheNext(t *testing.T) {
+	j := job.New()
+	j.Step(now, job.Submit{Spec: spec(1)})
+	startOf(t, j, "d.r.j.0", "w1")
+	j.Step(now, job.Sent{Task: "d.r.j.0", Deadline: now.Add(3 * time.Second)})
+	j.Step(now, job.Preempt{Task: "d.r.j.0"})
+	require.Empty(t, only[job.Want](j.Step(now, seen("w1", now.Add(2*time.Second), listed("d.r.j.0", "lapsed")))))
+	require.Len(t, only[job.Want](j.Step(now, seen("w1", now.Add(4*time.Second), listed("d.r.j.0", "lapsed")))), 1)
+}
--- a/internal/job/retry_test.go
+++ b/internal/job/retry_test.go
@@ -59,7 +59,7 @@
 		require.Len(t, wants, 1)
 	}
 	put(j, wants)
-	fails := j.Step(now, seen("w0", now, listed("d.r.j.0", "failed")))
+	fails := j.Step(now, seen("w0", now.Add(time.Second), listed("d.r.j.0", "failed")))
 	require.Equal(t, []string{"w0"}, only[job.Want](fails)[0].Avoid, "the first failure is tried again, elsewhere")
 }
 
@@ -100,8 +100,8 @@
 		id := waiting[0]
 		waiting = waiting[1:]
 		starts++
-		j.Step(now, job.Put{Task: id, Worker: "w1"})
-		acts := j.Step(now, seen("w1", now, listed(id, "failed")))
+		confirm(j, id, "w1")
+		acts := j.Step(now, seen("w1", now.Add(time.Second), listed(id, "failed")))
 		for _, w := range only[job.Want](acts) {
 			waiting = append(waiting, w.Tasks...)
 		}
@@ -109,8 +109,8 @@
 	require.LessOrEqual(t, starts, 60)
 	retries := 0
 	for range 10 {
-		j.Step(now, job.Put{Task: waiting[0], Worker: "w1"})
-		retries += len(only[job.Want](j.Step(now, seen("w1", now, listed(waiting[0], "failed")))))
+		confirm(j, waiting[0], "w1")
+		retries += len(only[job.Want](j.Step(now, seen("w1", now.Add(time.Second), listed(waiting[0], "failed")))))
 	}
 	require.Zero(t, retries)
 }
--- a/internal/job/seen.go
+++ b/internal/job/seen.go
@@ -13,7 +13,7 @@
 	listed := map[string]bool{}
 	for _, l := range ev.Tasks {
 		listed[l.ID] = true
-		acts = append(acts, j.read(now, ev.Worker, l)...)
+		acts = append(acts, j.read(now, ev, l)...)
 	}
 	for _, id := range slices.Sorted(maps.Keys(j.on[ev.Worker])) {
 		if !listed[id] && (ev.Jobs == nil || slices.Contains(ev.Jobs, j.tasks[id].job.spec.ID)) {
@@ -25,21 +25,53 @@
 
 // read takes one line of a worker's list. A line of a job that is not known
 // here changes nothing: its lead may be about to learn how the task ended.
-func (j *Jobs) read(now time.Time, worker string, l Listed) []Action {
+func (j *Jobs) read(now time.Time, ev Seen, l Listed) []Action {
 	t, ok := j.tasks[l.ID]
 	if !ok {
 		return nil
 	}
 	if t.worker == "" && (t.state == "unsure" || t.state == "stopping") {
-		return j.found(now, t, worker, l)
+		return j.found(now, t, ev.Worker, l)
 	}
-	if t.worker != worker {
-		return j.other(t, worker, l)
+	if t.worker != ev.Worker {
+		return j.other(t, ev.Worker, l)
+	}
+	if j.ofFormer(t, ev, l) {
+		return nil
 	}
 	t.lease = l.Lease
 	return j.listed(now, t, l)
 }
 
+// ofFormer tells whether a line may be about an earlier start of the task on the same worker,
+// which lists that one until the next start lands. Taken for the next one's end, it would have
+// the task started elsewhere while its start is under way.
+func (j *Jobs) ofFormer(t *task, ev Seen, l Listed) bool {
+	switch {
+	case l.State == workerEnded:
+		return false
+	case l.State == workerRunning:
+		return (t.state == "starting" || t.state == "unsure") && !t.since.Before(ev.Sent)
+	default:
+		return !t.landed(ev)
+	}
+}
+
+// landed tells that a list is from a time when the task's last start had arrived at the worker
+// or could no longer be carried out.
+func (t *task) landed(ev Seen) bool {
+	switch {
+	case ev.Gone:
+		return true
+	case t.state == "starting":
+		return false
+	case t.state != "running" && !t.deadline.IsZero():
+		return ev.Clock.After(t.deadline)
+	default:
+		return t.since.Before(ev.Sent)
+	}
+}
+
 // other takes a line about a task that is elsewhere by now: a former try.
 func (j *Jobs) other(t *task, worker string, l Listed) []Action {
 	if l.State == workerRunning || l.State == workerEnded && !t.job.kept {
@@ -132,15 +164,14 @@
 // list that was asked for before a start was confirmed says nothing of it:
 // without this rule the task would be started a second time beside the first.
 func (j *Jobs) missing(t *task, ev Seen) []Action {
+	if !t.landed(ev) {
+		return nil
+	}
 	switch t.state {
 	case "unsure", "stopping", "pausing":
-		if ev.Gone || !t.deadline.IsZero() && ev.Clock.After(t.deadline) || t.deadline.IsZero() && t.since.Before(ev.Sent) {
-			return j.again(t.id, "gone")
-		}
+		return j.again(t.id, "gone")
 	case "running":
-		if ev.Gone || t.since.Before(ev.Sent) {
-			return j.again(t.id, "retry")
-		}
+		return j.again(t.id, "retry")
 	}
 	return nil
 }
--- a/internal/job/stale_test.go
+++ b/internal/job/stale_test.go
@@ -17,20 +17,21 @@
 	return starts[0]
 }
 
-// failedOn has a worker list a task as failed before the start's own answer is there.
-func failedOn(t *testing.T, j *job.Jobs, task, worker string) {
+// preempt stops a task before its start's own answer is there.
+func preempt(t *testing.T, j *job.Jobs, task string) {
 	t.Helper()
-	acts := j.Step(now, seen(worker, now.Add(time.Second), listed(task, "failed")))
-	require.Len(t, only[job.Want](acts), 1)
+	for _, a := range only[job.Pause](j.Step(now, job.Preempt{Task: task})) {
+		require.Len(t, only[job.Want](j.Step(now, job.Stopped{Task: task, Attempt: a.Attempt})), 1)
+	}
 }
 
-// Guards against a task that runs twice: the confirmation of a try that has failed
+// Guards against a task that runs twice: the confirmation of a try that was stopped
 // meanwhile is taken for that of the next try, whose start is still under way.
 func TestLateConfirmationOfAFormerTryChangesNothing(t *testing.T) {
 	j := job.New()
 	j.Step(now, job.Submit{Spec: spec(1)})
 	first := startOf(t, j, "d.r.j.0", "w1")
-	failedOn(t, j, "d.r.j.0", "w1")
+	preempt(t, j, "d.r.j.0")
 	startOf(t, j, "d.r.j.0", "w2")
 	j.Step(now, job.Started{Task: "d.r.j.0", Attempt: first.Attempt})
 	require.Empty(t, j.Step(now, seen("w2", now.Add(time.Second))), "the start to w2 may still land")
@@ -42,7 +43,7 @@
 	j := job.New()
 	j.Step(now, job.Submit{Spec: spec(1)})
 	first := startOf(t, j, "d.r.j.0", "w1")
-	failedOn(t, j, "d.r.j.0", "w1")
+	preempt(t, j, "d.r.j.0")
 	startOf(t, j, "d.r.j.0", "w2")
 	j.Step(now, job.Sent{Task: "d.r.j.0", Deadline: now.Add(5 * time.Second)})
 	j.Step(now, job.Unsure{Task: "d.r.j.0", Attempt: first.Attempt, Deadline: now.Add(time.Second)})
@@ -54,7 +55,7 @@
 	j := job.New()
 	j.Step(now, job.Submit{Spec: spec(1)})
 	first := startOf(t, j, "d.r.j.0", "w1")
-	failedOn(t, j, "d.r.j.0", "w1")
+	preempt(t, j, "d.r.j.0")
 	startOf(t, j, "d.r.j.0", "w2")
 	require.Empty(t, j.Step(now, job.NotStarted{Task: "d.r.j.0", Attempt: first.Attempt}))
 }
--- /dev/null
+++ b/internal/lead/former_test.go
@@ -0,0 +1,65 @@
+package lead_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/lead"
+	"pollencroft/internal/standin"
+)
+
+// idle is the one worker that runs nothing.
+func (p *pair) idle() lead.Machine {
+	p.Helper()
+	for _, m := range p.machines {
+		if len(p.workers[m.Name].Record().Started) == 0 {
+			return m
+		}
+	}
+	p.Fatal("no worker is idle")
+	return lead.Machine{}
+}
+
+// at is the worker that started a job's task.
+func (p *pair) at(id string) lead.Machine {
+	p.Helper()
+	for _, m := range p.machines {
+		if p.workers[m.Name].Record().Started["d.r."+id+".0"] > 0 {
+			return m
+		}
+	}
+	p.Fatal("no worker has started " + id)
+	return lead.Machine{}
+}
+
+// Guards against a task that runs twice: a new lead starts a task on a worker that still lists
+// the task's former, failed start, and takes that line for the end of the new one.
+func TestListOfAFormerStartSaysNothingOfTheNext(t *testing.T) {
+	p := newPair(t, 3)
+	a, b := p.hosts["a"], p.hosts["b"]
+	p.submit("a", "one")
+	p.submit("a", "two")
+	p.run("a", time.Second)
+	bad := p.idle()
+	a.SetMachines([]lead.Machine{p.at("one"), bad})
+	b.SetMachines([]lead.Machine{p.at("two")})
+	p.run("ab", 5*time.Second)
+	p.workers[bad.Name].SetFaults(standin.WorkerFaults{FailAll: true})
+	p.submit("a", "old")
+	waiting := func() int { s, _ := a.Status("d.r.old"); return s.Tasks["waiting"] }
+	for p.run("a", 100*time.Millisecond); waiting() == 0; {
+		p.run("a", 100*time.Millisecond)
+	}
+	p.workers[bad.Name].SetFaults(standin.WorkerFaults{})
+	require.NoError(t, b.Adopt(a.HandOver([]string{"d.r.old", "d.r.two"})))
+	a.SetMachines([]lead.Machine{p.at("one")})
+	b.SetMachines([]lead.Machine{p.at("two"), bad})
+	p.run("ab", 300*time.Millisecond)
+	_, err := b.Cancel("d.r.two")
+	require.NoError(t, err)
+	p.run("ab", 30*time.Second)
+	require.Equal(t, "running", p.state("b", "old"))
+	p.sound()
+}
