job: a task whose start had no answer fails like any other

A start's answer is lost, the worker fails the task, and its lead finds it listed as failed: the task was failed for good with its tries unused, and its whole job with it. Callers are told that the job failed after one try of, say, three. Such a task is now taken as found and then as failed, so that it is tried again elsewhere. The new test fails on the former code (no room was asked for).

--- a/internal/job/former_test.go
+++ b/internal/job/former_test.go
@@ -65,3 +65,14 @@
 	require.Empty(t, only[job.Want](j.Step(now, seen("w1", now.Add(2*time.Second), listed("d.r.j.0", "lapsed")))))
 	require.Len(t, only[job.Want](j.Step(now, seen("w1", now.Add(4*time.Second), listed("d.r.j.0", "lapsed")))), 1)
 }
+
+// Guards against a job that fails with tries left: a task whose start had no answer has failed.
+func TestFailureOfAnUnsureStartIsTriedAgain(t *testing.T) {
+	j := job.New()
+	j.Step(now, job.Submit{Spec: spec(1)})
+	first := startOf(t, j, "d.r.j.0", "w1")
+	j.Step(now, job.Unsure{Task: "d.r.j.0", Attempt: first.Attempt, Deadline: now.Add(time.Second)})
+	acts := j.Step(now, seen("w1", now.Add(2*time.Second), listed("d.r.j.0", "failed")))
+	require.Equal(t, []string{"w1"}, only[job.Want](acts)[0].Avoid)
+	require.Equal(t, "waiting", state(t, j))
+}
--- a/internal/job/seen.go
+++ b/internal/job/seen.go
@@ -126,8 +126,8 @@
 // retries allow it. After that the whole job has failed, since a part of it
 // can never be had.
 func (j *Jobs) failed(now time.Time, t *task) []Action {
-	if t.state == "starting" {
-		t.move("started")
+	if t.state == "unsure" {
+		t.move("found")
 	}
 	if t.tries < t.job.spec.Tries && (t.state == "running" || t.state == "pausing") && j.spend(t.job.spec.Row) {
 		t.shun(t.worker)
@@ -144,9 +144,6 @@
 	if t.state == "stopping" || t.state == "pausing" {
 		return j.stopped(t.id)
 	}
-	if t.state == "starting" {
-		t.move("started")
-	}
 	if t.state == "unsure" {
 		return j.retry(t, "gone")
 	}
