lease: a worker that was given up is led again only with a fresh list

A host gives a rack up and gets it back before the anchors are returned, as when a peer comes and goes within a second while a start to it is under way. It led the worker again at once with the list that it had read before; the start of a job that it had handed over or dropped was not in it, its room was taken for free, and the worker was overfull.

The worker is read first, and led when no start to it is under way or unsure and the list is later than the last start's answer.

--- a/internal/lease/fault_test.go
+++ b/internal/lease/fault_test.go
@@ -154,3 +154,25 @@
 	l.Step(start, lease.Lead{Workers: names})
 	require.LessOrEqual(t, l.TTL(), lease.DefaultLimits.Long/3, "no start outlasts a census")
 }
+
+// Guards against an overfull worker: a host gives a rack up and gets it back while a start is
+// under way, and the list that it read before does not show the task.
+func TestWorkerIsLedAgainOnlyWithAListOfAllItsStarts(t *testing.T) {
+	l := lease.New(limits)
+	hold(t, l)
+	l.Step(start, lease.Sent{Worker: "w1", Task: "t"})
+	require.Len(t, kinds[lease.Down](l.Step(start, lease.Lead{})), 1)
+	at := start.Add(100 * time.Millisecond)
+	acts := l.Step(at, lease.Lead{Workers: []string{"w1"}})
+	require.Empty(t, kinds[lease.Up](acts))
+	require.Len(t, kinds[lease.Renew](acts), 1, "its list is read at once")
+	require.Empty(t, kinds[lease.Up](l.Step(at, lease.Renewed{Worker: "w1", Reading: reading(at)})), "the start may still land")
+	_, ok := l.Deadline(at, "w1")
+	require.False(t, ok)
+	at = at.Add(100 * time.Millisecond)
+	require.Len(t, kinds[lease.Renew](l.Step(at, lease.Answered{Worker: "w1", Task: "t", Sure: true})), 1)
+	later := at.Add(100 * time.Millisecond)
+	up := kinds[lease.Up](l.Step(later, lease.Renewed{Worker: "w1", Reading: reading(later, running("t"))}))
+	require.Len(t, up, 1)
+	require.Len(t, up[0].Tasks, 1)
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -20,6 +20,8 @@
 type worker struct {
 	state chart.State
 	want  bool
+	// up tells that this host was told that it leads the worker.
+	up    bool
 	until time.Time
 	next  time.Time
 	// reading is the last answer, with all tasks that the worker lists.
@@ -30,6 +32,8 @@
 	flying map[string]int
 	risk   time.Time
 	over   time.Time
+	// started is when the last start was answered: an older list may not show its task.
+	started time.Time
 	// looks are the times at which started tasks are expected to end.
 	looks map[string]time.Time
 }
@@ -48,7 +52,7 @@
 	var acts []Action
 	switch ev := ev.(type) {
 	case Lead:
-		acts = l.lead(ev.Workers)
+		acts = l.lead(now, ev.Workers)
 	case Granted:
 		acts = l.granted(now, ev)
 	case Renewed:
@@ -64,13 +68,13 @@
 	case Look:
 		l.look(now, ev)
 	case Release:
-		acts = l.lead(nil)
+		acts = l.lead(now, nil)
 	case Tick:
 	}
 	return append(acts, l.due(now)...)
 }
 
-func (l *Leases) lead(names []string) []Action {
+func (l *Leases) lead(now time.Time, names []string) []Action {
 	for _, name := range names {
 		if _, ok := l.workers[name]; !ok {
 			l.workers[name] = &worker{state: life.Start(), flying: map[string]int{}}
@@ -84,14 +88,39 @@
 		switch {
 		case w.state != "held":
 		case had && !w.want:
-			acts = append(acts, Down{Worker: name})
+			acts = append(acts, w.down(name)...)
 		case !had && w.want:
-			acts = append(acts, Up{Worker: name, Reading: w.whole()})
+			w.next = now
 		}
 	}
 	return acts
 }
 
+func (w *worker) down(name string) []Action {
+	if !w.up {
+		return nil
+	}
+	w.up = false
+	return []Action{Down{Worker: name}}
+}
+
+// show tells what a wanted worker runs. A worker that this host led before is led again only
+// with a list that shows all of its former starts: one that lands later would overfill it.
+func (l *Leases) show(now time.Time, name string, w *worker) []Action {
+	switch {
+	case !w.want:
+		return nil
+	case w.up:
+		return []Action{Seen{Worker: name, Reading: w.whole()}}
+	case len(w.flying) > 0 || w.risk.After(now) || !w.reading.Sent.After(w.started):
+		w.next = now.Add(l.limits.Retry)
+		return nil
+	default:
+		w.up = true
+		return []Action{Up{Worker: name, Reading: w.whole()}}
+	}
+}
+
 func (w *worker) move(ev chart.Event) bool {
 	next, err := life.Next(w.state, ev)
 	w.state = next
@@ -142,10 +171,7 @@
 	w.move("read")
 	w.looks = map[string]time.Time{}
 	w.next = now.Add(l.every())
-	if !w.want {
-		return nil
-	}
-	return []Action{Up{Worker: ev.Worker, Reading: w.whole()}}
+	return l.show(now, ev.Worker, w)
 }
 
 // renewed drops an answer to a question that was sent before the one whose
@@ -159,10 +185,7 @@
 	w.read(now, ev.Reading)
 	w.next = now.Add(l.every())
 	w.watch(now, l.limits.Retry)
-	if !w.want {
-		return nil
-	}
-	return []Action{Seen{Worker: ev.Worker, Reading: w.whole()}}
+	return l.show(now, ev.Worker, w)
 }
 
 func (l *Leases) refused(now time.Time, ev Refused) []Action {
@@ -176,7 +199,7 @@
 			return nil
 		}
 		w.move("lapse")
-		return []Action{Down{Worker: ev.Worker}}
+		return w.down(ev.Worker)
 	}
 	w.move("refused")
 	return nil
@@ -207,6 +230,10 @@
 	if w.flying[ev.Task]--; w.flying[ev.Task] <= 0 {
 		delete(w.flying, ev.Task)
 	}
+	w.started = now
+	if !w.up {
+		w.next = now
+	}
 	if !ev.Sure && w.over.After(w.risk) {
 		w.risk = w.over
 	}
@@ -256,7 +283,7 @@
 	case w.state == "held" && !w.until.After(now):
 		w.move("lapse")
 		w.next = now
-		return []Action{Down{Worker: name}}
+		return w.down(name)
 	case w.state == "held" && !w.want:
 		return l.give(now, name, w)
 	case !w.want || w.next.After(now):
@@ -299,7 +326,7 @@
 // start that is sent now may still begin; false if the worker is not held.
 func (l *Leases) Deadline(now time.Time, name string) (time.Time, bool) {
 	w, ok := l.workers[name]
-	if !ok || !w.want || w.state != "held" || !w.until.After(now) {
+	if !ok || !w.up || w.state != "held" || !w.until.After(now) {
 		return time.Time{}, false
 	}
 	return w.reading.Clock.Add(w.reading.Left - w.reading.Left/drift), true
@@ -316,7 +343,7 @@
 func (l *Leases) Held() []string {
 	var held []string
 	for _, name := range slices.Sorted(maps.Keys(l.workers)) {
-		if w := l.workers[name]; w.state == "held" && w.want {
+		if w := l.workers[name]; w.state == "held" && w.up {
 			held = append(held, name)
 		}
 	}
