job: an inherited task that lapses waits for its job's census

Callers saw a task run twice after a host was killed. Its successor under the same name inherits the job while another host leads it, finds a task running in that host's list of the worker, takes the worker, and sees that the task's lease ran out meanwhile: the former lead died before the first renewal. The task was started at once although the census was not complete; a tenth of a second later the job was handed over by its lead, in whose state the task still ran there, the list said again that it had lapsed, and it was started once more.

A task of a job that waits for its census goes back to where nothing is known of it. TestInheritedTaskThatLapsesWaitsForTheCensus fails on the former code.

--- a/internal/job/inherit_test.go
+++ b/internal/job/inherit_test.go
@@ -59,6 +59,22 @@
 	require.True(t, s.Ran, "nobody may be told that it did not run")
 }
 
+// Guards against a task that runs twice: a task of an inherited job was found running, has come
+// to nothing since, and is started again before the census tells that nobody leads the job.
+func TestInheritedTaskThatLapsesWaitsForTheCensus(t *testing.T) {
+	for _, state := range append(over, "") {
+		j := job.New()
+		j.Step(now, job.Inherit{Spec: spec(1)})
+		j.Step(now, seen("w1", now, listed("d.r.j.0", "running")))
+		later := seen("w1", now.Add(time.Second), listed("d.r.j.0", state))
+		if state == "" {
+			later.Tasks = nil
+		}
+		require.Empty(t, only[job.Want](j.Step(now.Add(time.Second), later)), state)
+		require.Len(t, only[job.Want](j.Step(now.Add(2*time.Second), job.Release{ID: "d.r.j"})), 1, state)
+	}
+}
+
 // A start is confirmed while the answer to an older question is still on its
 // way. That list does not show the task; taken as proof that it is gone, the
 // task would be started a second time beside the first.
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -238,6 +238,9 @@
 	if t.state == "stopping" || t.state == "pausing" {
 		return j.stopped(id)
 	}
+	if t.job.census {
+		return j.unfind(t)
+	}
 	if !t.move(why) {
 		return nil
 	}
--- a/internal/job/seen.go
+++ b/internal/job/seen.go
@@ -129,6 +129,9 @@
 	if t.state == "unsure" {
 		t.move("found")
 	}
+	if t.job.census {
+		return j.retry(t, "gone")
+	}
 	if t.tries < t.job.spec.Tries && (t.state == "running" || t.state == "pausing") && j.spend(t.job.spec.Row) {
 		t.shun(t.worker)
 		acts := []Action{t.result(now, true)}
