host: a census never finds a job between its lead and its hand-over

A host that hands a job over takes it off its lead and then notes where it goes; refused, it cleared the note and then led the job again. A peer's census question that fell in between was told that nobody leads the job, and the peer went on with it beside its lead: tasks run twice.

Both steps happen under a lock that a census and the inheriting of jobs take too. TestJobThatIsHandedOverIsLedByTheHostThatHandsIt fails within 0.1 s without it.

--- a/internal/host/export_test.go
+++ b/internal/host/export_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 
 	"pollencroft/internal/job"
 	"pollencroft/internal/member"
@@ -45,3 +46,15 @@
 	_, err := h.keep(ctx, job.Spec{ID: id})
 	return err
 }
+
+// GiveTo takes a job off this host's lead and offers it to a peer, as a host does whose rack has
+// got another lead.
+func (h *Host) GiveTo(to, id string) {
+	h.takeOff(to, []string{id})
+	h.sendHanded()
+}
+
+// SaysItLeads tells whether a peer that asks hears that this host leads a job.
+func (h *Host) SaysItLeads(id string) bool {
+	return slices.Contains(h.census(peer.Census{From: "h9", Jobs: []string{id}}).Leads, id)
+}
--- a/internal/host/keep.go
+++ b/internal/host/keep.go
@@ -39,7 +39,10 @@
 	queue   chan pending
 	appends *semaphore.Weighted
 	// accepting are jobs that this host is about to lead.
-	accepting  map[string]bool
+	accepting map[string]bool
+	// transfer is held while jobs go from the lead to handing or back. Whoever looks in both
+	// without it may find a job in neither, and take it for one that nobody leads.
+	transfer   sync.RWMutex
 	collecting sync.Mutex
 	// ready is what repair last saw of this host's readiness.
 	ready bool
--- a/internal/host/takeover.go
+++ b/internal/host/takeover.go
@@ -63,6 +63,8 @@
 	h.mu.Lock()
 	open := h.jobs.log.Open()
 	h.mu.Unlock()
+	h.jobs.transfer.RLock()
+	defer h.jobs.transfer.RUnlock()
 	var mine []job.Spec
 	for _, s := range open {
 		home, err := cell.ParseHome(s.ID)
@@ -85,11 +87,20 @@
 }
 
 // busy tells whether a job is being accepted here or handed to another host.
-func (h *Host) busy(id string) bool {
+func (h *Host) busy(id string) bool { return len(h.busyOf([]string{id})) > 0 }
+
+// busyOf are those of some jobs that are being accepted here or handed to another host.
+func (h *Host) busyOf(ids []string) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	_, handing := h.jobs.handing[id]
-	return h.jobs.accepting[id] || handing
+	var busy []string
+	for _, id := range ids {
+		_, handing := h.jobs.handing[id]
+		if h.jobs.accepting[id] || handing {
+			busy = append(busy, id)
+		}
+	}
+	return busy
 }
 
 // repair is the regular work on jobs that change their lead.
@@ -142,10 +153,14 @@
 }
 
 // census answers a peer's question. Jobs that this host is about to lead, or
-// that are on their way to another lead, count as led.
+// that are on their way to another lead, count as led. They are looked up first: a
+// job that is accepted meanwhile is led when the lead is asked.
 func (h *Host) census(m peer.Census) peer.CensusReply {
+	h.jobs.transfer.RLock()
+	defer h.jobs.transfer.RUnlock()
+	busy := h.busyOf(m.Jobs)
 	c := h.lead.Census(m.From, m.Jobs, m.Waits)
-	reply := peer.CensusReply{Leads: c.Leads, Waits: c.Waits}
+	reply := peer.CensusReply{Leads: append(busy, c.Leads...), Waits: c.Waits}
 	for _, v := range c.Views {
 		reply.Workers = append(reply.Workers, peer.CensusWorker{
 			Name: v.Worker, Clock: v.Clock, Age: cell.Duration{Duration: v.Age}, Tasks: v.Tasks,
@@ -153,12 +168,6 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, id := range m.Jobs {
-		_, handing := h.jobs.handing[id]
-		if h.jobs.accepting[id] || handing {
-			reply.Leads = append(reply.Leads, id)
-		}
-	}
 	for _, rec := range h.jobs.owed {
 		reply.Records = append(reply.Records, rec)
 	}
@@ -188,12 +197,29 @@
 		}
 	}
 	for name, ids := range to {
-		carries := h.lead.HandOver(ids)
-		h.mu.Lock()
-		for _, c := range carries {
-			h.jobs.handing[c.Spec.ID] = handed{carry: c, to: name}
-		}
-		h.mu.Unlock()
+		h.takeOff(name, ids)
+	}
+}
+
+// takeOff stops leading some jobs and notes where they go.
+func (h *Host) takeOff(to string, ids []string) {
+	h.jobs.transfer.Lock()
+	defer h.jobs.transfer.Unlock()
+	carries := h.lead.HandOver(ids)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range carries {
+		h.jobs.handing[c.Spec.ID] = handed{carry: c, to: to}
+	}
+}
+
+// takeBack leads jobs again that their next lead refused.
+func (h *Host) takeBack(carries []job.Carry) {
+	h.jobs.transfer.Lock()
+	defer h.jobs.transfer.Unlock()
+	h.clearHanded(carries)
+	if err := h.lead.Adopt(carries); err != nil {
+		h.log.Warn("host: jobs wait for a census.", "jobs", len(carries), "err", err)
 	}
 }
 
@@ -243,10 +269,7 @@
 		h.log.Info("host: jobs wait for their next lead.", "to", name, "jobs", len(carries), "err", err)
 	default:
 		h.log.Warn("host: jobs not handed over.", "to", name, "jobs", len(carries), "err", err)
-		h.clearHanded(carries)
-		if err := h.lead.Adopt(carries); err != nil {
-			h.log.Warn("host: jobs wait for a census.", "jobs", len(carries), "err", err)
-		}
+		h.takeBack(carries)
 	}
 }
 
