job: a hand-over that was adopted before is passed over

The answer to a hand-over is lost, so its sender keeps the job and sends it again. Meanwhile the receiver has led the job, started tasks and handed it on, back to the sender's rack or to a third host; the repeat was adopted like a new hand-over, with the state from before those starts, and the tasks were started again beside the running ones.

Each hand-over has a name, which its repeats keep, and a host remembers the last 2,000 that it has adopted. Found by random histories of two leads and the stand-ins' workers in virtual time, which land here: TestNoHistoryRunsATaskTwice (lost and late answers, failing workers, pauses, hand-overs, inheritance, censuses). TestHandOverThatComesAgainIsPassedOver fails on the former code.

--- a/internal/job/inherit.go
+++ b/internal/job/inherit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"pollencroft/internal/chart"
@@ -38,8 +39,10 @@
 func (Kept) event()    {}
 func (Sent) event()    {}
 
-// Carry is one job's whole state, as its lead hands it over.
+// Carry is one job's whole state, as its lead hands it over. Name tells one hand-over from all
+// others; sent again, it keeps it.
 type Carry struct {
+	Name  string        `json:"name,omitempty"`
 	Spec  Spec          `json:"spec"`
 	State string        `json:"state"`
 	Began time.Time     `json:"began"`
@@ -165,7 +168,14 @@
 
 // adopt goes on with a handed-over job. It also ends a census for it: its lead
 // knew more than any list.
+//
+// A hand-over that was adopted before comes again when its answer was lost. The job may have been
+// handed on since, and its tasks started by other leads.
 func (j *Jobs) adopt(now time.Time, c Carry) []Action {
+	if c.Name != "" && slices.Contains(j.adopted, c.Name) {
+		return nil
+	}
+	j.noteAdopted(c.Name)
 	if jb, ok := j.jobs[c.Spec.ID]; ok {
 		if !jb.census || len(c.Tasks) != len(jb.tasks) {
 			return nil
@@ -192,6 +202,19 @@
 	return append(acts, j.wantAll(jb, names)...)
 }
 
+// adoptedMost bounds how many adopted hand-overs are remembered.
+const adoptedMost = 2000
+
+func (j *Jobs) noteAdopted(name string) {
+	if name == "" {
+		return
+	}
+	j.adopted = append(j.adopted, name)
+	if len(j.adopted) > adoptedMost {
+		j.adopted = j.adopted[1:]
+	}
+}
+
 // drop frees what the job's tasks wait for. What runs keeps its room here for
 // as long as its worker lists it.
 func (j *Jobs) drop(id string) []Action {
--- a/internal/job/inherit_test.go
+++ b/internal/job/inherit_test.go
@@ -133,6 +133,20 @@
 	require.Equal(t, []string{"d.r.j.0"}, again[0].Tasks)
 }
 
+// Guards against a task that runs twice: a hand-over whose answer was lost comes again after its
+// receiver has started the job's tasks and handed it on.
+func TestHandOverThatComesAgainIsPassedOver(t *testing.T) {
+	j := job.New()
+	first := job.Carry{Name: "h1", Spec: spec(1), State: "waiting", Tasks: []job.CarriedTask{{State: "waiting"}}}
+	require.Len(t, only[job.Want](j.Step(now, job.Adopt{Carry: first})), 1)
+	startOf(t, j, "d.r.j.0", "w1")
+	j.Step(now, job.Drop{ID: "d.r.j"})
+	require.Empty(t, j.Step(now, job.Adopt{Carry: first}))
+	require.Empty(t, j.Open())
+	first.Name = "h2"
+	require.Len(t, only[job.Want](j.Step(now, job.Adopt{Carry: first})), 1, "a new hand-over of the job is adopted")
+}
+
 // A worker was silent for longer than any lease. What ran there runs no more
 // and is started elsewhere.
 func TestTasksOfASilentWorkerAreStartedElsewhere(t *testing.T) {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -67,6 +67,8 @@
 	budgets map[string]float64
 	// ended are jobs whose end is kept, oldest first.
 	ended []string
+	// adopted are the names of hand-overs that were adopted, oldest first.
+	adopted []string
 	// attempts counts the stays of all tasks on workers.
 	attempts int64
 }
--- a/internal/lead/fault_test.go
+++ b/internal/lead/fault_test.go
@@ -1,6 +1,7 @@
 package lead_test
 
 import (
+	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -57,6 +58,11 @@
 var room = cell.Size{CPU: 1000, Mem: 1000}
 
 func newPair(t *testing.T, workers int) *pair {
+	return newPairOn(t, workers, io.Discard, func(p *pair, name string) http.RoundTripper { return path{p, name} })
+}
+
+// newPairOn is a pair that logs to told and whose hosts reach the workers in the given way.
+func newPairOn(t *testing.T, workers int, told io.Writer, through func(p *pair, name string) http.RoundTripper) *pair {
 	p := &pair{
 		T: t, now: time.Unix(1_700_000_000, 0), workers: map[string]*standin.Worker{}, over: standin.NewOversight(),
 		hosts: map[string]*lead.Lead{}, queues: map[string][]func(){}, cut: map[string]string{},
@@ -73,8 +79,8 @@
 		l := lead.New(t.Context(), lead.Deps{
 			Leases: lease.New(lease.DefaultLimits), Placer: place.New(place.DefaultLimits), Jobs: job.New(),
 			Takeover: takeover.New(name, takeover.Limits{Longest: lease.DefaultLimits.Long, Every: time.Second}),
-			Workers:  worker.New(name, 1, path{p, name}, clock), Row: func(string) (table.Row, int64) { return table.Row{}, 1 },
-			Trail: trail.New(100), Clock: clock, Log: slog.New(slog.DiscardHandler),
+			Workers:  worker.New(name, 1, through(p, name), clock), Row: func(string) (table.Row, int64) { return table.Row{}, 1 },
+			Trail: trail.New(100), Clock: clock, Log: slog.New(slog.NewTextHandler(told, nil)).With("host", name),
 			Go: func(f func()) { p.queues[name] = append(p.queues[name], f) },
 		})
 		p.hosts[name] = l
--- /dev/null
+++ b/internal/lead/history_test.go
@@ -0,0 +1,321 @@
+package lead_test
+
+import (
+	"bytes"
+	"io"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pollencroft/internal/cell"
+	"pollencroft/internal/job"
+	"pollencroft/internal/lead"
+	"pollencroft/internal/randtest"
+	"pollencroft/internal/standin"
+)
+
+// Fates of an exchange with a worker.
+const (
+	answered = iota
+	// answerLost is carried out without an answer, late is carried out some time later.
+	answerLost
+	late
+)
+
+// history is two hosts and their workers, with what callers and the network do drawn at random.
+type history struct {
+	*pair
+	draw *rapid.T
+	// fate is that of the exchange that runs now.
+	fate int
+	// overdue are requests that their sender has given up.
+	overdue []*http.Request
+	open    map[string]job.Spec
+	handing map[string][]job.Carry
+	paused  map[string]bool
+	jobs    int
+}
+
+// unruly gives each exchange its fate.
+type unruly struct {
+	history *history
+	path    path
+}
+
+func (u unruly) RoundTrip(req *http.Request) (*http.Response, error) {
+	switch u.history.fate {
+	case late:
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return nil, err
+		}
+		held := req.Clone(u.history.Context())
+		held.Body = io.NopCloser(bytes.NewReader(body))
+		u.history.overdue = append(u.history.overdue, held)
+		return nil, cutError{}
+	case answerLost:
+		if _, err := u.path.RoundTrip(req); err != nil {
+			return nil, err
+		}
+		return nil, cutError{}
+	default:
+		return u.path.RoundTrip(req)
+	}
+}
+
+// drawLog logs with the steps of a history.
+type drawLog struct{ draw *rapid.T }
+
+func (l drawLog) Write(b []byte) (int, error) {
+	l.draw.Logf("%s", b)
+	return len(b), nil
+}
+
+func newHistory(t *testing.T, draw *rapid.T) *history {
+	h := &history{draw: draw, open: map[string]job.Spec{}, handing: map[string][]job.Carry{}, paused: map[string]bool{}}
+	h.pair = newPairOn(t, rapid.IntRange(1, 3).Draw(draw, "workers"), drawLog{draw}, func(p *pair, name string) http.RoundTripper {
+		return unruly{history: h, path: path{p, name}}
+	})
+	h.peers()
+	return h
+}
+
+// peers has both hosts take each other for alive.
+func (h *history) peers() {
+	var names []string
+	for _, m := range h.machines {
+		names = append(names, m.Name)
+	}
+	h.hosts["a"].SetDomain(names, []string{"b"})
+	h.hosts["b"].SetDomain(names, []string{"a"})
+}
+
+func (h *history) host(name string) string {
+	return rapid.SampledFrom([]string{"a", "b"}).Draw(h.draw, name)
+}
+
+func other(name string) string { return map[string]string{"a": "b", "b": "a"}[name] }
+
+// awake is a host that is not paused; empty if the drawn one is.
+func (h *history) awake() string {
+	name := h.host("host")
+	if h.paused[name] {
+		return ""
+	}
+	return name
+}
+
+// action is something that may happen next, more often with a larger weight.
+type action struct {
+	name   string
+	weight int
+	do     func()
+}
+
+func (h *history) actions() []action {
+	return []action{
+		{"time", 3, h.time},
+		{"exchange", 6, func() { h.exchange(answered) }},
+		{"lost", 1, func() { h.exchange(answerLost) }},
+		{"late", 1, func() { h.exchange(late) }},
+		{"arrive", 1, h.arrive},
+		{"settle", 2, h.settle},
+		{"submit", 3, h.submitOne},
+		{"cancel", 1, h.cancel},
+		{"fail", 2, h.fail},
+		{"divide", 2, h.divide},
+		{"pause", 1, func() { h.paused[h.host("host")] = true }},
+		{"resume", 2, func() { h.paused[h.host("host")] = false }},
+		{"hand", 2, h.hand},
+		{"deliver", 3, h.deliver},
+		{"inherit", 2, h.inherit},
+		{"census", 3, h.census},
+	}
+}
+
+// next draws what happens next.
+func (h *history) next() func() {
+	var all []string
+	do := map[string]func(){}
+	for _, a := range h.actions() {
+		all = append(all, slices.Repeat([]string{a.name}, a.weight)...)
+		do[a.name] = a.do
+	}
+	return do[rapid.SampledFrom(all).Draw(h.draw, "next")]
+}
+
+func (h *history) time() {
+	h.now = h.now.Add(time.Duration(rapid.IntRange(1, 15).Draw(h.draw, "tenths")) * 100 * time.Millisecond)
+	for _, name := range []string{"a", "b"} {
+		if !h.paused[name] {
+			h.hosts[name].Tick()
+			h.hosts[name].LogRead(h.now)
+		}
+	}
+}
+
+// exchange runs one of a host's exchanges, in any order.
+func (h *history) exchange(fate int) {
+	name := h.awake()
+	if name == "" || len(h.queues[name]) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(h.queues[name])-1).Draw(h.draw, "which")
+	f := h.queues[name][i]
+	h.queues[name] = slices.Delete(h.queues[name], i, i+1)
+	h.fate = fate
+	f()
+	h.fate = answered
+}
+
+func (h *history) arrive() {
+	if len(h.overdue) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(h.overdue)-1).Draw(h.draw, "which")
+	req := h.overdue[i]
+	h.overdue = slices.Delete(h.overdue, i, i+1)
+	h.workers[req.URL.Host].Handler().ServeHTTP(httptest.NewRecorder(), req)
+}
+
+// settle is a while in which nothing goes wrong.
+func (h *history) settle() {
+	for range rapid.IntRange(1, 20).Draw(h.draw, "ticks") {
+		h.now = h.now.Add(100 * time.Millisecond)
+		for _, name := range []string{"a", "b"} {
+			if !h.paused[name] {
+				h.hosts[name].Tick()
+				h.hosts[name].LogRead(h.now)
+				h.drain(name)
+			}
+		}
+	}
+}
+
+func (h *history) submitOne() {
+	name := h.awake()
+	if name == "" {
+		return
+	}
+	h.jobs++
+	spec := job.Spec{
+		ID: job.TaskID("d.r.j", h.jobs) + "x", Row: "scan", Tasks: rapid.IntRange(1, 3).Draw(h.draw, "tasks"), Gang: rapid.Bool().Draw(h.draw, "gang"),
+		Size: cell.Size{CPU: 500, Mem: 500}, Time: cell.Duration{Duration: time.Duration(rapid.IntRange(1, 20).Draw(h.draw, "seconds")) * time.Second}, Tries: 5,
+	}
+	epoch, err := h.hosts[name].Check(spec)
+	if err != nil {
+		return
+	}
+	if _, err := h.hosts[name].Submit(spec, epoch); err == nil {
+		h.open[spec.ID] = spec
+	}
+}
+
+func (h *history) cancel() {
+	name := h.awake()
+	open := slices.Sorted(maps.Keys(h.open))
+	if name == "" || len(open) == 0 {
+		return
+	}
+	_, _ = h.hosts[name].Cancel(rapid.SampledFrom(open).Draw(h.draw, "job"))
+}
+
+// fail has a worker fail every start from now on, or no more.
+func (h *history) fail() {
+	m := rapid.SampledFrom(h.machines).Draw(h.draw, "worker")
+	h.workers[m.Name].SetFaults(standin.WorkerFaults{FailAll: rapid.Bool().Draw(h.draw, "fails")})
+}
+
+// divide gives each worker to one host, now and then to both or to none.
+func (h *history) divide() {
+	led := map[string][]lead.Machine{}
+	for _, m := range h.machines {
+		for _, name := range rapid.SampledFrom([]string{"a", "b", "a", "b", "a", "b", "ab", ""}).Draw(h.draw, "leads") {
+			led[string(name)] = append(led[string(name)], m)
+		}
+	}
+	for _, name := range []string{"a", "b"} {
+		if !h.paused[name] {
+			h.hosts[name].SetMachines(led[name])
+		}
+	}
+}
+
+func (h *history) hand() {
+	name := h.awake()
+	if name == "" {
+		return
+	}
+	var ids []string
+	for _, s := range h.hosts[name].Open() {
+		ids = append(ids, s.ID)
+	}
+	h.handing[name] = append(h.handing[name], h.hosts[name].HandOver(ids)...)
+}
+
+// deliver brings what a host hands over to the other; refused, it stays where it was.
+func (h *history) deliver() {
+	name := h.awake()
+	if name == "" || h.paused[other(name)] || len(h.handing[name]) == 0 {
+		return
+	}
+	err := h.hosts[other(name)].Adopt(h.handing[name])
+	if err == nil && rapid.Bool().Draw(h.draw, "answer lost") {
+		return
+	}
+	if err != nil {
+		_ = h.hosts[name].Adopt(h.handing[name])
+	}
+	h.handing[name] = nil
+}
+
+// inherit has a host take the other's jobs over, as one that takes the other for gone would.
+func (h *history) inherit() {
+	name := h.awake()
+	if name == "" {
+		return
+	}
+	h.hosts[name].Inherit(slices.DeleteFunc(slices.Collect(maps.Values(h.open)), func(s job.Spec) bool { return h.hands(name, s.ID) }))
+}
+
+func (h *history) hands(name, id string) bool {
+	return slices.ContainsFunc(h.handing[name], func(c job.Carry) bool { return c.Spec.ID == id })
+}
+
+func (h *history) census() {
+	name := h.awake()
+	if name == "" || h.paused[other(name)] {
+		return
+	}
+	ids, waits := h.hosts[name].Question()
+	c := h.hosts[other(name)].Census(name, ids, waits)
+	for _, id := range ids {
+		if h.hands(other(name), id) {
+			c.Leads = append(c.Leads, id)
+		}
+	}
+	h.hosts[name].Answered(other(name), h.now, ids, c)
+}
+
+func TestMain(m *testing.M) { randtest.Main(m, 1500, 30) }
+
+// Guards against tasks that run twice and workers that are overfull, over histories in which
+// answers are lost, starts are late, workers fail, hosts pause and hand over or inherit jobs.
+func TestNoHistoryRunsATaskTwice(t *testing.T) {
+	rapid.Check(t, func(draw *rapid.T) {
+		h := newHistory(t, draw)
+		for range rapid.IntRange(1, 300).Draw(draw, "steps") {
+			h.next()()
+			require.Empty(draw, h.over.Doubled())
+			for _, m := range h.machines {
+				require.Zero(draw, h.workers[m.Name].Record().Overfilled, m.Name)
+			}
+		}
+	})
+}
--- a/internal/lead/inherit.go
+++ b/internal/lead/inherit.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"pollencroft/internal/cell"
 	"pollencroft/internal/job"
 	"pollencroft/internal/lease"
 	"pollencroft/internal/place"
@@ -174,6 +175,7 @@
 			l.Count("lead.handed")
 			l.note(id, "handed over")
 			l.drop(id)
+			c.Name = cell.NewID()
 			all = append(all, c)
 		}
 	}
