lead, host: a hand-over counts only as long as nobody could go on without it

Callers saw tasks run twice, up to all of a job, after a host was stopped as planned while its peer was paused. The stopping host offered its jobs to the paused one, several times, and ended. Its replacement under the same name asked the peer, which had just gone on and led nothing, for its census, completed it and started the jobs' tasks; then the peer read the hand-overs that had waited in its sockets, and led the same jobs with the state of 3 s ago.

A host hands jobs over with a token that it was given for it just before. The receiver drops all tokens when it answers a census and when it has lost all its workers: whoever goes on with a job without having asked it needs those. A sender that lost all its workers itself forgets what it was handing over. Jobs that were sent without an answer are never taken back but wait for a census. A leaving host keeps one worker until its jobs are handed over, so that no census is completed beside it, and no longer offers them after it has given up the last.

--- a/internal/host/cell.go
+++ b/internal/host/cell.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"slices"
+
 	"pollencroft/internal/cell"
 	"pollencroft/internal/lead"
 	"pollencroft/internal/member"
@@ -63,9 +65,23 @@
 	h.lead.Know(known)
 	h.lead.SetDomain(names, without(live, h.cfg.Name))
 	h.collect()
+	if !h.Ready() && h.handing() > 0 {
+		workers = h.keepOne(known)
+	}
 	h.lead.SetMachines(workers)
 }
 
+// keepOne is one of the workers that a leaving host still holds. As long as it does, nobody else
+// can complete a census for the jobs that it is handing over.
+func (h *Host) keepOne(known []lead.Machine) []lead.Machine {
+	held := h.lead.Held()
+	i := slices.IndexFunc(known, func(m lead.Machine) bool { return slices.Contains(held, m.Name) })
+	if i < 0 {
+		return nil
+	}
+	return known[i : i+1]
+}
+
 func (h *Host) leads(m platform.Machine) bool {
 	return h.Ready() && h.rackLead(cell.Home{Domain: m.Domain, Rack: m.Rack}) == h.cfg.Name
 }
--- a/internal/host/copy.go
+++ b/internal/host/copy.go
@@ -63,6 +63,12 @@
 		return m.Name
 	case peer.Slots:
 		return m.Name
+	case peer.Census:
+		return m.From
+	case peer.Expect:
+		return m.From
+	case peer.Handover:
+		return m.From
 	default:
 		return ""
 	}
--- /dev/null
+++ b/internal/host/handover.go
@@ -0,0 +1,260 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollencroft/internal/job"
+	"pollencroft/internal/joblog"
+	"pollencroft/internal/lead"
+	"pollencroft/internal/member"
+	"pollencroft/internal/peer"
+	"pollencroft/internal/trail"
+)
+
+// handWait bounds one hand-over.
+const handWait = time.Second
+
+// handed is a job on its way to another lead. It is not led here meanwhile:
+// the other may have it already.
+type handed struct {
+	carry job.Carry
+	to    string
+	// epoch is the one in which the job was led here.
+	epoch int64
+	// unsure tells that it was sent and has no answer.
+	unsure bool
+}
+
+// handOver gives jobs whose rack has another live lead to that host, with all
+// that is known of them, so that it need not wait for any lease.
+func (h *Host) handOver() {
+	h.collect()
+	h.sendHanded()
+}
+
+// collect stops leading the jobs that another live host should lead. It comes
+// before the workers are given up: a host that loses its last worker has to
+// take it that others took it for dead, and knows nothing of its jobs any more.
+//
+// One collects at a time: a planned stop that found the jobs already taken off
+// the lead, but not yet noted as handed, would end the host under them.
+func (h *Host) collect() {
+	h.jobs.collecting.Lock()
+	defer h.jobs.collecting.Unlock()
+	to := map[string][]string{}
+	for _, s := range h.lead.Open() {
+		if name := h.nextLead(s.ID); name != "" && name != h.cfg.Name {
+			to[name] = append(to[name], s.ID)
+		}
+	}
+	for name, ids := range to {
+		h.takeOff(name, ids)
+	}
+}
+
+// takeOff stops leading some jobs and notes where they go.
+func (h *Host) takeOff(to string, ids []string) {
+	h.jobs.transfer.Lock()
+	defer h.jobs.transfer.Unlock()
+	carries, epoch := h.lead.HandOver(ids)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range carries {
+		h.jobs.handing[c.Spec.ID] = &handed{carry: c, to: to, epoch: epoch}
+	}
+}
+
+// nextLead is the host that a job goes to. A host that stops before it has heard
+// of any peer, as right after its start, offers its jobs to one that the settings
+// name: with it would go all that is known of them, and they would have to wait
+// for a census.
+func (h *Host) nextLead(id string) string {
+	name := h.leadOf(id)
+	if h.Ready() || name != "" && name != h.cfg.Name {
+		return name
+	}
+	near, _ := h.peersByDomain()
+	first, _ := member.Rank(id, near)
+	return first
+}
+
+// sendHanded offers jobs to their next leads. One sends at a time: of two hand-overs from one
+// host to another only the later counts.
+func (h *Host) sendHanded() {
+	h.jobs.sending.Lock()
+	defer h.jobs.sending.Unlock()
+	h.dropLapsed()
+	to := map[string][]*handed{}
+	h.mu.Lock()
+	for _, one := range h.jobs.handing {
+		to[one.to] = append(to[one.to], one)
+	}
+	h.mu.Unlock()
+	for name, all := range to {
+		h.sendTo(name, all)
+	}
+	if !h.Ready() && len(to) > 0 && h.handing() == 0 {
+		h.share()
+	}
+}
+
+// dropLapsed forgets jobs that were handed over before this host lost all its workers. Another
+// may have completed a census for them since.
+func (h *Host) dropLapsed() {
+	epoch := h.lead.Epoch()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, one := range h.jobs.handing {
+		if one.epoch != epoch {
+			h.log.Warn("host: job waits for a census.", "id", id, "epoch", epoch, "handed", one.epoch)
+			delete(h.jobs.handing, id)
+		}
+	}
+}
+
+// sendTo sends jobs to their next lead until it confirms. With its answer lost it may lead them
+// already, so they stay put and are sent again: it passes over what it has.
+func (h *Host) sendTo(name string, all []*handed) {
+	err := h.push(name, all)
+	var refused *peer.RefusedError
+	var unreached *peer.UnreachedError
+	no := errors.As(err, &refused) || errors.As(err, &unreached)
+	switch {
+	case err == nil:
+		h.clearHanded(all)
+	case errors.As(err, new(*lead.StaleError)):
+		h.log.Info("host: hand-over was overtaken, it is sent again.", "to", name, "jobs", len(all))
+	case no && h.Ready(), !h.isLive(name):
+		h.log.Warn("host: jobs not handed over.", "to", name, "jobs", len(all), "err", err)
+		h.giveUp(all)
+	default:
+		// The next lead may hold no worker before this host has given up its own.
+		h.log.Info("host: jobs wait for their next lead.", "to", name, "jobs", len(all), "err", err)
+	}
+}
+
+// push hands jobs over to a peer that has just said that it expects them.
+func (h *Host) push(name string, all []*handed) error {
+	ctx, cancel := context.WithTimeout(h.ctx, handWait)
+	defer cancel()
+	var expected peer.Expected
+	if err := h.peers.Ask(ctx, name, peer.Expect{From: h.cfg.Name}, &expected); err != nil {
+		return err
+	}
+	m := peer.Handover{From: h.cfg.Name, Token: expected.Token}
+	for _, one := range all {
+		m.Jobs = append(m.Jobs, one.carry)
+	}
+	m.Notes = h.notesOf(m.Jobs)
+	var reply peer.HandoverReply
+	err := h.peers.Ask(ctx, name, m, &reply)
+	if errors.As(err, new(*peer.SilentError)) {
+		for _, one := range all {
+			one.unsure = true
+		}
+	}
+	if err == nil && reply.Stale {
+		return &lead.StaleError{From: h.cfg.Name}
+	}
+	return err
+}
+
+// giveUp ends the hand-over of jobs whose next lead does not take them. This host leads them
+// again, or offers them to another when it leaves; those that the next lead may have taken all
+// the same need a census.
+func (h *Host) giveUp(all []*handed) {
+	h.jobs.transfer.Lock()
+	defer h.jobs.transfer.Unlock()
+	for _, one := range all {
+		id := one.carry.Spec.ID
+		switch {
+		case one.unsure:
+			h.log.Warn("host: job waits for a census.", "id", id, "to", one.to)
+		case h.Ready():
+			if err := h.lead.TakeBack([]job.Carry{one.carry}, one.epoch); err != nil {
+				h.log.Warn("host: job waits for a census.", "id", id, "err", err)
+			}
+		default:
+			one.to = h.nextLead(id)
+			continue
+		}
+		h.clearHanded([]*handed{one})
+	}
+}
+
+// lastHandOver offers what a leaving host still has to the hosts that hold its
+// workers by now. What nobody takes in time needs a census.
+func (h *Host) lastHandOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 2*handWait)
+	defer cancel()
+	for h.handing() > 0 && ctx.Err() == nil {
+		h.sendHanded()
+		h.pause(takeoverEvery / 5)
+	}
+}
+
+func (h *Host) handing() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.jobs.handing)
+}
+
+// Notes that go along with jobs that are handed over: a few a job, and not so
+// many in all that looking them up holds up the hand-over.
+const (
+	notesAJob = 8
+	notesMost = 400
+)
+
+func (h *Host) notesOf(carries []job.Carry) []trail.Note {
+	var all []trail.Note
+	for _, c := range carries {
+		if len(all) < notesMost {
+			all = append(all, h.trail.Brief(c.Spec.ID, notesAJob)...)
+		}
+	}
+	return all
+}
+
+func (h *Host) clearHanded(all []*handed) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, one := range all {
+		delete(h.jobs.handing, one.carry.Spec.ID)
+	}
+}
+
+func (h *Host) isLive(name string) bool {
+	for _, n := range h.domainPeers() {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// adopt takes jobs that a live lead hands over.
+func (h *Host) adopt(m peer.Handover) (peer.HandoverReply, error) {
+	h.mu.Lock()
+	for _, c := range m.Jobs {
+		if !h.jobs.log.Written(c.Spec.ID) {
+			rec := joblog.Record{ID: c.Spec.ID, Spec: &c.Spec}
+			h.jobs.log.Remember(rec)
+			h.jobs.owed[rec.ID] = rec
+		}
+	}
+	h.mu.Unlock()
+	err := h.lead.Adopt(m.From, m.Token, m.Jobs)
+	if errors.As(err, new(*lead.StaleError)) {
+		h.log.Warn("host: hand-over is out of date.", "from", m.From, "jobs", len(m.Jobs))
+		return peer.HandoverReply{Stale: true}, nil
+	}
+	if err != nil {
+		return peer.HandoverReply{}, err
+	}
+	h.trail.Merge(m.Notes)
+	return peer.HandoverReply{}, nil
+}
--- a/internal/host/jobs.go
+++ b/internal/host/jobs.go
@@ -376,8 +376,11 @@
 		return struct{}{}, nil
 	case peer.Census:
 		return h.census(m), nil
+	case peer.Expect:
+		token, err := h.lead.Expect(m.From)
+		return peer.Expected{Token: token}, err
 	case peer.Handover:
-		return struct{}{}, h.adopt(m)
+		return h.adopt(m)
 	case peer.Submit, peer.AskJob, peer.AskTrail, peer.CancelJob:
 		return h.answerJob(ctx, m), nil
 	default:
--- a/internal/host/takeover.go
+++ b/internal/host/takeover.go
@@ -5,31 +5,19 @@
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"pollencroft/internal/cell"
 	"pollencroft/internal/job"
-	"pollencroft/internal/joblog"
 	"pollencroft/internal/lead"
 	"pollencroft/internal/member"
 	"pollencroft/internal/peer"
-	"pollencroft/internal/trail"
 )
 
 // Times of a takeover.
 const (
 	takeoverEvery = 250 * time.Millisecond
 	censusWait    = time.Second
-	handWait      = time.Second
 )
 
-// handed is a job on its way to another lead. It is not led here meanwhile:
-// the other may have it already.
-type handed struct {
-	carry job.Carry
-	to    string
-}
-
 // rackLead is the live host that leads a rack, as this host sees it; empty if
 // no host of the failure domain is live.
 func (h *Host) rackLead(home cell.Home) string {
@@ -174,174 +162,6 @@
 	return reply
 }
 
-// handOver gives jobs whose rack has another live lead to that host, with all
-// that is known of them, so that it need not wait for any lease.
-func (h *Host) handOver() {
-	h.collect()
-	h.sendHanded()
-}
-
-// collect stops leading the jobs that another live host should lead. It comes
-// before the workers are given up: a host that loses its last worker has to
-// take it that others took it for dead, and knows nothing of its jobs any more.
-//
-// One collects at a time: a planned stop that found the jobs already taken off
-// the lead, but not yet noted as handed, would end the host under them.
-func (h *Host) collect() {
-	h.jobs.collecting.Lock()
-	defer h.jobs.collecting.Unlock()
-	to := map[string][]string{}
-	for _, s := range h.lead.Open() {
-		if name := h.nextLead(s.ID); name != "" && name != h.cfg.Name {
-			to[name] = append(to[name], s.ID)
-		}
-	}
-	for name, ids := range to {
-		h.takeOff(name, ids)
-	}
-}
-
-// takeOff stops leading some jobs and notes where they go.
-func (h *Host) takeOff(to string, ids []string) {
-	h.jobs.transfer.Lock()
-	defer h.jobs.transfer.Unlock()
-	carries := h.lead.HandOver(ids)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, c := range carries {
-		h.jobs.handing[c.Spec.ID] = handed{carry: c, to: to}
-	}
-}
-
-// takeBack leads jobs again that their next lead refused.
-func (h *Host) takeBack(carries []job.Carry) {
-	h.jobs.transfer.Lock()
-	defer h.jobs.transfer.Unlock()
-	h.clearHanded(carries)
-	if err := h.lead.Adopt(carries); err != nil {
-		h.log.Warn("host: jobs wait for a census.", "jobs", len(carries), "err", err)
-	}
-}
-
-// nextLead is the host that a job goes to. A host that stops before it has heard
-// of any peer, as right after its start, offers its jobs to one that the settings
-// name: with it would go all that is known of them, and they would have to wait
-// for a census.
-func (h *Host) nextLead(id string) string {
-	name := h.leadOf(id)
-	if h.Ready() || name != "" && name != h.cfg.Name {
-		return name
-	}
-	near, _ := h.peersByDomain()
-	first, _ := member.Rank(id, near)
-	return first
-}
-
-func (h *Host) sendHanded() {
-	to := map[string][]job.Carry{}
-	h.mu.Lock()
-	for _, one := range h.jobs.handing {
-		to[one.to] = append(to[one.to], one.carry)
-	}
-	h.mu.Unlock()
-	for name, carries := range to {
-		h.sendTo(name, carries)
-	}
-}
-
-// sendTo sends jobs to their next lead until it confirms. With its answer lost
-// it may lead them already, so they stay put and are sent again: it passes
-// over what it has. Is the host gone by then, the jobs need a census.
-func (h *Host) sendTo(name string, carries []job.Carry) {
-	ctx, cancel := context.WithTimeout(h.ctx, handWait)
-	defer cancel()
-	err := h.peers.Ask(ctx, name, peer.Handover{Jobs: carries, Notes: h.notesOf(carries)}, nil)
-	var silent *peer.SilentError
-	switch {
-	case err == nil:
-		h.clearHanded(carries)
-	case errors.As(err, &silent):
-		if !h.isLive(name) {
-			h.clearHanded(carries)
-		}
-	case !h.Ready():
-		// The next lead may hold no worker before this host has given up its own.
-		h.log.Info("host: jobs wait for their next lead.", "to", name, "jobs", len(carries), "err", err)
-	default:
-		h.log.Warn("host: jobs not handed over.", "to", name, "jobs", len(carries), "err", err)
-		h.takeBack(carries)
-	}
-}
-
-// lastHandOver offers what a leaving host still has to the hosts that hold its
-// workers by now. What nobody takes in time needs a census.
-func (h *Host) lastHandOver(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, 2*handWait)
-	defer cancel()
-	for h.handing() > 0 && ctx.Err() == nil {
-		h.sendHanded()
-		h.pause(takeoverEvery / 5)
-	}
-}
-
-func (h *Host) handing() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.jobs.handing)
-}
-
-// Notes that go along with jobs that are handed over: a few a job, and not so
-// many in all that looking them up holds up the hand-over.
-const (
-	notesAJob = 8
-	notesMost = 400
-)
-
-func (h *Host) notesOf(carries []job.Carry) []trail.Note {
-	var all []trail.Note
-	for _, c := range carries {
-		if len(all) < notesMost {
-			all = append(all, h.trail.Brief(c.Spec.ID, notesAJob)...)
-		}
-	}
-	return all
-}
-
-func (h *Host) clearHanded(carries []job.Carry) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, c := range carries {
-		delete(h.jobs.handing, c.Spec.ID)
-	}
-}
-
-func (h *Host) isLive(name string) bool {
-	for _, n := range h.domainPeers() {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
-// adopt takes jobs that a live lead hands over.
-func (h *Host) adopt(m peer.Handover) error {
-	h.mu.Lock()
-	for _, c := range m.Jobs {
-		if !h.jobs.log.Written(c.Spec.ID) {
-			rec := joblog.Record{ID: c.Spec.ID, Spec: &c.Spec}
-			h.jobs.log.Remember(rec)
-			h.jobs.owed[rec.ID] = rec
-		}
-	}
-	h.mu.Unlock()
-	if err := h.lead.Adopt(m.Jobs); err != nil {
-		return err
-	}
-	h.trail.Merge(m.Notes)
-	return nil
-}
-
 // Leads tells whether this host leads a job and knows where its tasks are.
 func (h *Host) Leads(id string) bool { return h.lead.Leads(id) }
 
--- a/internal/lead/fault_test.go
+++ b/internal/lead/fault_test.go
@@ -123,6 +123,14 @@
 	require.NoError(p, err)
 }
 
+func (p *pair) handOver(from, to string, ids ...string) {
+	p.Helper()
+	token, err := p.hosts[to].Expect(from)
+	require.NoError(p, err)
+	jobs, _ := p.hosts[from].HandOver(ids)
+	require.NoError(p, p.hosts[to].Adopt(from, token, jobs))
+}
+
 func (p *pair) state(name, id string) string {
 	s, _ := p.hosts[name].Status("d.r." + id)
 	return s.State
--- a/internal/lead/former_test.go
+++ b/internal/lead/former_test.go
@@ -53,7 +53,7 @@
 		p.run("a", 100*time.Millisecond)
 	}
 	p.workers[bad.Name].SetFaults(standin.WorkerFaults{})
-	require.NoError(t, b.Adopt(a.HandOver([]string{"d.r.old", "d.r.two"})))
+	p.handOver("a", "b", "d.r.old", "d.r.two")
 	a.SetMachines([]lead.Machine{p.at("one")})
 	b.SetMachines([]lead.Machine{p.at("two"), bad})
 	p.run("ab", 300*time.Millisecond)
--- /dev/null
+++ b/internal/lead/handover.go
@@ -0,0 +1,103 @@
+package lead
+
+import (
+	"pollencroft/internal/cell"
+	"pollencroft/internal/job"
+	"pollencroft/internal/takeover"
+)
+
+// expected is a hand-over that a peer was promised to be heard for. Epoch is the one in which
+// it was.
+type expected struct {
+	token string
+	epoch int64
+}
+
+// StaleError tells that a hand-over was sent before something after which it counts no more: a
+// census, the loss of all workers, or a newer token.
+type StaleError struct{ From string }
+
+func (e *StaleError) Error() string { return "hand-over from " + e.From + " is out of date" }
+
+// Expect returns the token with which a peer may hand jobs over next. A message may lie in a
+// paused host's sockets for any time; without a token the state that it carries would be taken
+// for that of now.
+func (l *Lead) Expect(from string) (string, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	epoch := l.epochNow()
+	switch {
+	case l.leaving:
+		return "", &LeavingError{}
+	case epoch == 0:
+		return "", &NoWorkerError{}
+	}
+	e := expected{token: cell.NewID(), epoch: epoch}
+	l.expected[from] = e
+	return e.token, nil
+}
+
+// Adopt goes on with jobs that their live lead handed over. It refuses them
+// while this host holds no worker: it could not know then whether it was taken
+// for dead.
+func (l *Lead) Adopt(from, token string, jobs []job.Carry) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leaving {
+		return &LeavingError{}
+	}
+	epoch := l.epochNow()
+	if epoch == 0 {
+		return &NoWorkerError{}
+	}
+	if l.expected[from] != (expected{token: token, epoch: epoch}) {
+		return &StaleError{From: from}
+	}
+	delete(l.expected, from)
+	l.adopt(jobs, "handed over by its former lead")
+	return nil
+}
+
+// TakeBack leads jobs again that were handed over in that epoch and whose next lead refused them.
+func (l *Lead) TakeBack(jobs []job.Carry, epoch int64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leaving {
+		return &LeavingError{}
+	}
+	if l.epochNow() != epoch {
+		return &NoWorkerError{}
+	}
+	l.adopt(jobs, "taken back")
+	return nil
+}
+
+func (l *Lead) adopt(jobs []job.Carry, how string) {
+	for _, c := range jobs {
+		l.takeover(takeover.Gone{Job: c.Spec.ID})
+		l.Count("lead.adopted")
+		l.note(c.Spec.ID, how)
+		l.job(job.Adopt{Carry: c})
+	}
+	l.readAll()
+}
+
+// HandOver stops leading jobs and returns all that is known of them, for the
+// next lead, and the epoch in which that is true. Jobs that wait for a census
+// are left out: nothing is known of them.
+func (l *Lead) HandOver(ids []string) ([]job.Carry, int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []job.Carry
+	epoch := l.epochNow()
+	for _, id := range ids {
+		if c, ok := l.Jobs.Carry(id); ok {
+			l.Count("lead.handed")
+			l.note(id, "handed over")
+			l.drop(id)
+			c.Name = cell.NewID()
+			all = append(all, c)
+		}
+	}
+	return all, epoch
+}
--- /dev/null
+++ b/internal/lead/handover_test.go
@@ -0,0 +1,76 @@
+package lead_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/job"
+	"pollencroft/internal/lead"
+)
+
+// split gives host a the first worker and host b the second; a leads a job that runs on its own.
+func split(t *testing.T) *pair {
+	t.Helper()
+	p := newPair(t, 2)
+	p.hosts["a"].SetMachines(p.machines[:1])
+	p.hosts["b"].SetMachines(p.machines[1:])
+	p.run("ab", 5*time.Second)
+	p.submit("a", "old")
+	p.run("ab", time.Second)
+	require.Equal(t, "running", p.state("a", "old"))
+	return p
+}
+
+// Guards against a job with two leads: a hand-over lies in the sockets of a paused host, which
+// first tells a third host that it does not lead the job, and then reads it.
+func TestHandOverFromBeforeACensusIsNotTaken(t *testing.T) {
+	p := split(t)
+	token, err := p.hosts["b"].Expect("a")
+	require.NoError(t, err)
+	jobs, _ := p.hosts["a"].HandOver([]string{"d.r.old"})
+	require.Empty(t, p.hosts["b"].Census("c", []string{"d.r.old"}, nil).Leads)
+	require.ErrorAs(t, p.hosts["b"].Adopt("a", token, jobs), new(*lead.StaleError))
+	require.False(t, p.hosts["b"].Knows("d.r.old"))
+	token, err = p.hosts["b"].Expect("a")
+	require.NoError(t, err)
+	require.NoError(t, p.hosts["b"].Adopt("a", token, jobs), "sent anew it is taken")
+}
+
+// Guards against a job with two leads: the same without a question, since the third host has all
+// workers by now and takes the paused one for gone.
+func TestHandOverFromBeforeTheLossOfAllWorkersIsNotTaken(t *testing.T) {
+	p := split(t)
+	token, err := p.hosts["b"].Expect("a")
+	require.NoError(t, err)
+	jobs, _ := p.hosts["a"].HandOver([]string{"d.r.old"})
+	p.run("a", 10*time.Second)
+	p.run("ab", 5*time.Second)
+	require.Len(t, p.hosts["b"].Held(), 1)
+	require.ErrorAs(t, p.hosts["b"].Adopt("a", token, jobs), new(*lead.StaleError))
+}
+
+// Guards against a job with two leads: a host that hands a job over is paused, loses all its
+// workers, and goes on with the job as it knew it.
+func TestJobFromBeforeTheLossOfAllWorkersIsNotTakenBack(t *testing.T) {
+	p := split(t)
+	jobs, epoch := p.hosts["a"].HandOver([]string{"d.r.old"})
+	p.run("b", 10*time.Second)
+	p.run("ab", 5*time.Second)
+	require.ErrorAs(t, p.hosts["a"].TakeBack(jobs, epoch), new(*lead.NoWorkerError))
+	require.False(t, p.hosts["a"].Knows("d.r.old"))
+}
+
+// Guards against a job with two leads: of two tokens that a host was given, only the later counts.
+func TestSecondTokenReplacesTheFirst(t *testing.T) {
+	p := split(t)
+	first, err := p.hosts["b"].Expect("a")
+	require.NoError(t, err)
+	second, err := p.hosts["b"].Expect("a")
+	require.NoError(t, err)
+	var none []job.Carry
+	require.ErrorAs(t, p.hosts["b"].Adopt("a", first, none), new(*lead.StaleError))
+	require.NoError(t, p.hosts["b"].Adopt("a", second, none))
+	require.ErrorAs(t, p.hosts["b"].Adopt("a", second, none), new(*lead.StaleError), "it counts once")
+}
--- a/internal/lead/history_test.go
+++ b/internal/lead/history_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -37,7 +38,8 @@
 	// overdue are requests that their sender has given up.
 	overdue []*http.Request
 	open    map[string]job.Spec
-	handing map[string][]job.Carry
+	handing map[string][]*parcel
+	letters []letter
 	paused  map[string]bool
 	jobs    int
 }
@@ -78,22 +80,25 @@
 }
 
 func newHistory(t *testing.T, draw *rapid.T) *history {
-	h := &history{draw: draw, open: map[string]job.Spec{}, handing: map[string][]job.Carry{}, paused: map[string]bool{}}
+	h := &history{draw: draw, open: map[string]job.Spec{}, handing: map[string][]*parcel{}, paused: map[string]bool{}}
 	h.pair = newPairOn(t, rapid.IntRange(1, 3).Draw(draw, "workers"), drawLog{draw}, func(p *pair, name string) http.RoundTripper {
 		return unruly{history: h, path: path{p, name}}
 	})
-	h.peers()
+	h.knows("a", true)
+	h.knows("b", true)
 	return h
 }
 
-// peers has both hosts take each other for alive.
-func (h *history) peers() {
-	var names []string
+// knows tells a host which workers there are, and whether it takes the other host for alive.
+func (h *history) knows(name string, alive bool) {
+	var workers, peers []string
 	for _, m := range h.machines {
-		names = append(names, m.Name)
+		workers = append(workers, m.Name)
 	}
-	h.hosts["a"].SetDomain(names, []string{"b"})
-	h.hosts["b"].SetDomain(names, []string{"a"})
+	if alive {
+		peers = []string{other(name)}
+	}
+	h.hosts[name].SetDomain(workers, peers)
 }
 
 func (h *history) host(name string) string {
@@ -133,9 +138,12 @@
 		{"pause", 1, func() { h.paused[h.host("host")] = true }},
 		{"resume", 2, func() { h.paused[h.host("host")] = false }},
 		{"hand", 2, h.hand},
-		{"deliver", 3, h.deliver},
+		{"push", 3, h.push},
+		{"receive", 1, h.receive},
+		{"abandon", 1, h.abandon},
 		{"inherit", 2, h.inherit},
 		{"census", 3, h.census},
+		{"suspect", 1, h.suspect},
 	}
 }
 
@@ -247,6 +255,21 @@
 	}
 }
 
+// parcel is a job on its way from one host to the other.
+type parcel struct {
+	carry job.Carry
+	epoch int64
+	// unsure tells that it was sent and has no answer.
+	unsure bool
+}
+
+// letter is a hand-over that was sent and has not arrived.
+type letter struct {
+	from, token string
+	jobs        []job.Carry
+}
+
+// hand takes jobs off their lead, to be sent to the other host.
 func (h *history) hand() {
 	name := h.awake()
 	if name == "" {
@@ -256,25 +279,86 @@
 	for _, s := range h.hosts[name].Open() {
 		ids = append(ids, s.ID)
 	}
-	h.handing[name] = append(h.handing[name], h.hosts[name].HandOver(ids)...)
+	jobs, epoch := h.hosts[name].HandOver(ids)
+	for _, c := range jobs {
+		h.handing[name] = append(h.handing[name], &parcel{carry: c, epoch: epoch})
+	}
 }
 
-// deliver brings what a host hands over to the other; refused, it stays where it was.
-func (h *history) deliver() {
+// push sends what a host hands over. Its answer may be lost, or it may itself be late.
+func (h *history) push() {
 	name := h.awake()
-	if name == "" || h.paused[other(name)] || len(h.handing[name]) == 0 {
+	if name == "" || h.paused[other(name)] {
 		return
 	}
-	err := h.hosts[other(name)].Adopt(h.handing[name])
-	if err == nil && rapid.Bool().Draw(h.draw, "answer lost") {
+	h.handing[name] = slices.DeleteFunc(h.handing[name], func(p *parcel) bool { return p.epoch != h.hosts[name].Epoch() })
+	token, err := h.hosts[other(name)].Expect(name)
+	if err != nil || len(h.handing[name]) == 0 {
+		h.giveUp(name)
 		return
 	}
-	if err != nil {
-		_ = h.hosts[name].Adopt(h.handing[name])
+	l := letter{from: name, token: token}
+	for _, p := range h.handing[name] {
+		l.jobs = append(l.jobs, p.carry)
+	}
+	switch rapid.IntRange(answered, late).Draw(h.draw, "fate") {
+	case answered:
+		h.answer(name, h.hosts[other(name)].Adopt(l.from, l.token, l.jobs))
+	case answerLost:
+		_ = h.hosts[other(name)].Adopt(l.from, l.token, l.jobs)
+		h.doubt(name)
+	case late:
+		h.letters = append(h.letters, l)
+		h.doubt(name)
+	}
+}
+
+func (h *history) answer(name string, err error) {
+	switch {
+	case err == nil:
+		h.handing[name] = nil
+	case errors.As(err, new(*lead.StaleError)):
+	default:
+		h.giveUp(name)
+	}
+}
+
+func (h *history) doubt(name string) {
+	for _, p := range h.handing[name] {
+		p.unsure = true
+	}
+}
+
+// giveUp takes back what the other host has certainly not got; the rest needs a census.
+func (h *history) giveUp(name string) {
+	for _, p := range h.handing[name] {
+		if !p.unsure {
+			_ = h.hosts[name].TakeBack([]job.Carry{p.carry}, p.epoch)
+		}
 	}
 	h.handing[name] = nil
 }
 
+// receive has a late hand-over arrive.
+func (h *history) receive() {
+	if len(h.letters) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(h.letters)-1).Draw(h.draw, "which")
+	l := h.letters[i]
+	h.letters = slices.Delete(h.letters, i, i+1)
+	if !h.paused[other(l.from)] {
+		_ = h.hosts[other(l.from)].Adopt(l.from, l.token, l.jobs)
+	}
+}
+
+// abandon has a host take the other for gone while it hands jobs over.
+func (h *history) abandon() {
+	if name := h.awake(); name != "" {
+		h.giveUp(name)
+	}
+}
+
 // inherit has a host take the other's jobs over, as one that takes the other for gone would.
 func (h *history) inherit() {
 	name := h.awake()
@@ -284,8 +368,15 @@
 	h.hosts[name].Inherit(slices.DeleteFunc(slices.Collect(maps.Values(h.open)), func(s job.Spec) bool { return h.hands(name, s.ID) }))
 }
 
+// suspect has a host take the other for gone, or for alive again.
+func (h *history) suspect() {
+	if name := h.awake(); name != "" {
+		h.knows(name, rapid.Bool().Draw(h.draw, "alive"))
+	}
+}
+
 func (h *history) hands(name, id string) bool {
-	return slices.ContainsFunc(h.handing[name], func(c job.Carry) bool { return c.Spec.ID == id })
+	return slices.ContainsFunc(h.handing[name], func(p *parcel) bool { return p.carry.Spec.ID == id })
 }
 
 func (h *history) census() {
--- a/internal/lead/inherit.go
+++ b/internal/lead/inherit.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"pollencroft/internal/cell"
 	"pollencroft/internal/job"
 	"pollencroft/internal/lease"
 	"pollencroft/internal/place"
@@ -141,47 +140,6 @@
 	l.job(job.Kept{ID: id})
 }
 
-// Adopt goes on with jobs that their live lead handed over. It refuses them
-// while this host holds no worker: it could not know then whether it was taken
-// for dead.
-func (l *Lead) Adopt(jobs []job.Carry) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.leaving {
-		return &LeavingError{}
-	}
-	if l.epochNow() == 0 {
-		return &NoWorkerError{}
-	}
-	for _, c := range jobs {
-		l.takeover(takeover.Gone{Job: c.Spec.ID})
-		l.Count("lead.adopted")
-		l.note(c.Spec.ID, "handed over by its former lead")
-		l.job(job.Adopt{Carry: c})
-	}
-	l.readAll()
-	return nil
-}
-
-// HandOver stops leading jobs and returns all that is known of them, for the
-// next lead. Jobs that wait for a census are left out: nothing is known of them.
-func (l *Lead) HandOver(ids []string) []job.Carry {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var all []job.Carry
-	l.lease(lease.Tick{})
-	for _, id := range ids {
-		if c, ok := l.Jobs.Carry(id); ok {
-			l.Count("lead.handed")
-			l.note(id, "handed over")
-			l.drop(id)
-			c.Name = cell.NewID()
-			all = append(all, c)
-		}
-	}
-	return all
-}
-
 // Leave makes this host take no job any more, before it hands over what it has.
 func (l *Lead) Leave() {
 	l.mu.Lock()
@@ -236,6 +194,9 @@
 	defer l.mu.Unlock()
 	l.lease(lease.Tick{})
 	l.takeover(takeover.Asked{Host: from, Jobs: waits})
+	// The peer may go on with the jobs that are not led here. One of them that was sent here
+	// before and arrives now would have two leads.
+	clear(l.expected)
 	var c Census
 	for _, id := range ids {
 		switch {
--- a/internal/lead/know_test.go
+++ b/internal/lead/know_test.go
@@ -49,7 +49,9 @@
 	l.SetMachines(machines[:1])
 	require.Eventually(t, func() bool { return len(l.Held()) == 1 }, 30*time.Second, time.Millisecond)
 	spec := job.Spec{ID: "d.w1.j", Tasks: 1, Size: size, Time: cell.Duration{Duration: time.Hour}, Tries: 1}
-	require.NoError(t, l.Adopt([]job.Carry{{
+	token, err := l.Expect("other")
+	require.NoError(t, err)
+	require.NoError(t, l.Adopt("other", token, []job.Carry{{
 		Spec: spec, State: "running", Began: time.Now(), First: time.Now(),
 		Tasks: []job.CarriedTask{{State: "running", Worker: "w2", Tries: 1, Sent: true}},
 	}}))
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -69,6 +69,8 @@
 	// rooms holds on which held worker each listed task runs.
 	rooms map[string]string
 	loose map[string]loose
+	// expected holds by peer the hand-over that it may send next.
+	expected map[string]expected
 	// held is when each worker was last held.
 	held map[string]time.Time
 	// rules hold what was last told to the placement, and ruled is when.
@@ -98,7 +100,7 @@
 	}
 	return &Lead{
 		Deps: d, ctx: ctx, machines: map[string]Machine{}, forget: map[string][]string{}, rooms: map[string]string{},
-		loose: map[string]loose{}, held: map[string]time.Time{}, rules: map[string]place.Rule{}, epoch: 1,
+		loose: map[string]loose{}, expected: map[string]expected{}, held: map[string]time.Time{}, rules: map[string]place.Rule{}, epoch: 1,
 	}
 }
 
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -69,13 +69,25 @@
 	Waits []string
 }
 
+// Expect asks for the token with which From may hand jobs over; the answer is Expected.
+type Expect struct{ From string }
+
+// Expected is the token for one Handover.
+type Expected struct{ Token string }
+
 // Handover gives jobs to their next lead. The answer confirms that they are led.
 // Notes are what was decided about them, so that they can still be explained.
 type Handover struct {
+	From  string
+	Token string
 	Jobs  []job.Carry
 	Notes []trail.Note `json:",omitempty"`
 }
 
+// HandoverReply answers a Handover. Stale tells that its token counts no more, and that nothing
+// of it was taken.
+type HandoverReply struct{ Stale bool }
+
 // Slots tells what a host says of the shares of writers; it has no answer.
 type Slots struct {
 	share.Word
@@ -119,6 +131,7 @@
 func (Listed) method() string    { return "listed" }
 func (Leave) method() string     { return "leave" }
 func (Census) method() string    { return "census" }
+func (Expect) method() string    { return "expect" }
 func (Handover) method() string  { return "handover" }
 
 // CensusWorker is one worker that a peer holds, with the tasks of the asked
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -39,6 +39,7 @@
 	Keep{},
 	Leave{},
 	Census{},
+	Expect{},
 	Handover{},
 	Ping{},
 	AwaitKey{},
