lead: a census tells of no list from before a start of a job given up

A host hands a job over right after it has started some of its tasks, and the next lead dies. The lead after it asks the first host what its workers list, and is told what they listed before those starts, up to a renewal ago; the tasks were taken for ones that run nowhere and were started a second time. A start without an answer could land even later.

A worker is left out of a census until its list is later than the last job with tasks on it that was given up, and until starts of such jobs without an answer are listed or dead; it is read at once. The room of a task that is being stopped when its job is given up is kept until then, too. TestCensusTellsOfNoListFromBeforeAStart fails on the former code.

--- a/internal/lead/handover_test.go
+++ b/internal/lead/handover_test.go
@@ -74,3 +74,19 @@
 	require.NoError(t, p.hosts["b"].Adopt("a", second, none))
 	require.ErrorAs(t, p.hosts["b"].Adopt("a", second, none), new(*lead.StaleError), "it counts once")
 }
+
+// Guards against a task that runs twice: a host hands over a job whose next lead dies, and tells
+// the one after it what a worker listed before the host had started the job's task there.
+func TestCensusTellsOfNoListFromBeforeAStart(t *testing.T) {
+	p := newPair(t, 1)
+	a := p.hosts["a"]
+	p.submit("a", "old")
+	p.drain("a")
+	require.Equal(t, "running", p.state("a", "old"))
+	a.HandOver([]string{"d.r.old"})
+	require.Empty(t, a.Census("b", []string{"d.r.old"}, nil).Views)
+	p.run("a", 300*time.Millisecond)
+	views := a.Census("b", []string{"d.r.old"}, nil).Views
+	require.Len(t, views, 1, "its list is read at once")
+	require.Len(t, views[0].Tasks, 1)
+}
--- a/internal/lead/inherit.go
+++ b/internal/lead/inherit.go
@@ -155,13 +155,23 @@
 	return slices.DeleteFunc(l.Jobs.Open(), func(s job.Spec) bool { return l.Jobs.Waits(s.ID) })
 }
 
+// lookAgain is how long after a job was given up its workers are read. A list that was asked for
+// at the same time may not show what was started last.
+const lookAgain = time.Millisecond
+
 // drop keeps in mind the starts of a dropped job that may still land: their
 // room stays taken until the worker shows that they did not.
 func (l *Lead) drop(id string) {
+	now := l.Clock()
 	if c, ok := l.Jobs.Carry(id); ok {
 		for i, t := range c.Tasks {
+			if t.Worker == "" {
+				continue
+			}
+			l.left[t.Worker] = now
+			l.lease(lease.Look{Worker: t.Worker, After: lookAgain})
 			if t.State == "unsure" || t.State == "stopping" || t.State == "pausing" {
-				l.loose[job.TaskID(id, i)] = loose{worker: t.Worker, deadline: t.Deadline}
+				l.loose[job.TaskID(id, i)] = loose{worker: t.Worker, deadline: t.Deadline, since: now}
 			}
 		}
 	}
@@ -207,13 +217,24 @@
 		}
 	}
 	for _, name := range l.Leases.Held() {
-		if r, ok := l.Leases.Last(name); ok {
+		if r, ok := l.Leases.Last(name); ok && l.shows(name, r) {
 			c.Views = append(c.Views, l.view(name, r, ids))
 		}
 	}
 	return c
 }
 
+// shows tells whether a worker's list shows all starts of jobs that were given up here. Their
+// next lead would take a task that is not listed for one that runs nowhere.
+func (l *Lead) shows(name string, r lease.Reading) bool {
+	for _, lo := range l.loose {
+		if lo.worker == name {
+			return false
+		}
+	}
+	return r.Sent.After(l.left[name])
+}
+
 func (l *Lead) view(name string, r lease.Reading, ids []string) View {
 	v := View{Worker: name, Clock: r.Clock, Age: l.Clock().Sub(r.Sent)}
 	for _, t := range r.Tasks {
@@ -304,7 +325,7 @@
 		}
 	}
 	for id, lo := range l.loose {
-		if lo.worker == name && (running[id] || r.Clock.After(lo.deadline)) {
+		if lo.worker == name && (running[id] || r.Sent.After(lo.since) && r.Clock.After(lo.deadline)) {
 			delete(l.loose, id)
 			if !running[id] {
 				l.free(id, name)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -69,6 +69,8 @@
 	// rooms holds on which held worker each listed task runs.
 	rooms map[string]string
 	loose map[string]loose
+	// left is when a job that had tasks on a worker was last given up.
+	left map[string]time.Time
 	// expected holds by peer the hand-over that it may send next.
 	expected map[string]expected
 	// held is when each worker was last held.
@@ -85,6 +87,8 @@
 type loose struct {
 	worker   string
 	deadline time.Time
+	// since is when the job was given up.
+	since time.Time
 }
 
 // askTimeout bounds one exchange with a worker.
@@ -100,7 +104,7 @@
 	}
 	return &Lead{
 		Deps: d, ctx: ctx, machines: map[string]Machine{}, forget: map[string][]string{}, rooms: map[string]string{},
-		loose: map[string]loose{}, expected: map[string]expected{}, held: map[string]time.Time{}, rules: map[string]place.Rule{}, epoch: 1,
+		loose: map[string]loose{}, left: map[string]time.Time{}, expected: map[string]expected{}, held: map[string]time.Time{}, rules: map[string]place.Rule{}, epoch: 1,
 	}
 }
 
