place: a corrected size that finds no room gives way to the declared one

Callers lost an all-at-once job: it waited for good, while its lead had room for it as it was declared. A task is packed by what its row was measured to use, or by twice what it declares until eight were measured. That size is fixed when the job is taken.

Once a second, work that finds no room is sized as declared where the corrected size could not run beside the tasks that run for longer than its class may wait, and the declared one could; or where it is the job that is the longest over its class's time, which bounds the wait when nothing is known of how long the others run.

--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -79,6 +79,7 @@
 func (l *Lead) want(a job.Want) {
 	w := l.wantOf(a.Spec, a.Tasks)
 	w.Since, w.Avoid = a.Since, a.Avoid
+	w.Declared = w.Size
 	w.Size, w.Time = l.corrected(w), l.Estimates.Time(w.Row, w.Time)
 	l.place(w)
 }
--- /dev/null
+++ b/internal/place/declared.go
@@ -0,0 +1,74 @@
+package place
+
+import (
+	"slices"
+
+	"pollencroft/internal/cell"
+)
+
+// giveUpCorrections sizes waiting work as it was declared where its corrected size finds no
+// room: beside what lasts it never will, since workers have gone or were taken since it was
+// corrected, or it is what has waited for the longest time over its class's.
+func (p *Placer) giveUpCorrections() {
+	for _, lanes := range p.queue.order {
+		for _, l := range lanes {
+			for _, s := range slices.Clone(l.shapes) {
+				p.giveUpCorrection(s)
+			}
+		}
+	}
+}
+
+func (p *Placer) giveUpCorrection(s *shape) {
+	if s.blocked != NoRoom && s.blocked != TooFew {
+		return
+	}
+	for _, e := range slices.Clone(s.entries) {
+		if !e.waiting() || e.Declared == (cell.Size{}) || e.Declared == e.Size || !e.Declared.Fits(e.Size) {
+			continue
+		}
+		if e == p.old || !p.couldRun(e, e.Size) && p.couldRun(e, e.Declared) {
+			p.resize(e)
+		}
+	}
+}
+
+// couldRun tells whether an entry's tasks of that size would have room beside the tasks that run
+// for longer than its class may wait.
+func (p *Placer) couldRun(e *entry, size cell.Size) bool {
+	need := int64(1)
+	if e.Gang {
+		need = int64(e.live)
+	}
+	for _, w := range p.workers {
+		if w.open() {
+			need -= copies(p.besideLasting(w, e.Class), size)
+		}
+	}
+	return need <= 0
+}
+
+func (p *Placer) besideLasting(w *worker, class cell.Class) cell.Size {
+	free := w.size
+	for _, r := range w.tasks {
+		if !r.ends.IsZero() && r.ends.Sub(p.now) > p.limits.Overdue[class] {
+			free = free.Sub(r.size)
+		}
+	}
+	return free
+}
+
+// resize queues an entry anew with its declared size.
+func (p *Placer) resize(e *entry) {
+	w := e.Want
+	w.Size, w.Declared = e.Declared, cell.Size{}
+	w.Tasks = slices.DeleteFunc(slices.Clone(e.Tasks), func(task string) bool { return p.queue.tasks[task] != e })
+	for _, task := range w.Tasks {
+		p.queue.drop(task)
+	}
+	p.unmark(e)
+	p.queue.add(p.now, w)
+	if e == p.old {
+		p.old = p.queue.tasks[w.Tasks[0]]
+	}
+}
--- a/internal/place/messages.go
+++ b/internal/place/messages.go
@@ -39,8 +39,11 @@
 	Team  string
 	Class cell.Class
 	Size  cell.Size
-	Tasks []string
-	Gang  bool
+	// Declared is what the caller asked for, if Size was corrected. It is used instead when Size
+	// finds no room; zero: there is none.
+	Declared cell.Size
+	Tasks    []string
+	Gang     bool
 	// Spread puts the row's tasks on as many racks as there are, so that a
 	// rack that fails does not take a whole service along.
 	Spread bool
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -110,6 +110,7 @@
 	p.looked = p.now
 	p.expireMarks()
 	p.lookForOverdue()
+	p.giveUpCorrections()
 	p.trials()
 }
 
