lead: only the holder of a worker starts what is counted by its rack

Operators saw four tasks of a row run where two are allowed. All jobs of a row with a limit, or of a team with a quota, are at home on one rack, so that its lead counts them; but who leads a rack is each host's own belief, and two hosts that do not hear each other for a moment both accept the row's jobs and start as many as the limit allows, each on its workers. What ran on workers of other hosts after a hand-over was not counted either.

Before it starts anything it learns, by the census that jobs use, what runs of the row on other hosts' workers, and takes that off the limit. A start's deadline ends with the lease of that worker, and the worker is not given back while one is under way. explain names the worker whose holder counts. Jobs whose row got its limit later go to that rack's lead.

A row that is counted and not urgent starts nothing while that worker has no holder, 3 to 15 s after its holder died.

--- a/internal/host/jobs.go
+++ b/internal/host/jobs.go
@@ -43,7 +43,7 @@
 	if len(racks) == 0 {
 		return peer.RefuseJob(http.StatusServiceUnavailable, "no workers are known")
 	}
-	if home := h.countedAt(row, racks); home != "" {
+	if home := h.countedAt(row); home != "" {
 		racks = []string{home}
 	}
 	first := int(xxhash.Sum64String(cell.NewID()) % uint64(len(racks)))
@@ -66,29 +66,54 @@
 	return reply
 }
 
-// countedAt is the rack where all jobs of a limited row, or of a team with a
-// quota, are at home; empty for any. Leads do not tell each other what runs, so
-// two of them would each run the whole of the failure domain's share. Urgent
-// rows go where a lead is: a limit that holds back urgent work while a lead is
-// being replaced does more harm than one that is exceeded for that time.
-func (h *Host) countedAt(row table.Row, racks []string) string {
+// limitKey is what the tasks of a row are counted by: the row, if it has limits, or its team, if
+// that has a quota; empty for neither. Urgent rows go where a lead is: a limit that holds back
+// urgent work while a lead is being replaced does more harm than one that is exceeded for that
+// time.
+func (h *Host) limitKey(row table.Row) string {
 	if row.Urgency() == cell.Urgent {
 		return ""
 	}
 	h.mu.Lock()
 	_, quota := h.table.TeamShare(row.Team, h.cfg.Domain)
 	h.mu.Unlock()
-	key := "row " + row.Name
 	switch {
 	case quota:
-		key = "team " + row.Team
+		return "team " + row.Team
 	case row.Limits.Tasks == 0 && row.Limits.Room == cell.Size{}:
 		return ""
+	default:
+		return "row " + row.Name
+	}
+}
+
+// countedAt is the rack where all jobs of a limited row, or of a team with a
+// quota, are at home, so that one lead counts them; empty for any.
+func (h *Host) countedAt(row table.Row) string {
+	key := h.limitKey(row)
+	if key == "" {
+		return ""
 	}
-	rack, _ := member.Rank(key, racks)
+	rack, _ := member.Rank(key, h.racks(h.cfg.Domain))
 	return rack
 }
 
+// keyWorkers are the workers of the rack where a key is counted. The holder of the first that
+// lives may start the key's tasks.
+func (h *Host) keyWorkers(key string) []string {
+	rack, _ := member.Rank(key, h.racks(h.cfg.Domain))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var names []string
+	for _, m := range h.list {
+		if m.Kind == cell.WorkerHost && m.Domain == h.cfg.Domain && m.Rack == rack && !m.Leaving {
+			names = append(names, m.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // knows tells whether the settings name a failure domain. A question after a
 // job of any other would be told to come back for ever.
 func (h *Host) knows(domain string) bool {
--- a/internal/host/keep.go
+++ b/internal/host/keep.go
@@ -359,5 +359,16 @@
 	if err != nil {
 		return ""
 	}
+	h.mu.Lock()
+	spec, known := h.jobs.log.Spec(id)
+	row, _ := h.table.Row(spec.Row)
+	h.mu.Unlock()
+	if !known || home.Domain != h.cfg.Domain {
+		return h.rackLead(home)
+	}
+	if rack := h.countedAt(row); rack != "" {
+		// Its row got a limit after the job: only the lead of that rack may start it.
+		home.Rack = rack
+	}
 	return h.rackLead(home)
 }
--- a/internal/host/takeover.go
+++ b/internal/host/takeover.go
@@ -114,9 +114,9 @@
 // askCensus asks all live peers of the domain what they hold and lead.
 func (h *Host) askCensus() {
 	h.wg.Go(func() {
-		ids, waits := h.lead.Question()
+		q := h.lead.Question()
 		for _, name := range h.domainPeers() {
-			h.wg.Go(func() { h.askOne(name, peer.Census{From: h.cfg.Name, Jobs: ids, Waits: waits}) })
+			h.wg.Go(func() { h.askOne(name, peer.Census{From: h.cfg.Name, Jobs: q.Jobs, Waits: q.Waits, Keys: q.Keys}) })
 		}
 	})
 }
@@ -134,10 +134,14 @@
 	}
 	c := lead.Census{Leads: reply.Leads, Waits: reply.Waits}
 	for _, w := range reply.Workers {
-		c.Views = append(c.Views, lead.View{Worker: w.Name, Clock: w.Clock, Age: w.Age.Duration, Tasks: w.Tasks})
+		v := lead.View{Worker: w.Name, Clock: w.Clock, Age: w.Age.Duration, Tasks: w.Tasks}
+		for _, t := range w.Counted {
+			v.Counted = append(v.Counted, lead.Counted(t))
+		}
+		c.Views = append(c.Views, v)
 	}
 	h.takeOver()
-	h.lead.Answered(name, asked, m.Jobs, c)
+	h.lead.Answered(name, asked, lead.Question{Jobs: m.Jobs, Waits: m.Waits, Keys: m.Keys}, c)
 }
 
 // census answers a peer's question. Jobs that this host is about to lead, or
@@ -147,12 +151,14 @@
 	h.jobs.transfer.RLock()
 	defer h.jobs.transfer.RUnlock()
 	busy := h.busyOf(m.Jobs)
-	c := h.lead.Census(m.From, m.Jobs, m.Waits)
+	c := h.lead.Census(m.From, lead.Question{Jobs: m.Jobs, Waits: m.Waits, Keys: m.Keys})
 	reply := peer.CensusReply{Leads: append(busy, c.Leads...), Waits: c.Waits}
 	for _, v := range c.Views {
-		reply.Workers = append(reply.Workers, peer.CensusWorker{
-			Name: v.Worker, Clock: v.Clock, Age: cell.Duration{Duration: v.Age}, Tasks: v.Tasks,
-		})
+		w := peer.CensusWorker{Name: v.Worker, Clock: v.Clock, Age: cell.Duration{Duration: v.Age}, Tasks: v.Tasks}
+		for _, t := range v.Counted {
+			w.Counted = append(w.Counted, peer.CountedTask(t))
+		}
+		reply.Workers = append(reply.Workers, w)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- /dev/null
+++ b/internal/lead/census.go
@@ -0,0 +1,125 @@
+package lead
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"pollencroft/internal/job"
+	"pollencroft/internal/lease"
+	"pollencroft/internal/takeover"
+)
+
+// View is one held worker as this host last read it.
+type View struct {
+	Worker string
+	Clock  time.Time
+	// Age is how long ago the worker was asked.
+	Age   time.Duration
+	Tasks []job.Listed
+	// Counted are the running tasks of the keys that were asked for.
+	Counted []Counted
+}
+
+// Census is what one host tells another of what it holds, and of the jobs that
+// were asked for: those that it leads and those that it waits for itself.
+type Census struct {
+	Views        []View
+	Leads, Waits []string
+}
+
+// Question is what one host asks another: which of some jobs it leads, and what the workers that
+// it holds run of those jobs and of some keys. Waits are the jobs that the asker wants to inherit.
+type Question struct {
+	Jobs, Waits []string
+	Keys        []string
+}
+
+// Census answers a peer's question.
+func (l *Lead) Census(from string, q Question) Census {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lease(lease.Tick{})
+	l.takeover(takeover.Asked{Host: from, Jobs: q.Waits})
+	if len(q.Waits) > 0 {
+		// The peer may go on with the jobs that are not led here. One of them that was sent here
+		// before and arrives now would have two leads.
+		clear(l.expected)
+	}
+	var c Census
+	for _, id := range q.Jobs {
+		switch {
+		case l.Jobs.Waits(id):
+			c.Waits = append(c.Waits, id)
+		case l.knows(id):
+			c.Leads = append(c.Leads, id)
+		}
+	}
+	for _, name := range l.Leases.Held() {
+		if r, ok := l.Leases.Last(name); ok && l.shows(name, r, q) {
+			c.Views = append(c.Views, l.view(name, r, q))
+		}
+	}
+	return c
+}
+
+// shows tells whether a worker's list shows all starts of jobs that were given up here, and of
+// the keys that are asked for. The asker would take a task that is not listed for one that runs
+// nowhere.
+func (l *Lead) shows(name string, r lease.Reading, q Question) bool {
+	if len(q.Keys) > 0 && !r.Sent.After(l.limited[name]) {
+		l.lease(lease.Look{Worker: name, After: lookAgain})
+		return false
+	}
+	for _, lo := range l.loose {
+		if lo.worker == name {
+			return false
+		}
+	}
+	return r.Sent.After(l.left[name])
+}
+
+func (l *Lead) view(name string, r lease.Reading, q Question) View {
+	v := View{Worker: name, Clock: r.Clock, Age: l.Clock().Sub(r.Sent)}
+	for _, t := range r.Tasks {
+		if slices.Contains(q.Jobs, t.Job) {
+			v.Tasks = append(v.Tasks, job.Listed{ID: t.ID, State: t.State, Lease: t.Lease})
+		}
+		if len(q.Keys) > 0 && t.State == "running" && slices.Contains(q.Keys, l.keyOf(t.Row)) {
+			v.Counted = append(v.Counted, Counted{Row: t.Row, Size: roomOf(t)})
+		}
+	}
+	return v
+}
+
+// Question is what to ask peers for: the jobs that wait for a census and those with tasks on
+// workers that this host does not hold, and what is counted here.
+func (l *Lead) Question() Question {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q := Question{Waits: l.Takeover.Waiting(), Keys: slices.Sorted(maps.Keys(l.counts))}
+	for _, s := range l.Jobs.Open() {
+		q.Jobs = append(q.Jobs, s.ID)
+	}
+	return q
+}
+
+// Answered takes a peer's answer to a question that was sent at asked. A
+// worker that this host holds, or held since then, is passed over: what the
+// peer told of it is older than what this host knows.
+// The peer lists tasks of the jobs that were asked for, and no others.
+func (l *Lead) Answered(host string, asked time.Time, q Question, c Census) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ev := takeover.Answer{Host: host, Asked: asked, Leads: c.Leads, Waits: c.Waits}
+	held := l.Leases.Held()
+	for _, v := range c.Views {
+		if slices.Contains(held, v.Worker) || l.held[v.Worker].After(asked) {
+			continue
+		}
+		ev.Workers = append(ev.Workers, v.Worker)
+		l.runsElsewhere(v.Worker, v.Counted)
+		l.job(job.Seen{Worker: v.Worker, Clock: v.Clock, Sent: asked.Add(-v.Age), Tasks: v.Tasks, Jobs: q.Jobs})
+	}
+	l.takeover(ev)
+}
--- a/internal/lead/fault_test.go
+++ b/internal/lead/fault_test.go
@@ -210,9 +210,9 @@
 	for range 30 {
 		p.run("ab", time.Second)
 		for _, name := range []string{"a", "b"} {
-			ids, waits := p.hosts[name].Question()
+			q := p.hosts[name].Question()
 			other := map[string]string{"a": "b", "b": "a"}[name]
-			p.hosts[name].Answered(other, p.now, ids, p.hosts[other].Census(name, ids, waits))
+			p.hosts[name].Answered(other, p.now, q, p.hosts[other].Census(name, q))
 		}
 	}
 	require.Equal(t, "running", p.state("a", "one"))
--- a/internal/lead/handover_test.go
+++ b/internal/lead/handover_test.go
@@ -10,6 +10,9 @@
 	"pollencroft/internal/lead"
 )
 
+// ask is a question for the job that a peer wants to inherit.
+var ask = lead.Question{Jobs: []string{"d.r.old"}, Waits: []string{"d.r.old"}}
+
 // split gives host a the first worker and host b the second; a leads a job that runs on its own.
 func split(t *testing.T) *pair {
 	t.Helper()
@@ -30,7 +33,7 @@
 	token, err := p.hosts["b"].Expect("a")
 	require.NoError(t, err)
 	jobs, _ := p.hosts["a"].HandOver([]string{"d.r.old"})
-	require.Empty(t, p.hosts["b"].Census("c", []string{"d.r.old"}, nil).Leads)
+	require.Empty(t, p.hosts["b"].Census("c", ask).Leads)
 	require.ErrorAs(t, p.hosts["b"].Adopt("a", token, jobs), new(*lead.StaleError))
 	require.False(t, p.hosts["b"].Knows("d.r.old"))
 	token, err = p.hosts["b"].Expect("a")
@@ -84,9 +87,9 @@
 	p.drain("a")
 	require.Equal(t, "running", p.state("a", "old"))
 	a.HandOver([]string{"d.r.old"})
-	require.Empty(t, a.Census("b", []string{"d.r.old"}, nil).Views)
+	require.Empty(t, a.Census("b", ask).Views)
 	p.run("a", 300*time.Millisecond)
-	views := a.Census("b", []string{"d.r.old"}, nil).Views
+	views := a.Census("b", ask).Views
 	require.Len(t, views, 1, "its list is read at once")
 	require.Len(t, views[0].Tasks, 1)
 }
--- a/internal/lead/history_test.go
+++ b/internal/lead/history_test.go
@@ -384,14 +384,14 @@
 	if name == "" || h.paused[other(name)] {
 		return
 	}
-	ids, waits := h.hosts[name].Question()
-	c := h.hosts[other(name)].Census(name, ids, waits)
-	for _, id := range ids {
+	q := h.hosts[name].Question()
+	c := h.hosts[other(name)].Census(name, q)
+	for _, id := range q.Jobs {
 		if h.hands(other(name), id) {
 			c.Leads = append(c.Leads, id)
 		}
 	}
-	h.hosts[name].Answered(other(name), h.now, ids, c)
+	h.hosts[name].Answered(other(name), h.now, q, c)
 }
 
 func TestMain(m *testing.M) { randtest.Main(m, 1500, 30) }
--- a/internal/lead/inherit.go
+++ b/internal/lead/inherit.go
@@ -22,15 +22,6 @@
 
 func (e *LeavingError) Error() string { return "host is leaving" }
 
-// View is one held worker as this host last read it.
-type View struct {
-	Worker string
-	Clock  time.Time
-	// Age is how long ago the worker was asked.
-	Age   time.Duration
-	Tasks []job.Listed
-}
-
 // Epoch numbers the time since this host last held no worker at all. While it
 // stays the same no other host can have completed a census without asking this
 // one, so what this host knows of its jobs is true. Zero: it holds none.
@@ -191,90 +182,6 @@
 	}
 }
 
-// Census is what one host tells another of what it holds, and of the jobs that
-// were asked for: those that it leads and those that it waits for itself.
-type Census struct {
-	Views        []View
-	Leads, Waits []string
-}
-
-// Census answers a peer that asks for some jobs and waits for others itself.
-func (l *Lead) Census(from string, ids, waits []string) Census {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.lease(lease.Tick{})
-	l.takeover(takeover.Asked{Host: from, Jobs: waits})
-	// The peer may go on with the jobs that are not led here. One of them that was sent here
-	// before and arrives now would have two leads.
-	clear(l.expected)
-	var c Census
-	for _, id := range ids {
-		switch {
-		case l.Jobs.Waits(id):
-			c.Waits = append(c.Waits, id)
-		case l.knows(id):
-			c.Leads = append(c.Leads, id)
-		}
-	}
-	for _, name := range l.Leases.Held() {
-		if r, ok := l.Leases.Last(name); ok && l.shows(name, r) {
-			c.Views = append(c.Views, l.view(name, r, ids))
-		}
-	}
-	return c
-}
-
-// shows tells whether a worker's list shows all starts of jobs that were given up here. Their
-// next lead would take a task that is not listed for one that runs nowhere.
-func (l *Lead) shows(name string, r lease.Reading) bool {
-	for _, lo := range l.loose {
-		if lo.worker == name {
-			return false
-		}
-	}
-	return r.Sent.After(l.left[name])
-}
-
-func (l *Lead) view(name string, r lease.Reading, ids []string) View {
-	v := View{Worker: name, Clock: r.Clock, Age: l.Clock().Sub(r.Sent)}
-	for _, t := range r.Tasks {
-		if slices.Contains(ids, t.Job) {
-			v.Tasks = append(v.Tasks, job.Listed{ID: t.ID, State: t.State, Lease: t.Lease})
-		}
-	}
-	return v
-}
-
-// Question lists the jobs to ask peers for: those that wait for a census and
-// those with tasks on workers that this host does not hold.
-func (l *Lead) Question() (ids, waits []string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, s := range l.Jobs.Open() {
-		ids = append(ids, s.ID)
-	}
-	return ids, l.Takeover.Waiting()
-}
-
-// Answered takes a peer's answer to a question that was sent at asked. A
-// worker that this host holds, or held since then, is passed over: what the
-// peer told of it is older than what this host knows.
-// The peer lists tasks of the jobs that were asked for, and no others.
-func (l *Lead) Answered(host string, asked time.Time, ids []string, c Census) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	ev := takeover.Answer{Host: host, Asked: asked, Leads: c.Leads, Waits: c.Waits}
-	held := l.Leases.Held()
-	for _, v := range c.Views {
-		if slices.Contains(held, v.Worker) || l.held[v.Worker].After(asked) {
-			continue
-		}
-		ev.Workers = append(ev.Workers, v.Worker)
-		l.job(job.Seen{Worker: v.Worker, Clock: v.Clock, Sent: asked.Add(-v.Age), Tasks: v.Tasks, Jobs: ids})
-	}
-	l.takeover(ev)
-}
-
 func (l *Lead) takeover(ev takeover.Event) {
 	for _, a := range l.Takeover.Step(l.Clock(), ev) {
 		switch a := a.(type) {
@@ -286,18 +193,28 @@
 			l.Count("lead.released")
 			l.note(a.Job, "census complete")
 			l.job(job.Release{ID: a.Job})
+		case takeover.Counted:
+			l.counted(a.Key)
 		case takeover.Silent:
 			l.Log.Warn("lead: worker is silent for longer than any lease.", "worker", a.Worker)
 			l.Count("lead.silent")
+			delete(l.elsewhere, a.Worker)
 			l.job(job.Seen{Worker: a.Worker, Gone: true})
 		}
 	}
 }
 
-// watch tells which workers have tasks of own jobs but are not held here.
+// watch tells which workers have tasks of own jobs, or tasks that are counted here, but are not
+// held here.
 func (l *Lead) watch() {
 	held := l.Leases.Held()
-	names := slices.DeleteFunc(l.Jobs.Places(), func(n string) bool { return slices.Contains(held, n) })
+	names := l.Jobs.Places()
+	for name := range l.elsewhere {
+		if !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	names = slices.DeleteFunc(names, func(n string) bool { return slices.Contains(held, n) })
 	l.takeover(takeover.Watch{Workers: names})
 }
 
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -37,6 +37,10 @@
 	// End is told how a job ended, to keep it, and must not wait.
 	End func(id, state string, ran bool)
 	Row func(name string) (table.Row, int64)
+	// Key returns what a row is counted by; nil or an empty name: it may be started anywhere.
+	// KeyWorkers lists the workers of a key in the order in which they allow to start it.
+	Key        func(row table.Row) string
+	KeyWorkers func(key string) []string
 	// Shares returns what a row and its team may use here; nil: the row's limits.
 	Shares func(row table.Row) (own, team table.Share)
 	// Estimates correct declared sizes and times.
@@ -73,6 +77,12 @@
 	left map[string]time.Time
 	// expected holds by peer the hand-over that it may send next.
 	expected map[string]expected
+	// counts holds by key what is counted here, elsewhere by worker what is counted and runs on
+	// workers of other hosts.
+	counts    map[string]*count
+	elsewhere map[string][]Counted
+	// limited is when a start of a counted row to a worker was last answered.
+	limited map[string]time.Time
 	// held is when each worker was last held.
 	held map[string]time.Time
 	// rules hold what was last told to the placement, and ruled is when.
@@ -104,7 +114,7 @@
 	}
 	return &Lead{
 		Deps: d, ctx: ctx, machines: map[string]Machine{}, forget: map[string][]string{}, rooms: map[string]string{},
-		loose: map[string]loose{}, left: map[string]time.Time{}, expected: map[string]expected{}, held: map[string]time.Time{}, rules: map[string]place.Rule{}, epoch: 1,
+		counts: map[string]*count{}, elsewhere: map[string][]Counted{}, limited: map[string]time.Time{}, loose: map[string]loose{}, left: map[string]time.Time{}, expected: map[string]expected{}, held: map[string]time.Time{}, rules: map[string]place.Rule{}, epoch: 1,
 	}
 }
 
@@ -255,8 +265,10 @@
 			l.Estimates.Drop(id)
 		}
 	}
+	l.keepCounted(name)
 	l.place(place.Down{Worker: name})
 	l.takeover(takeover.Down{Worker: name})
+	l.lose(name)
 	if len(l.Leases.Held()) == 0 && !l.leaving {
 		l.demote()
 	}
@@ -330,6 +342,7 @@
 		}
 	}
 	l.Count("lead.up")
+	delete(l.elsewhere, a.Worker)
 	l.Log.Info("lead: worker is led.", "worker", a.Worker, "tasks", len(used))
 	l.place(place.Up{Worker: m.Name, Rack: m.Rack, Size: m.Size, Used: used})
 	l.seen(a.Worker, a.Reading)
--- /dev/null
+++ b/internal/lead/limits.go
@@ -0,0 +1,172 @@
+package lead
+
+import (
+	"slices"
+
+	"pollencroft/internal/cell"
+	"pollencroft/internal/job"
+	"pollencroft/internal/lease"
+	"pollencroft/internal/place"
+	"pollencroft/internal/table"
+	"pollencroft/internal/takeover"
+)
+
+// A key is what is counted together: a row with limits, or the rows of a team with a quota. Only
+// the host that holds the first of its workers may start its tasks. Two hosts may both take
+// themselves for the lead of a rack; a worker has one holder.
+
+// Counted is one running task of a key.
+type Counted struct {
+	Row  string    `json:"row"`
+	Size cell.Size `json:"size"`
+}
+
+// count is a key that is counted here as long as this host holds the worker. Done is set when
+// all is known that runs of it.
+type count struct {
+	worker string
+	done   bool
+}
+
+// gate is the worker that must be held to start tasks of a row; empty names for a row that
+// anyone may start. A worker that is silent for longer than any lease is passed over: with it
+// the row would stand still for as long as it is listed.
+func (l *Lead) gate(row table.Row) (key, worker string) {
+	if l.Key == nil {
+		return "", ""
+	}
+	if key = l.Key(row); key == "" {
+		return "", ""
+	}
+	for _, name := range l.KeyWorkers(key) {
+		if !l.Takeover.Gone(l.Clock(), name) {
+			return key, name
+		}
+	}
+	return key, ""
+}
+
+func (l *Lead) keyOf(row string) string {
+	if l.Key == nil {
+		return ""
+	}
+	r, _ := l.Row(row)
+	return l.Key(r)
+}
+
+// mayStart tells whether tasks of a row may be started here, and begins to count what runs of it
+// when the worker is held that allows it.
+func (l *Lead) mayStart(row table.Row) bool {
+	key, worker := l.gate(row)
+	if key == "" {
+		return true
+	}
+	c := l.counts[key]
+	if !slices.Contains(l.Leases.Held(), worker) {
+		l.uncount(key)
+		return false
+	}
+	if c == nil || c.worker != worker {
+		c = &count{worker: worker}
+		l.counts[key] = c
+		l.Log.Info("lead: counting what runs.", "key", key, "worker", worker)
+		l.takeover(takeover.Count{Key: key})
+	}
+	return c.done
+}
+
+func (l *Lead) uncount(key string) {
+	if _, ok := l.counts[key]; !ok {
+		return
+	}
+	delete(l.counts, key)
+	l.Log.Info("lead: another host may count what runs.", "key", key)
+	l.takeover(takeover.Uncount{Key: key})
+}
+
+// counted begins to start tasks of a key, of which all that runs is known now.
+func (l *Lead) counted(key string) {
+	c, ok := l.counts[key]
+	if !ok {
+		return
+	}
+	c.done = true
+	l.Log.Info("lead: what runs is counted.", "key", key, "worker", c.worker)
+	// The rows that wait are told with the next tick.
+	l.ruled = l.ruled.Add(-ruleEvery)
+}
+
+// lose ends the counting that rests on a worker.
+func (l *Lead) lose(worker string) {
+	lost := false
+	for key, c := range l.counts {
+		if c.worker == worker {
+			l.uncount(key)
+			lost = true
+		}
+	}
+	if lost {
+		l.retell()
+	}
+}
+
+// runsElsewhere notes what runs of the counted keys on a worker of another host.
+func (l *Lead) runsElsewhere(worker string, tasks []Counted) {
+	if len(tasks) == 0 {
+		delete(l.elsewhere, worker)
+		return
+	}
+	l.elsewhere[worker] = tasks
+}
+
+// keepCounted notes what ran of counted keys on a worker that is given up.
+func (l *Lead) keepCounted(worker string) {
+	var all []Counted
+	for _, u := range l.Placer.On(worker) {
+		if l.keyOf(u.Row) != "" {
+			all = append(all, Counted{Row: u.Row, Size: u.Size})
+		}
+	}
+	l.runsElsewhere(worker, all)
+}
+
+// lessElsewhere takes off a rule what runs on workers of other hosts.
+func (l *Lead) lessElsewhere(row table.Row, r place.Rule) place.Rule {
+	for _, tasks := range l.elsewhere {
+		for _, t := range tasks {
+			other, _ := l.Row(t.Row)
+			if t.Row == row.Name {
+				r.MaxTasks, r.Limit = less(r.MaxTasks, 1), lessSize(r.Limit, t.Size)
+			}
+			if row.Team != "" && other.Team == row.Team {
+				r.QuotaTasks, r.Quota = less(r.QuotaTasks, 1), lessSize(r.Quota, t.Size)
+			}
+		}
+	}
+	return r
+}
+
+// less is a limit of the placement that n of are taken: zero is open, a negative one allows nothing.
+func less(limit, n int64) int64 {
+	switch {
+	case limit <= 0:
+		return limit
+	case limit <= n:
+		return -1
+	default:
+		return limit - n
+	}
+}
+
+func lessSize(limit, size cell.Size) cell.Size {
+	return cell.Size{CPU: less(limit.CPU, size.CPU), Mem: less(limit.Mem, size.Mem), Accel: less(limit.Accel, size.Accel)}
+}
+
+// shut puts back a task whose row may not be started here any more. A lease that lapsed before
+// anyone noticed is noticed first: the task would get its room again at once.
+func (l *Lead) shut(a job.Start) {
+	l.lease(lease.Tick{})
+	l.note(a.Spec.ID, "start of "+a.Task+" put off: its row is counted elsewhere")
+	l.retell()
+	l.job(job.NotStarted{Task: a.Task, Attempt: a.Attempt})
+}
--- /dev/null
+++ b/internal/lead/limits_test.go
@@ -0,0 +1,170 @@
+package lead_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/cell"
+	"pollencroft/internal/lead"
+	"pollencroft/internal/table"
+)
+
+// limitedPair is a pair whose row may run one task at a time. The first worker allows to start it.
+func limitedPair(t *testing.T, workers int) *pair {
+	t.Helper()
+	p := newPair(t, workers)
+	for _, l := range p.hosts {
+		l.Row = func(name string) (table.Row, int64) {
+			return table.Row{Name: name, Class: "normal", Limits: table.Limits{Tasks: 1}}, 1
+		}
+		l.Key = func(row table.Row) string { return map[string]string{"scan": "row scan"}[row.Name] }
+		l.KeyWorkers = func(string) []string { return []string{p.machines[0].Name} }
+	}
+	return p
+}
+
+// divide gives each host its workers.
+func (p *pair) divide(a, b []lead.Machine) {
+	p.hosts["a"].SetMachines(a)
+	p.hosts["b"].SetMachines(b)
+	p.together(5 * time.Second)
+}
+
+// together lets time pass for both hosts, which take each other for alive and ask each other.
+func (p *pair) together(d time.Duration) {
+	for end := p.now.Add(d); p.now.Before(end); {
+		p.run("ab", 500*time.Millisecond)
+		for _, name := range []string{"a", "b"} {
+			q := p.hosts[name].Question()
+			p.hosts[name].Answered(other(name), p.now, q, p.hosts[other(name)].Census(name, q))
+		}
+	}
+}
+
+// limited submits a job of the row with one small task.
+func (p *pair) limited(name, id string) {
+	p.Helper()
+	spec := p.spec(id)
+	spec.Size = cell.Size{CPU: 100, Mem: 100}
+	epoch, err := p.hosts[name].Check(spec)
+	require.NoError(p, err)
+	_, err = p.hosts[name].Submit(spec, epoch)
+	require.NoError(p, err)
+}
+
+// running counts the tasks that run on all workers.
+func (p *pair) running() int {
+	n := 0
+	for _, w := range p.workers {
+		rec := w.Record()
+		for id := range rec.Started {
+			if rec.Ended[id] == "" {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (p *pair) alive() {
+	var names []string
+	for _, m := range p.machines {
+		names = append(names, m.Name)
+	}
+	p.hosts["a"].SetDomain(names, []string{"b"})
+	p.hosts["b"].SetDomain(names, []string{"a"})
+}
+
+// Guards against a row's limit that is exceeded: two hosts both take themselves for the lead of
+// the row's rack and accept its jobs.
+func TestRowIsStartedByTheHolderOfItsWorkerOnly(t *testing.T) {
+	p := limitedPair(t, 2)
+	p.alive()
+	p.divide(p.machines[:1], p.machines[1:])
+	p.limited("b", "one")
+	p.limited("a", "two")
+	p.limited("b", "three")
+	p.together(20 * time.Second)
+	require.Equal(t, 1, p.running())
+	require.Equal(t, "running", p.state("a", "two"))
+	notes := p.hosts["b"].Explain("d.r.one")
+	require.Equal(t, "the host that holds "+p.machines[0].Name+" counts row scan", notes[len(notes)-1].What)
+}
+
+// fillFirst has host a lead the first worker alone and fill it with a task of another row, so that
+// tasks of the limited one run elsewhere.
+func (p *pair) fillFirst() {
+	p.Helper()
+	p.divide(p.machines[:1], nil)
+	spec := p.spec("full")
+	spec.Row = "other"
+	epoch, err := p.hosts["a"].Check(spec)
+	require.NoError(p, err)
+	_, err = p.hosts["a"].Submit(spec, epoch)
+	require.NoError(p, err)
+	p.together(time.Second)
+}
+
+// Guards against a row's limit that is exceeded: the worker that allows to start it changes its
+// holder while a task of the row runs on another worker of the former one.
+func TestNextHolderCountsWhatRunsElsewhere(t *testing.T) {
+	p := limitedPair(t, 3)
+	p.alive()
+	p.fillFirst()
+	p.divide(p.machines[:2], p.machines[2:])
+	p.limited("a", "one")
+	p.together(2 * time.Second)
+	require.Equal(t, p.machines[1].Name, p.at("one").Name)
+	p.divide(p.machines[1:2], []lead.Machine{p.machines[0], p.machines[2]})
+	p.limited("b", "two")
+	p.limited("a", "three")
+	p.together(20 * time.Second)
+	require.Equal(t, 2, p.running(), "the full worker's and one of the row")
+	_, err := p.hosts["a"].Cancel("d.r.one")
+	require.NoError(t, err)
+	p.together(10 * time.Second)
+	require.Equal(t, "running", p.state("b", "two"), "its turn comes when the first has ended")
+	require.Equal(t, 2, p.running())
+}
+
+// Guards against a row's limit that is exceeded: a start is decided, and sent when another host
+// holds the worker that allows to start the row.
+func TestStartOfALimitedRowIsDeadWithItsWorkersLease(t *testing.T) {
+	p := limitedPair(t, 2)
+	p.alive()
+	p.fillFirst()
+	p.divide(p.machines, nil)
+	p.limited("a", "zero")
+	p.together(2 * time.Second)
+	_, err := p.hosts["a"].Cancel("d.r.zero")
+	require.NoError(t, err)
+	p.together(2 * time.Second)
+	p.cut["a"] = p.machines[0].Name
+	p.run("a", 2*time.Second)
+	p.cut["a"] = ""
+	p.limited("a", "one")
+	require.NotEmpty(t, p.queues["a"], "the start is decided and not sent")
+	p.hosts["b"].SetMachines(p.machines[:1])
+	p.run("b", 1500*time.Millisecond)
+	require.Len(t, p.hosts["b"].Held(), 1)
+	p.drain("a")
+	require.Equal(t, 1, p.late())
+}
+
+// Guards against rows with a limit that stand still for good: the worker that allows to start
+// them is listed and has been silent for longer than any lease.
+func TestSilentWorkerDoesNotHoldUpItsRow(t *testing.T) {
+	p := limitedPair(t, 2)
+	for _, l := range p.hosts {
+		l.KeyWorkers = func(string) []string { return []string{p.machines[0].Name, p.machines[1].Name} }
+	}
+	p.cut["a"] = p.machines[0].Name
+	p.run("a", 10*time.Second)
+	p.limited("a", "one")
+	p.run("a", 2*time.Second)
+	require.Zero(t, p.running())
+	p.run("a", 2*time.Minute)
+	require.Equal(t, 1, p.running())
+}
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -77,7 +77,9 @@
 }
 
 func (l *Lead) want(a job.Want) {
+	row, _ := l.Row(a.Spec.Row)
 	w := l.wantOf(a.Spec, a.Tasks)
+	w.Rule = l.ruleNow(row)
 	w.Since, w.Avoid = a.Since, a.Avoid
 	w.Declared = w.Size
 	w.Size, w.Time = l.corrected(w), l.Estimates.Time(w.Row, w.Time)
@@ -108,15 +110,24 @@
 // rule is what the table says of a row in this failure domain.
 func (l *Lead) rule(row table.Row) place.Rule {
 	r := place.Rule{Weight: row.Weight, Limit: row.Limits.Room, MaxTasks: row.Limits.Tasks}
-	if l.Shares == nil {
-		return r
+	if l.Shares != nil {
+		own, team := l.Shares(row)
+		r.Limit, r.MaxTasks = limitOf(own)
+		r.Quota, r.QuotaTasks = limitOf(team)
 	}
-	own, team := l.Shares(row)
-	r.Limit, r.MaxTasks = limitOf(own)
-	r.Quota, r.QuotaTasks = limitOf(team)
 	return r
 }
 
+// ruleNow is what of it may be started here now.
+func (l *Lead) ruleNow(row table.Row) place.Rule {
+	r := l.rule(row)
+	if !l.mayStart(row) {
+		r.MaxTasks = -1
+		return r
+	}
+	return l.lessElsewhere(row, r)
+}
+
 // limitOf turns a share of the table, where NoLimit is open and zero nothing,
 // into a limit of the placement, where zero is open and -1 nothing.
 func limitOf(s table.Share) (cell.Size, int64) {
@@ -144,13 +155,22 @@
 	l.ruled = l.Clock()
 	for _, name := range l.Placer.Rows() {
 		row, _ := l.Row(name)
-		if r := l.rule(row); l.rules[name] != r {
+		if r := l.ruleNow(row); l.rules[name] != r {
 			l.rules[name] = r
 			l.place(place.Ruled{Row: name, Rule: r})
 		}
 	}
 }
 
+// retell applies what may be started here now to all work that waits.
+func (l *Lead) retell() {
+	for _, name := range l.Placer.Rows() {
+		row, _ := l.Row(name)
+		l.rules[name] = l.ruleNow(row)
+		l.place(place.Ruled{Row: name, Rule: l.rules[name]})
+	}
+}
+
 func (l *Lead) never(spec job.Spec) error {
 	w := l.wantOf(spec, make([]string, spec.Tasks))
 	var never *place.NeverError
@@ -207,6 +227,7 @@
 	for _, task := range l.Jobs.Waiting(id) {
 		if why, ok := l.Placer.Why(task); ok {
 			notes = append(notes, trail.Note{At: l.Clock(), ID: id, Part: "place", What: why})
+			notes = append(notes, l.whyShut(id, task)...)
 			break
 		}
 	}
@@ -218,3 +239,14 @@
 	}
 	return notes
 }
+
+// whyShut tells that a waiting task's row is counted by another host.
+func (l *Lead) whyShut(id, task string) []trail.Note {
+	spec, _ := l.Jobs.Spec(task)
+	row, _ := l.Row(spec.Row)
+	if l.mayStart(row) {
+		return nil
+	}
+	key, worker := l.gate(row)
+	return []trail.Note{{At: l.Clock(), ID: id, Part: "lead", What: "the host that holds " + worker + " counts " + key}}
+}
--- a/internal/lead/start.go
+++ b/internal/lead/start.go
@@ -22,6 +22,14 @@
 		l.lapsed(a)
 		return
 	}
+	row, _ := l.Row(a.Spec.Row)
+	_, gate := l.gate(row)
+	if gate != "" {
+		if deadline, ok = l.Leases.DeadlineWith(l.Clock(), a.Worker, gate); !ok || !l.mayStart(row) {
+			l.shut(a)
+			return
+		}
+	}
 	l.note(a.Spec.ID, "start of "+a.Task+" sent to "+a.Worker)
 	size, ok := l.Placer.Room(a.Task)
 	if !ok {
@@ -29,7 +37,11 @@
 	}
 	l.job(job.Sent{Task: a.Task, Deadline: deadline})
 	l.lease(lease.Sent{Worker: a.Worker, Task: a.Task})
-	l.spawn(func(ctx context.Context) { l.sendStart(ctx, a, size, deadline) })
+	if gate != "" && gate != a.Worker {
+		// The worker whose holder may start the row is not given back under the start either.
+		l.lease(lease.Sent{Worker: gate, Task: a.Task})
+	}
+	l.spawn(func(ctx context.Context) { l.sendStart(ctx, a, gate, size, deadline) })
 }
 
 // lapsed puts back a task whose worker's lease ran out before anyone noticed,
@@ -41,7 +53,7 @@
 	l.job(job.NotStarted{Task: a.Task, Attempt: a.Attempt})
 }
 
-func (l *Lead) sendStart(ctx context.Context, a job.Start, size cell.Size, deadline time.Time) {
+func (l *Lead) sendStart(ctx context.Context, a job.Start, gate string, size cell.Size, deadline time.Time) {
 	ctx, end := spans.Hop(ctx, "worker", a.Task)
 	defer end()
 	err := l.Workers.Start(ctx, l.address(a.Worker), worker.Start{
@@ -51,6 +63,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var late *worker.LateError
+	if gate != "" {
+		l.limited[a.Worker] = l.Clock()
+	}
+	if gate != "" && gate != a.Worker {
+		l.lease(lease.Answered{Worker: gate, Task: a.Task, Sure: err == nil || errors.As(err, &late)})
+	}
 	switch {
 	case err == nil:
 		l.lease(lease.Answered{Worker: a.Worker, Task: a.Task, Sure: true, Run: a.Spec.Time.Duration})
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -332,6 +332,25 @@
 	return w.reading.Clock.Add(w.reading.Left - w.reading.Left/drift), true
 }
 
+// DeadlineWith is the Deadline of a start that may begin only as long as another worker is held
+// too: both have to be, and it ends with the lease of either.
+func (l *Leases) DeadlineWith(now time.Time, name, other string) (time.Time, bool) {
+	deadline, ok := l.Deadline(now, name)
+	if name == other || !ok {
+		return deadline, ok
+	}
+	if _, ok := l.Deadline(now, other); !ok {
+		return time.Time{}, false
+	}
+	w := l.workers[name]
+	passed := now.Sub(w.over.Add(-w.reading.Left))
+	clock := w.reading.Clock.Add(passed - passed/drift)
+	if end := clock.Add(l.workers[other].until.Sub(now)); end.Before(deadline) {
+		deadline = end
+	}
+	return deadline, true
+}
+
 // TTL is how long the lease of a task runs from its start; renewals lengthen
 // it to the long one.
 func (l *Leases) TTL() time.Duration { return l.limits.ttl(l.wanted()) }
--- a/internal/measure/takeover.go
+++ b/internal/measure/takeover.go
@@ -118,10 +118,10 @@
 
 // ask brings the census question to all live peers at once.
 func (r *takeoverRun) ask(h *domainHost) {
-	ids, waits := h.lead.Question()
+	q := h.lead.Question()
 	for _, other := range r.hosts {
 		if other != h && slices.Contains(r.live, other.name) {
-			h.lead.Answered(other.name, r.now, ids, other.lead.Census(h.name, ids, waits))
+			h.lead.Answered(other.name, r.now, q, other.lead.Census(h.name, q))
 		}
 	}
 }
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -67,6 +67,8 @@
 	From  string
 	Jobs  []string
 	Waits []string
+	// Keys are those of which the asker counts what runs.
+	Keys []string `json:",omitempty"`
 }
 
 // Expect asks for the token with which From may hand jobs over; the answer is Expected.
@@ -141,6 +143,14 @@
 	Clock time.Time     `json:"clock"`
 	Age   cell.Duration `json:"age"`
 	Tasks []job.Listed  `json:"tasks,omitempty"`
+	// Counted are the running tasks of the asked keys.
+	Counted []CountedTask `json:"counted,omitempty"`
+}
+
+// CountedTask is one running task of a key that was asked for.
+type CountedTask struct {
+	Row  string    `json:"row"`
+	Size cell.Size `json:"size"`
 }
 
 // CensusReply is what a peer holds, which of the asked jobs it leads, and what
--- a/internal/place/explain.go
+++ b/internal/place/explain.go
@@ -30,3 +30,16 @@
 	}
 	return text, true
 }
+
+// On lists the tasks that take room on a worker.
+func (p *Placer) On(worker string) []Used {
+	w, ok := p.workers[worker]
+	if !ok {
+		return nil
+	}
+	var all []Used
+	for _, r := range w.tasks {
+		all = append(all, Used{Task: r.task, Row: r.row, Team: r.team, Class: r.class, Size: r.size})
+	}
+	return all
+}
--- a/internal/takeover/messages.go
+++ b/internal/takeover/messages.go
@@ -51,6 +51,13 @@
 	Jobs []string
 }
 
+// Count asks for a census of what runs of a key, which this host is the only one to start from
+// now on. It needs no log: nothing of it depends on which jobs there are.
+type Count struct{ Key string }
+
+// Uncount tells that another host may start what the key stands for.
+type Uncount struct{ Key string }
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -65,6 +72,8 @@
 func (Log) event()     {}
 func (Answer) event()  {}
 func (Asked) event()   {}
+func (Count) event()   {}
+func (Uncount) event() {}
 func (Tick) event()    {}
 
 // Action is what the takeover core asks its edge to do.
@@ -76,9 +85,13 @@
 // Release tells that the census for a job is complete.
 type Release struct{ Job string }
 
+// Counted tells that the census for a key is complete.
+type Counted struct{ Key string }
+
 // Silent tells that a watched worker gave no sign for longer than any lease.
 type Silent struct{ Worker string }
 
 func (Ask) action()     {}
 func (Release) action() {}
+func (Counted) action() {}
 func (Silent) action()  {}
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -36,7 +36,9 @@
 	peers map[string]time.Time
 	// jobs holds since when each found job waits. Only what was learnt later
 	// counts for it.
-	jobs  map[string]time.Time
+	jobs map[string]time.Time
+	// keys are the same for what is counted.
+	keys  map[string]time.Time
 	watch map[string]time.Time
 	log   time.Time
 	asked time.Time
@@ -46,7 +48,7 @@
 func New(self string, limits Limits) *Takeover {
 	return &Takeover{
 		limits: limits, self: self, workers: map[string]*worker{}, peers: map[string]time.Time{},
-		jobs: map[string]time.Time{}, watch: map[string]time.Time{},
+		jobs: map[string]time.Time{}, keys: map[string]time.Time{}, watch: map[string]time.Time{},
 	}
 }
 
@@ -75,6 +77,10 @@
 		t.log = later(t.log, ev.Asked)
 	case Answer:
 		t.answer(now, ev)
+	case Count:
+		t.keys[ev.Key] = now
+	case Uncount:
+		delete(t.keys, ev.Key)
 	case Asked:
 		t.yield(now, ev.Host, ev.Jobs)
 	case Tick:
@@ -122,6 +128,9 @@
 	for id := range t.jobs {
 		t.jobs[id] = now
 	}
+	for key := range t.keys {
+		t.keys[key] = now
+	}
 }
 
 func (t *Takeover) setWatch(now time.Time, names []string) {
@@ -202,6 +211,12 @@
 			acts = append(acts, Release{Job: id})
 		}
 	}
+	for _, key := range slices.Sorted(maps.Keys(t.keys)) {
+		if t.unread(now, t.keys[key]) == "" {
+			delete(t.keys, key)
+			acts = append(acts, Counted{Key: key})
+		}
+	}
 	return acts
 }
 
@@ -221,6 +236,11 @@
 	if !t.log.After(since) {
 		return "log"
 	}
+	return t.unread(now, since)
+}
+
+// unread names a peer or worker that was not heard of since then; empty if none.
+func (t *Takeover) unread(now, since time.Time) string {
 	for _, name := range slices.Sorted(maps.Keys(t.peers)) {
 		if !t.peers[name].After(since) {
 			return name
@@ -238,6 +258,13 @@
 // Waiting lists the found jobs that wait for their census.
 func (t *Takeover) Waiting() []string { return slices.Sorted(maps.Keys(t.jobs)) }
 
+// Gone tells whether a worker gave no sign, to this host or to a peer that answered, for longer
+// than any lease.
+func (t *Takeover) Gone(now time.Time, name string) bool {
+	w, ok := t.workers[name]
+	return ok && !w.held && now.Sub(w.sign) > t.limits.Longest
+}
+
 func (t *Takeover) due(now time.Time) []Action {
 	var acts []Action
 	for _, name := range slices.Sorted(maps.Keys(t.watch)) {
@@ -246,7 +273,7 @@
 			acts = append(acts, Silent{Worker: name})
 		}
 	}
-	if len(t.jobs)+len(t.watch) > 0 && now.Sub(t.asked) >= t.limits.Every {
+	if len(t.jobs)+len(t.keys)+len(t.watch) > 0 && now.Sub(t.asked) >= t.limits.Every {
 		t.asked = now
 		acts = append(acts, Ask{})
 	}
