--- a/internal/lead/history_test.go
+++ b/internal/lead/history_test.go
@@ -135,14 +135,15 @@
 		{"cancel", 1, h.cancel},
 		{"fail", 2, h.fail},
 		{"divide", 2, h.divide},
+		{"flap", 1, h.flap},
 		{"pause", 1, func() { h.paused[h.host("host")] = true }},
 		{"resume", 2, func() { h.paused[h.host("host")] = false }},
 		{"hand", 2, h.hand},
-		{"push", 3, h.push},
-		{"receive", 1, h.receive},
-		{"abandon", 1, h.abandon},
-		{"inherit", 2, h.inherit},
-		{"census", 3, h.census},
+		{"push", 4, h.push},
+		{"receive", 2, h.receive},
+		{"abandon", 2, h.abandon},
+		{"inherit", 3, h.inherit},
+		{"census", 4, h.census},
 		{"suspect", 1, h.suspect},
 	}
 }
@@ -240,6 +241,18 @@
 	h.workers[m.Name].SetFaults(standin.WorkerFaults{FailAll: rapid.Bool().Draw(h.draw, "fails")})
 }
 
+// flap has a host give up all its workers and want them back at once.
+func (h *history) flap() {
+	name := h.awake()
+	if name == "" {
+		return
+	}
+	held := h.hosts[name].Held()
+	led := slices.DeleteFunc(slices.Clone(h.machines), func(m lead.Machine) bool { return !slices.Contains(held, m.Name) })
+	h.hosts[name].SetMachines(nil)
+	h.hosts[name].SetMachines(led)
+}
+
 // divide gives each worker to one host, now and then to both or to none.
 func (h *history) divide() {
 	led := map[string][]lead.Machine{}
