--- a/internal/lead/limits.go
+++ b/internal/lead/limits.go
@@ -11,11 +11,8 @@
 	"pollencroft/internal/takeover"
 )
 
-// A key is what is counted together: a row with limits, or the rows of a team with a quota. Only
-// the host that holds the first of its workers may start its tasks. Two hosts may both take
-// themselves for the lead of a rack; a worker has one holder.
-
-// Counted is one running task of a key.
+// Counted is one running task of a key. A key is what is counted together: a row with limits, or
+// the rows of a team with a quota.
 type Counted struct {
 	Row  string    `json:"row"`
 	Size cell.Size `json:"size"`
@@ -29,7 +26,8 @@
 }
 
 // gate is the worker that must be held to start tasks of a row; empty names for a row that
-// anyone may start. A worker that is silent for longer than any lease is passed over: with it
+// anyone may start. Two hosts may both take themselves for the lead of the row's rack, but a
+// worker has one holder. One that is silent for longer than any lease is passed over: with it
 // the row would stand still for as long as it is listed.
 func (l *Lead) gate(row table.Row) (key, worker string) {
 	if l.Key == nil {
