lead: a question knows when it was put together

A census question was put together, and the time from which its answers count was taken when it was sent, in other goroutines: with a busy processor milliseconds later. A job that was found in between counted as asked for, though no peer had been asked: the census was complete, and the job was led twice. The same held for what is counted of a row.

The question carries its time. With the time taken afterwards TestAnswerToAQuestionFromBeforeAJobProvesNothing releases the job.

With it: a peer's answer replaces what is known of the asked keys only, a counted row whose rack has no worker left is not started, and a job that came back and is on its way again is not forgotten with its former hand-over.

--- a/internal/host/handover.go
+++ b/internal/host/handover.go
@@ -223,7 +223,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, one := range all {
-		delete(h.jobs.handing, one.carry.Spec.ID)
+		// The job may have come back meanwhile and be on its way again.
+		if id := one.carry.Spec.ID; h.jobs.handing[id] == one {
+			delete(h.jobs.handing, id)
+		}
 	}
 }
 
--- a/internal/host/takeover.go
+++ b/internal/host/takeover.go
@@ -116,16 +116,16 @@
 	h.wg.Go(func() {
 		q := h.lead.Question()
 		for _, name := range h.domainPeers() {
-			h.wg.Go(func() { h.askOne(name, peer.Census{From: h.cfg.Name, Jobs: q.Jobs, Waits: q.Waits, Keys: q.Keys}) })
+			h.wg.Go(func() { h.askOne(name, q) })
 		}
 	})
 }
 
-func (h *Host) askOne(name string, m peer.Census) {
+func (h *Host) askOne(name string, q lead.Question) {
 	ctx, cancel := context.WithTimeout(h.ctx, censusWait)
 	defer cancel()
-	asked := h.clock()
 	var reply peer.CensusReply
+	m := peer.Census{From: h.cfg.Name, Jobs: q.Jobs, Waits: q.Waits, Keys: q.Keys}
 	if err := h.peers.Ask(ctx, name, m, &reply); err != nil {
 		return
 	}
@@ -141,7 +141,7 @@
 		c.Views = append(c.Views, v)
 	}
 	h.takeOver()
-	h.lead.Answered(name, asked, lead.Question{Jobs: m.Jobs, Waits: m.Waits, Keys: m.Keys}, c)
+	h.lead.Answered(name, q, c)
 }
 
 // census answers a peer's question. Jobs that this host is about to lead, or
--- a/internal/lead/census.go
+++ b/internal/lead/census.go
@@ -30,7 +30,9 @@
 
 // Question is what one host asks another: which of some jobs it leads, and what the workers that
 // it holds run of those jobs and of some keys. Waits are the jobs that the asker wants to inherit.
+// Asked is when it was put together: what is to be known since then is not in it.
 type Question struct {
+	Asked       time.Time
 	Jobs, Waits []string
 	Keys        []string
 }
@@ -97,29 +99,28 @@
 func (l *Lead) Question() Question {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	q := Question{Waits: l.Takeover.Waiting(), Keys: slices.Sorted(maps.Keys(l.counts))}
+	q := Question{Asked: l.Clock(), Waits: l.Takeover.Waiting(), Keys: slices.Sorted(maps.Keys(l.counts))}
 	for _, s := range l.Jobs.Open() {
 		q.Jobs = append(q.Jobs, s.ID)
 	}
 	return q
 }
 
-// Answered takes a peer's answer to a question that was sent at asked. A
-// worker that this host holds, or held since then, is passed over: what the
-// peer told of it is older than what this host knows.
-// The peer lists tasks of the jobs that were asked for, and no others.
-func (l *Lead) Answered(host string, asked time.Time, q Question, c Census) {
+// Answered takes a peer's answer to a question. A worker that this host holds, or held
+// since it asked, is passed over: what the peer told of it is older than what this host
+// knows. The peer lists tasks of the jobs that were asked for, and no others.
+func (l *Lead) Answered(host string, q Question, c Census) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ev := takeover.Answer{Host: host, Asked: asked, Leads: c.Leads, Waits: c.Waits}
+	ev := takeover.Answer{Host: host, Asked: q.Asked, Leads: c.Leads, Waits: c.Waits}
 	held := l.Leases.Held()
 	for _, v := range c.Views {
-		if slices.Contains(held, v.Worker) || l.held[v.Worker].After(asked) {
+		if slices.Contains(held, v.Worker) || l.held[v.Worker].After(q.Asked) {
 			continue
 		}
 		ev.Workers = append(ev.Workers, v.Worker)
-		l.runsElsewhere(v.Worker, v.Counted)
-		l.job(job.Seen{Worker: v.Worker, Clock: v.Clock, Sent: asked.Add(-v.Age), Tasks: v.Tasks, Jobs: q.Jobs})
+		l.toldElsewhere(v.Worker, q.Keys, v.Counted)
+		l.job(job.Seen{Worker: v.Worker, Clock: v.Clock, Sent: q.Asked.Add(-v.Age), Tasks: v.Tasks, Jobs: q.Jobs})
 	}
 	l.takeover(ev)
 }
--- a/internal/lead/handover_test.go
+++ b/internal/lead/handover_test.go
@@ -93,3 +93,18 @@
 	require.Len(t, views, 1, "its list is read at once")
 	require.Len(t, views[0].Tasks, 1)
 }
+
+// Guards against a job with two leads: a host puts its question together, finds a job that it
+// should lead, and takes the answer for one about that job too.
+func TestAnswerToAQuestionFromBeforeAJobProvesNothing(t *testing.T) {
+	p := split(t)
+	p.alive()
+	b := p.hosts["b"]
+	q := b.Question()
+	p.run("ab", 100*time.Millisecond)
+	b.Inherit([]job.Spec{p.spec("old")})
+	p.run("ab", 100*time.Millisecond)
+	b.Answered("a", q, p.hosts["a"].Census("b", q))
+	p.run("ab", 100*time.Millisecond)
+	require.Equal(t, []string{"d.r.old"}, b.Waiting())
+}
--- a/internal/lead/limits.go
+++ b/internal/lead/limits.go
@@ -117,6 +117,16 @@
 	l.elsewhere[worker] = tasks
 }
 
+// toldElsewhere notes what a peer told of some keys; of others it was not asked.
+func (l *Lead) toldElsewhere(worker string, keys []string, tasks []Counted) {
+	for _, t := range l.elsewhere[worker] {
+		if !slices.Contains(keys, l.keyOf(t.Row)) {
+			tasks = append(tasks, t)
+		}
+	}
+	l.runsElsewhere(worker, tasks)
+}
+
 // keepCounted notes what ran of counted keys on a worker that is given up.
 func (l *Lead) keepCounted(worker string) {
 	var all []Counted
--- a/internal/lead/start.go
+++ b/internal/lead/start.go
@@ -23,8 +23,8 @@
 		return
 	}
 	row, _ := l.Row(a.Spec.Row)
-	_, gate := l.gate(row)
-	if gate != "" {
+	key, gate := l.gate(row)
+	if key != "" {
 		if deadline, ok = l.Leases.DeadlineWith(l.Clock(), a.Worker, gate); !ok || !l.mayStart(row) {
 			l.shut(a)
 			return
