--- a/internal/job/inherit.go
+++ b/internal/job/inherit.go
@@ -104,10 +104,10 @@
 	return j.listed(now, t, l)
 }
 
-// unfind forgets where a task of an inherited job was found, since it runs there no more. Before
+// forgetPlace forgets where a task of an inherited job was found, since it runs there no more. Before
 // the census is complete it may run elsewhere under a lead that this host does not know of, so
 // it is not started again until then.
-func (j *Jobs) unfind(t *task) []Action {
+func (j *Jobs) forgetPlace(t *task) []Action {
 	j.move(t, "", time.Time{})
 	t.state, t.deadline = "unsure", time.Time{}
 	return []Action{Free{Task: t.id}}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -241,7 +241,7 @@
 		return j.stopped(id)
 	}
 	if t.job.census {
-		return j.unfind(t)
+		return j.forgetPlace(t)
 	}
 	if !t.move(why) {
 		return nil
--- a/internal/lead/history_test.go
+++ b/internal/lead/history_test.go
@@ -36,12 +36,12 @@
 	// fate is that of the exchange that runs now.
 	fate int
 	// overdue are requests that their sender has given up.
-	overdue []*http.Request
-	open    map[string]job.Spec
-	handing map[string][]*parcel
-	letters []letter
-	paused  map[string]bool
-	jobs    int
+	overdue  []*http.Request
+	open     map[string]job.Spec
+	handing  map[string][]*outgoing
+	messages []message
+	paused   map[string]bool
+	jobs     int
 }
 
 // unruly gives each exchange its fate.
@@ -80,7 +80,7 @@
 }
 
 func newHistory(t *testing.T, draw *rapid.T) *history {
-	h := &history{draw: draw, open: map[string]job.Spec{}, handing: map[string][]*parcel{}, paused: map[string]bool{}}
+	h := &history{draw: draw, open: map[string]job.Spec{}, handing: map[string][]*outgoing{}, paused: map[string]bool{}}
 	h.pair = newPairOn(t, rapid.IntRange(1, 3).Draw(draw, "workers"), drawLog{draw}, func(p *pair, name string) http.RoundTripper {
 		return unruly{history: h, path: path{p, name}}
 	})
@@ -268,16 +268,16 @@
 	}
 }
 
-// parcel is a job on its way from one host to the other.
-type parcel struct {
+// outgoing is a job that is handed over.
+type outgoing struct {
 	carry job.Carry
 	epoch int64
 	// unsure tells that it was sent and has no answer.
 	unsure bool
 }
 
-// letter is a hand-over that was sent and has not arrived.
-type letter struct {
+// message is a hand-over that was sent and has not arrived.
+type message struct {
 	from, token string
 	jobs        []job.Carry
 }
@@ -294,7 +294,7 @@
 	}
 	jobs, epoch := h.hosts[name].HandOver(ids)
 	for _, c := range jobs {
-		h.handing[name] = append(h.handing[name], &parcel{carry: c, epoch: epoch})
+		h.handing[name] = append(h.handing[name], &outgoing{carry: c, epoch: epoch})
 	}
 }
 
@@ -304,13 +304,13 @@
 	if name == "" || h.paused[other(name)] {
 		return
 	}
-	h.handing[name] = slices.DeleteFunc(h.handing[name], func(p *parcel) bool { return p.epoch != h.hosts[name].Epoch() })
+	h.handing[name] = slices.DeleteFunc(h.handing[name], func(p *outgoing) bool { return p.epoch != h.hosts[name].Epoch() })
 	token, err := h.hosts[other(name)].Expect(name)
 	if err != nil || len(h.handing[name]) == 0 {
 		h.giveUp(name)
 		return
 	}
-	l := letter{from: name, token: token}
+	l := message{from: name, token: token}
 	for _, p := range h.handing[name] {
 		l.jobs = append(l.jobs, p.carry)
 	}
@@ -321,7 +321,7 @@
 		_ = h.hosts[other(name)].Adopt(l.from, l.token, l.jobs)
 		h.doubt(name)
 	case late:
-		h.letters = append(h.letters, l)
+		h.messages = append(h.messages, l)
 		h.doubt(name)
 	}
 }
@@ -354,12 +354,12 @@
 
 // receive has a late hand-over arrive.
 func (h *history) receive() {
-	if len(h.letters) == 0 {
+	if len(h.messages) == 0 {
 		return
 	}
-	i := rapid.IntRange(0, len(h.letters)-1).Draw(h.draw, "which")
-	l := h.letters[i]
-	h.letters = slices.Delete(h.letters, i, i+1)
+	i := rapid.IntRange(0, len(h.messages)-1).Draw(h.draw, "which")
+	l := h.messages[i]
+	h.messages = slices.Delete(h.messages, i, i+1)
 	if !h.paused[other(l.from)] {
 		_ = h.hosts[other(l.from)].Adopt(l.from, l.token, l.jobs)
 	}
@@ -389,7 +389,7 @@
 }
 
 func (h *history) hands(name, id string) bool {
-	return slices.ContainsFunc(h.handing[name], func(p *parcel) bool { return p.carry.Spec.ID == id })
+	return slices.ContainsFunc(h.handing[name], func(p *outgoing) bool { return p.carry.Spec.ID == id })
 }
 
 func (h *history) census() {
--- a/internal/lead/limits.go
+++ b/internal/lead/limits.go
@@ -25,11 +25,11 @@
 	done   bool
 }
 
-// gate is the worker that must be held to start tasks of a row; empty names for a row that
+// arbiter is the worker that must be held to start tasks of a row; empty names for a row that
 // anyone may start. Two hosts may both take themselves for the lead of the row's rack, but a
 // worker has one holder. One that is silent for longer than any lease is passed over: with it
 // the row would stand still for as long as it is listed.
-func (l *Lead) gate(row table.Row) (key, worker string) {
+func (l *Lead) arbiter(row table.Row) (key, worker string) {
 	if l.Key == nil {
 		return "", ""
 	}
@@ -55,7 +55,7 @@
 // mayStart tells whether tasks of a row may be started here, and begins to count what runs of it
 // when the worker is held that allows it.
 func (l *Lead) mayStart(row table.Row) bool {
-	key, worker := l.gate(row)
+	key, worker := l.arbiter(row)
 	if key == "" {
 		return true
 	}
@@ -170,9 +170,9 @@
 	return cell.Size{CPU: less(limit.CPU, size.CPU), Mem: less(limit.Mem, size.Mem), Accel: less(limit.Accel, size.Accel)}
 }
 
-// shut puts back a task whose row may not be started here any more. A lease that lapsed before
+// putOff puts back a task whose row may not be started here any more. A lease that lapsed before
 // anyone noticed is noticed first: the task would get its room again at once.
-func (l *Lead) shut(a job.Start) {
+func (l *Lead) putOff(a job.Start) {
 	l.lease(lease.Tick{})
 	l.note(a.Spec.ID, "start of "+a.Task+" put off: its row is counted elsewhere")
 	l.retell()
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -227,7 +227,7 @@
 	for _, task := range l.Jobs.Waiting(id) {
 		if why, ok := l.Placer.Why(task); ok {
 			notes = append(notes, trail.Note{At: l.Clock(), ID: id, Part: "place", What: why})
-			notes = append(notes, l.whyShut(id, task)...)
+			notes = append(notes, l.whyPutOff(id, task)...)
 			break
 		}
 	}
@@ -240,13 +240,13 @@
 	return notes
 }
 
-// whyShut tells that a waiting task's row is counted by another host.
-func (l *Lead) whyShut(id, task string) []trail.Note {
+// whyPutOff tells that a waiting task's row is counted by another host.
+func (l *Lead) whyPutOff(id, task string) []trail.Note {
 	spec, _ := l.Jobs.Spec(task)
 	row, _ := l.Row(spec.Row)
 	if l.mayStart(row) {
 		return nil
 	}
-	key, worker := l.gate(row)
+	key, worker := l.arbiter(row)
 	return []trail.Note{{At: l.Clock(), ID: id, Part: "lead", What: "the host that holds " + worker + " counts " + key}}
 }
--- a/internal/lead/start.go
+++ b/internal/lead/start.go
@@ -23,10 +23,10 @@
 		return
 	}
 	row, _ := l.Row(a.Spec.Row)
-	key, gate := l.gate(row)
+	key, arbiter := l.arbiter(row)
 	if key != "" {
-		if deadline, ok = l.Leases.DeadlineWith(l.Clock(), a.Worker, gate); !ok || !l.mayStart(row) {
-			l.shut(a)
+		if deadline, ok = l.Leases.DeadlineWith(l.Clock(), a.Worker, arbiter); !ok || !l.mayStart(row) {
+			l.putOff(a)
 			return
 		}
 	}
@@ -37,11 +37,11 @@
 	}
 	l.job(job.Sent{Task: a.Task, Deadline: deadline})
 	l.lease(lease.Sent{Worker: a.Worker, Task: a.Task})
-	if gate != "" && gate != a.Worker {
+	if arbiter != "" && arbiter != a.Worker {
 		// The worker whose holder may start the row is not given back under the start either.
-		l.lease(lease.Sent{Worker: gate, Task: a.Task})
+		l.lease(lease.Sent{Worker: arbiter, Task: a.Task})
 	}
-	l.spawn(func(ctx context.Context) { l.sendStart(ctx, a, gate, size, deadline) })
+	l.spawn(func(ctx context.Context) { l.sendStart(ctx, a, arbiter, size, deadline) })
 }
 
 // lapsed puts back a task whose worker's lease ran out before anyone noticed,
@@ -53,7 +53,7 @@
 	l.job(job.NotStarted{Task: a.Task, Attempt: a.Attempt})
 }
 
-func (l *Lead) sendStart(ctx context.Context, a job.Start, gate string, size cell.Size, deadline time.Time) {
+func (l *Lead) sendStart(ctx context.Context, a job.Start, arbiter string, size cell.Size, deadline time.Time) {
 	ctx, end := spans.Hop(ctx, "worker", a.Task)
 	defer end()
 	err := l.Workers.Start(ctx, l.address(a.Worker), worker.Start{
@@ -63,11 +63,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var late *worker.LateError
-	if gate != "" {
+	if arbiter != "" {
 		l.limited[a.Worker] = l.Clock()
 	}
-	if gate != "" && gate != a.Worker {
-		l.lease(lease.Answered{Worker: gate, Task: a.Task, Sure: err == nil || errors.As(err, &late)})
+	if arbiter != "" && arbiter != a.Worker {
+		l.lease(lease.Answered{Worker: arbiter, Task: a.Task, Sure: err == nil || errors.As(err, &late)})
 	}
 	switch {
 	case err == nil:
