--- a/internal/job/seen.go
+++ b/internal/job/seen.go
@@ -47,10 +47,10 @@
 // which lists that one until the next start lands. Taken for the next one's end, it would have
 // the task started elsewhere while its start is under way.
 func (j *Jobs) ofFormer(t *task, ev Seen, l Listed) bool {
-	switch {
-	case l.State == workerEnded:
+	switch l.State {
+	case workerEnded:
 		return false
-	case l.State == workerRunning:
+	case workerRunning:
 		return (t.state == "starting" || t.state == "unsure") && !t.since.Before(ev.Sent)
 	default:
 		return !t.landed(ev)
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -59,12 +59,8 @@
 		t.setWorkers(now, ev.Names)
 	case Peers:
 		t.setPeers(now, ev.Names)
-	case Found:
-		if _, ok := t.jobs[ev.Job]; !ok {
-			t.jobs[ev.Job] = now
-		}
-	case Gone:
-		delete(t.jobs, ev.Job)
+	case Found, Gone, Count, Uncount:
+		t.wait(now, ev)
 	case Watch:
 		t.setWatch(now, ev.Workers)
 	case Held:
@@ -77,10 +73,6 @@
 		t.log = later(t.log, ev.Asked)
 	case Answer:
 		t.answer(now, ev)
-	case Count:
-		t.keys[ev.Key] = now
-	case Uncount:
-		delete(t.keys, ev.Key)
 	case Asked:
 		t.yield(now, ev.Host, ev.Jobs)
 	case Tick:
@@ -88,6 +80,22 @@
 	return append(t.complete(now), t.due(now)...)
 }
 
+// wait begins or ends what waits for a census.
+func (t *Takeover) wait(now time.Time, ev Event) {
+	switch ev := ev.(type) {
+	case Found:
+		if _, ok := t.jobs[ev.Job]; !ok {
+			t.jobs[ev.Job] = now
+		}
+	case Gone:
+		delete(t.jobs, ev.Job)
+	case Count:
+		t.keys[ev.Key] = now
+	case Uncount:
+		delete(t.keys, ev.Key)
+	}
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
