--- a/internal/host/limits_test.go
+++ b/internal/host/limits_test.go
@@ -10,9 +10,7 @@
 	"pollencroft/pkg/client"
 )
 
-// Jobs of one limited row come to both hosts of a failure domain. The limit
-// must hold for the row, not for each host: an operator who allowed two tasks
-// used to see four run.
+// Guards against a row's limit that is exceeded when its jobs come to both hosts of a domain.
 func TestLimitOfARowHoldsOverAllLeads(t *testing.T) {
 	c := newCluster(t, 2)
 	ctx := context.Background()
