lease: take a worker anew that answers in another life

Marks number the changes of one life; an answer from the next one was read as what changed since a mark of the former one, so that a task which ran there was not listed, counted as crashed, and was started beside itself.

An answer from another life now ends the lease, and the worker is taken anew with its whole list. Ruled out: the deadline of the start, which had not passed.

TestMarkOfAFormerLifeIsNotUsed failed before (d.r.next.0 ran twice) and passes.

--- /dev/null
+++ b/internal/lead/life_test.go
@@ -0,0 +1,79 @@
+package lead_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+)
+
+// delayed is a network that holds back the requests to one path.
+type delayed struct {
+	*pair
+	from, path string
+	held       []*http.Request
+}
+
+func (d *delayed) RoundTrip(req *http.Request) (*http.Response, error) {
+	if d.path == "" || req.URL.Path != d.path || req.Method != http.MethodPost {
+		return path{d.pair, d.from}.RoundTrip(req)
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return nil, err
+	}
+	late := req.Clone(d.Context())
+	late.Body = io.NopCloser(bytes.NewReader(body))
+	d.held = append(d.held, late)
+	return nil, cutError{}
+}
+
+// arrive has the requests that were held back arrive.
+func (d *delayed) arrive() {
+	for _, req := range d.held {
+		d.workers[req.URL.Host].Handler().ServeHTTP(httptest.NewRecorder(), req)
+	}
+	d.held = nil
+}
+
+func newDelayedPair(t *testing.T) map[string]*delayed {
+	net := map[string]*delayed{}
+	newPairOn(t, 1, io.Discard, func(p *pair, name string) http.RoundTripper {
+		net[name] = &delayed{pair: p, from: name}
+		return net[name]
+	})
+	return net
+}
+
+// Guards against a task that runs twice since a worker's next life lists what changed since a mark
+// of the former one.
+func TestMarkOfAFormerLifeIsNotUsed(t *testing.T) {
+	net := newDelayedPair(t)
+	p := net["a"].pair
+	worker := p.machines[0].Name
+	p.submit("a", "first")
+	p.run("a", time.Second)
+	_, err := p.hosts["a"].Cancel("d.r.first")
+	require.NoError(t, err)
+	p.run("a", 2*time.Second)
+	net["a"].path = "/anchor"
+	p.hosts["a"].SetMachines(nil)
+	p.hosts["a"].SetMachines(p.machines)
+	p.run("a", 8*time.Second)
+	net["a"].path = ""
+	held := net["a"].held[:1]
+	p.run("a", 8*time.Second)
+	require.Len(t, p.hosts["a"].Held(), 1)
+	p.workers[worker].Crash()
+	net["a"].held = held
+	net["a"].arrive()
+	p.submit("a", "next")
+	p.keepOn(30*time.Second, p.spec("next"))
+	require.Equal(t, "running", p.state("a", "next"))
+	p.sound()
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -177,11 +177,19 @@
 // renewed drops an answer to a question that was sent before the one whose
 // answer is known already. It tells an older state; taken for the newer one,
 // it would hide a task that was started in between.
+//
+// An answer from another life tells what changed since a mark of the former one, which says
+// nothing of what runs. The worker is taken anew, with its whole list.
 func (l *Leases) renewed(now time.Time, ev Renewed) []Action {
 	w, ok := l.workers[ev.Worker]
 	if !ok || w.state != "held" || !ev.Sent.After(w.reading.Sent) {
 		return nil
 	}
+	if ev.Life != w.reading.Life {
+		w.move("lapse")
+		w.next = now
+		return w.down(ev.Worker)
+	}
 	w.read(now, ev.Reading)
 	w.next = now.Add(l.every())
 	w.watch(now, l.limits.Retry)
