job: tell of crashes last when a job gets another lead

When a census was complete, or a job was adopted, the crash was told before the room that it frees. Stored at once, it had the gang placed before, and its room was then freed under it. Found with the placement's steps logged.

--- a/internal/job/crash_test.go
+++ b/internal/job/crash_test.go
@@ -191,3 +191,28 @@
 		require.Len(t, only[job.Want](j.Step(later, job.Noted{Task: "d.r.j.0", Lives: 1})), int(want))
 	}
 }
+
+// Guards against room that is freed under a gang's tasks after they were started in it: the count of
+// a crash may be stored at once, and the gang be placed before the actions after it.
+func TestCrashIsTheLastThatIsToldOfANewLead(t *testing.T) {
+	gang := spec(2)
+	gang.Gang = true
+	last := func(acts []job.Action) {
+		t.Helper()
+		require.NotEmpty(t, only[job.Crashed](acts))
+		require.IsType(t, job.Crashed{}, acts[len(acts)-1])
+	}
+	j := job.New()
+	j.Step(now, job.Submit{Spec: gang})
+	j.Step(now, inLife("w1", "1", now))
+	confirm(j, "d.r.j.0", "w1")
+	confirm(j, "d.r.j.1", "w1")
+	j.Step(now, job.Drop{ID: "d.r.j", Recall: true})
+	j.Step(now, job.Inherit{Spec: gang})
+	later := now.Add(time.Minute)
+	j.Step(later, inLife("w1", "2", later))
+	last(j.Step(later, job.Release{ID: "d.r.j"}))
+	c, ok := j.Carry("d.r.j")
+	require.True(t, ok)
+	last(job.New().Step(later, job.Adopt{Carry: c}))
+}
--- a/internal/job/inherit.go
+++ b/internal/job/inherit.go
@@ -127,6 +127,8 @@
 	return []Action{Free{Task: t.id}}
 }
 
+// release goes on with an inherited job. Crashes are told last, since one that is stored at once has
+// its task wanted again before the other actions are carried out.
 func (j *Jobs) release(ev Release) []Action {
 	jb, ok := j.jobs[ev.ID]
 	if !ok || !jb.census {
@@ -134,7 +136,7 @@
 	}
 	jb.census = false
 	var names []string
-	var acts []Action
+	var acts, crashed []Action
 	for _, t := range jb.tasks {
 		t.noted = max(t.noted, ev.Lives[t.id])
 		t.lives = max(t.lives, t.noted)
@@ -145,16 +147,16 @@
 			names = append(names, t.id)
 			if t.blamed {
 				t.blamed = false
-				acts = append(acts, t.count(t.former.worker))
+				crashed = append(crashed, t.count(t.former.worker))
 			}
 		case t.state == "stopping":
 			acts = append(acts, j.stopped(t.id)...)
 		}
 	}
-	if acts = append(acts, j.giveUpOver(jb)...); jb.crashed != nil {
-		return acts
+	if acts = append(acts, j.giveUpOver(jb)...); jb.crashed == nil {
+		acts = append(acts, j.wantAll(jb, names)...)
 	}
-	return append(acts, j.wantAll(jb, names)...)
+	return append(acts, crashed...)
 }
 
 // wantAll asks for room for waiting tasks of a job that got another lead.
@@ -222,7 +224,7 @@
 	jb := j.add(now, c.Spec)
 	jb.state, jb.began, jb.first = chart.State(c.State), c.Began, c.First
 	var names []string
-	var acts []Action
+	var acts, crashed []Action
 	for i, t := range jb.tasks {
 		ct := c.Tasks[i]
 		t.state, t.tries, t.deadline, t.sent = chart.State(ct.State), ct.Tries, ct.Deadline, ct.Sent
@@ -230,7 +232,7 @@
 		t.life, t.lives, t.noted = ct.Life, ct.Lives, ct.Noted
 		delete(j.former, t.id)
 		if t.lives > t.noted {
-			acts = append(acts, Crashed{Job: jb.spec.ID, Task: t.id, Lives: t.lives})
+			crashed = append(crashed, Crashed{Job: jb.spec.ID, Task: t.id, Lives: t.lives})
 		}
 		switch t.state {
 		case "waiting":
@@ -241,7 +243,7 @@
 			acts = append(acts, Pause{Task: t.id, Worker: t.worker, Attempt: t.attempt})
 		}
 	}
-	return append(acts, j.wantAll(jb, names)...)
+	return append(append(acts, j.wantAll(jb, names)...), crashed...)
 }
 
 // adoptedMost bounds how many adopted hand-overs are remembered.
