lead, test: a former start frees no room; scenarios begin when workers are led

The claim of docs/incidents/former-start.md, that the line of a former start frees the room of a task that runs, had no run that showed it.

--- a/internal/lead/former_test.go
+++ b/internal/lead/former_test.go
@@ -63,3 +63,30 @@
 	require.Equal(t, "running", p.state("b", "old"))
 	p.sound()
 }
+
+// Guards against a worker that is overfull: the line of a task's former, failed start frees the room
+// of the one that is under way, and another job gets it.
+func TestListOfAFormerStartFreesNoRoom(t *testing.T) {
+	p := newPair(t, 3)
+	a, b := p.hosts["a"], p.hosts["b"]
+	p.submit("a", "one")
+	p.submit("a", "two")
+	p.run("a", time.Second)
+	bad := p.idle()
+	a.SetMachines([]lead.Machine{p.at("one"), bad})
+	b.SetMachines([]lead.Machine{p.at("two")})
+	p.run("ab", 5*time.Second)
+	p.workers[bad.Name].SetFaults(standin.WorkerFaults{FailAll: true})
+	p.submit("a", "old")
+	waiting := func() int { s, _ := a.Status("d.r.old"); return s.Tasks["waiting"] }
+	for p.run("a", 100*time.Millisecond); waiting() == 0; {
+		p.run("a", 100*time.Millisecond)
+	}
+	p.workers[bad.Name].SetFaults(standin.WorkerFaults{})
+	p.handOver("a", "b", "d.r.old", "d.r.two")
+	p.submit("b", "next")
+	a.SetMachines([]lead.Machine{p.at("one")})
+	b.SetMachines([]lead.Machine{p.at("two"), bad})
+	p.run("ab", 30*time.Second)
+	p.sound()
+}
--- a/test/bench_test.go
+++ b/test/bench_test.go
@@ -301,6 +301,17 @@
 			return err == nil && reply.Outcome == client.Done
 		})
 	}
+	for name := range b.cell.Workers {
+		eventually(b.t, name+" is led", func() bool { return b.led(name) })
+	}
+}
+
+// led tells whether some host has led a worker. Hosts that start together wait before they do.
+func (b *bench) led(worker string) bool {
+	line := `msg="lead: worker is led." worker=` + worker + " "
+	return slices.ContainsFunc(b.nodes, func(n *node) bool {
+		return len(b.told(n, func(told string) bool { return strings.Contains(told, line) })) > 0
+	})
 }
 
 // longest bounds every request, so that a replaced host waits no longer before
