place, job: go back to a worker that failed a task after a while

A task that cannot do without a worker that it has failed on now goes back there after 10 s, then 20 s, or as soon as the worker has ended another task well. It has as many tries as before. A hand-over carries what the task avoids. Ruled out: setting the worker aside, as of two workers none may be; not counting such failures, which would start a bad job without a bound.

TestTriesOutlastAWorkerThatFailsEverything failed before in four of five cases, the change of the lead as well; TestJobThatFailsWhereverItRunsIsGivenUp holds before and after (three starts at most).

--- a/internal/job/inherit.go
+++ b/internal/job/inherit.go
@@ -70,6 +70,11 @@
 	Life  string `json:"life,omitempty"`
 	Lives int64  `json:"lives,omitempty"`
 	Noted int64  `json:"noted,omitempty"`
+	// Avoid are the workers that the task has failed on, the last time at Failed. It goes back to one
+	// of them at Back.
+	Avoid  []string  `json:"avoid,omitempty"`
+	Failed time.Time `json:"failed,omitzero"`
+	Back   time.Time `json:"back,omitzero"`
 }
 
 // change handles the events that give a job another lead.
@@ -172,8 +177,8 @@
 	for _, name := range names {
 		switch t := j.tasks[name]; {
 		case t.lives > t.noted:
-		case t.apart():
-			acts = append(acts, Want{Spec: jb.spec, Tasks: []string{name}, Since: jb.began, Apart: true})
+		case t.apart() || len(t.avoid) > 0:
+			acts = append(acts, t.want())
 		default:
 			want.Tasks = append(want.Tasks, name)
 		}
@@ -199,7 +204,7 @@
 		}
 		c.Tasks = append(c.Tasks, CarriedTask{
 			State: string(state), Worker: t.worker, Tries: t.tries, Deadline: t.deadline, Sent: t.sent,
-			Life: t.life, Lives: t.lives, Noted: t.noted,
+			Life: t.life, Lives: t.lives, Noted: t.noted, Avoid: slices.Clone(t.avoid), Failed: t.failed, Back: t.back,
 		})
 	}
 	return c, true
@@ -230,6 +235,7 @@
 		t.state, t.tries, t.deadline, t.sent = chart.State(ct.State), ct.Tries, ct.Deadline, ct.Sent
 		j.move(t, ct.Worker, now)
 		t.life, t.lives, t.noted = ct.Life, ct.Lives, ct.Noted
+		t.avoid, t.failed, t.back = ct.Avoid, ct.Failed, ct.Back
 		delete(j.former, t.id)
 		if t.lives > t.noted {
 			crashed = append(crashed, Crashed{Job: jb.spec.ID, Task: t.id, Lives: t.lives})
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -40,8 +40,10 @@
 	since time.Time
 	// lease names the start that the worker lists, so that it forgets no other.
 	lease string
-	// avoid are the workers that the task failed on last.
-	avoid []string
+	// avoid are the workers that the task failed on last, the last time at failed. It goes back to
+	// one of them at back.
+	avoid        []string
+	failed, back time.Time
 	// life is the one of its worker in which the task was started or seen; empty: not known.
 	life string
 	// lives counts the lives of workers that ended under the task, noted is how many of them are
--- a/internal/job/messages.go
+++ b/internal/job/messages.go
@@ -119,8 +119,10 @@
 	Tasks []string
 	// Since is when the job was accepted.
 	Since time.Time
-	// Avoid are workers that these tasks have failed on.
-	Avoid []string
+	// Avoid are workers that these tasks have failed on, the last time at Failed. They go back to
+	// one of them at Back, or sooner if it has run another task well since.
+	Avoid        []string
+	Failed, Back time.Time
 	// Apart asks for workers on which nothing else runs.
 	Apart bool
 }
--- a/internal/job/retry.go
+++ b/internal/job/retry.go
@@ -38,7 +38,15 @@
 	}
 }
 
-func (t *task) shun(worker string) {
+// A task that cannot do without a worker that it has failed on goes back there after a while, which
+// doubles with each failure. Failures in quick succession on one worker tell nothing more of the task.
+const (
+	returnAfter = 10 * time.Second
+	returnMost  = time.Minute
+)
+
+func (t *task) shun(now time.Time, worker string) {
+	t.failed, t.back = now, now.Add(min(returnAfter<<min(max(t.tries-1, 0), 10), returnMost))
 	if !slices.Contains(t.avoid, worker) {
 		t.avoid = append(t.avoid, worker)
 	}
@@ -47,6 +55,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func (t *task) result(now time.Time, failed bool) Result {
 	return Result{Task: t.id, Row: t.job.spec.Row, Worker: t.worker, Failed: failed, Run: now.Sub(t.since)}
 }
@@ -93,6 +108,14 @@
 	return j.requeue(t)
 }
 
+// want asks for room for a task that is not one of a gang.
+func (t *task) want() Want {
+	return Want{
+		Spec: t.job.spec, Tasks: []string{t.id}, Since: t.job.began, Apart: t.apart(),
+		Avoid: slices.Clone(t.avoid), Failed: t.failed, Back: t.back,
+	}
+}
+
 // requeue asks for room for a task that certainly runs nowhere. A gang whose
 // tasks do not all run has no use of the others: they are paused, and room is
 // asked for all of them together once the last one has stopped. Else the part
@@ -106,7 +129,7 @@
 	if !t.job.spec.Gang {
 		acts := []Action{free}
 		if t.lives == t.noted {
-			acts = append(acts, Want{Spec: t.job.spec, Tasks: []string{t.id}, Since: t.job.began, Avoid: slices.Clone(t.avoid), Apart: t.apart()})
+			acts = append(acts, t.want())
 		}
 		return acts
 	}
@@ -120,6 +143,7 @@
 			acts = append(acts, Free{Task: o.id})
 			want.Tasks = append(want.Tasks, o.id)
 			want.Avoid = append(want.Avoid, o.avoid...)
+			want.Failed, want.Back = later(want.Failed, o.failed), later(want.Back, o.back)
 			want.Apart = want.Apart || o.apart()
 			whole = whole && o.lives == o.noted
 		default:
--- a/internal/job/seen.go
+++ b/internal/job/seen.go
@@ -136,7 +136,7 @@
 		return j.retry(t, "gone")
 	}
 	if t.tries < t.job.spec.Tries && (t.state == "running" || t.state == "pausing") && j.spend(t.job.spec.Row) {
-		t.shun(t.worker)
+		t.shun(now, t.worker)
 		acts := []Action{t.result(now, true)}
 		if t.state == "pausing" {
 			t.tries++
--- /dev/null
+++ b/internal/lead/suspect_test.go
@@ -0,0 +1,107 @@
+package lead_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/cell"
+	"pollencroft/internal/job"
+	"pollencroft/internal/standin"
+)
+
+func twelfths(id string, tasks int, gang bool) job.Spec {
+	return job.Spec{
+		ID: "d.r." + id, Row: "batch", Tasks: tasks, Gang: gang, Size: cell.Size{CPU: room.CPU / 16, Mem: room.Mem / 16},
+		Time: cell.Duration{Duration: 2 * time.Second}, Tries: 3, Class: cell.Bulk,
+	}
+}
+
+func (p *pair) hand(name string, spec job.Spec) {
+	p.Helper()
+	epoch, err := p.hosts[name].Check(spec)
+	require.NoError(p, err)
+	_, err = p.hosts[name].Submit(spec, epoch)
+	require.NoError(p, err)
+}
+
+func (p *pair) failing(all bool) {
+	for _, m := range p.machines {
+		p.workers[m.Name].SetFaults(standin.WorkerFaults{FailAll: all})
+	}
+}
+
+// Guards against good jobs that spend all their tries within an instant on a worker that fails
+// everything for some seconds, and that they cannot do without.
+func TestTriesOutlastAWorkerThatFailsEverything(t *testing.T) {
+	for name, c := range map[string]struct {
+		workers, tasks int
+		gang           bool
+	}{
+		"a gang that needs both workers":    {2, 12, true},
+		"one task on the only worker":       {1, 1, false},
+		"many tasks on the only worker":     {1, 6, false},
+		"a gang on the only worker":         {1, 6, true},
+		"many tasks beside another's tasks": {2, 12, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t, c.workers)
+			p.workers[p.machines[0].Name].SetFaults(standin.WorkerFaults{FailAll: true})
+			p.hand("a", twelfths("good", c.tasks, c.gang))
+			p.run("a", 5*time.Second)
+			p.failing(false)
+			p.run("a", time.Minute)
+			require.Equal(t, "ended", p.state("a", "good"))
+		})
+	}
+}
+
+// Guards against a task that its next lead sends back at once to the worker that it has failed on.
+func TestTriesOutlastAFailingWorkerOverAChangeOfTheLead(t *testing.T) {
+	p := newPair(t, 1)
+	p.failing(true)
+	p.hand("a", twelfths("good", 1, false))
+	p.run("a", 500*time.Millisecond)
+	started := func() int { return p.workers[p.machines[0].Name].Record().Started["d.r.good.0"] }
+	require.Equal(t, 1, started())
+	token, err := p.hosts["b"].Expect("a")
+	require.Error(t, err, "b holds no worker")
+	require.Empty(t, token)
+	jobs, epoch := p.hosts["a"].HandOver([]string{"d.r.good"})
+	require.NoError(t, p.hosts["a"].TakeBack(jobs, epoch))
+	p.run("a", 2*time.Second)
+	require.Equal(t, 1, started())
+	p.failing(false)
+	p.run("a", time.Minute)
+	require.Equal(t, "ended", p.state("a", "good"))
+}
+
+// Guards against a job that fails wherever it runs and is never given up, or tried more often than
+// its class allows.
+func TestJobThatFailsWhereverItRunsIsGivenUp(t *testing.T) {
+	for workers := 1; workers <= 4; workers++ {
+		for _, gang := range []bool{false, true} {
+			p := newPair(t, workers)
+			p.failing(true)
+			p.hand("a", twelfths("bad", 4, gang))
+			p.run("a", 2*time.Minute)
+			require.Equal(t, "failed", p.state("a", "bad"))
+			require.LessOrEqual(t, p.most(), 3)
+		}
+	}
+}
+
+// Guards against a wait that goes on although the worker does its work again.
+func TestWorkerThatEndsAnotherTaskIsTriedAgainAtOnce(t *testing.T) {
+	p := newPair(t, 1)
+	p.failing(true)
+	p.hand("a", twelfths("good", 1, false))
+	p.run("a", 500*time.Millisecond)
+	p.failing(false)
+	other := twelfths("other", 1, false)
+	other.Time.Duration = 100 * time.Millisecond
+	p.hand("a", other)
+	p.run("a", 5*time.Second)
+	require.Equal(t, "ended", p.state("a", "good"))
+}
--- a/internal/place/health.go
+++ b/internal/place/health.go
@@ -75,6 +75,9 @@
 	if !ok {
 		return
 	}
+	if !ev.Failed {
+		w.good = p.now
+	}
 	h := &w.health
 	h.recent = append(h.recent, outcome{row: ev.Row, failed: ev.Failed})
 	if len(h.recent) > recentKept {
--- a/internal/place/messages.go
+++ b/internal/place/messages.go
@@ -57,8 +57,10 @@
 	Time time.Duration
 	// Since is when the job was accepted; zero means now.
 	Since time.Time
-	// Avoid are workers that these tasks have failed on.
-	Avoid []string
+	// Avoid are workers that these tasks have failed on, the last time at Failed. They go back to one
+	// of them, if they cannot do without, at Back, or sooner if it has run another task well since.
+	Avoid        []string
+	Failed, Back time.Time
 	Rule
 }
 
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -114,6 +114,7 @@
 	p.lookForOverdue()
 	p.giveUpCorrections()
 	p.trials()
+	p.wakeReturning()
 }
 
 func (p *Placer) up(ev Up) {
@@ -293,7 +294,25 @@
 	if len(e.Avoid) == 0 || p.elsewhere(e) {
 		return nil
 	}
-	return p.index.best(e.Size, func(w *worker) bool { return p.markedFor(w, e) })
+	return p.index.best(e.Size, func(w *worker) bool { return p.mayReturn(w, e) && p.markedFor(w, e) })
+}
+
+// mayReturn tells whether the entry's tasks may be put on a worker that they have failed on. Tried
+// there again at once, they would spend all their tries on a worker that fails everything.
+func (p *Placer) mayReturn(w *worker, e *entry) bool {
+	return !slices.Contains(e.Avoid, w.name) || !p.now.Before(e.Back) || w.good.After(e.Failed)
+}
+
+// wakeReturning has work tried that may go back now to the workers that it has failed on.
+func (p *Placer) wakeReturning() {
+	p.queue.wake(func(s *shape) bool {
+		e := s.head()
+		if e.Back.IsZero() || p.now.Before(e.Back) {
+			return false
+		}
+		e.Back = time.Time{}
+		return true
+	})
 }
 
 // elsewhere tells whether workers that the entry's tasks have not failed on
--- a/internal/place/room.go
+++ b/internal/place/room.go
@@ -21,6 +21,8 @@
 	at     [sortings]position
 	mark   *mark
 	health health
+	// good is when a task last ended well there.
+	good time.Time
 }
 
 // left is the largest share that stays free when size is taken.
