--- a/internal/entry/states_test.go
+++ b/internal/entry/states_test.go
@@ -181,3 +181,24 @@
 		require.True(t, r.Known || r.Unsure, n)
 	}
 }
+
+// Guards against an accepted job that a new lead tells as gone: it was stored while the lead read from
+// a slow store, and what the lead knows was taken to be as new as the end of its reading.
+func TestAJobStoredWhileALeadReadsIsNotToldAsGone(t *testing.T) {
+	const slow = 400 * time.Millisecond
+	c := newCell(t, 2, 1, 20*time.Millisecond)
+	lead := c.leader()
+	delete(c.hosts, lead.cfg.Name)
+	c.log.Slow(slow)
+	reads := c.log.Calls(store.Newest)
+	lead.Kill()
+	require.Eventually(t, func() bool { return c.log.Calls(store.Newest) >= reads+1+3+16 }, settleTime, time.Millisecond, "the jobs are read")
+	c.log.BreakReads("jobs", users.Busy)
+	stored := time.Now()
+	require.Eventually(t, func() bool { return c.follower() == nil }, settleTime, 10*time.Millisecond)
+	h := c.leader()
+	time.Sleep(time.Until(stored.Add(3100 * time.Millisecond)))
+	told := h.State(id(1))
+	require.True(t, told.Lead)
+	require.True(t, told.Unsure, "the job was stored three seconds ago and is not read yet")
+}
