lease: leave time for the rarest renewals before an answer is too old

An answer is good for nine seconds of starts now, the rarest renewal and a shortest lease, and a young life is waited for as long (six before).

--- a/internal/lease/limits.go
+++ b/internal/lease/limits.go
@@ -42,8 +42,9 @@
 func (l Limits) most() time.Duration { return max(l.TTL*2/tries, l.Long*2/tries/outlast) }
 
 // start is how long after an answer of a worker a start may be carried out there, whoever holds the
-// worker and for how long. A host that meets the worker in a new life waits for as long.
-func (l Limits) start() time.Duration { return max(l.TTL, l.most()) }
+// worker and for how long. A host that meets the worker in a new life waits for as long. The rarest
+// renewals leave time for one that is late.
+func (l Limits) start() time.Duration { return l.most() + l.TTL }
 
 // ttl lets two renewals fail before an anchor lapses.
 func (l Limits) ttl(n int) time.Duration { return max(l.TTL, l.every(n)*tries/2) }
