--- a/test/bench_test.go
+++ b/test/bench_test.go
@@ -187,7 +187,7 @@
 func (n *node) logFile() string { return n.file + ".log" }
 
 // mostLines bounds what is printed of each host for each thing that went wrong.
-const mostLines = 60
+const mostLines = 120
 
 // explain prints what was lost or ran twice, and what the hosts told of it.
 func (b *bench) explain() {
@@ -199,13 +199,18 @@
 		b.t.Logf("%s, what its lead tells:\n%s", id, b.story(job))
 		b.t.Logf("%s, what workers did:\n%s", id, b.history(id))
 		for _, n := range b.nodes {
-			if told := b.told(n, func(line string) bool { return strings.Contains(line, job) }); len(told) > 0 {
+			if told := b.told(n, func(line string) bool { return strings.Contains(line, job) || b.ofWorkers(n, line, job) }); len(told) > 0 {
 				b.t.Logf("%s of %s, the first %d of %d lines:\n%s", n.name, id, mostLines, len(told), strings.Join(told[:min(len(told), mostLines)], "\n"))
 			}
 		}
 	}
 }
 
+// ofWorkers tells whether a line tells which workers a host of the job's failure domain leads.
+func (b *bench) ofWorkers(n *node, line, job string) bool {
+	return strings.HasPrefix(job, n.domain+".") && strings.Contains(line, `msg="lead: worker `)
+}
+
 // history is what workers did for a task.
 func (b *bench) history(id string) string {
 	var all []string
