--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -37,6 +37,7 @@
 	// vouchAfter is how long a host that starts takes keys for unknown: its
 	// predecessor may have run them.
 	vouchAfter  = 2100 * time.Millisecond
+	ledWithin   = 30 * time.Second
 	settlePause = 200 * time.Millisecond
 )
 
@@ -52,6 +53,13 @@
 
 func (e *UsersError) Error() string { return "no deployment is called " + e.Name }
 
+// LedError tells that hosts did not lead all workers in time.
+type LedError struct{ Led, Workers int }
+
+func (e *LedError) Error() string {
+	return fmt.Sprintf("only %d of %d workers are led", e.Led, e.Workers)
+}
+
 // Run plays the demo and prints its progress and tables to out. It returns a
 // audit.WrongError if any count of the last line is not zero.
 func Run(out io.Writer, users string) error {
@@ -95,6 +103,10 @@
 	}
 	s.say("waiting until the hosts vouch for fresh keys")
 	time.Sleep(vouchAfter)
+	s.say("waiting until the hosts lead the workers")
+	if err := s.waitForWorkers(); err != nil {
+		return err
+	}
 	s.load()
 	return s.close()
 }
@@ -103,6 +115,22 @@
 	_, _ = fmt.Fprintf(s.out, "%5.1fs  %s\n", time.Since(s.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// waitForWorkers waits as long as hosts that start together do before they lead workers.
+func (s *show) waitForWorkers() error {
+	for end := time.Now().Add(ledWithin); ; time.Sleep(100 * time.Millisecond) {
+		led := 0
+		for _, e := range s.entries {
+			led += len(e.host.Held())
+		}
+		if led == len(s.cell.Workers) {
+			return nil
+		}
+		if time.Now().After(end) {
+			return &LedError{Led: led, Workers: len(s.cell.Workers)}
+		}
+	}
+}
+
 // startHosts opens all sockets first, so that every host's settings can name
 // its peers.
 func (s *show) startHosts() error {
