lease: judge a renewal by the life of the last list

A fault of, found on reading the change: an answer about a worker's life that was asked for before the worker was taken could tell of the next life, and the renewal after it was read as changes of the former one.

TestLifeThatIsToldBesideARenewalEndsTheLease failed before and passes.

--- a/internal/job/retry.go
+++ b/internal/job/retry.go
@@ -55,13 +55,6 @@
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 func (t *task) result(now time.Time, failed bool) Result {
 	return Result{Task: t.id, Row: t.job.spec.Row, Worker: t.worker, Failed: failed, Run: now.Sub(t.since)}
 }
@@ -143,7 +136,8 @@
 			acts = append(acts, Free{Task: o.id})
 			want.Tasks = append(want.Tasks, o.id)
 			want.Avoid = append(want.Avoid, o.avoid...)
-			want.Failed, want.Back = later(want.Failed, o.failed), later(want.Back, o.back)
+			want.Failed = slices.MaxFunc([]time.Time{want.Failed, o.failed}, time.Time.Compare)
+			want.Back = slices.MaxFunc([]time.Time{want.Back, o.back}, time.Time.Compare)
 			want.Apart = want.Apart || o.apart()
 			whole = whole && o.lives == o.noted
 		default:
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -208,7 +208,8 @@
 	if !ok || w.state != "held" || !ev.Sent.After(w.reading.Sent) {
 		return nil
 	}
-	if l.tellLife(now, w, ev.Life) {
+	if ev.Life != w.reading.Life {
+		l.tellLife(now, w, ev.Life)
 		w.move("lapse")
 		w.next = now
 		return w.down(ev.Worker)
@@ -374,14 +375,7 @@
 // fresh is until when starts may be sent after the last answer.
 func (l *Leases) fresh(w *worker) time.Time {
 	left := l.limits.start()
-	return earlier(w.until, w.reading.Sent.Add(left-left/drift))
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
+	return slices.MinFunc([]time.Time{w.until, w.reading.Sent.Add(left - left/drift)}, time.Time.Compare)
 }
 
 // DeadlineWith is the Deadline of a start that may begin only as long as another worker is held
--- a/internal/lease/life.go
+++ b/internal/lease/life.go
@@ -12,23 +12,21 @@
 	meetAgain = time.Second
 )
 
-// tellLife notes the life that a worker answered in and tells whether it is another than before.
+// tellLife notes the life that a worker answered in.
 //
 // A worker that crashed has forgotten who held it, so it may be taken at once while starts of its
 // former holder are under way. Until these are dead nothing is known of the worker. A host that
 // held it until now has no other's starts to wait for.
-func (l *Leases) tellLife(now time.Time, w *worker, life string) bool {
+func (l *Leases) tellLife(now time.Time, w *worker, life string) {
 	if life == "" || life == w.life {
-		return false
+		return
 	}
 	held := w.up && w.state == "held" && w.until.After(now)
-	first := w.life == ""
 	w.life = life
 	if !held {
 		left := l.limits.start()
 		w.former = now.Add(left + left/drift)
 	}
-	return !first
 }
 
 // wait has the worker read again when the starts to its former lives are dead.
--- a/internal/lease/life_test.go
+++ b/internal/lease/life_test.go
@@ -99,6 +99,18 @@
 	require.Len(t, kinds[lease.Up](acts), 1)
 }
 
+// Guards against a renewal that is read as changes of the former life, since the next one was told by
+// an answer that was asked for before the worker was taken.
+func TestLifeThatIsToldBesideARenewalEndsTheLease(t *testing.T) {
+	l := lease.New(limits)
+	holdIn(t, l, "1", 3*time.Second)
+	at := start.Add(time.Second)
+	l.Step(at, lease.Met{Worker: "w1", Life: "2"})
+	acts := l.Step(at, lease.Renewed{Worker: "w1", Reading: inLife(at, "2", 3*time.Second)})
+	require.Len(t, kinds[lease.Down](acts), 1)
+	require.Len(t, kinds[lease.Take](acts), 1)
+}
+
 // Guards against workers of other hosts whose lives nobody here knows when their holder is lost.
 func TestWorkersOfOtherHostsAreMet(t *testing.T) {
 	l := lease.New(limits)
