--- a/internal/lead/former_test.go
+++ b/internal/lead/former_test.go
@@ -34,15 +34,15 @@
 	return lead.Machine{}
 }
 
-// Guards against a task that runs twice: a new lead starts a task on a worker that still lists
-// the task's former, failed start, and takes that line for the end of the new one.
-func TestListOfAFormerStartSaysNothingOfTheNext(t *testing.T) {
-	p := newPair(t, 3)
+// failedBefore is a pair of which a hands the job old over to b. Its task has failed on the worker
+// bad, which lists that still and works again; b leads another worker, which runs the job two.
+func failedBefore(t *testing.T) (p *pair, bad lead.Machine) {
+	p = newPair(t, 3)
 	a, b := p.hosts["a"], p.hosts["b"]
 	p.submit("a", "one")
 	p.submit("a", "two")
 	p.run("a", time.Second)
-	bad := p.idle()
+	bad = p.idle()
 	a.SetMachines([]lead.Machine{p.at("one"), bad})
 	b.SetMachines([]lead.Machine{p.at("two")})
 	p.run("ab", 5*time.Second)
@@ -54,6 +54,14 @@
 	}
 	p.workers[bad.Name].SetFaults(standin.WorkerFaults{})
 	p.handOver("a", "b", "d.r.old", "d.r.two")
+	return p, bad
+}
+
+// Guards against a task that runs twice: a new lead starts a task on a worker that still lists
+// the task's former, failed start, and takes that line for the end of the new one.
+func TestListOfAFormerStartSaysNothingOfTheNext(t *testing.T) {
+	p, bad := failedBefore(t)
+	a, b := p.hosts["a"], p.hosts["b"]
 	a.SetMachines([]lead.Machine{p.at("one")})
 	b.SetMachines([]lead.Machine{p.at("two"), bad})
 	p.run("ab", 300*time.Millisecond)
@@ -67,23 +75,8 @@
 // Guards against a worker that is overfull: the line of a task's former, failed start frees the room
 // of the one that is under way, and another job gets it.
 func TestListOfAFormerStartFreesNoRoom(t *testing.T) {
-	p := newPair(t, 3)
+	p, bad := failedBefore(t)
 	a, b := p.hosts["a"], p.hosts["b"]
-	p.submit("a", "one")
-	p.submit("a", "two")
-	p.run("a", time.Second)
-	bad := p.idle()
-	a.SetMachines([]lead.Machine{p.at("one"), bad})
-	b.SetMachines([]lead.Machine{p.at("two")})
-	p.run("ab", 5*time.Second)
-	p.workers[bad.Name].SetFaults(standin.WorkerFaults{FailAll: true})
-	p.submit("a", "old")
-	waiting := func() int { s, _ := a.Status("d.r.old"); return s.Tasks["waiting"] }
-	for p.run("a", 100*time.Millisecond); waiting() == 0; {
-		p.run("a", 100*time.Millisecond)
-	}
-	p.workers[bad.Name].SetFaults(standin.WorkerFaults{})
-	p.handOver("a", "b", "d.r.old", "d.r.two")
 	p.submit("b", "next")
 	a.SetMachines([]lead.Machine{p.at("one")})
 	b.SetMachines([]lead.Machine{p.at("two"), bad})
