job: request a gang again when its last paused task ends

Callers saw an accepted all-at-once job that was told as running and never ended. When a task of a gang fails, the others are paused, and the last one that stops has capacity requested for all that wait. If that last one ended instead, because its pause came too late, nobody requested capacity for the others: of twelve tasks one has ended and eleven wait without a request.

A task that ends or fails for good now has the waiting rest of its gang requested.

TestGangGoesOnWhenItsLastPausedTaskEnds and TestGangGoesOnWhenATaskEndsBeforeItsPauseArrives force the order of events in virtual time and fail before: the gang still waits after a minute.

--- a/internal/job/retry.go
+++ b/internal/job/retry.go
@@ -108,6 +108,20 @@
 	}
 }
 
+// requeueGang requests capacity for the waiting tasks of a gang whose last task on a worker has
+// ended instead of being paused.
+func (j *Jobs) requeueGang(jb *job) []Action {
+	if !jb.spec.Gang || jb.awaitsInventory {
+		return nil
+	}
+	for _, t := range jb.tasks {
+		if t.state == "waiting" {
+			return j.requeue(t)
+		}
+	}
+	return nil
+}
+
 // requeue requests capacity for a task that certainly runs nowhere. If some tasks of a gang run
 // without the others, they are paused, and capacity is requested for all of them together once the
 // last one has stopped. Otherwise the running tasks would hold their capacity for as long as none
--- a/internal/job/worker_list.go
+++ b/internal/job/worker_list.go
@@ -123,6 +123,7 @@
 	} else {
 		j.earnRetry(t.job.spec.Row)
 	}
+	acts = append(acts, j.requeueGang(t.job)...)
 	return append(acts, j.endIfDone(t.job)...)
 }
 
