place: count one failed trial for all tasks that fail together

Callers saw an accepted all-at-once job wait for minutes, "too few workers have room for all tasks at once", although its workers were well again. A worker that fails many tasks at once is quarantined at the third; each further failure that was already on its way counted as a failed trial and doubled the wait, 10 s to 10 min with eight tasks. A leader quarantines a worker only while it has four or more; when it gives two of them to a peer and its gang needs both that are left, the gang waits as long.

A failure counts as a failed trial only if a task was started on the worker as a trial since the last one, so once for all tasks of a gang.

--- a/internal/lead/gang_orders_test.go
+++ b/internal/lead/gang_orders_test.go
@@ -3,6 +3,11 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/cell"
+	"pollencroft/internal/job"
 )
 
 // Guards against a gang of which some tasks wait forever without a placement request: its other tasks
@@ -43,3 +48,29 @@
 	g.fail(0, false)
 	g.requireGangEnds("a", "a")
 }
+
+// Guards against a gang that waits for minutes because one of the two workers that its leader has
+// left is quarantined for long: six of its tasks failed there at once, and those that were reported
+// after the quarantine began counted as one failed trial each.
+func TestGangDoesNotWaitForMinutesForAWorkerThatFailedItsTasksAtOnce(t *testing.T) {
+	g := newGangPair(t, 4)
+	warm := gangSpec()
+	warm.ID = "d.r.warm"
+	g.submitSpec("a", warm)
+	g.run("a", 6*time.Second)
+	require.Equal(t, "ended", g.state("a", "warm"))
+	g.fail(1, true)
+	g.submitSpec("a", gangSpec())
+	// Other tasks keep the gang from the workers on which it has not failed.
+	bulk := job.Spec{ID: "d.r.bulk", Row: "batch", Tasks: 7, Size: part(8), Time: cell.Duration{Duration: 6 * time.Second}, Tries: 3, Class: cell.Bulk}
+	g.submitSpec("a", bulk)
+	g.run("a", time.Second)
+	g.hosts["a"].SetLedMachines(g.rack(0, 2))
+	g.hosts["b"].SetLedMachines(g.rack(2, 4))
+	g.exchangeInventories(2 * time.Second)
+	g.fail(1, false)
+	g.exchangeInventories(5 * time.Second)
+	require.Equal(t, "ended", g.state("a", "bulk"))
+	require.Len(t, g.hosts["a"].Jobs.WaitingTasks("d.r.gang"), 12)
+	g.requireGangEnds("ab", "a")
+}
--- a/internal/place/health.go
+++ b/internal/place/health.go
@@ -6,8 +6,10 @@
 type health struct {
 	recent      []outcome
 	quarantined bool
-	// trialOpen allows one task on the worker while it is quarantined.
+	// trialOpen allows one task on the worker while it is quarantined. trialPending is set from
+	// then on until a task fails.
 	trialOpen     bool
+	trialPending  bool
 	nextTrial     time.Time
 	trialInterval time.Duration
 	passedTrials  int
@@ -121,8 +123,12 @@
 
 func (p *Placer) recordTrial(w *worker, failed bool) {
 	h := &w.health
+	if failed && !h.trialPending {
+		// The task was there before the quarantine, or another one of the same trial has failed.
+		return
+	}
 	if failed {
-		h.passedTrials, h.trialOpen = 0, false
+		h.passedTrials, h.trialOpen, h.trialPending = 0, false, false
 		h.trialInterval = min(2*h.trialInterval, maxTrialInterval)
 		h.nextTrial = p.now.Add(h.trialInterval)
 		p.reindex(w)
@@ -150,7 +156,7 @@
 // the next trial comes after twice the interval, even if this one has not ended by then.
 func (p *Placer) closeTrial(w *worker) {
 	if h := &w.health; h.quarantined {
-		h.trialOpen = false
+		h.trialOpen, h.trialPending = false, true
 		h.nextTrial = p.now.Add(min(2*h.trialInterval, maxTrialInterval))
 		p.reindex(w)
 	}
