place: ask one rule which workers an entry may use, and when

Callers saw an accepted job wait for good beside free capacity: its tasks had failed on a worker that is well again, and the others would hold it only if they were empty, while tasks that last use part of them.

Whether an entry may run was asked in four ways: what fits now, what the workers without its failures hold empty, what fits beside long tasks, and what frees up first; the second never looked at what runs there, the last two counted workers that the first two forbade, and services ignored that a failure may be over.

access is the one rule. A worker where the entry's tasks failed may be used again after AvoidUntil, or when another task has succeeded there. If the others could hold the entry, it waits for them while they are expected to within the time that its class may wait, in any case before its last try, and never longer. All four ask it, and so do preemption and the spread over racks. An entry whose time has come is tried each second; no other event tells of it.

The tests that keep tries from being used up on one worker stay as they are.

--- a/internal/job/messages.go
+++ b/internal/job/messages.go
@@ -124,6 +124,8 @@
 	// since.
 	Avoid                   []string
 	LastFailure, AvoidUntil time.Time
+	// LastTry reports that the job fails with the next failure of one of these tasks.
+	LastTry bool
 	// Exclusive asks for workers on which nothing else runs.
 	Exclusive bool
 }
--- a/internal/job/retry.go
+++ b/internal/job/retry.go
@@ -105,9 +105,12 @@
 	return RequestPlacement{
 		Spec: t.job.spec, Tasks: []string{t.id}, Since: t.job.acceptedAt, Exclusive: t.needsExclusiveWorker(),
 		Avoid: slices.Clone(t.avoid), LastFailure: t.lastFailure, AvoidUntil: t.avoidUntil,
+		LastTry: t.lastTry(),
 	}
 }
 
+func (t *task) lastTry() bool { return t.tries >= t.job.spec.Tries-1 }
+
 // requeueGang requests capacity for the waiting tasks of a gang whose last task on a worker has
 // ended instead of being paused.
 func (j *Jobs) requeueGang(jb *job) []Action {
@@ -151,6 +154,7 @@
 			want.Avoid = append(want.Avoid, o.avoid...)
 			want.LastFailure = slices.MaxFunc([]time.Time{want.LastFailure, o.lastFailure}, time.Time.Compare)
 			want.AvoidUntil = slices.MaxFunc([]time.Time{want.AvoidUntil, o.avoidUntil}, time.Time.Compare)
+			want.LastTry = want.LastTry || o.lastTry()
 			want.Exclusive = want.Exclusive || o.needsExclusiveWorker()
 			ready = ready && o.crashes == o.storedCrashes
 		default:
--- a/internal/lead/gang_orders_test.go
+++ b/internal/lead/gang_orders_test.go
@@ -74,3 +74,20 @@
 	require.Len(t, g.hosts["a"].Jobs.WaitingTasks("d.r.gang"), 12)
 	g.requireGangEnds("ab", "a")
 }
+
+// Guards against a gang that waits until it is overdue although its declared size fits at once: tasks
+// of unknown duration lie on a worker on which it has not failed.
+func TestGangThatAvoidsAWorkerIsNotKeptWaitingByFoundTasks(t *testing.T) {
+	g := newGangPair(t, 4)
+	g.submitSpec("a", watcherSpec("watch", 4))
+	g.run("a", 3*time.Second)
+	g.hosts["a"].SetLedMachines(nil)
+	g.hosts["b"].SetLedMachines(g.machines)
+	g.run("ab", 8*time.Second)
+	require.Len(t, g.hosts["b"].Held(), 4)
+	g.fail(1, true)
+	g.submitSpec("b", gangSpec())
+	g.run("ab", 3*time.Second)
+	g.fail(1, false)
+	g.requireGangEnds("ab", "b")
+}
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -81,6 +81,7 @@
 	w := l.declaredWant(a.Spec, a.Tasks)
 	w.Rule = l.currentRule(row)
 	w.Since, w.Avoid, w.LastFailure, w.AvoidUntil = a.Since, a.Avoid, a.LastFailure, a.AvoidUntil
+	w.LastTry = a.LastTry
 	w.Declared = w.Size
 	w.Size, w.RunTime = l.estimatedSize(w), l.Estimates.Time(w.Row, w.RunTime)
 	if a.Exclusive {
--- /dev/null
+++ b/internal/place/avoid.go
@@ -0,0 +1,109 @@
+package place
+
+import (
+	"slices"
+	"time"
+
+	"pollencroft/internal/cell"
+)
+
+// access decides which workers an entry may use. It is evaluated before the entry's tasks are
+// placed provisionally, because those would count as use of the other workers.
+type access struct {
+	p *Placer
+	e *entry
+	// returnAt is when the entry's tasks may run again on the workers where they have failed. If
+	// bounded is false, they wait for the other workers without a limit.
+	returnAt time.Time
+	bounded  bool
+}
+
+// accessOf returns the access of an entry. If its tasks were retried at once where they have failed,
+// a worker that fails everything, and therefore always has free capacity, would use up all their
+// attempts. As long as the other workers are expected to have capacity within the time that the
+// entry's class may wait, the entry waits for them.
+func (p *Placer) accessOf(e *entry) access {
+	a := access{p: p, e: e, returnAt: e.AvoidUntil, bounded: true}
+	limit := p.limits.OverdueAfter[e.Class]
+	switch {
+	case len(e.Avoid) == 0 || !a.othersFit(func(w *worker) cell.Size { return w.size }):
+	case limit == 0:
+		a.bounded = false
+	default:
+		end := latest(e.AvoidUntil, e.LastFailure.Add(limit))
+		if e.LastTry || a.othersFit(func(w *worker) cell.Size { return p.freeBy(w, end) }) {
+			a.returnAt = end
+		}
+	}
+	return a
+}
+
+// othersFit reports whether the entry's tasks that have to start at once fit into that capacity of
+// the workers where they have not failed.
+func (a access) othersFit(capacity func(*worker) cell.Size) bool {
+	need := a.e.tasksToPlace()
+	for _, w := range a.p.workers {
+		if need <= 0 {
+			break
+		}
+		if w.acceptsTasks() && !a.avoids(w) {
+			need -= countFitting(capacity(w), a.e.Size)
+		}
+	}
+	return need <= 0
+}
+
+// freeBy returns the capacity of a worker that is expected to be free at that time if nothing else is
+// placed there.
+func (p *Placer) freeBy(w *worker, at time.Time) cell.Size {
+	free := w.free
+	for _, r := range w.tasks {
+		if !r.plannedEnd.IsZero() && !p.expectedEnd(r).After(at) {
+			free = free.Add(r.size)
+		}
+	}
+	return free
+}
+
+func (a access) avoids(w *worker) bool { return slices.Contains(a.e.Avoid, w.name) }
+
+// from returns the time from which the entry's tasks may run on a worker, as far as their earlier
+// failures are concerned. It returns false if there is no such time.
+func (a access) from(w *worker) (time.Time, bool) {
+	if !a.avoids(w) || w.lastSuccess.After(a.e.LastFailure) {
+		return time.Time{}, true
+	}
+	return a.returnAt, a.bounded
+}
+
+// by reports whether the entry's tasks may run on a worker at that time.
+func (a access) by(w *worker, at time.Time) bool {
+	from, ok := a.from(w)
+	return ok && !from.After(at)
+}
+
+// usable reports whether the entry's tasks may run on a worker now.
+func (a access) usable(w *worker) bool {
+	return a.by(w, a.p.now) && a.p.reservationAllows(w, a.e)
+}
+
+// preferred reports whether a worker is usable and none of the entry's tasks has failed there.
+func (a access) preferred(w *worker) bool {
+	return !a.avoids(w) && a.p.reservationAllows(w, a.e)
+}
+
+// wakeAvoiding retries blocked entries that may run now on a worker where they have failed and that
+// has free capacity for them. No other event tells that the time has come.
+func (p *Placer) wakeAvoiding() {
+	p.queue.wake(func(s *shape) bool {
+		e := s.head()
+		if len(e.Avoid) == 0 || s.blocked != NoCapacity && s.blocked != GangTooLarge {
+			return false
+		}
+		a := p.accessOf(e)
+		return slices.ContainsFunc(e.Avoid, func(name string) bool {
+			w, ok := p.workers[name]
+			return ok && w.acceptsTasks() && e.Size.Fits(w.free) && a.usable(w)
+		})
+	})
+}
--- a/internal/place/correction.go
+++ b/internal/place/correction.go
@@ -37,12 +37,10 @@
 // fitsBesideLongTasks reports whether the entry's tasks of that size would fit beside the tasks
 // that run for longer than the entry's class may wait.
 func (p *Placer) fitsBesideLongTasks(e *entry, size cell.Size) bool {
-	need := int64(1)
-	if e.Gang {
-		need = int64(e.pending)
-	}
+	need, a := e.tasksToPlace(), p.accessOf(e)
+	by := p.now.Add(p.limits.OverdueAfter[e.Class])
 	for _, w := range p.workers {
-		if w.acceptsTasks() {
+		if w.acceptsTasks() && a.by(w, by) {
 			need -= countFitting(p.freeBesideLongTasks(w, e.Class), size)
 		}
 	}
--- a/internal/place/gang.go
+++ b/internal/place/gang.go
@@ -64,8 +64,8 @@
 
 // tryGang places either all waiting tasks of a gang or none. A partly placed gang would hold
 // capacity while it waits for the rest, and two of them could block each other forever.
-func (p *Placer) tryGang(e *entry) {
-	if p.countFittingTasks(e) < int64(e.pending) {
+func (p *Placer) tryGang(e *entry, a access) {
+	if p.countFittingTasks(a) < int64(e.pending) {
 		p.queue.block(e.shape, GangTooLarge)
 		return
 	}
@@ -75,7 +75,7 @@
 		if p.queue.tasks[task] != e {
 			continue
 		}
-		w := p.bestWorker(e)
+		w := p.bestWorker(a)
 		if w == nil {
 			break
 		}
@@ -98,14 +98,13 @@
 
 // countFittingTasks returns how many of the entry's tasks fit into the free capacity now. It stops
 // counting once all of them fit.
-func (p *Placer) countFittingTasks(e *entry) int64 {
+func (p *Placer) countFittingTasks(a access) int64 {
 	var n int64
-	back := len(e.Avoid) > 0 && !p.fitsWithoutAvoided(e)
 	for _, w := range p.workers {
-		if w.acceptsTasks() && (p.usable(w, e) || back && p.mayRetryOn(w, e) && p.reservationAllows(w, e)) {
-			n += countFitting(w.free, e.Size)
+		if w.acceptsTasks() && a.usable(w) {
+			n += countFitting(w.free, a.e.Size)
 		}
-		if n >= int64(e.pending) {
+		if n >= int64(a.e.pending) {
 			break
 		}
 	}
@@ -158,14 +157,12 @@
 	if len(e.reserved) > 0 {
 		return
 	}
-	need := 1
-	if e.Gang {
-		need = e.pending
-	}
+	need, a := int(e.tasksToPlace()), p.accessOf(e)
 	var all []opening
 	for _, w := range p.inNameOrder() {
-		if w.acceptsTasks() && e.Size.Fits(w.size) {
-			all = append(all, p.openings(w, e.Size)...)
+		from, ok := a.from(w)
+		if ok && w.acceptsTasks() && e.Size.Fits(w.size) {
+			all = append(all, p.openings(w, e.Size, from)...)
 		}
 	}
 	if len(all) < need {
@@ -178,9 +175,9 @@
 	}
 }
 
-// openings returns the times at which w is expected to have free capacity for one more task of that
-// size, in order. A time appears once for each task that fits.
-func (p *Placer) openings(w *worker, size cell.Size) []opening {
+// openings returns the times, none before from, at which w is expected to have free capacity for
+// one more task of that size, in order. A time appears once for each task that fits.
+func (p *Placer) openings(w *worker, size cell.Size, from time.Time) []opening {
 	var timed []*allocation
 	for _, r := range w.tasks {
 		if !r.plannedEnd.IsZero() {
@@ -195,7 +192,7 @@
 	for i := 0; ; i++ {
 		for size.Fits(free) {
 			free = free.Sub(size)
-			all = append(all, opening{worker: w, at: at})
+			all = append(all, opening{worker: w, at: latest(at, from)})
 		}
 		if i == len(timed) {
 			return all
@@ -205,6 +202,13 @@
 	}
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 // expectedEnd returns when a task is expected to end. A task that exceeds its declared run time is
 // assumed to run for another quarter of the time that it has run so far.
 func (p *Placer) expectedEnd(r *allocation) time.Time {
--- a/internal/place/gang_wait_test.go
+++ b/internal/place/gang_wait_test.go
@@ -29,6 +29,32 @@
 	return limit
 }
 
+// Guards against a gang that waits until it is overdue: the workers where it has not failed hold its
+// corrected size only when they are empty, and its declared size at any time.
+func TestGangThatAvoidsAWorkerFitsBesideLongTasks(t *testing.T) {
+	for name, up := range map[string]func(p *place.Placer){
+		"whose end is known": func(p *place.Placer) {
+			p.Step(now, place.Up{Worker: "w01", Rack: "r0", Size: cores(4)})
+			p.Step(now, place.Request{Job: "x", Row: "watch", Class: cell.Normal, Size: cores(1), Tasks: tasks("x", 1), RunTime: time.Hour})
+			p.Step(now, place.Up{Worker: "w00", Rack: "r0", Size: cores(4)})
+		},
+		"whose end is unknown": func(p *place.Placer) {
+			p.Step(now, place.Up{Worker: "w00", Rack: "r0", Size: cores(4)})
+			p.Step(now, place.Up{Worker: "w01", Rack: "r0", Size: cores(4), Used: []place.Used{{Task: "x.0", Row: "watch", Size: cores(1)}}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := place.New(place.DefaultLimits)
+			up(p)
+			p.Step(now, place.Up{Worker: "w02", Rack: "r1", Size: cores(4)})
+			p.Step(now, place.Up{Worker: "w03", Rack: "r1", Size: cores(4)})
+			require.Empty(t, assignments(p.Step(now, avoidingGang())))
+			waited := waitUntilPlaced(p, now.Add(time.Second), 5*time.Minute)
+			require.LessOrEqual(t, waited+avoidingGang().RunTime, time.Minute)
+		})
+	}
+}
+
 // Guards against a worker that is out of use for minutes after a fault of a second: tasks that were
 // on it already when it was quarantined fail too, and each failure counts as a failed trial.
 func TestFailuresFromBeforeTheQuarantineAreNotFailedTrials(t *testing.T) {
--- a/internal/place/limits.go
+++ b/internal/place/limits.go
@@ -9,10 +9,7 @@
 // checkLimits returns the limit that forbids one more of the entry's tasks (all of them for a
 // gang), or Ready.
 func (p *Placer) checkLimits(e *entry) BlockReason {
-	n := int64(1)
-	if e.Gang {
-		n = int64(e.pending)
-	}
+	n := e.tasksToPlace()
 	size := multiply(e.Size, n)
 	row, team := p.rowUsage[e.Row], p.teamUsage[e.Team]
 	switch {
--- a/internal/place/messages.go
+++ b/internal/place/messages.go
@@ -59,9 +59,12 @@
 	Since time.Time
 	// Avoid lists the workers where these tasks have failed, the last time at LastFailure. If the
 	// other workers are not enough, the tasks may run there again after AvoidUntil, or earlier if
-	// another task has succeeded on the worker since LastFailure.
+	// another task has succeeded on the worker since LastFailure. They wait longer, but no longer
+	// than their class may wait, if the others are expected to be enough by then or if LastTry is
+	// set because the job fails with the next failure.
 	Avoid                   []string
 	LastFailure, AvoidUntil time.Time
+	LastTry                 bool
 	Rule
 }
 
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -115,7 +115,7 @@
 	p.updateOverdue()
 	p.revertCorrections()
 	p.reviewQuarantined()
-	p.wakeAfterAvoid()
+	p.wakeAvoiding()
 }
 
 func (p *Placer) addWorker(ev Up) {
@@ -256,14 +256,15 @@
 		p.queue.block(e.shape, why)
 		return
 	}
+	a := p.accessOf(e)
 	if e.Gang {
-		p.tryGang(e)
+		p.tryGang(e, a)
 		return
 	}
-	w := p.bestWorker(e)
+	w := p.bestWorker(a)
 	if w == nil {
 		p.queue.block(e.shape, NoCapacity)
-		p.preemptFor(e)
+		p.preemptFor(e, a)
 		return
 	}
 	p.assign(e, w)
@@ -283,59 +284,17 @@
 	}
 }
 
-// bestWorker returns the fullest worker that has capacity for one of the entry's tasks.
-func (p *Placer) bestWorker(e *entry) *worker {
-	usable := func(w *worker) bool { return p.usable(w, e) }
-	if e.Spread {
-		return p.bestSpread(e, usable)
+// bestWorker returns the fullest worker that has capacity for one of the entry's tasks. Workers where
+// they have failed come last.
+func (p *Placer) bestWorker(a access) *worker {
+	find := p.index.best
+	if a.e.Spread {
+		find = func(_ cell.Size, usable func(*worker) bool) *worker { return p.bestSpread(a.e, usable) }
 	}
-	if w := p.index.best(e.Size, usable); w != nil {
+	if w := find(a.e.Size, a.preferred); w != nil || len(a.e.Avoid) == 0 {
 		return w
 	}
-	if len(e.Avoid) == 0 || p.fitsWithoutAvoided(e) {
-		return nil
-	}
-	return p.index.best(e.Size, func(w *worker) bool { return p.mayRetryOn(w, e) && p.reservationAllows(w, e) })
-}
-
-// mayRetryOn reports whether the entry's tasks may run on a worker where they have failed before.
-// If they were retried there at once, a worker that fails everything would use up all their
-// attempts.
-func (p *Placer) mayRetryOn(w *worker, e *entry) bool {
-	return !slices.Contains(e.Avoid, w.name) || !p.now.Before(e.AvoidUntil) || w.lastSuccess.After(e.LastFailure)
-}
-
-// wakeAfterAvoid retries entries that may now run again on the workers where they have failed.
-func (p *Placer) wakeAfterAvoid() {
-	p.queue.wake(func(s *shape) bool {
-		e := s.head()
-		if e.AvoidUntil.IsZero() || p.now.Before(e.AvoidUntil) {
-			return false
-		}
-		e.AvoidUntil = time.Time{}
-		return true
-	})
-}
-
-// fitsWithoutAvoided reports whether the workers where the entry's tasks have not failed could hold
-// one task, or the whole gang, once they have free capacity. A task that did not wait for them
-// would use up all its attempts on the same bad worker, which always has free capacity, and its job
-// would fail because of one machine. A gang that waited for too few of them would wait forever.
-func (p *Placer) fitsWithoutAvoided(e *entry) bool {
-	need := int64(1)
-	if e.Gang {
-		need = int64(e.pending)
-	}
-	for _, w := range p.workers {
-		if w.acceptsTasks() && e.Size.Fits(w.size) && !slices.Contains(e.Avoid, w.name) {
-			need -= countFitting(w.size, e.Size)
-		}
-	}
-	return need <= 0
-}
-
-func (p *Placer) usable(w *worker, e *entry) bool {
-	return !slices.Contains(e.Avoid, w.name) && p.reservationAllows(w, e)
+	return find(a.e.Size, a.usable)
 }
 
 // bestSpread prefers the racks that run the fewest tasks of the row.
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -15,14 +15,14 @@
 // preemptFor preempts the cheapest bulk tasks for an urgent job that does not fit anywhere. It
 // frees one worker at a time and reserves that worker for the job, because otherwise the next bulk
 // task would use the freed capacity.
-func (p *Placer) preemptFor(e *entry) {
+func (p *Placer) preemptFor(e *entry, a access) {
 	if e.Class != cell.Urgent || len(e.reserved) > 0 {
 		return
 	}
 	var best *worker
 	var victims []*allocation
 	var least float64
-	for _, w := range p.preemptIndex.candidates(maxCandidates, e.Size, func(w *worker) bool { return p.usable(w, e) }) {
+	for _, w := range p.preemptIndex.candidates(maxCandidates, e.Size, a.usable) {
 		chosen, cost, ok := p.victims(w, e.Size)
 		if ok && (best == nil || cost < least || cost == least && w.name < best.name) {
 			best, victims, least = w, chosen, cost
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -36,6 +36,14 @@
 
 func (e *entry) waiting() bool { return e.pending > 0 }
 
+// tasksToPlace returns how many tasks have to be placed at once.
+func (e *entry) tasksToPlace() int64 {
+	if e.Gang {
+		return int64(e.pending)
+	}
+	return 1
+}
+
 // shape groups waiting entries of one row that have the same size and run time. They are tried and
 // blocked together, and a blocked shape does not hold up the shapes behind it.
 type shape struct {
