place: reserve no capacity for an entry that cannot start

Callers of normal work saw jobs wait for good beside free capacity. An overdue entry has capacity reserved, and an overdue bulk entry keeps normal work from the urgent reserve; neither asked whether that entry can start at all. One that waits for a task of unknown run time, or for more than bulk may use, held the rest of the cell back for good; so did the reservation on a worker that it avoids.

The overdue entry is now chosen, and checked each second, among those that fit once the tasks with a known end have ended, with the reserve that bulk leaves free. A reservation also ends with its worker.

TestOverdueBulkOfUnknownStartHoldsNothing and TestBulkThatNeedsTheReserveHoldsNothing fail before.

A bulk job that needs the urgent reserve itself is still accepted, and waits.

--- a/internal/place/allocation.go
+++ b/internal/place/allocation.go
@@ -31,6 +31,18 @@
 	return w.free.Sub(size).DominantShare(w.size)
 }
 
+// freeAfter returns the capacity that is free once those tasks have ended for which ends returns
+// true.
+func (w *worker) freeAfter(ends func(*allocation) bool) cell.Size {
+	free := w.free
+	for _, r := range w.tasks {
+		if ends(r) {
+			free = free.Add(r.size)
+		}
+	}
+	return free
+}
+
 // acceptsTasks reports whether the worker may get tasks: it is not quarantined, or a trial is due.
 func (w *worker) acceptsTasks() bool { return !w.health.quarantined || w.health.trialOpen }
 
--- a/internal/place/avoid.go
+++ b/internal/place/avoid.go
@@ -56,13 +56,7 @@
 // freeBy returns the capacity of a worker that is expected to be free at that time if nothing else is
 // placed there.
 func (p *Placer) freeBy(w *worker, at time.Time) cell.Size {
-	free := w.free
-	for _, r := range w.tasks {
-		if !r.plannedEnd.IsZero() && !p.expectedEnd(r).After(at) {
-			free = free.Add(r.size)
-		}
-	}
-	return free
+	return w.freeAfter(func(r *allocation) bool { return !r.plannedEnd.IsZero() && !p.expectedEnd(r).After(at) })
 }
 
 func (a access) avoids(w *worker) bool { return slices.Contains(a.e.Avoid, w.name) }
--- a/internal/place/correction.go
+++ b/internal/place/correction.go
@@ -48,13 +48,9 @@
 }
 
 func (p *Placer) freeBesideLongTasks(w *worker, class cell.Class) cell.Size {
-	free := w.size
-	for _, r := range w.tasks {
-		if !r.plannedEnd.IsZero() && r.plannedEnd.Sub(p.now) > p.limits.OverdueAfter[class] {
-			free = free.Sub(r.size)
-		}
-	}
-	return free
+	return w.freeAfter(func(r *allocation) bool {
+		return r.plannedEnd.IsZero() || r.plannedEnd.Sub(p.now) <= p.limits.OverdueAfter[class]
+	})
 }
 
 // revertToDeclared queues an entry again with its declared size.
--- a/internal/place/gang.go
+++ b/internal/place/gang.go
@@ -65,7 +65,7 @@
 // tryGang places either all waiting tasks of a gang or none. A partly placed gang would hold
 // capacity while it waits for the rest, and two of them could block each other forever.
 func (p *Placer) tryGang(e *entry, a access) {
-	if p.countFittingTasks(a) < int64(e.pending) {
+	if p.countFittingTasks(a, e.Size) < e.tasksToPlace() {
 		p.queue.block(e.shape, GangTooLarge)
 		return
 	}
@@ -96,15 +96,15 @@
 	}
 }
 
-// countFittingTasks returns how many of the entry's tasks fit into the free capacity now. It stops
-// counting once all of them fit.
-func (p *Placer) countFittingTasks(a access) int64 {
+// countFittingTasks returns how many tasks of that size fit into the free capacity that the entry may
+// use now. It stops counting once all of the entry's tasks that have to start at once fit.
+func (p *Placer) countFittingTasks(a access, size cell.Size) int64 {
 	var n int64
 	for _, w := range p.workers {
 		if w.acceptsTasks() && a.usable(w) {
-			n += countFitting(w.free, a.e.Size)
+			n += countFitting(w.free, size)
 		}
-		if n >= int64(a.e.pending) {
+		if n >= a.e.tasksToPlace() {
 			break
 		}
 	}
@@ -115,30 +115,34 @@
 // capacity for it. There is only one such job at a time, so that two gangs cannot hold capacity
 // that the other needs.
 func (p *Placer) updateOverdue() {
-	if p.overdue != nil && p.overdue.waiting() && p.overdue.shape.blocked.isLimit() {
+	if len(p.queue.tasks) == 0 {
+		p.overdue = nil
+		return
+	}
+	o := p.outlook()
+	if p.overdue != nil && p.overdue.waiting() && !p.mayReserve(p.overdue, o) {
 		p.cancelReservations(p.overdue)
 		p.overdue = nil
 	}
 	if p.overdue == nil || !p.overdue.waiting() {
-		p.overdue = p.mostOverdue()
+		p.overdue = p.mostOverdue(o)
 	}
 	if p.overdue != nil {
 		p.reserveEarliest(p.overdue)
 	}
 }
 
-func (p *Placer) mostOverdue() *entry {
+func (p *Placer) mostOverdue(o outlook) *entry {
 	var oldest *entry
 	var most time.Duration
 	for _, lanes := range p.queue.order {
 		for _, l := range lanes {
 			for _, s := range l.shapes {
 				e := s.head()
-				limit := p.limits.OverdueAfter[l.class]
-				if e == nil || limit == 0 || s.blocked.isLimit() {
+				if e == nil {
 					continue
 				}
-				if over := p.now.Sub(e.Since) - limit; over > most {
+				if over := p.overdueFor(e); over > most && p.mayReserve(e, o) {
 					oldest, most = e, over
 				}
 			}
@@ -147,6 +151,56 @@
 	return oldest
 }
 
+// overdueFor returns for how long an entry has waited beyond the time that its class may wait. It
+// is not positive if the entry is not overdue.
+func (p *Placer) overdueFor(e *entry) time.Duration {
+	limit := p.limits.OverdueAfter[e.Class]
+	if limit == 0 {
+		return 0
+	}
+	return p.now.Sub(e.Since) - limit
+}
+
+// mayReserve reports whether reserved capacity would help the entry: no limit of the table forbids
+// it, and it fits once the tasks with a known end have ended. Otherwise the reserved capacity would
+// stay unused for good.
+func (p *Placer) mayReserve(e *entry, o outlook) bool {
+	if e.shape.blocked.isLimit() {
+		return false
+	}
+	size := e.Size
+	if e.Declared != (cell.Size{}) {
+		size = e.Declared
+	}
+	need, a := e.tasksToPlace(), p.accessOf(e)
+	for w, free := range o.free {
+		if _, ok := a.from(w); ok && w.acceptsTasks() {
+			need -= countFitting(free, size)
+		}
+	}
+	if need > 0 {
+		return false
+	}
+	left := o.total.Sub(multiply(size, e.tasksToPlace()))
+	return e.Class != cell.Bulk || left.MinShare(p.total) >= p.limits.UrgentReserve
+}
+
+// outlook is the capacity of each worker and of all of them that is free once all tasks with a known
+// end have ended.
+type outlook struct {
+	free  map[*worker]cell.Size
+	total cell.Size
+}
+
+func (p *Placer) outlook() outlook {
+	o := outlook{free: make(map[*worker]cell.Size, len(p.workers))}
+	for _, w := range p.workers {
+		o.free[w] = w.freeAfter(func(r *allocation) bool { return !r.plannedEnd.IsZero() })
+		o.total = o.total.Add(o.free[w])
+	}
+	return o
+}
+
 type opening struct {
 	worker *worker
 	at     time.Time
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -185,6 +185,9 @@
 	p.total = p.total.Sub(w.size)
 	p.free = p.free.Sub(w.free)
 	delete(p.workers, name)
+	if w.reservation != nil {
+		p.cancelReservations(w.reservation.entry)
+	}
 	p.queue.wake(func(s *shape) bool { return s.blocked == GangTooLarge })
 }
 
