place: give up a corrected size that alone keeps an overdue job waiting

Callers saw accepted jobs wait for good although what they declared may start. A job is sized by what its row was measured to use, or by twice what it declares. The declared size was used again only for the one entry that capacity is reserved for, and never if a limit of the table or the urgent reserve was in the way.

An entry that has waited for longer than its class may is sized as declared as soon as that may start. Below that time nothing changes, so that a size that was measured is still given up only where it cannot fit.

--- a/internal/place/blocked_test.go
+++ b/internal/place/blocked_test.go
@@ -42,6 +42,37 @@
 // overdueTime exceeds the time that any class may wait by much.
 const overdueTime = time.Hour
 
+// Guards against a bulk entry that waits for good: its corrected size would use the urgent reserve
+// and its declared size would not.
+func TestCorrectedSizeIsRevertedForTheReserve(t *testing.T) {
+	p := place.New(place.DefaultLimits)
+	p.Step(now, place.Up{Worker: "w00", Size: cores(4), Used: used("x", cores(1))})
+	bulk := single("bulk", cell.Bulk, cores(3))
+	bulk.Declared = cores(2)
+	require.Contains(t, startedWithin(p, now, overdueTime, p.Step(now, bulk)), "bulk.0")
+}
+
+// Guards against an entry that waits for good: its corrected size would exceed its row's limit and
+// its declared size would not.
+func TestCorrectedSizeIsRevertedAtALimit(t *testing.T) {
+	p := fleet(place.DefaultLimits, 2)
+	service, r := single("service", cell.Normal, cores(2)), single("r", cell.Normal, cores(3))
+	service.Row, service.Team, r.Declared, r.Limit = "r", "r", cores(2), cores(4)
+	p.Step(now, service)
+	require.Contains(t, startedWithin(p, now, overdueTime, p.Step(now, r)), "r.0")
+}
+
+// Guards against an entry that waits for good: its size is never reverted because the one overdue
+// entry waits for a task of unknown run time.
+func TestCorrectedSizeIsRevertedBesideAnOverdueEntry(t *testing.T) {
+	p := place.New(place.DefaultLimits)
+	p.Step(now, place.Up{Worker: "w00", Size: cores(4), Used: used("x", cores(2))})
+	require.Empty(t, assignments(p.Step(now, single("big", cell.Normal, cores(4)))))
+	r := single("r", cell.Normal, cores(3))
+	r.Declared = cores(2)
+	require.Contains(t, startedWithin(p, now, overdueTime, p.Step(now.Add(time.Second), r)), "r.0")
+}
+
 // Guards against normal work that waits for good beside free capacity: an overdue bulk entry waits
 // for tasks of unknown run time on all workers.
 func TestOverdueBulkOfUnknownStartHoldsNothing(t *testing.T) {
--- a/internal/place/correction.go
+++ b/internal/place/correction.go
@@ -9,7 +9,7 @@
 // revertCorrections gives waiting entries their declared size back if their corrected size cannot
 // be placed. That is the case if the corrected size does not fit beside the long-running tasks
 // while the declared one does, because workers have gone or are in use since the correction, or if
-// the entry is the overdue one.
+// the entry is overdue and its declared size may start now, or if capacity is reserved for it.
 func (p *Placer) revertCorrections() {
 	for _, lanes := range p.queue.order {
 		for _, l := range lanes {
@@ -21,19 +21,26 @@
 }
 
 func (p *Placer) revertCorrection(s *shape) {
-	if s.blocked != NoCapacity && s.blocked != GangTooLarge {
-		return
-	}
 	for _, e := range slices.Clone(s.entries) {
-		if !e.waiting() || e.Declared == (cell.Size{}) || e.Declared == e.Size || !e.Declared.Fits(e.Size) {
-			continue
-		}
-		if e == p.overdue || !p.fitsBesideLongTasks(e, e.Size) && p.fitsBesideLongTasks(e, e.Declared) {
+		if e.waiting() && e.Declared != (cell.Size{}) && e.Declared != e.Size && e.Declared.Fits(e.Size) && p.needsDeclaredSize(e) {
 			p.revertToDeclared(e)
 		}
 	}
 }
 
+func (p *Placer) needsDeclaredSize(e *entry) bool {
+	overdue := p.overdueFor(e) > 0
+	switch e.shape.blocked {
+	case NoCapacity, GangTooLarge:
+		return e == p.overdue || overdue && p.countFittingTasks(p.accessOf(e), e.Declared) >= e.tasksToPlace() ||
+			!p.fitsBesideLongTasks(e, e.Size) && p.fitsBesideLongTasks(e, e.Declared)
+	case RowSizeLimit, TeamQuota, ReservedForUrgent:
+		return overdue && p.checkLimits(e, e.Declared) == Ready
+	default:
+		return false
+	}
+}
+
 // fitsBesideLongTasks reports whether the entry's tasks of that size would fit beside the tasks
 // that run for longer than the entry's class may wait.
 func (p *Placer) fitsBesideLongTasks(e *entry, size cell.Size) bool {
--- a/internal/place/limits.go
+++ b/internal/place/limits.go
@@ -7,10 +7,10 @@
 )
 
 // checkLimits returns the limit that forbids one more of the entry's tasks (all of them for a
-// gang), or Ready.
-func (p *Placer) checkLimits(e *entry) BlockReason {
+// gang) with that size, or Ready.
+func (p *Placer) checkLimits(e *entry, one cell.Size) BlockReason {
 	n := e.tasksToPlace()
-	size := multiply(e.Size, n)
+	size := multiply(one, n)
 	row, team := p.rowUsage[e.Row], p.teamUsage[e.Team]
 	switch {
 	case e.MaxTasks != 0 && row.tasks+n > e.MaxTasks:
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -255,7 +255,7 @@
 }
 
 func (p *Placer) tryEntry(e *entry) {
-	if why := p.checkLimits(e); why != Ready {
+	if why := p.checkLimits(e, e.Size); why != Ready {
 		p.queue.block(e.shape, why)
 		return
 	}
