place: try each blocked entry again in turn

Callers saw accepted jobs wait for minutes or for good beside free capacity. A blocked entry was tried again only on the events that were thought to end its block. A random-history property found ten that were missed: a limit that is free again because a worker went or a task shrank, the urgent reserve when a full worker goes or a task ends on a quarantined one, normal work after the overdue bulk entry that it waited for started or was cancelled, an entry tried in the step in which a reservation ended, bulk remembered as waiting for one worker only, an avoiding entry whose other workers go, and urgent work beside bulk that started after it was tried.

Each tick now tries up to 64 blocked shapes, the next ones each time, so a wake-up that is missed costs a second, or as many as there are times 64 shapes. Events still wake at once what they did. It replaces the wake-up of avoiding entries.

--- a/internal/place/avoid.go
+++ b/internal/place/avoid.go
@@ -85,19 +85,3 @@
 func (a access) preferred(w *worker) bool {
 	return !a.avoids(w) && a.p.reservationAllows(w, a.e)
 }
-
-// wakeAvoiding retries blocked entries that may run now on a worker where they have failed and that
-// has free capacity for them. No other event tells that the time has come.
-func (p *Placer) wakeAvoiding() {
-	p.queue.wake(func(s *shape) bool {
-		e := s.head()
-		if len(e.Avoid) == 0 || s.blocked != NoCapacity && s.blocked != GangTooLarge {
-			return false
-		}
-		a := p.accessOf(e)
-		return slices.ContainsFunc(e.Avoid, func(name string) bool {
-			w, ok := p.workers[name]
-			return ok && w.acceptsTasks() && e.Size.Fits(w.free) && a.usable(w)
-		})
-	})
-}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -1,7 +1,7 @@
 // Package place decides which worker runs which task. Urgent tasks go first and have a reserve of
 // free capacity. Within a class, teams and rows share the capacity by weight. Each task goes to the
-// fullest worker that still has capacity for it. A blocked task is tried again only when something
-// changed that it waits for.
+// fullest worker that still has capacity for it. A blocked task is tried again when something
+// changed that it waits for, and now and then in any case.
 package place
 
 import (
@@ -115,9 +115,14 @@
 	p.updateOverdue()
 	p.revertCorrections()
 	p.reviewQuarantined()
-	p.wakeAvoiding()
+	p.queue.wakeInTurn(maxRetriesPerTick)
 }
 
+// maxRetriesPerTick bounds how many blocked shapes are tried again in one tick. What blocks them can
+// end without an event that wakes them: a limit, the urgent reserve, the reservation for another
+// entry, the time for which they avoid a worker.
+const maxRetriesPerTick = 64
+
 func (p *Placer) addWorker(ev Up) {
 	p.removeWorker(ev.Worker)
 	w := &worker{name: ev.Worker, rack: ev.Rack, size: ev.Size, free: ev.Size, tasks: map[string]*allocation{}}
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -95,6 +95,8 @@
 	order  [][]*lane
 	shapes map[shapeKey]*shape
 	tasks  map[string]*entry
+	// turn is the position among the blocked shapes at which wakeInTurn continues.
+	turn int
 }
 
 func newQueue() queue {
@@ -200,6 +202,21 @@
 	}
 }
 
+// wakeInTurn makes up to n blocked shapes ready, in each call the next ones.
+func (q *queue) wakeInTurn(n int) {
+	blocked, i := 0, 0
+	q.wake(func(*shape) bool { blocked++; return false })
+	if blocked == 0 {
+		return
+	}
+	first := q.turn % blocked
+	q.wake(func(*shape) bool {
+		i++
+		return (i-1+blocked-first)%blocked < n
+	})
+	q.turn = first + n
+}
+
 // usageFunc returns what a lane's team and row already use. Lanes of one class are sorted by it.
 type usageFunc func(*lane) (team, row float64)
 
