--- a/internal/lead/gang_wait_test.go
+++ b/internal/lead/gang_wait_test.go
@@ -1,6 +1,7 @@
 package lead_test
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -117,3 +118,19 @@
 		}
 	}
 }
+
+// Guards against a job that waits for long without a log line that tells why.
+func TestLongWaitIsLogged(t *testing.T) {
+	var log bytes.Buffer
+	p := newPairWithTransport(t, 1, &log, func(p *pair, name string) http.RoundTripper { return transport{p, name} })
+	p.submitSpec("a", watcherSpec("watch", 1))
+	p.run("a", time.Second)
+	spec := gangSpec()
+	spec.Tasks = 8
+	p.submitSpec("a", spec)
+	p.run("a", 30*time.Second)
+	lines := strings.Count(log.String(), "lead: job waits.")
+	require.Positive(t, lines)
+	require.LessOrEqual(t, lines, 3)
+	require.Contains(t, log.String(), "id=d.r.gang")
+}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -94,9 +94,11 @@
 	// rules were last checked.
 	appliedRules   map[string]place.Rule
 	rulesRefreshed time.Time
-	epoch          int64
-	leaving        bool
-	wg             sync.WaitGroup
+	// waitLogged is when the longest waiting job was last logged.
+	waitLogged time.Time
+	epoch      int64
+	leaving    bool
+	wg         sync.WaitGroup
 }
 
 // untrackedRun is a start of a job that is no longer led here. It may still reach the worker.
@@ -132,6 +134,7 @@
 	l.askIncarnations()
 	l.refreshRules()
 	l.stepPlacement(place.Tick{})
+	l.logLongestWait()
 	l.watchUnheld()
 	l.stepTakeover(takeover.Tick{})
 }
--- a/internal/place/blocked_test.go
+++ b/internal/place/blocked_test.go
@@ -303,3 +303,22 @@
 	}
 	require.NotEmpty(t, actionsOf[place.Preempt](acts))
 }
+
+// Guards against a wait whose cause cannot be told: what the entry avoids until when, and what fits on
+// each worker.
+func TestWaitIsExplainedByWorker(t *testing.T) {
+	p := place.New(place.DefaultLimits)
+	p.Step(now, place.Up{Worker: "w00", Size: cores(4), Used: used("x", cores(1))})
+	p.Step(now, place.Up{Worker: "w01", Size: cores(4)})
+	p.Step(now, avoiding("a"))
+	task, waited, ok := p.LongestWait()
+	require.True(t, ok)
+	require.Zero(t, waited)
+	why, ok := p.ExplainWait(task)
+	require.True(t, ok)
+	require.Contains(t, why, "avoids w01 until "+now.Add(10*time.Second).Format(time.StampMilli))
+	require.Contains(t, why, "w00 0, 1, 1; w01 1, 1, 1")
+	p.Step(now, place.Freed{Task: task})
+	_, _, ok = p.LongestWait()
+	require.False(t, ok)
+}
