--- a/test/bench_test.go
+++ b/test/bench_test.go
@@ -330,6 +330,14 @@
 	})
 }
 
+// ledBy reports whether the last that a host has logged of a worker is that it leads it.
+func (b *bench) ledBy(n *node, worker string) bool {
+	told := b.logLines(n, func(line string) bool {
+		return strings.Contains(line, `msg="lead: worker is `) && strings.Contains(line+" ", " worker="+worker+" ")
+	})
+	return len(told) > 0 && strings.Contains(told[len(told)-1], "worker is led.")
+}
+
 // maxDeadline is the longest deadline of a request. A host that was replaced waits for this time at
 // most before it uses its slots again.
 const maxDeadline = 3 * time.Second
--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -261,3 +261,25 @@
 		stopFirst, restartFirst,
 	},
 }
+
+// Guards against an all-at-once job that waits for minutes for a worker that is well again: its leader
+// had the workers of a dead peer as well, so that it could quarantine the one that failed.
+func TestGangEndsAfterAWorkerFailedEverythingBesideADeadHost(t *testing.T) {
+	b := newBench(t)
+	first, second := b.nodes[0], b.nodes[1]
+	b.kill(second)
+	for _, worker := range []string{"worker-00", "worker-01", "worker-02", "worker-03"} {
+		eventually(t, first.name+" leads "+worker, func() bool { return b.ledBy(first, worker) })
+	}
+	wrong := b.run(
+		func(b *bench) { b.cell.Workers["worker-00"].SetFaults(standin.WorkerFaults{FailAll: true}) },
+		func(b *bench) {
+			b.cell.Workers["worker-00"].SetFaults(standin.WorkerFaults{})
+			b.start(second)
+		},
+	)
+	if wrong != (audit.ViolationsError{}) {
+		b.logViolations()
+	}
+	require.Equal(t, audit.ViolationsError{}, wrong)
+}
