sched: test that failures leave no work waiting beside free capacity

Play in virtual time what happens to tasks, gangs and held capacity after workers fail, stall, refuse starts or leave them unanswered, in quarantine, and over changes of the leader. Fake workers can take longer to stop a run.

Several of these tests fail because of faults in the scheduler that this commit does not fix: gangs ask only their first member which workers to avoid; a task avoids only the last worker that it failed on, and not after a change of the leader; unanswered starts lead to no avoidance; a quarantine never ends beside lasting tasks; capacity is held for gangs that cannot fit and for wide tasks without tickets.

--- /dev/null
+++ b/internal/sched/failurewaits_test.go
@@ -0,0 +1,480 @@
+package sched_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/cell"
+	"pollencroft/internal/flow"
+	"pollencroft/internal/sched"
+)
+
+// failRuns lets time pass while runs fail within 10 ms of their start, as long as fails says so.
+func (b *simCell) failRuns(d time.Duration, fails func(worker string, n flow.Name) bool) {
+	for until := b.now.Add(d); b.now.Before(until); {
+		b.advance(10 * time.Millisecond)
+		for _, w := range b.sortedWorkers() {
+			names := slices.SortedFunc(maps.Keys(w.runs), func(x, y flow.Name) int { return strings.Compare(x.String(), y.String()) })
+			for _, n := range names {
+				if r, ok := w.runs[n]; ok && fails(w.info.Incarnation, n) {
+					w.end(n, r, sched.EndFailed)
+				}
+			}
+		}
+	}
+}
+
+// occupy fills the given share of each of the workers with a task that lasts.
+func (b *simCell) occupy(share float64, workers ...string) {
+	for _, name := range workers {
+		w := b.workers[name]
+		w.info.Labels = append(w.info.Labels, "only-"+name)
+	}
+	b.list()
+	for _, name := range workers {
+		b.submit("lasting-"+name, "print", lasting(b.workers[name].info.Size.Scale(share), "only-"+name))
+	}
+	b.advance(300 * time.Millisecond)
+	for _, name := range workers {
+		require.NotEmpty(b.t, b.workers[name].runs, name)
+	}
+}
+
+func lasting(size cell.Size, label string) flow.Step {
+	return flow.Step{Tasks: 1, Size: size, LongRunning: true, Label: label}
+}
+
+// wholeWorker returns a step whose tasks take a whole worker each.
+func wholeWorker(tasks int) flow.Step {
+	return flow.Step{Tasks: tasks, Size: cell.Size{CPU: 64_000, Mem: 64 << 30}, EstimatedTime: time.Second}
+}
+
+func gangOf(st flow.Step) flow.Step {
+	st.Gang = true
+	return st
+}
+
+// onceOn returns a function for failRuns by which only the first run of a job on a worker fails.
+func onceOn(worker, job string) func(string, flow.Name) bool {
+	failed := false
+	return func(w string, n flow.Name) bool {
+		if failed || w != worker || n.Job != job {
+			return false
+		}
+		failed = true
+		return true
+	}
+}
+
+// Guards against a task that waits for good because the only free worker is one that it failed on.
+func TestFailedTaskReturnsToOnlyFreeWorker(t *testing.T) {
+	b := newSimCell(t, 3)
+	b.occupy(1, "w01", "w02")
+	b.submit("a", "scan", scan(1))
+	b.failRuns(time.Second, onceOn("w00", "a"))
+	require.Equal(t, 1, total(b.starts)-2)
+	b.advance(7 * time.Second)
+	require.Equal(t, flow.Completed, b.state("a"))
+}
+
+// Guards against the same where the policy service allows no other worker.
+func TestFailedTaskReturnsToOnlyAllowedWorker(t *testing.T) {
+	b := newSimCell(t, 4)
+	b.queues[0].Advice = &flow.Advice{Base: 24 * time.Millisecond, PerWorker: 340 * time.Microsecond, Valid: 2500 * time.Millisecond}
+	b.step(sched.Queues{Version: 2, All: b.queues})
+	b.allows = func(_, worker string) bool { return worker == "w02" }
+	b.submit("a", "scan", scan(1))
+	b.failRuns(time.Second, onceOn("w02", "a"))
+	require.Equal(t, 1, total(b.starts))
+	b.advance(7 * time.Second)
+	require.Equal(t, flow.Completed, b.state("a"))
+}
+
+// Guards against a gang that waits for good because its first member failed on a worker that it
+// cannot do without.
+func TestFailedGangReturnsToWorkerItNeeds(t *testing.T) {
+	for _, worker := range []string{"w00", "w01"} {
+		t.Run(worker, func(t *testing.T) {
+			b := newSimCell(t, 4)
+			b.occupy(1, "w02", "w03")
+			b.submit("a", "scan", gangOf(wholeWorker(2)))
+			b.failRuns(time.Second, onceOn(worker, "a"))
+			require.Greater(t, total(b.starts), 2)
+			b.advance(9 * time.Second)
+			require.Equal(t, flow.Completed, b.state("a"))
+			require.Empty(t, b.violations)
+		})
+	}
+}
+
+// Guards against a quarantine that ends without anything being placed because no other event comes.
+func TestWaitingJobStartsWhenQuarantineEnds(t *testing.T) {
+	b := newSimCell(t, 1)
+	b.workers["w00"].fails = true
+	for i := range 3 {
+		st := scan(1)
+		st.EstimatedTime = 200 * time.Millisecond
+		b.submit(fmt.Sprintf("j%d", i), "print", st)
+	}
+	b.advance(time.Second)
+	b.workers["w00"].fails = false
+	b.advance(8 * time.Second)
+	for i := range 3 {
+		require.Equal(t, flow.Completed, b.state(fmt.Sprintf("j%d", i)))
+	}
+}
+
+// Guards against a gang that returns at once to the worker that fails one of its members, until
+// its attempts are used up beside other free workers.
+func TestGangLeavesWorkerThatFailsAMember(t *testing.T) {
+	for _, bad := range []string{"w00", "w01"} {
+		t.Run(bad, func(t *testing.T) {
+			b := newSimCell(t, 4)
+			b.submit("a", "scan", gangOf(wholeWorker(2)))
+			b.failRuns(10*time.Second, func(w string, n flow.Name) bool { return w == bad })
+			require.Equal(t, flow.Completed, b.state("a"), "ends on the bad worker: %d", b.workers[bad].lastEnd)
+			require.Empty(t, b.violations)
+		})
+	}
+}
+
+// Guards against a gang that returns for good to the worker on which one of its members stands
+// still.
+func TestGangLeavesWorkerOnWhichAMemberStalls(t *testing.T) {
+	for _, bad := range []string{"w00", "w01"} {
+		t.Run(bad, func(t *testing.T) {
+			b := newSimCell(t, 4)
+			b.workers[bad].stalled = true
+			b.submit("a", "scan", gangOf(wholeWorker(2)))
+			b.advance(30 * time.Second)
+			require.Equal(t, flow.Completed, b.state("a"), "starts: %d", total(b.starts))
+			require.Empty(t, b.violations)
+		})
+	}
+}
+
+// Guards against a gang that returns for good to a worker that refuses its starts.
+func TestGangLeavesWorkerThatRefusesStarts(t *testing.T) {
+	for _, bad := range []string{"w00", "w01"} {
+		t.Run(bad, func(t *testing.T) {
+			b := newSimCell(t, 4)
+			for _, w := range b.sortedWorkers() {
+				w.stopTime = 800 * time.Millisecond
+			}
+			for i := range 2 {
+				b.workers[bad].tombstones[flow.Name{Job: "a", Index: i}] = 1_000_000
+			}
+			b.submit("a", "scan", gangOf(wholeWorker(2)))
+			b.advance(30 * time.Second)
+			require.Equal(t, flow.Completed, b.state("a"), "starts: %d", total(b.starts))
+			require.Empty(t, b.violations)
+		})
+	}
+}
+
+// Guards against a task that returns for good to a worker that refuses its starts.
+func TestTaskLeavesWorkerThatRefusesStarts(t *testing.T) {
+	b := newSimCell(t, 4)
+	b.workers["w00"].tombstones[flow.Name{Job: "a"}] = 1_000_000
+	b.submit("a", "scan", scan(1))
+	b.advance(5 * time.Second)
+	require.Equal(t, flow.Completed, b.state("a"))
+}
+
+// Guards against work that returns for good to a worker that answers holds but no starts.
+func TestTaskLeavesWorkerThatAnswersNoStarts(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gang_%t", gang), func(t *testing.T) {
+			b := newSimCell(t, 4)
+			b.advance(100 * time.Millisecond)
+			b.workers["w00"].startDelay = 3 * time.Second
+			st := wholeWorker(2)
+			st.Gang = gang
+			b.submit("a", "scan", st)
+			b.advance(30 * time.Second)
+			require.Equal(t, flow.Completed, b.state("a"), "starts: %d", total(b.starts))
+			require.Empty(t, b.violations)
+		})
+	}
+}
+
+// quarantine makes a worker with a label fail three short jobs that may run only there, and then
+// succeed again.
+func (b *simCell) quarantine(worker string) {
+	w := b.workers[worker]
+	w.info.Labels = append(w.info.Labels, "bad")
+	b.list()
+	for i := range 3 {
+		st := scan(1)
+		st.Label = "bad"
+		b.submit(fmt.Sprintf("lost%d", i), "scan", st)
+	}
+	b.failRuns(300*time.Millisecond, func(w string, n flow.Name) bool { return w == worker && strings.HasPrefix(n.Job, "lost") })
+	for i := range 3 {
+		b.cancel(fmt.Sprintf("lost%d", i))
+	}
+}
+
+// Guards against a worker that stays in quarantine for good because a lasting task runs there. The
+// other kind is without a failure.
+func TestQuarantineEndsBesideLastingTask(t *testing.T) {
+	for _, kind := range []string{"healthy", "quarantined"} {
+		t.Run(kind, func(t *testing.T) {
+			b := newSimCell(t, 2)
+			b.occupy(1, "w00")
+			b.occupy(0.25, "w01")
+			if kind == "quarantined" {
+				b.quarantine("w01")
+			}
+			b.submit("a", "scan", scan(4))
+			b.advance(60 * time.Second)
+			require.Equal(t, flow.Completed, b.state("a"))
+		})
+	}
+}
+
+// Guards against a worker that stays in quarantine for good because its trial task lasts.
+func TestQuarantineEndsAfterLastingTrial(t *testing.T) {
+	for _, kind := range []string{"healthy", "quarantined"} {
+		t.Run(kind, func(t *testing.T) {
+			b := newSimCell(t, 2)
+			b.occupy(1, "w00")
+			if kind == "quarantined" {
+				b.quarantine("w01")
+			}
+			b.submit("trial", "scan", lasting(cell.Size{CPU: 5_000, Mem: 16 << 30}, ""))
+			b.advance(20 * time.Second)
+			require.Equal(t, flow.Active, b.state("trial"))
+			b.submit("a", "scan", scan(4))
+			b.advance(60 * time.Second)
+			require.Equal(t, flow.Completed, b.state("a"))
+		})
+	}
+}
+
+// Guards against a gang that waits for good because the worker that it needs gets one task at a
+// time after a quarantine.
+func TestGangMayBeTrialAfterQuarantine(t *testing.T) {
+	b := newSimCell(t, 2)
+	b.occupy(1, "w00")
+	b.quarantine("w01")
+	b.submit("a", "scan", gangOf(scan(4)))
+	b.advance(20 * time.Second)
+	require.Equal(t, flow.Completed, b.state("a"))
+}
+
+// Guards against small tasks that wait for good beside capacity that is held for a gang whose third
+// worker has died. The other kind is with the worker alive.
+func TestNothingIsHeldForGangThatLostItsWorker(t *testing.T) {
+	for _, kind := range []string{"alive", "dead"} {
+		for _, queue := range []string{"scan", "print"} {
+			t.Run(kind+"_"+queue, func(t *testing.T) {
+				b := newSimCell(t, 5)
+				b.occupy(1, "w00", "w01")
+				if kind == "dead" {
+					b.workers["w04"].dead = true
+					b.list()
+					b.advance(15 * time.Second)
+				}
+				b.submit("gang", "scan", gangOf(wholeWorker(3)))
+				b.submit("a", queue, scan(2))
+				b.advance(60 * time.Second)
+				require.Equal(t, flow.Completed, b.state("a"))
+			})
+		}
+	}
+}
+
+// Guards against small tasks that wait for good beside capacity that is held for a gang whose other
+// worker is in quarantine. The other kind is without a failure.
+func TestNothingIsHeldForGangWhoseWorkerIsQuarantined(t *testing.T) {
+	for _, kind := range []string{"healthy", "quarantined"} {
+		t.Run(kind, func(t *testing.T) {
+			b := newSimCell(t, 4)
+			b.occupy(1, "w00", "w01")
+			b.occupy(0.25, "w03")
+			if kind == "quarantined" {
+				b.quarantine("w03")
+			}
+			st := gangOf(wholeWorker(2))
+			st.Size.CPU = 40_000
+			b.submit("gang", "scan", st)
+			small := scan(2)
+			small.Size.CPU = 30_000
+			b.submit("a", "print", small)
+			b.advance(60 * time.Second)
+			require.Equal(t, flow.Completed, b.state("a"))
+		})
+	}
+}
+
+// Guards against small tasks that wait beside capacity that is held on a worker for a wide task that
+// avoids it.
+func TestNothingIsHeldOnAvoidedWorker(t *testing.T) {
+	b := newSimCell(t, 3)
+	b.occupy(1, "w01", "w02")
+	b.submit("wide", "scan", wholeWorker(1))
+	b.failRuns(500*time.Millisecond, onceOn("w00", "wide"))
+	require.Empty(t, b.workers["w00"].runs)
+	b.submit("a", "print", scan(2))
+	b.advance(1500 * time.Millisecond)
+	require.Equal(t, flow.Completed, b.state("a"))
+	b.advance(6 * time.Second)
+	require.Equal(t, flow.Completed, b.state("wide"))
+}
+
+// Guards against small tasks that wait as long as the policy service is away beside capacity that
+// is held for wide tasks without tickets.
+func TestNothingIsHeldForWideTasksWithoutTickets(t *testing.T) {
+	b := newSimCell(t, 4)
+	b.queues[0].Advice = &flow.Advice{Base: 24 * time.Millisecond, PerWorker: 340 * time.Microsecond, Valid: 2 * time.Second}
+	b.step(sched.Queues{Version: 2, All: b.queues})
+	b.occupy(1, "w00", "w01")
+	b.submit("wide", "scan", wholeWorker(6))
+	b.advance(500 * time.Millisecond)
+	require.Equal(t, flow.Active, b.state("wide"))
+	b.queryTime = func(sched.QueryPolicy) time.Duration { return time.Hour }
+	b.advance(5 * time.Second)
+	b.submit("a", "print", scan(2))
+	b.advance(30 * time.Second)
+	require.Equal(t, flow.Completed, b.state("a"))
+}
+
+// Guards against attempts that a new leader counts from zero again, or counts twice.
+func TestAttemptsAreCountedOverLeaderChanges(t *testing.T) {
+	for after := range 40 {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			b := newSimCell(t, 3)
+			b.submit("a", "scan", scan(1))
+			changes, failed := 0, 0
+			for range 3000 {
+				before := failed
+				b.failRuns(10*time.Millisecond, func(string, flow.Name) bool { failed++; return true })
+				if failed > before {
+					b.advance(time.Duration(after) * time.Millisecond)
+					b.takeover()
+					b.step(sched.PredecessorStopped{Since: b.now})
+					changes++
+				}
+			}
+			require.Equal(t, 3, changes)
+			require.Equal(t, flow.Failed, b.state("a"))
+			require.Equal(t, 3, total(b.starts))
+		})
+	}
+}
+
+// Guards against attempts that are used up within an instant on the only free worker because each
+// new leader starts the task there at once.
+func TestNewLeaderAvoidsWorkerThatFailedTask(t *testing.T) {
+	for _, changes := range []int{0, 2} {
+		t.Run(fmt.Sprint(changes), func(t *testing.T) {
+			b := newSimCell(t, 3)
+			b.occupy(1, "w01", "w02")
+			b.submit("a", "scan", scan(1))
+			fails := func(w string, n flow.Name) bool { return w == "w00" && n.Job == "a" }
+			for range changes {
+				b.failRuns(500*time.Millisecond, fails)
+				b.takeover()
+				b.step(sched.PredecessorStopped{Since: b.now})
+			}
+			b.failRuns(time.Second, fails)
+			b.cancel("lasting-w01")
+			b.advance(7 * time.Second)
+			require.Equal(t, flow.Completed, b.state("a"), "ends on the bad worker: %d", b.workers["w00"].lastEnd)
+		})
+	}
+}
+
+// Guards against attempts that are used up, or restarts without end, by going back and forth
+// between two bad workers beside free ones in other failure domains.
+func TestTwoBadWorkersOfADomainDoNotHoldAJob(t *testing.T) {
+	for _, kind := range []string{"fails", "stalled"} {
+		t.Run(kind, func(t *testing.T) {
+			b := newSimCell(t, 6)
+			for _, name := range []string{"w00", "w03"} {
+				b.workers[name].fails, b.workers[name].stalled = kind == "fails", kind == "stalled"
+			}
+			b.submit("a", "scan", scan(1))
+			b.advance(60 * time.Second)
+			require.Equal(t, flow.Completed, b.state("a"), "starts: %d", total(b.starts))
+		})
+	}
+}
+
+// Guards against attempts that are used up within an instant on two bad workers while the others
+// are full for a moment. The other kind has one bad worker.
+func TestAttemptsAreNotUsedUpBetweenTwoBadWorkers(t *testing.T) {
+	for _, bad := range [][]string{{"w00"}, {"w00", "w01"}} {
+		t.Run(fmt.Sprint(len(bad)), func(t *testing.T) {
+			b := newSimCell(t, 3)
+			b.occupy(1, "w02")
+			if len(bad) == 1 {
+				b.occupy(1, "w01")
+			}
+			b.submit("a", "scan", scan(1))
+			b.failRuns(time.Second, func(w string, n flow.Name) bool { return n.Job == "a" && slices.Contains(bad, w) })
+			b.cancel("lasting-w02")
+			b.advance(10 * time.Second)
+			require.Equal(t, flow.Completed, b.state("a"), "starts: %d", b.starts[flow.Name{Job: "a"}])
+		})
+	}
+}
+
+// Guards against tasks of a step that wait beside free capacity because the first of them avoids it.
+// The other kind is without a failure.
+func TestTasksBehindOneThatAvoidsAWorkerStart(t *testing.T) {
+	for _, kind := range []string{"healthy", "failed"} {
+		t.Run(kind, func(t *testing.T) {
+			b := newSimCell(t, 4)
+			b.workers["w00"].info.Labels = []string{"x"}
+			b.list()
+			filler := scan(1)
+			filler.Size.CPU, filler.Label = 54_000, "x"
+			b.submit("filler", "scan", filler)
+			b.advance(100 * time.Millisecond)
+			st := scan(6)
+			st.Label = "x"
+			b.submit("a", "scan", st)
+			first := onceOn("w00", "a")
+			b.failRuns(1500*time.Millisecond, func(w string, n flow.Name) bool { return kind == "failed" && first(w, n) })
+			b.advance(3 * time.Second)
+			for i := 1; i < 6; i++ {
+				require.NotZero(t, b.starts[flow.Name{Job: "a", Index: i}], "task %d has not started", i)
+			}
+		})
+	}
+}
+
+// Guards against avoiding a worker for a failure long ago, because the time is counted from when
+// the task began to wait again.
+func TestFailureLongAgoDoesNotDelayRestart(t *testing.T) {
+	b := newSimCell(t, 2)
+	st := lasting(cell.Size{CPU: 5_000, Mem: 16 << 30}, "")
+	b.submit("a", "scan", st)
+	b.failRuns(time.Second, onceOn("w00", "a"))
+	b.advance(time.Minute)
+	w := b.workers["w01"]
+	require.Len(t, w.runs, 1)
+	w.info.Draining, w.info.Remaining = true, time.Minute
+	b.list()
+	b.advance(3 * time.Second)
+	require.Len(t, b.workers["w00"].runs, 1)
+}
+
+// Guards against all attempts being used up within an instant on the only worker that is free.
+func TestAttemptsOnOnlyFreeWorkerAreSpread(t *testing.T) {
+	b := newSimCell(t, 3)
+	b.occupy(1, "w01", "w02")
+	b.submit("a", "scan", scan(1))
+	b.failRuns(9*time.Second, func(w string, _ flow.Name) bool { return w == "w00" })
+	require.False(t, b.state("a").Final())
+	b.advance(3 * time.Second)
+	require.Equal(t, flow.Completed, b.state("a"))
+}
--- a/internal/sched/fakeworker_test.go
+++ b/internal/sched/fakeworker_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -18,10 +19,12 @@
 	silent, dead bool
 	// slowdown is a factor on the duration of all runs. A stalled worker makes no progress; one
 	// with fails ends every run as failed.
-	slowdown     float64
-	stalled      bool
-	fails        bool
-	startDelay   time.Duration
+	slowdown   float64
+	stalled    bool
+	fails      bool
+	startDelay time.Duration
+	// stopTime is how long a run takes to stop; zero is 100 ms.
+	stopTime     time.Duration
 	fence        int64
 	deadline     time.Time
 	runs         map[flow.Name]*fakeRun
@@ -276,7 +279,7 @@
 		w.fence = a.Term
 		w.tombstones[a.Task] = max(w.tombstones[a.Task], a.Run)
 		if r, ok := w.runs[a.Task]; ok && r.run == a.Run {
-			w.b.after(100*time.Millisecond, func() {
+			w.b.after(cmp.Or(w.stopTime, 100*time.Millisecond), func() {
 				if w.runs[a.Task] == r {
 					w.end(a.Task, r, sched.EndStopped)
 				}
