sched: avoid every worker on which a task recently got nowhere

Jobs failed, waited or restarted without end because of one or two bad workers beside free good ones. A task remembered only the last worker that it failed on, for a time counted from its latest wait, so two bad workers could use up its attempts in turn. A gang asked only its first member, so another member returned at once to its bad worker. An unanswered start, and a refused start of a gang member, led to no avoidance. Placement of a step stopped at the first task that avoided the only free worker.

A task now avoids each worker on which it failed, stalled, was too slow, or had an unanswered start, for five seconds from that event, also if only the end of an unrecorded copy shows the failure. A gang avoids what any member avoids, and a refusal counts for its members. A task whose avoided worker has capacity is skipped; queries and reservations ask for any task of the step that does not avoid the worker. Expired entries are dropped when one is added, and a step of which no task avoids anything is not searched.

The new TestTasksBehindOneThatAvoidsAWorkerGetTickets fails if queries ask only the first task of a step.

--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -67,8 +67,8 @@
 	Checkpoint string
 	// Since is when the task entered its current state.
 	Since time.Time
-	// Avoid is the worker on which the task failed most recently.
-	Avoid string
+	// avoided lists the workers that the task avoids, and may contain expired ones.
+	avoided []avoidance
 	// Percent is the progress reported last. ProgressSeen is when progress was first reported
 	// and ProgressChanged when it last changed, both by the worker's clock.
 	Percent                       int
@@ -114,6 +114,8 @@
 	Done int
 	// maxSuspicions is the highest number of crash suspicions among the members of a gang.
 	maxSuspicions int
+	// avoidsUntil is when the last of the tasks stops avoiding a worker.
+	avoidsUntil time.Time
 }
 
 // Finished reports whether all tasks are done.
--- a/internal/sched/candidates.go
+++ b/internal/sched/candidates.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		some = true
-		if a.denied[w.Incarnation] || !s.suits(r, r.tasks[0], w) {
+		if a.denied[w.Incarnation] || !s.suitsAny(r, w) {
 			continue
 		}
 		hold := r.taskCapacity(w)
@@ -99,7 +99,7 @@
 	demand := r.stage.Spec.Demand()
 	for _, w := range p.workers {
 		_, known := a.tickets[w.Incarnation]
-		if known || a.denied[w.Incarnation] || !demand.Fits(w.Size) || demand.Fits(w.available().Sub(w.earmarked)) || !s.suits(r, r.tasks[0], w) {
+		if known || a.denied[w.Incarnation] || !demand.Fits(w.Size) || demand.Fits(w.available().Sub(w.earmarked)) || !s.suitsAny(r, w) {
 			continue
 		}
 		all = append(all, candidate{incarnation: w.Incarnation, cost: s.cost(r, w)})
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -112,6 +112,7 @@
 	if !t.MayBeRunning() {
 		t.Run = e.Run
 	}
+	t.Avoid(w.Incarnation, s.now)
 	s.countFailure(t)
 }
 
--- a/internal/sched/failurewaits_test.go
+++ b/internal/sched/failurewaits_test.go
@@ -478,3 +478,20 @@
 	b.advance(3 * time.Second)
 	require.Equal(t, flow.Completed, b.state("a"))
 }
+
+// Guards against tasks of a step that wait without a ticket because the first of them avoids the
+// only worker that the policy service allows.
+func TestTasksBehindOneThatAvoidsAWorkerGetTickets(t *testing.T) {
+	b := newSimCell(t, 4)
+	b.queues[0].Advice = &flow.Advice{Base: 24 * time.Millisecond, PerWorker: 340 * time.Microsecond, Valid: time.Second}
+	b.step(sched.Queues{Version: 2, All: b.queues})
+	b.allows = func(_, worker string) bool { return worker == "w00" }
+	b.occupy(0.8, "w00")
+	st := scan(5)
+	st.Size.CPU = 10_000
+	b.submit("a", "scan", st)
+	b.failRuns(5*time.Second, onceOn("w00", "a"))
+	for i := 1; i < 5; i++ {
+		require.NotZero(t, b.starts[flow.Name{Job: "a", Index: i}], "task %d has not started", i)
+	}
+}
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -132,7 +132,7 @@
 
 // taskFailed requeues a task after a failed run and counts the failure.
 func (s *Sched) taskFailed(t *flow.Task) {
-	t.Avoid = t.Worker
+	t.Avoid(t.Worker, s.now)
 	s.requeueTask(t, "failed")
 	s.countFailure(t)
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
@@ -159,7 +158,7 @@
 		return
 	}
 	need := r.stage.Spec.Demand().CPU
-	left, alone, allowed := r.tasks, []*flow.Task(nil), []*worker(nil)
+	left, skipped, allowed := r.tasks, []*flow.Task(nil), []*worker(nil)
 	if s.hasTicket(r) {
 		allowed = s.allowedWorkers(r, p)
 	}
@@ -167,8 +166,8 @@
 	// checking a single worker.
 	for len(left) > 0 && (reservedCPU == 0 || p.freeCPU >= reservedCPU+need) {
 		w := s.bestWorker(r, left[0], allowed)
-		if w == nil && left[0].CrashSuspicions() >= aloneAfter {
-			alone, left = append(alone, left[0]), left[1:]
+		if w == nil && (left[0].CrashSuspicions() >= aloneAfter || s.avoidsFreeWorker(left[0], allowed)) {
+			skipped, left = append(skipped, left[0]), left[1:]
 			continue
 		}
 		if w == nil {
@@ -178,7 +177,7 @@
 		p.freeCPU -= need
 		left = left[1:]
 	}
-	left = append(left, alone...)
+	left = append(left, skipped...)
 	if len(left) > 0 && r.queue.Advice != nil && p.freeCPU-reservedCPU >= need {
 		s.maybeQuery(r, p, len(left))
 	}
@@ -223,7 +222,7 @@
 		return false
 	case st.Label != "" && !slices.Contains(w.Labels, st.Label):
 		return false
-	case t.Avoid == w.Incarnation && s.now.Sub(t.Since) < avoidFor:
+	case t.Avoids(w.Incarnation, s.now):
 		return false
 	case st.BestEffort && w.bestEffortCPU+st.Size.CPU > max(w.free().CPU, 0):
 		return false
@@ -233,8 +232,22 @@
 	return true
 }
 
-// avoidFor is how long a task avoids a worker that it failed on.
-const avoidFor = 5 * time.Second
+// avoidsFreeWorker reports whether a task avoids a worker that has capacity for it.
+func (s *Sched) avoidsFreeWorker(t *flow.Task, workers []*worker) bool {
+	return t.AvoidsAny(s.now) && slices.ContainsFunc(workers, func(w *worker) bool {
+		return t.Avoids(w.Incarnation, s.now) && t.Spec().Demand().Fits(w.available())
+	})
+}
+
+// suitsAny reports whether a worker may run a task of a step once it has capacity, apart from
+// tickets. The tasks differ in the workers that they avoid.
+func (s *Sched) suitsAny(r readyStep, w *worker) bool {
+	if r.stage.Spec.Gang {
+		return s.suits(r, r.tasks[0], w)
+	}
+	i := slices.IndexFunc(r.tasks, func(t *flow.Task) bool { return !t.Avoids(w.Incarnation, s.now) })
+	return i >= 0 && s.suits(r, r.tasks[i], w)
+}
 
 // tasksOf returns how many tasks of a step may be on the worker.
 func (w *worker) tasksOf(st *flow.Stage) int {
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -67,7 +67,7 @@
 		if r.stage.Spec.Demand().DominantShare(w.Size) < wideShare {
 			continue
 		}
-		if _, ok := s.ticket(r.tasks[0], w); !ok || !s.suits(r, r.tasks[0], w) {
+		if _, ok := s.ticket(r.tasks[0], w); !ok || !s.suitsAny(r, w) {
 			continue
 		}
 		victims, ok := s.victims(r, w)
--- a/internal/sched/prefetch.go
+++ b/internal/sched/prefetch.go
@@ -55,7 +55,7 @@
 			}
 			continue
 		}
-		if a.denied[w.Incarnation] || !r.stage.Spec.Demand().Fits(w.Size) || !s.suits(r, r.tasks[0], w) {
+		if a.denied[w.Incarnation] || !r.stage.Spec.Demand().Fits(w.Size) || !s.suitsAny(r, w) {
 			continue
 		}
 		all = append(all, candidate{incarnation: w.Incarnation, known: known, cost: s.cost(r, w)})
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -36,7 +36,7 @@
 	}
 	var all []option
 	for _, w := range s.allowedWorkers(r, p) {
-		if demand.DominantShare(w.Size) < wideShare || !s.suits(r, r.tasks[0], w) {
+		if demand.DominantShare(w.Size) < wideShare || !s.suitsAny(r, w) {
 			continue
 		}
 		if at, ok := s.fitsAt(w, demand.Add(w.reserved)); ok {
--- a/internal/sched/speed.go
+++ b/internal/sched/speed.go
@@ -59,7 +59,7 @@
 	still := max(stallMin, time.Duration(stallShare*float64(st.EstimatedTime)))
 	if clock.Sub(t.ProgressChanged) > still {
 		s.recordRunFailure(w, t)
-		t.Avoid = w.Incarnation
+		t.Avoid(w.Incarnation, s.now)
 		s.stopRun(t, "stands still at "+strconv.Itoa(l.Percent)+" percent")
 	}
 }
@@ -92,7 +92,7 @@
 			continue
 		}
 		t.Restarts++
-		t.Avoid = w.Incarnation
+		t.Avoid(w.Incarnation, s.now)
 		s.stopRun(t, "is too slow")
 	}
 }
--- a/internal/sched/start.go
+++ b/internal/sched/start.go
@@ -98,14 +98,17 @@
 	case Unanswered:
 		// The run may begin now or seconds later. Only a stop ensures that it does not, and the
 		// worker's list shows whether it did.
+		t.Avoid(w.Incarnation, s.now)
 		s.stopRun(t, "start without an answer")
 		return
 	case BadTicket:
 		s.expireTicket(t, w)
-	case NoCapacity:
-		w.refusedUntil = s.now.Add(retryDelay)
 	default:
 		w.refusedUntil = s.now.Add(retryDelay)
+		if t.Spec().Gang {
+			// Stopping the other members may take longer than the worker is without work.
+			t.Avoid(w.Incarnation, s.now)
+		}
 	}
 	if t.State == flow.Stopping {
 		return
