sched: end a quarantine beside long-running tasks

Work waited for good beside a healthy worker once three failures had put it in quarantine: after the pause it got a trial task only while nothing else ran there, so a long-running task, or a trial that is long-running itself, kept the quarantine up for as long as it stayed.

A long-running task that has run for provenAfter no longer counts as a task on trial. All others still do, so a suspect worker gets one at a time.

TestQuarantineEndsBesideLastingTask, TestQuarantineEndsAfterLastingTrial and TestNothingIsHeldForGangWhoseWorkerIsQuarantined failed before and pass.

--- a/internal/sched/crash.go
+++ b/internal/sched/crash.go
@@ -14,7 +14,8 @@
 	// maxCrashes is how many worker incarnations may end while running a task before its job fails.
 	maxCrashes = 3
 	// provenAfter is how long a long-running task must run until crashes under its earlier runs no
-	// longer count: over months every one of its hosts is replaced.
+	// longer count: over months every one of its hosts is replaced. From then on it doesn't count as
+	// a trial of its worker either.
 	provenAfter = 10 * time.Second
 	// unlistedHoldInterval is how often an incarnation is polled that is not listed and on which
 	// runs were lost.
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -31,11 +31,22 @@
 
 // accepts reports whether the worker may get work. A suspect worker gets one task at a time after
 // its quarantine.
-func (h *health) accepts(now time.Time, running int) bool {
-	if h.quarantine == 0 {
+func (w *worker) accepts(now time.Time) bool {
+	if w.health.quarantine == 0 {
 		return true
 	}
-	return !now.Before(h.quarantinedUntil) && running == 0
+	return !now.Before(w.health.quarantinedUntil) && !w.hasUnproven(now)
+}
+
+// hasUnproven reports whether the worker has a task that may still show whether it is healthy. A
+// long-running task that has run for provenAfter doesn't: waiting for its end could take forever.
+func (w *worker) hasUnproven(now time.Time) bool {
+	for _, t := range w.tasks {
+		if !t.Spec().LongRunning || t.State != flow.Running || now.Sub(t.Since) < provenAfter {
+			return true
+		}
+	}
+	return false
 }
 
 func (h *health) fail(job string, now time.Time) bool {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -218,7 +218,7 @@
 func (s *Sched) suits(r readyStep, t *flow.Task, w *worker) bool {
 	st := r.stage.Spec
 	switch {
-	case s.now.Before(w.refusedUntil) || !w.health.accepts(s.now, len(w.tasks)):
+	case s.now.Before(w.refusedUntil) || !w.accepts(s.now):
 		return false
 	case st.Label != "" && !slices.Contains(w.Labels, st.Label):
 		return false
