sched: hold capacity only for gangs that can be placed

Small jobs waited for good beside free workers: capacity was held there for a gang of wide tasks although another worker that it needs had died, was in quarantine or was taken by long-running tasks.

Capacity is now held for a gang only if the workers that suit it have slots for all members beside their long-running tasks and what is reserved. The count is made only after some worker was found to hold capacity on.

TestNothingIsHeldForGangThatLostItsWorker/dead_scan and /dead_print failed before and pass.

--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -23,7 +23,8 @@
 )
 
 // reserveCapacity reserves capacity for n wide tasks that could not start, on the workers that will
-// have it first. Tasks of one processor or GPU find capacity on any worker all the time; a task
+// have it first. For a gang it does so only if all members will find some: other work would wait
+// for good beside capacity held for a gang that cannot start. Tasks of one processor or GPU find capacity on any worker all the time; a task
 // that needs half of a worker or more would hardly ever find it, however urgent it is.
 func (s *Sched) reserveCapacity(r readyStep, p *pool, n int) {
 	demand := r.stage.Spec.Demand()
@@ -35,7 +36,8 @@
 		at time.Time
 	}
 	var all []option
-	for _, w := range s.allowedWorkers(r, p) {
+	allowed := s.allowedWorkers(r, p)
+	for _, w := range allowed {
 		if demand.DominantShare(w.Size) < wideShare || !s.suitsAny(r, w) {
 			continue
 		}
@@ -43,6 +45,9 @@
 			all = append(all, option{w, at})
 		}
 	}
+	if len(all) == 0 || r.stage.Spec.Gang && !s.gangWillFit(r, allowed) {
+		return
+	}
 	slices.SortStableFunc(all, func(a, b option) int { return a.at.Compare(b.at) })
 	for _, o := range all {
 		for k := demand.FitCount(o.w.Size.Sub(o.w.reserved)); k > 0 && n > 0; k-- {
@@ -53,6 +58,36 @@
 	}
 }
 
+// gangWillFit reports whether all members of a gang will find capacity on the given workers.
+func (s *Sched) gangWillFit(r readyStep, workers []*worker) bool {
+	missing := len(r.tasks)
+	for _, w := range workers {
+		if s.suitsAny(r, w) {
+			missing -= r.slots(w)
+		}
+		if missing <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// slots returns how many of the step's tasks a worker will have capacity for beside its
+// long-running tasks and what is reserved.
+func (r readyStep) slots(w *worker) int {
+	st, left := r.stage.Spec, w.Size.Sub(w.reserved)
+	for _, t := range w.tasks {
+		if t.Spec().LongRunning {
+			left = left.Sub(t.Spec().Demand())
+		}
+	}
+	n := int(min(int64(len(r.tasks)), st.Demand().FitCount(left)))
+	if st.MaxPerWorker > 0 {
+		n = min(n, st.MaxPerWorker-w.tasksOf(r.stage))
+	}
+	return max(n, 0)
+}
+
 // fitsAt returns when a worker will have that much free capacity if nothing else is started there,
 // or false if it never will.
 func (s *Sched) fitsAt(w *worker, demand cell.Size) (time.Time, bool) {
