sched: remember avoided workers over changes of the leader

A task could use up its attempts within an instant on the only free worker, because each new leader had forgotten which workers the task avoids and started it there at once.

The record of a task that is not done now holds each avoided worker with the end of the avoidance, and no expired ones. A record without the field is read as before, and older builds ignore the field. A recorded end counts for no longer than a new avoidance would, in case the clock that recorded it was ahead.

TestRestoreKeepsAvoidedWorkers covers records without the field, expired entries and a clock that is behind.

--- a/internal/flow/avoid.go
+++ b/internal/flow/avoid.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -20,7 +21,8 @@
 }
 
 func (t *Task) avoidUntil(worker string, until, now time.Time) {
-	t.avoided = slices.DeleteFunc(t.avoided, func(a avoidance) bool { return a.worker == worker || !now.Before(a.until) })
+	t.DropExpired(now)
+	t.avoided = slices.DeleteFunc(t.avoided, func(a avoidance) bool { return a.worker == worker })
 	t.avoided = append(t.avoided, avoidance{worker, until})
 	if until.After(t.Step.avoidsUntil) {
 		t.Step.avoidsUntil = until
@@ -47,3 +49,34 @@
 func (t *Task) AvoidsAny(now time.Time) bool {
 	return slices.ContainsFunc(t.avoided, func(a avoidance) bool { return now.Before(a.until) })
 }
+
+// DropExpired forgets the workers that the task no longer avoids.
+func (t *Task) DropExpired(now time.Time) {
+	t.avoided = slices.DeleteFunc(t.avoided, func(a avoidance) bool { return !now.Before(a.until) })
+}
+
+// avoidanceEnds returns the end of each avoidance for the record.
+func (t *Task) avoidanceEnds() map[string]int64 {
+	if len(t.avoided) == 0 {
+		return nil
+	}
+	ends := make(map[string]int64, len(t.avoided))
+	for _, a := range t.avoided {
+		ends[a.worker] = a.until.UnixMilli()
+	}
+	return ends
+}
+
+// restoreAvoidances takes over recorded avoidances. The clock that recorded them may have been
+// ahead, so none lasts longer than a new one.
+func (t *Task) restoreAvoidances(ends map[string]int64, now time.Time) {
+	for _, worker := range slices.Sorted(maps.Keys(ends)) {
+		until, latest := time.UnixMilli(ends[worker]), now.Add(avoidFor)
+		if until.After(latest) {
+			until = latest
+		}
+		if now.Before(until) {
+			t.avoidUntil(worker, until, now)
+		}
+	}
+}
--- a/internal/flow/avoid_test.go
+++ b/internal/flow/avoid_test.go
@@ -32,3 +32,38 @@
 		require.False(t, second.AvoidsAny(start.Add(time.Minute)))
 	}
 }
+
+// Guards against attempts that are used up on one worker because each new leader starts the task
+// there at once.
+func TestRestoreKeepsAvoidedWorkers(t *testing.T) {
+	start := time.UnixMilli(1_000_000)
+	spec := flow.Spec{ID: "a", Steps: []flow.Step{{Tasks: 1}}}
+	j := flow.New(spec, 1, start)
+	j.BeginRounds(start)
+	task := j.Task(flow.Name{Job: "a"})
+	task.Run = 1
+	restore := func(b []byte, now time.Time) *flow.Task {
+		got, err := flow.Restore(spec, b, now)
+		require.NoError(t, err)
+		return got.Task(task.Name)
+	}
+	before := j.Record(flow.Version{Term: 1})
+	require.NotContains(t, string(before), `"v"`)
+	require.False(t, restore(before, start).AvoidsAny(start))
+
+	task.Avoid("w0", start)
+	recorded := j.Record(flow.Version{Term: 1})
+	later := start.Add(4 * time.Second)
+	require.True(t, restore(recorded, later).Avoids("w0", later))
+	require.False(t, restore(recorded, later).Avoids("w0", later.Add(time.Second)))
+	expired := start.Add(5 * time.Second)
+	require.False(t, restore(recorded, expired).AvoidsAny(expired))
+
+	slow := start.Add(-time.Hour)
+	got := restore(recorded, slow)
+	require.True(t, got.Avoids("w0", slow))
+	require.False(t, got.AvoidsAny(slow.Add(5*time.Second)))
+
+	task.DropExpired(expired)
+	require.Equal(t, string(before), string(j.Record(flow.Version{Term: 1})))
+}
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -66,6 +66,8 @@
 	// ran the task.
 	Crashed []string `json:"x,omitempty"`
 	Lost    []string `json:"l,omitempty"`
+	// Avoid holds the end of the avoidance of each worker, in Unix milliseconds.
+	Avoid map[string]int64 `json:"v,omitempty"`
 }
 
 // RecordError reports that a stored record cannot be read.
@@ -117,7 +119,7 @@
 		}
 		tr := taskRecord{Index: i, Done: t.State == Done, Run: t.Run, Failures: t.Failures}
 		if t.State != Done {
-			tr.Checkpoint, tr.Crashed, tr.Lost = t.Checkpoint, t.Crashed, t.Lost
+			tr.Checkpoint, tr.Crashed, tr.Lost, tr.Avoid = t.Checkpoint, t.Crashed, t.Lost, t.avoidanceEnds()
 		}
 		if t.MayBeRunning() {
 			tr.Worker = t.Worker
@@ -189,6 +191,7 @@
 	t.Run, t.Failures, t.Checkpoint = tr.Run, tr.Failures, tr.Checkpoint
 	t.Crashed, t.Lost = tr.Crashed, tr.Lost
 	t.Step.updateSuspicions()
+	t.restoreAvoidances(tr.Avoid, now)
 	switch {
 	case tr.Done:
 		t.State = Done
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -261,6 +261,7 @@
 	var changes []Change
 	for _, id := range slices.Sorted(maps.Keys(s.dirty)) {
 		j := s.dirty[id]
+		j.Tasks(func(t *flow.Task) { t.DropExpired(s.now) })
 		changes = append(changes, Change{Key: id, Value: j.Record(version)})
 		b.states[j] = j.State
 	}
