sched: hold nothing without a ticket while the policy service is away

Small jobs of queues that need no ticket waited beside free workers for as long as the policy service did not answer: capacity was held there for wide tasks that had no ticket and could not get one.

No capacity is held for a step without a ticket while the last query of the policy service has failed at every host.

TestNothingIsHeldForWideTasksWithoutTickets failed before and passes.

--- a/internal/sched/hosts.go
+++ b/internal/sched/hosts.go
@@ -27,6 +27,16 @@
 	h.busyUntil = now
 }
 
+// policyAway reports whether the last query of the policy service failed at every host.
+func (s *Sched) policyAway() bool {
+	for _, h := range s.hosts {
+		if h.backoff == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 const (
 	// maxUrgentShare is the largest share of the hosts that is kept free of long queries.
 	maxUrgentShare = 0.4
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -28,7 +28,7 @@
 // that needs half of a worker or more would hardly ever find it, however urgent it is.
 func (s *Sched) reserveCapacity(r readyStep, p *pool, n int) {
 	demand := r.stage.Spec.Demand()
-	if !s.enabled(ReserveForWide) || p.used.DominantShare(p.total) < reserveMinUse || p.reserved.DominantShare(p.total) > maxReservedShare {
+	if !s.mayReserve(r, p) {
 		return
 	}
 	type option struct {
@@ -58,6 +58,15 @@
 	}
 }
 
+// mayReserve reports whether capacity may be reserved for a step. Without a ticket nobody knows when
+// its tasks may start while the policy service is away.
+func (s *Sched) mayReserve(r readyStep, p *pool) bool {
+	if !s.enabled(ReserveForWide) || p.used.DominantShare(p.total) < reserveMinUse || p.reserved.DominantShare(p.total) > maxReservedShare {
+		return false
+	}
+	return s.hasTicket(r) || !s.policyAway()
+}
+
 // gangWillFit reports whether all members of a gang will find capacity on the given workers.
 func (s *Sched) gangWillFit(r readyStep, workers []*worker) bool {
 	missing := len(r.tasks)
