sched: test avoidance after a failure that was not stored

A new leader counts the failed copy that its predecessor could not store; this test checks that the task avoids that worker as well. It fails if copyFailed does not record the avoidance.

--- a/internal/sched/failurewaits_test.go
+++ b/internal/sched/failurewaits_test.go
@@ -495,3 +495,24 @@
 		require.NotZero(t, b.starts[flow.Name{Job: "a", Index: i}], "task %d has not started", i)
 	}
 }
+
+// Guards against a new leader that starts a task at once on the only free worker, where a run failed
+// that its predecessor could not store.
+func TestNewLeaderAvoidsWorkerOfUnstoredFailure(t *testing.T) {
+	b := newSimCell(t, 3)
+	b.copies = true
+	b.occupy(1, "w01", "w02")
+	b.storeDown = true
+	step := scan(1)
+	step.AllowCopies = true
+	b.submit("a", "scan", step)
+	b.failRuns(500*time.Millisecond, onceOn("w00", "a"))
+	b.storeDown = false
+	b.takeover()
+	b.step(sched.PredecessorStopped{Since: b.now})
+	known := total(b.starts)
+	b.advance(3 * time.Second)
+	require.Equal(t, known, total(b.starts))
+	b.advance(5 * time.Second)
+	require.Equal(t, flow.Completed, b.state("a"))
+}
