sched: keep what is held for a gang while a worker misses a reply

Since capacity is held only for gangs that can be placed, a gang that needs particular workers lost all that was held for it whenever one of them missed a reply, and small jobs took it.

A worker that has left calls unanswered for no longer than silentAfter still counts as one on which a member will find capacity. What a pass reserves is also reset on workers that are not usable in it.

--- a/internal/sched/failurewaits_test.go
+++ b/internal/sched/failurewaits_test.go
@@ -516,3 +516,34 @@
 	b.advance(5 * time.Second)
 	require.Equal(t, flow.Completed, b.state("a"))
 }
+
+// Guards against capacity held for a gang that is given away whenever a worker that the gang needs
+// misses a reply.
+func TestLostRepliesDoNotReleaseWhatIsHeldForGang(t *testing.T) {
+	for seed := range 6 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			b := newSimCell(t, 12)
+			for _, name := range []string{"w00", "w01", "w02"} {
+				b.workers[name].info.Labels = []string{"x"}
+			}
+			b.list()
+			b.advance(100 * time.Millisecond)
+			for i := range 400 {
+				st := scan(4)
+				st.Size.CPU, st.EstimatedTime = 10_000, time.Duration(700+100*((i+seed)%7))*time.Millisecond
+				b.submit(fmt.Sprintf("small%03d", i), "print", st)
+			}
+			b.advance(2 * time.Second)
+			gang := gangOf(wholeWorker(3))
+			gang.Label = "x"
+			b.submit("gang", "scan", gang)
+			for range 5 {
+				for _, w := range b.sortedWorkers() {
+					w.repliesToLose = 1
+				}
+				b.advance(time.Second)
+			}
+			require.Equal(t, flow.Completed, b.state("gang"))
+		})
+	}
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -97,6 +97,8 @@
 func (s *Sched) pools() map[string]*pool {
 	all := map[string]*pool{}
 	for _, w := range s.sortedWorkers() {
+		w.earmarked, w.reserved = cell.Size{}, cell.Size{}
+		w.crashSuspects, w.trialStep = 0, nil
 		if !w.usable(s.now) {
 			continue
 		}
@@ -109,8 +111,6 @@
 		p.totalCPU += w.Size.CPU
 		p.total, p.used = p.total.Add(w.Size), p.used.Add(w.used)
 		p.freeCPU += max(w.free().CPU, 0)
-		w.earmarked, w.reserved = cell.Size{}, cell.Size{}
-		w.crashSuspects, w.trialStep = 0, nil
 	}
 	s.markSuspects()
 	return all
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -36,8 +36,7 @@
 		at time.Time
 	}
 	var all []option
-	allowed := s.allowedWorkers(r, p)
-	for _, w := range allowed {
+	for _, w := range s.allowedWorkers(r, p) {
 		if demand.DominantShare(w.Size) < wideShare || !s.suitsAny(r, w) {
 			continue
 		}
@@ -45,7 +44,7 @@
 			all = append(all, option{w, at})
 		}
 	}
-	if len(all) == 0 || r.stage.Spec.Gang && !s.gangWillFit(r, allowed) {
+	if len(all) == 0 || r.stage.Spec.Gang && !s.gangWillFit(r) {
 		return
 	}
 	slices.SortStableFunc(all, func(a, b option) int { return a.at.Compare(b.at) })
@@ -67,11 +66,16 @@
 	return s.hasTicket(r) || !s.policyAway()
 }
 
-// gangWillFit reports whether all members of a gang will find capacity on the given workers.
-func (s *Sched) gangWillFit(r readyStep, workers []*worker) bool {
+// gangWillFit reports whether all members of a gang will find capacity. Workers count that have
+// missed only a reply or two: if the capacity on the others were given away each time, the gang
+// would have to wait for all of them again.
+func (s *Sched) gangWillFit(r readyStep) bool {
 	missing := len(r.tasks)
-	for _, w := range workers {
-		if s.suitsAny(r, w) {
+	for _, w := range s.workers {
+		if w.Service != r.queue.Service || !w.usable(s.now) && !w.mayReturn(s.now) {
+			continue
+		}
+		if s.knownAllowed(r, w) && s.suitsAny(r, w) {
 			missing -= r.slots(w)
 		}
 		if missing <= 0 {
@@ -81,6 +85,19 @@
 	return false
 }
 
+// knownAllowed reports whether a worker is known to be allowed to run a step.
+func (s *Sched) knownAllowed(r readyStep, w *worker) bool {
+	if r.queue.Advice == nil {
+		return true
+	}
+	a, ok := s.advice[r.stage]
+	if !ok {
+		return false
+	}
+	_, ok = a.tickets[w.Incarnation]
+	return ok
+}
+
 // slots returns how many of the step's tasks a worker will have capacity for beside its
 // long-running tasks and what is reserved.
 func (r readyStep) slots(w *worker) int {
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -131,6 +131,11 @@
 	return listed && w.fenced && !w.dead && !w.draining && w.unansweredSince.IsZero() && w.Size != (cell.Size{})
 }
 
+// mayReturn reports whether the worker gets no work only because it has just missed a reply.
+func (w *worker) mayReturn(now time.Time) bool {
+	return w.listed && w.fenced && !w.dead && !w.draining && !w.silent(now) && w.Size != (cell.Size{})
+}
+
 // clockAt returns the worker's time now; if its clock is slow, the result is later than that.
 func (w *worker) clockAt(now time.Time) time.Time { return w.clock.Add(now.Sub(w.readAt)) }
 
