--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -23,9 +23,10 @@
 )
 
 // reserveCapacity reserves capacity for n wide tasks that could not start, on the workers that will
-// have it first. For a gang it does so only if all members will find some: other work would wait
-// for good beside capacity held for a gang that cannot start. Tasks of one processor or GPU find capacity on any worker all the time; a task
-// that needs half of a worker or more would hardly ever find it, however urgent it is.
+// have it first. Tasks of one processor or GPU find capacity on any worker all the time; a task
+// that needs half of a worker or more would hardly ever find it, however urgent it is. For a gang it
+// does so only if all members will find capacity: other work would wait for good beside what is held
+// for a gang that cannot start.
 func (s *Sched) reserveCapacity(r readyStep, p *pool, n int) {
 	demand := r.stage.Spec.Demand()
 	if !s.mayReserve(r, p) {
