place: reserve capacity for the size that an entry may get

A job whose corrected size is below its declared one starved when the declared size could fit nowhere beside tasks of unknown run time: small jobs took each room as it came free. Cause: mayReserve counted the declared size, although an entry gets its declared size only if that is the smaller one. Now it asks for the smaller of the two, by the same function as revertCorrection. The cheap conditions are checked before all workers are looked at. TestCapacityIsReservedForACorrectedSizeBelowTheDeclaredOne failed before.

--- a/internal/place/correction.go
+++ b/internal/place/correction.go
@@ -22,12 +22,21 @@
 
 func (p *Placer) revertCorrection(s *shape) {
 	for _, e := range slices.Clone(s.entries) {
-		if e.waiting() && e.Declared != (cell.Size{}) && e.Declared != e.Size && e.Declared.Fits(e.Size) && p.needsDeclaredSize(e) {
+		if e.waiting() && e.smallestSize() != e.Size && p.needsDeclaredSize(e) {
 			p.revertToDeclared(e)
 		}
 	}
 }
 
+// smallestSize returns the declared size of an entry whose corrected size is larger, and its size
+// otherwise. An entry never gets a declared size that is larger than the corrected one.
+func (e *entry) smallestSize() cell.Size {
+	if e.Declared != (cell.Size{}) && e.Declared.Fits(e.Size) {
+		return e.Declared
+	}
+	return e.Size
+}
+
 func (p *Placer) needsDeclaredSize(e *entry) bool {
 	overdue := p.overdueFor(e) > 0
 	switch e.shape.blocked {
--- a/internal/place/correction_test.go
+++ b/internal/place/correction_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -52,3 +53,34 @@
 	}
 	require.Len(t, started, 4)
 }
+
+// Guards against a large job that starves because its declared size can never start while its
+// smaller corrected size could.
+func TestCapacityIsReservedForACorrectedSizeBelowTheDeclaredOne(t *testing.T) {
+	p := place.New(place.DefaultLimits)
+	p.Step(now, place.Up{Worker: "w00", Rack: "r0", Size: cores(4), Used: []place.Used{{Task: "x.0", Row: "watch", Size: cores(1)}}})
+	small := func(i int) place.Request {
+		job := fmt.Sprintf("s%d", i)
+		return place.Request{Job: job, Row: "small", Class: cell.Normal, Size: cores(1), Tasks: tasks(job, 1), RunTime: 10 * time.Second}
+	}
+	for i := range 3 {
+		require.Len(t, assignments(p.Step(now, small(i))), 1)
+	}
+	big := place.Request{Job: "big", Row: "big", Class: cell.Normal, Size: cores(2), Declared: cores(4), Tasks: tasks("big", 1), RunTime: 10 * time.Second}
+	require.Empty(t, assignments(p.Step(now, big)))
+	// At any time a small job waits and the small tasks end one after the other.
+	n := 3
+	for s := 1; s < 300; s++ {
+		at := now.Add(time.Duration(s) * time.Second)
+		acts := assignments(p.Step(at, place.Tick{}))
+		if s%4 == 0 {
+			p.Step(at, small(n))
+			acts = assignments(p.Step(at, place.Freed{Task: fmt.Sprintf("s%d.0", n-3)}))
+			n++
+		}
+		if acts["big.0"] != "" {
+			return
+		}
+	}
+	require.Fail(t, "the job starves")
+}
--- a/internal/place/gang.go
+++ b/internal/place/gang.go
@@ -168,21 +168,24 @@
 	if e.shape.blocked.isLimit() {
 		return false
 	}
-	size := e.Size
-	if e.Declared != (cell.Size{}) {
-		size = e.Declared
+	size := e.smallestSize()
+	need := e.tasksToPlace()
+	if countFitting(o.total, size) < need {
+		return false
+	}
+	left := o.total.Sub(multiply(size, need))
+	if e.Class == cell.Bulk && left.MinShare(p.total) < p.limits.UrgentReserve {
+		return false
 	}
-	need, a := e.tasksToPlace(), p.accessOf(e)
+	a := p.accessOf(e)
 	for w, free := range o.free {
 		if _, ok := a.from(w); ok && w.acceptsTasks() {
-			need -= countFitting(free, size)
+			if need -= countFitting(free, size); need <= 0 {
+				return true
+			}
 		}
 	}
-	if need > 0 {
-		return false
-	}
-	left := o.total.Sub(multiply(size, e.tasksToPlace()))
-	return e.Class != cell.Bulk || left.MinShare(p.total) >= p.limits.UrgentReserve
+	return false
 }
 
 // outlook is the capacity of each worker and of all of them that is free once all tasks with a known
