lead: request a task again whose placement was lost with its worker

An accepted job stayed running for good with a task that waited: several tasks were placed in one step on a worker whose time for starts had passed since the last tick. The first start showed that, and the worker was removed from the placer, which released the other tasks too. Their assignments were then skipped as no longer valid, and nobody requested them again; only a gang was requested as a whole. Now a skipped assignment of a task that the placer does not know is a NotPlaced event of the job. TestAllTasksPlacedOnALapsedWorkerAreRequestedAgain failed before. The random histories now require after each step that each waiting task has a request; they did not find this fault by themselves.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -147,6 +147,8 @@
 		return j.cancel(ev.ID)
 	case Placed:
 		return j.put(now, ev)
+	case NotPlaced:
+		return j.notPlaced(ev.Task)
 	case Started:
 		return j.onAnswer(ev.Task, ev.Attempt, func() []Action { return j.started(now, ev.Task) })
 	case NotStarted:
@@ -241,6 +243,15 @@
 	return []Action{Start{Spec: t.job.spec, Task: t.id, Worker: ev.Worker, Attempt: t.attempt}}
 }
 
+// notPlaced requests capacity again for a task that still waits.
+func (j *Jobs) notPlaced(id string) []Action {
+	t, ok := j.tasks[id]
+	if !ok || t.state != "waiting" || t.job.awaitsInventory {
+		return nil
+	}
+	return j.requeue(t)
+}
+
 func (j *Jobs) started(now time.Time, id string) []Action {
 	t, ok := j.tasks[id]
 	if !ok {
--- a/internal/job/messages.go
+++ b/internal/job/messages.go
@@ -31,6 +31,9 @@
 // Placed reports that a task was placed on a worker.
 type Placed struct{ Task, Worker string }
 
+// NotPlaced reports that the placement of a task was lost before it was carried out.
+type NotPlaced struct{ Task string }
+
 // Started reports that a worker confirmed a start. Attempt is that of the start: the answer may
 // arrive after the task has left the worker, and then says nothing about its next start.
 type Started struct {
@@ -101,6 +104,7 @@
 func (Submit) event()           {}
 func (Cancel) event()           {}
 func (Placed) event()           {}
+func (NotPlaced) event()        {}
 func (Started) event()          {}
 func (NotStarted) event()       {}
 func (Unsure) event()           {}
--- a/internal/lead/history_test.go
+++ b/internal/lead/history_test.go
@@ -430,8 +430,8 @@
 
 func TestMain(m *testing.M) { randtest.Main(m, 1500, 30) }
 
-// Guards against tasks that run twice and workers that are overfilled, over random histories in
-// which answers are lost, starts are late, workers fail, shrink and grow, and hosts pause and hand
+// Guards against tasks that run twice or wait without a placement request, and workers that are
+// overfilled, over random histories in which answers are lost, starts are late, workers fail, shrink and grow, and hosts pause and hand
 // over or inherit jobs.
 func TestNoHistoryRunsATaskTwice(t *testing.T) { runHistories(t, false) }
 
@@ -439,6 +439,25 @@
 // host acquired its lease.
 func TestNoHistoryWithCrashesRunsATaskTwice(t *testing.T) { runHistories(t, true) }
 
+// requireWaitingTasksRequested requires that the placer knows each task that waits for capacity, unless
+// the task waits for the other tasks of its gang to leave their workers.
+func (h *history) requireWaitingTasksRequested() {
+	for _, name := range []string{"a", "b"} {
+		l := h.hosts[name]
+		for _, spec := range l.OpenJobs() {
+			s, err := l.Status(spec.ID)
+			require.NoError(h.draw, err)
+			if spec.Gang && s.Tasks["pausing"] > 0 {
+				continue
+			}
+			for _, task := range l.Jobs.WaitingTasks(spec.ID) {
+				_, ok := l.Placer.ExplainWait(task)
+				require.True(h.draw, ok, "%s leads %s, of which no placement is requested: %v", name, task, s)
+			}
+		}
+	}
+}
+
 func runHistories(t *testing.T, crashes bool) {
 	rapid.Check(t, func(draw *rapid.T) {
 		h := newHistory(t, draw)
@@ -446,6 +465,7 @@
 		for range rapid.IntRange(1, 300).Draw(draw, "steps") {
 			h.next()()
 			h.applyListedSizes()
+			h.requireWaitingTasksRequested()
 			require.Empty(draw, h.over.Doubled())
 			for _, m := range h.machines {
 				require.Zero(draw, h.workers[m.Name].Record().Overfilled, m.Name)
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -17,13 +17,17 @@
 )
 
 // stepPlacement passes an event to the placer and carries out its actions. An Assign is skipped if
-// it is no longer valid, because an earlier action may have changed the free capacity.
+// it is no longer valid, because an earlier action may have changed the free capacity. If the placer
+// has no request for the task either, because the worker was removed, the task is requested again.
 func (l *Leader) stepPlacement(ev place.Event) {
 	for _, a := range l.Placer.Step(l.Clock(), ev) {
 		switch a := a.(type) {
 		case place.Assign:
-			if l.Placer.IsAssigned(a.Task, a.Worker) {
+			switch {
+			case l.Placer.IsAssigned(a.Task, a.Worker):
 				l.stepJobs(job.Placed{Task: a.Task, Worker: a.Worker})
+			case !l.Placer.Knows(a.Task):
+				l.stepJobs(job.NotPlaced{Task: a.Task})
 			}
 		case place.Preempt:
 			l.preempt(a)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -361,6 +361,11 @@
 	return ok && r.worker.name == worker
 }
 
+// Knows reports whether a task waits here or has an allocation.
+func (p *Placer) Knows(task string) bool {
+	return p.queue.tasks[task] != nil || p.allocations[task] != nil
+}
+
 // QuarantinedWorkers lists the quarantined workers, sorted by name.
 func (p *Placer) QuarantinedWorkers() []string {
 	var all []string
