place: count once per size how many tasks fit in a tick

The leader's lock is held meanwhile, so leases lapse. Cause: mayReserve and needsDeclaredSize look at all workers for each waiting entry. Now the count of each size is kept for the tick; only entries whose size fits look at the workers that they avoid.

--- a/internal/place/correction.go
+++ b/internal/place/correction.go
@@ -11,18 +11,19 @@
 // while the declared one does, because workers have gone or are in use since the correction, or if
 // the entry is overdue and its declared size may start now, or if capacity is reserved for it.
 func (p *Placer) revertCorrections() {
+	c := p.newCorrections()
 	for _, lanes := range p.queue.order {
 		for _, l := range lanes {
 			for _, s := range slices.Clone(l.shapes) {
-				p.revertCorrection(s)
+				p.revertCorrection(s, c)
 			}
 		}
 	}
 }
 
-func (p *Placer) revertCorrection(s *shape) {
+func (p *Placer) revertCorrection(s *shape, c corrections) {
 	for _, e := range slices.Clone(s.entries) {
-		if e.waiting() && e.smallestSize() != e.Size && p.needsDeclaredSize(e) {
+		if e.waiting() && e.smallestSize() != e.Size && p.needsDeclaredSize(e, c) {
 			p.revertToDeclared(e)
 		}
 	}
@@ -37,12 +38,12 @@
 	return e.Size
 }
 
-func (p *Placer) needsDeclaredSize(e *entry) bool {
+func (p *Placer) needsDeclaredSize(e *entry, c corrections) bool {
 	overdue := p.overdueFor(e) > 0
 	switch e.shape.blocked {
 	case NoCapacity, GangTooLarge:
-		return e == p.overdue || overdue && p.countFittingTasks(p.accessOf(e), e.Declared) >= e.tasksToPlace() ||
-			!p.fitsBesideLongTasks(e, e.Size) && p.fitsBesideLongTasks(e, e.Declared)
+		return e == p.overdue || overdue && p.fitsNow(e, e.Declared, c) ||
+			!p.fitsBesideLongTasks(e, e.Size, c) && p.fitsBesideLongTasks(e, e.Declared, c)
 	case RowSizeLimit, TeamQuota, ReservedForUrgent:
 		return overdue && p.checkLimits(e, e.Declared) == Ready
 	default:
@@ -50,11 +51,34 @@
 	}
 }
 
+// corrections counts the tasks that fit while the corrections are checked, now and, by class, beside
+// the tasks that run for longer than the class may wait.
+type corrections struct {
+	now        fitCounter
+	besideLong []fitCounter
+}
+
+func (p *Placer) newCorrections() corrections {
+	c := corrections{now: p.newFitCounter(func(w *worker) cell.Size { return w.free })}
+	for _, class := range cell.Classes {
+		c.besideLong = append(c.besideLong, p.newFitCounter(func(w *worker) cell.Size { return p.freeBesideLongTasks(w, class) }))
+	}
+	return c
+}
+
+// fitsNow reports whether the entry's tasks of that size may start now.
+func (p *Placer) fitsNow(e *entry, size cell.Size, c corrections) bool {
+	return c.now.count(size) >= e.tasksToPlace() && p.countFittingTasks(p.accessOf(e), size) >= e.tasksToPlace()
+}
+
 // fitsBesideLongTasks reports whether the entry's tasks of that size would fit beside the tasks
 // that run for longer than the entry's class may wait.
-func (p *Placer) fitsBesideLongTasks(e *entry, size cell.Size) bool {
-	need, a := e.tasksToPlace(), p.accessOf(e)
-	by := p.now.Add(p.limits.OverdueAfter[e.Class])
+func (p *Placer) fitsBesideLongTasks(e *entry, size cell.Size, c corrections) bool {
+	need := e.tasksToPlace()
+	if fits := c.besideLong[e.Class].count(size) >= need; !fits || len(e.Avoid) == 0 {
+		return fits
+	}
+	a, by := p.accessOf(e), p.now.Add(p.limits.OverdueAfter[e.Class])
 	for _, w := range p.workers {
 		if w.acceptsTasks() && a.by(w, by) {
 			need -= countFitting(p.freeBesideLongTasks(w, e.Class), size)
--- a/internal/place/gang.go
+++ b/internal/place/gang.go
@@ -170,22 +170,23 @@
 	}
 	size := e.smallestSize()
 	need := e.tasksToPlace()
-	if countFitting(o.total, size) < need {
+	if o.fits.count(size) < need {
 		return false
 	}
 	left := o.total.Sub(multiply(size, need))
 	if e.Class == cell.Bulk && left.MinShare(p.total) < p.limits.UrgentReserve {
 		return false
 	}
+	if len(e.Avoid) == 0 {
+		return true
+	}
 	a := p.accessOf(e)
 	for w, free := range o.free {
 		if _, ok := a.from(w); ok && w.acceptsTasks() {
-			if need -= countFitting(free, size); need <= 0 {
-				return true
-			}
+			need -= countFitting(free, size)
 		}
 	}
-	return false
+	return need <= 0
 }
 
 // outlook is the capacity of each worker and of all of them that is free once all tasks with a known
@@ -193,10 +194,12 @@
 type outlook struct {
 	free  map[*worker]cell.Size
 	total cell.Size
+	fits  fitCounter
 }
 
 func (p *Placer) outlook() outlook {
 	o := outlook{free: make(map[*worker]cell.Size, len(p.workers))}
+	o.fits = p.newFitCounter(func(w *worker) cell.Size { return o.free[w] })
 	for _, w := range p.workers {
 		o.free[w] = w.freeAfter(func(r *allocation) bool { return !r.plannedEnd.IsZero() })
 		o.total = o.total.Add(o.free[w])
@@ -204,6 +207,32 @@
 	return o
 }
 
+// fitCounter counts how many tasks of a size fit into some capacity of all workers that accept tasks,
+// which is the most that an entry may use. It keeps the counts, because many entries of the same size
+// may wait, so it is valid only until the capacity changes.
+type fitCounter struct {
+	p        *Placer
+	capacity func(*worker) cell.Size
+	counts   map[cell.Size]int64
+}
+
+func (p *Placer) newFitCounter(capacity func(*worker) cell.Size) fitCounter {
+	return fitCounter{p: p, capacity: capacity, counts: map[cell.Size]int64{}}
+}
+
+func (f fitCounter) count(size cell.Size) int64 {
+	n, ok := f.counts[size]
+	if !ok {
+		for _, w := range f.p.workers {
+			if w.acceptsTasks() {
+				n = min(n+countFitting(f.capacity(w), size), maxPart)
+			}
+		}
+		f.counts[size] = n
+	}
+	return n
+}
+
 type opening struct {
 	worker *worker
 	at     time.Time
