place: try an entry when it may return to a worker it avoids

An urgent task that waited only until it might return to a worker where it had failed was tried 26 s late, when its turn came among 2,000 blocked bulk jobs, although the worker had room. Cause: the retries in turn had replaced the retry at AvoidUntil. Now each shape keeps when its entry may return, and is tried in the first tick after that, beside those that are tried in turn. TestUrgentTaskReturnsToAnAvoidedWorkerInTimeWhileManyShapesWait failed before.

--- a/internal/place/avoid.go
+++ b/internal/place/avoid.go
@@ -76,6 +76,18 @@
 	return ok && !from.After(at)
 }
 
+// nextReturn returns when the entry has to be tried again because its tasks may return to workers
+// where they have failed: at AvoidUntil, since the other workers may be expected to be enough no
+// longer, and at returnAt. It returns zero if neither is still to come.
+func (a access) nextReturn() time.Time {
+	for _, at := range []time.Time{a.e.AvoidUntil, a.returnAt} {
+		if len(a.e.Avoid) > 0 && at.After(a.p.now) {
+			return at
+		}
+	}
+	return time.Time{}
+}
+
 // usable reports whether the entry's tasks may run on a worker now.
 func (a access) usable(w *worker) bool {
 	return a.by(w, a.p.now) && a.p.reservationAllows(w, a.e)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -115,12 +115,13 @@
 	p.updateOverdue()
 	p.revertCorrections()
 	p.reviewQuarantined()
+	p.queue.wakeReturning(p.now)
 	p.queue.wakeInTurn(maxRetriesPerTick)
 }
 
 // maxRetriesPerTick bounds how many blocked shapes are tried again in one tick. What blocks them can
 // end without an event that wakes them: a limit, the urgent reserve, the reservation for another
-// entry, the time for which they avoid a worker.
+// entry.
 const maxRetriesPerTick = 64
 
 func (p *Placer) addWorker(ev Up) {
@@ -265,6 +266,7 @@
 		return
 	}
 	a := p.accessOf(e)
+	e.shape.returnAt = a.nextReturn()
 	if e.Gang {
 		p.tryGang(e, a)
 		return
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -53,7 +53,10 @@
 	blocked BlockReason
 	// lastRetry is the step in which the shape was last retried.
 	lastRetry int64
-	entries   []*entry
+	// returnAt is when the entry may next return to workers where its tasks have failed; zero if the
+	// shape does not wait for that.
+	returnAt time.Time
+	entries  []*entry
 }
 
 // head returns the oldest entry that still has waiting tasks.
@@ -202,6 +205,11 @@
 	}
 }
 
+// wakeReturning makes the blocked shapes ready whose tasks may return to workers where they have failed.
+func (q *queue) wakeReturning(now time.Time) {
+	q.wake(func(s *shape) bool { return !s.returnAt.IsZero() && !s.returnAt.After(now) })
+}
+
 // wakeInTurn makes up to n blocked shapes ready, in each call the next ones.
 func (q *queue) wakeInTurn(n int) {
 	blocked, i := 0, 0
