job: keep a given-up job given up when it is handed over

The caller of a job that was given up after crashes got no reason, or its other tasks were tried again after a failure, if the job was handed over while some of them still ran. The next leader now restores it from the failed task's count. Both cases of TestJobThatWasGivenUpKeepsItsReasonWhenHandedOver failed before.

--- a/internal/job/crash_test.go
+++ b/internal/job/crash_test.go
@@ -221,3 +221,29 @@
 	require.True(t, ok)
 	last(job.New().Step(later, job.Adopt{Snapshot: c}))
 }
+
+// Guards against a job that was given up and ends without its reason, or goes on, because it was handed
+// over meanwhile.
+func TestJobThatWasGivenUpKeepsItsReasonWhenHandedOver(t *testing.T) {
+	for _, state := range []string{"ended", "failed"} {
+		t.Run(state, func(t *testing.T) {
+			from := job.New()
+			from.Step(now, job.Submit{Spec: spec(2)})
+			startOn(from, "d.r.j.1", "w9")
+			for n, worker := range []string{"w1", "w2", "w3"} {
+				crash(from, "d.r.j.0", worker, "1", "2", now)
+				from.Step(now, job.CrashCountStored{Task: "d.r.j.0", Crashes: int64(n + 1)})
+			}
+			c, ok := from.Snapshot("d.r.j")
+			require.True(t, ok)
+			to := job.New()
+			to.Step(now, job.Adopt{Snapshot: c})
+			later := now.Add(time.Minute)
+			acts := to.Step(later, listOf("w9", later, listed("d.r.j.1", state)))
+			require.Empty(t, actionsOf[job.RequestPlacement](acts))
+			ended := actionsOf[job.Ended](acts)
+			require.Len(t, ended, 1)
+			require.Equal(t, (&job.CrashedError{Task: "d.r.j.0", Crashes: 3}).Error(), ended[0].Reason)
+		})
+	}
+}
--- a/internal/job/inherit.go
+++ b/internal/job/inherit.go
@@ -236,6 +236,9 @@
 		t.incarnation, t.crashes, t.storedCrashes = ct.Incarnation, ct.Crashes, ct.StoredCrashes
 		t.avoid, t.lastFailure, t.avoidUntil = ct.Avoid, ct.LastFailure, ct.AvoidUntil
 		delete(j.droppedPlaces, t.id)
+		if t.state == "failed" && t.crashes >= maxCrashes {
+			jb.crashErr = &CrashedError{Task: t.id, Crashes: t.crashes}
+		}
 		if t.crashes > t.storedCrashes {
 			crashed = append(crashed, StoreCrashCount{Job: jb.spec.ID, Task: t.id, Crashes: t.crashes})
 		}
