job: store an unstored crash again when an inherited job resumes

A task waited for good without a request: its host lost all workers while a crash of the task was being stored, was told that the count is stored while it did not know the job, and inherited the job while the log was away. It remembered the count as unstored, and nobody stored it again. Release now asks for that, as Adopt does. TestInheritedTaskWithAnUnstoredCrashIsRequested failed before.

--- a/internal/job/crash.go
+++ b/internal/job/crash.go
@@ -207,6 +207,10 @@
 
 func (t *task) countCrash(worker string) StoreCrashCount {
 	t.crashes++
+	return t.storeCrashCount(worker)
+}
+
+func (t *task) storeCrashCount(worker string) StoreCrashCount {
 	return StoreCrashCount{Job: t.job.spec.ID, Task: t.id, Worker: worker, Crashes: t.crashes}
 }
 
--- a/internal/job/crash_test.go
+++ b/internal/job/crash_test.go
@@ -247,3 +247,24 @@
 		})
 	}
 }
+
+// Guards against a task that waits forever without a placement request: its host gave the job up while a
+// crash was being stored, learned that it was stored while it did not know the job, and inherited it.
+func TestInheritedTaskWithAnUnstoredCrashIsRequested(t *testing.T) {
+	j := job.New()
+	j.Step(now, job.Submit{Spec: spec(1)})
+	j.Step(now, listInIncarnation("w1", "1", now))
+	startOn(j, "d.r.j.0", "w1")
+	j.Step(now.Add(time.Minute), job.WorkerList{Worker: "w1", LeasesExpired: true})
+	startOn(j, "d.r.j.0", "w2")
+	at := now.Add(2 * time.Minute)
+	j.Step(at, listInIncarnation("w2", "1", at, listed("d.r.j.0", "running")))
+	require.Equal(t, int64(1), reportedCrashes(j.Step(at, listInIncarnation("w1", "2", at))))
+	j.Step(at, job.Drop{ID: "d.r.j", RememberPlaces: true})
+	j.Step(at, job.CrashCountStored{Task: "d.r.j.0", Crashes: 1})
+	j.Step(at, job.Inherit{Spec: spec(1)})
+	acts := j.Step(at, job.Release{ID: "d.r.j"})
+	require.Empty(t, actionsOf[job.RequestPlacement](acts))
+	require.Equal(t, int64(1), reportedCrashes(acts))
+	require.Len(t, actionsOf[job.RequestPlacement](j.Step(at, job.CrashCountStored{Task: "d.r.j.0", Crashes: 1})), 1)
+}
--- a/internal/job/inherit.go
+++ b/internal/job/inherit.go
@@ -144,6 +144,10 @@
 	for _, t := range jb.tasks {
 		t.storedCrashes = max(t.storedCrashes, ev.Crashes[t.id])
 		t.crashes = max(t.crashes, t.storedCrashes)
+		if t.crashes > t.storedCrashes && !t.suspected {
+			// This host may have been told that the count is stored while it did not know the job.
+			crashed = append(crashed, t.storeCrashCount(""))
+		}
 		switch {
 		case t.worker != "":
 		case t.state == "unsure":
@@ -240,7 +244,7 @@
 			jb.crashErr = &CrashedError{Task: t.id, Crashes: t.crashes}
 		}
 		if t.crashes > t.storedCrashes {
-			crashed = append(crashed, StoreCrashCount{Job: jb.spec.ID, Task: t.id, Crashes: t.crashes})
+			crashed = append(crashed, t.storeCrashCount(""))
 		}
 		switch t.state {
 		case "waiting":
