place: count no success from before the quarantine as a passed trial

A worker that had become bad got tasks as before at once, each of which used up a try, when two tasks from before the fault ended there: each success counted as a passed trial, as each failure had. Now results count only from the first trial on, whether they are failures or successes. TestSuccessesFromBeforeTheQuarantineAreNotPassedTrials failed before.

--- a/internal/place/health.go
+++ b/internal/place/health.go
@@ -123,7 +123,7 @@
 
 func (p *Placer) recordTrial(w *worker, failed bool) {
 	h := &w.health
-	if failed && !h.trialPending {
+	if !h.trialPending {
 		// The task was there before the quarantine, or another one of the same trial has failed.
 		return
 	}
--- a/internal/place/health_test.go
+++ b/internal/place/health_test.go
@@ -215,3 +215,15 @@
 	require.Empty(t, assignments(p.Step(at.Add(l.TrialInterval-time.Second), place.Tick{})), "one trial at a time")
 	require.Len(t, assignments(p.Step(at.Add(2*l.TrialInterval+time.Second), place.Tick{})), 6)
 }
+
+// Guards against a bad worker that gets tasks as before because tasks that it had before it became bad,
+// and was quarantined, end there.
+func TestSuccessesFromBeforeTheQuarantineAreNotPassedTrials(t *testing.T) {
+	p := fleet(place.DefaultLimits, 4)
+	require.Len(t, assignments(p.Step(now, place.Request{Job: "j", Row: "r", Size: cores(1), Tasks: tasks("j", 16)})), 16)
+	reportResults(p, now, "r", false, "w01", "w02", "w03", "w01", "w02", "w03")
+	reportResults(p, now, "r", true, "w00", "w00", "w00", "w00")
+	require.Equal(t, []string{"w00"}, p.QuarantinedWorkers())
+	reportResults(p, now, "r", false, "w00", "w00")
+	require.Equal(t, []string{"w00"}, p.QuarantinedWorkers())
+}
