lead: apply the current rule again when requests of a row differ

A job waited for good under a limit that did not hold any more: the limit, or the count of a row by another host, held for less than the second between two refreshes, and the rule before and after it was the same. Cause: refreshRules compares with the rule that it applied last, and requestPlacement gives each request the rule of that instant. Now a request with another rule makes the next refresh apply the current one. TestAShortLimitIsLiftedFromJobsThatWaitForIt failed before.

--- a/internal/lead/limits_test.go
+++ b/internal/lead/limits_test.go
@@ -169,3 +169,29 @@
 	p.run("a", 2*time.Minute)
 	require.Equal(t, 1, p.runningTasks())
 }
+
+// Guards against a job that keeps a limit that was lifted: the limit holds only for less than the time
+// between two comparisons with the table, and the rule before and after it is the same.
+func TestAShortLimitIsLiftedFromJobsThatWaitForIt(t *testing.T) {
+	p := newPair(t, 1)
+	limit := int64(2)
+	p.hosts["a"].Row = func(name string) (table.Row, int64) {
+		return table.Row{Name: name, Class: "normal", Limits: table.Limits{Tasks: limit}}, 1
+	}
+	for _, id := range []string{"one", "two", "three"} {
+		p.submitLimited("a", id)
+	}
+	p.run("a", 3*time.Second)
+	require.Equal(t, 2, p.runningTasks())
+	for _, id := range []string{"three", "two"} {
+		_, err := p.hosts["a"].Cancel("d.r." + id)
+		require.NoError(t, err)
+	}
+	p.run("a", 3*time.Second)
+	require.Equal(t, 1, p.runningTasks())
+	limit = 1
+	p.submitLimited("a", "four")
+	limit = 2
+	p.run("a", 10*time.Second)
+	require.Equal(t, 2, p.runningTasks())
+}
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -84,6 +84,10 @@
 	row, _ := l.Row(a.Spec.Row)
 	w := l.declaredWant(a.Spec, a.Tasks)
 	w.Rule = l.currentRule(row)
+	if l.appliedRules[w.Row] != w.Rule {
+		// Requests of one row now have different rules. The next refresh applies the current one to all.
+		delete(l.appliedRules, w.Row)
+	}
 	w.Since, w.Avoid, w.LastFailure, w.AvoidUntil = a.Since, a.Avoid, a.LastFailure, a.AvoidUntil
 	w.LastTry = a.LastTry
 	w.Declared = w.Size
@@ -163,7 +167,8 @@
 	l.rulesRefreshed = l.Clock()
 	for _, name := range l.Placer.Rows() {
 		row, _ := l.Row(name)
-		if r := l.currentRule(row); l.appliedRules[name] != r {
+		r := l.currentRule(row)
+		if applied, ok := l.appliedRules[name]; !ok || applied != r {
 			l.appliedRules[name] = r
 			l.stepPlacement(place.RuleChanged{Row: name, Rule: r})
 		}
