--- a/internal/job/crash_test.go
+++ b/internal/job/crash_test.go
@@ -221,3 +221,50 @@
 	require.True(t, ok)
 	last(job.New().Step(later, job.Adopt{Snapshot: c}))
 }
+
+// Guards against a job that was given up and ends without its reason, or goes on, because it was handed
+// over meanwhile.
+func TestJobThatWasGivenUpKeepsItsReasonWhenHandedOver(t *testing.T) {
+	for _, state := range []string{"ended", "failed"} {
+		t.Run(state, func(t *testing.T) {
+			from := job.New()
+			from.Step(now, job.Submit{Spec: spec(2)})
+			startOn(from, "d.r.j.1", "w9")
+			for n, worker := range []string{"w1", "w2", "w3"} {
+				crash(from, "d.r.j.0", worker, "1", "2", now)
+				from.Step(now, job.CrashCountStored{Task: "d.r.j.0", Crashes: int64(n + 1)})
+			}
+			c, ok := from.Snapshot("d.r.j")
+			require.True(t, ok)
+			to := job.New()
+			to.Step(now, job.Adopt{Snapshot: c})
+			later := now.Add(time.Minute)
+			acts := to.Step(later, listOf("w9", later, listed("d.r.j.1", state)))
+			require.Empty(t, actionsOf[job.RequestPlacement](acts))
+			ended := actionsOf[job.Ended](acts)
+			require.Len(t, ended, 1)
+			require.Equal(t, (&job.CrashedError{Task: "d.r.j.0", Crashes: 3}).Error(), ended[0].Reason)
+		})
+	}
+}
+
+// Guards against a task that waits forever without a placement request: its host gave the job up while a
+// crash was being stored, learned that it was stored while it did not know the job, and inherited it.
+func TestInheritedTaskWithAnUnstoredCrashIsRequested(t *testing.T) {
+	j := job.New()
+	j.Step(now, job.Submit{Spec: spec(1)})
+	j.Step(now, listInIncarnation("w1", "1", now))
+	startOn(j, "d.r.j.0", "w1")
+	j.Step(now.Add(time.Minute), job.WorkerList{Worker: "w1", LeasesExpired: true})
+	startOn(j, "d.r.j.0", "w2")
+	at := now.Add(2 * time.Minute)
+	j.Step(at, listInIncarnation("w2", "1", at, listed("d.r.j.0", "running")))
+	require.Equal(t, int64(1), reportedCrashes(j.Step(at, listInIncarnation("w1", "2", at))))
+	j.Step(at, job.Drop{ID: "d.r.j", RememberPlaces: true})
+	j.Step(at, job.CrashCountStored{Task: "d.r.j.0", Crashes: 1})
+	j.Step(at, job.Inherit{Spec: spec(1)})
+	acts := j.Step(at, job.Release{ID: "d.r.j"})
+	require.Empty(t, actionsOf[job.RequestPlacement](acts))
+	require.Equal(t, int64(1), reportedCrashes(acts))
+	require.Len(t, actionsOf[job.RequestPlacement](j.Step(at, job.CrashCountStored{Task: "d.r.j.0", Crashes: 1})), 1)
+}
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -17,13 +17,17 @@
 )
 
 // stepPlacement passes an event to the placer and carries out its actions. An Assign is skipped if
-// it is no longer valid, because an earlier action may have changed the free capacity.
+// it is no longer valid, because an earlier action may have changed the free capacity. If the placer
+// has no request for the task either, because the worker was removed, the task is requested again.
 func (l *Leader) stepPlacement(ev place.Event) {
 	for _, a := range l.Placer.Step(l.Clock(), ev) {
 		switch a := a.(type) {
 		case place.Assign:
-			if l.Placer.IsAssigned(a.Task, a.Worker) {
+			switch {
+			case l.Placer.IsAssigned(a.Task, a.Worker):
 				l.stepJobs(job.Placed{Task: a.Task, Worker: a.Worker})
+			case !l.Placer.Knows(a.Task):
+				l.stepJobs(job.NotPlaced{Task: a.Task})
 			}
 		case place.Preempt:
 			l.preempt(a)
@@ -80,6 +84,10 @@
 	row, _ := l.Row(a.Spec.Row)
 	w := l.declaredWant(a.Spec, a.Tasks)
 	w.Rule = l.currentRule(row)
+	if l.appliedRules[w.Row] != w.Rule {
+		// Requests of one row now have different rules. The next refresh applies the current one to all.
+		delete(l.appliedRules, w.Row)
+	}
 	w.Since, w.Avoid, w.LastFailure, w.AvoidUntil = a.Since, a.Avoid, a.LastFailure, a.AvoidUntil
 	w.LastTry = a.LastTry
 	w.Declared = w.Size
@@ -159,7 +167,8 @@
 	l.rulesRefreshed = l.Clock()
 	for _, name := range l.Placer.Rows() {
 		row, _ := l.Row(name)
-		if r := l.currentRule(row); l.appliedRules[name] != r {
+		r := l.currentRule(row)
+		if applied, ok := l.appliedRules[name]; !ok || applied != r {
 			l.appliedRules[name] = r
 			l.stepPlacement(place.RuleChanged{Row: name, Rule: r})
 		}
