place: take only later starts as evidence that a worker is well

A task may go back to a worker where it failed once another task has ended well there; those that were started before the fault end well in it, in the very list that shows the failures.

Only a task that was started there after the failure counts now, and it does not end the wait for other workers that are expected to have capacity.

--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -77,7 +77,7 @@
 		l.Count("lead.failed")
 		l.addNote(jobOf(a.Task), a.Task+" failed on "+a.Worker)
 	}
-	l.stepPlacement(place.Result{Worker: a.Worker, Row: a.Row, Failed: a.Failed})
+	l.stepPlacement(place.Result{Worker: a.Worker, Row: a.Row, Failed: a.Failed, Run: a.Run})
 }
 
 func (l *Leader) requestPlacement(a job.RequestPlacement) {
--- a/internal/lead/retries_test.go
+++ b/internal/lead/retries_test.go
@@ -1,6 +1,7 @@
 package lead_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -106,3 +107,21 @@
 	p.run("a", 5*time.Second)
 	require.Equal(t, "ended", p.state("a", "good"))
 }
+
+// Guards against tries that are used up at once on a worker that fails everything, because tasks that
+// it had before the fault end well after each failure.
+func TestRetriesOutlastAFailingWorkerWhoseEarlierTasksEnd(t *testing.T) {
+	p := newPair(t, 1)
+	for i := range 6 {
+		early := sixteenthSizeJob(fmt.Sprintf("early%d", i), 1, false)
+		early.Time.Duration = time.Duration(i+2) * 200 * time.Millisecond
+		p.submitSpec("a", early)
+	}
+	p.run("a", 300*time.Millisecond)
+	p.setFailing(true)
+	p.submitSpec("a", sixteenthSizeJob("good", 2, false))
+	p.run("a", 5*time.Second)
+	p.setFailing(false)
+	p.run("a", time.Minute)
+	require.Equal(t, "ended", p.state("a", "good"))
+}
--- a/internal/place/allocation.go
+++ b/internal/place/allocation.go
@@ -21,8 +21,8 @@
 	positions   [indexCount]position
 	reservation *reservation
 	health      health
-	// lastSuccess is when a task last succeeded on the worker.
-	lastSuccess time.Time
+	// lastGoodStart is the latest start on the worker of a task that has succeeded there.
+	lastGoodStart time.Time
 }
 
 // freeShareAfter returns the largest share of any resource that remains free after size is
--- a/internal/place/avoid.go
+++ b/internal/place/avoid.go
@@ -13,9 +13,10 @@
 	p *Placer
 	e *entry
 	// returnAt is when the entry's tasks may run again on the workers where they have failed. If
-	// bounded is false, they wait for the other workers without a limit.
-	returnAt time.Time
-	bounded  bool
+	// bounded is false, they wait for the other workers without a limit. awaitsOthers is set if they
+	// wait for them until returnAt, whatever becomes known of the workers where they have failed.
+	returnAt              time.Time
+	bounded, awaitsOthers bool
 }
 
 // accessOf returns the access of an entry. If its tasks were retried at once where they have failed,
@@ -28,11 +29,11 @@
 	switch {
 	case len(e.Avoid) == 0 || !a.othersFit(func(w *worker) cell.Size { return w.size }):
 	case limit == 0:
-		a.bounded = false
+		a.bounded, a.awaitsOthers = false, true
 	default:
 		end := latest(e.AvoidUntil, e.LastFailure.Add(limit))
 		if e.LastTry || a.othersFit(func(w *worker) cell.Size { return p.freeBy(w, end) }) {
-			a.returnAt = end
+			a.returnAt, a.awaitsOthers = end, true
 		}
 	}
 	return a
@@ -64,7 +65,7 @@
 // from returns the time from which the entry's tasks may run on a worker, as far as their earlier
 // failures are concerned. It returns false if there is no such time.
 func (a access) from(w *worker) (time.Time, bool) {
-	if !a.avoids(w) || w.lastSuccess.After(a.e.LastFailure) {
+	if !a.avoids(w) || !a.awaitsOthers && w.lastGoodStart.After(a.e.LastFailure) {
 		return time.Time{}, true
 	}
 	return a.returnAt, a.bounded
--- a/internal/place/health.go
+++ b/internal/place/health.go
@@ -77,7 +77,7 @@
 		return
 	}
 	if !ev.Failed {
-		w.lastSuccess = p.now
+		w.lastGoodStart = latest(w.lastGoodStart, p.now.Add(-ev.Run))
 	}
 	h := &w.health
 	h.recent = append(h.recent, outcome{row: ev.Row, failed: ev.Failed})
--- a/internal/place/messages.go
+++ b/internal/place/messages.go
@@ -59,7 +59,7 @@
 	Since time.Time
 	// Avoid lists the workers where these tasks have failed, the last time at LastFailure. If the
 	// other workers are not enough, the tasks may run there again after AvoidUntil, or earlier if
-	// another task has succeeded on the worker since LastFailure. They wait longer, but no longer
+	// a task that was started on the worker after LastFailure has succeeded. They wait longer, but no longer
 	// than their class may wait, if the others are expected to be enough by then or if LastTry is
 	// set because the job fails with the next failure.
 	Avoid                   []string
@@ -102,6 +102,8 @@
 type Result struct {
 	Worker, Row string
 	Failed      bool
+	// Run is how long the task ran.
+	Run time.Duration
 }
 
 // Tick reports that time has passed.
