place: start an urgent gang above the cap on reserved workers

Now the access that is evaluated before they are placed decides this once. TestUrgentGangAboveTheCapStartsOnReservedWorkers failed before.

--- a/internal/place/avoid.go
+++ b/internal/place/avoid.go
@@ -16,6 +16,9 @@
 	// bounded is false, they wait for the other workers without a limit.
 	returnAt time.Time
 	bounded  bool
+	// overridesReservations allows urgent tasks to use reserved capacity. A gang that takes the urgent
+	// tasks over their cap may still start as a whole.
+	overridesReservations bool
 }
 
 // accessOf returns the access of an entry. If its tasks were retried at once where they have failed,
@@ -24,6 +27,7 @@
 // entry's class may wait, the entry waits for them.
 func (p *Placer) accessOf(e *entry) access {
 	a := access{p: p, e: e, returnAt: e.AvoidUntil, bounded: true}
+	a.overridesReservations = e.Class == cell.Urgent && p.urgentUsage.size.DominantShare(p.total) < p.limits.UrgentCap
 	limit := p.limits.OverdueAfter[e.Class]
 	switch {
 	case len(e.Avoid) == 0 || !a.othersFit(func(w *worker) cell.Size { return w.size }):
@@ -90,10 +94,19 @@
 
 // usable reports whether the entry's tasks may run on a worker now.
 func (a access) usable(w *worker) bool {
-	return a.by(w, a.p.now) && a.p.reservationAllows(w, a.e)
+	return a.by(w, a.p.now) && a.reservationAllows(w)
 }
 
 // preferred reports whether a worker is usable and none of the entry's tasks has failed there.
 func (a access) preferred(w *worker) bool {
-	return !a.avoids(w) && a.p.reservationAllows(w, a.e)
+	return !a.avoids(w) && a.reservationAllows(w)
+}
+
+// reservationAllows reports whether the entry's tasks may use a worker although its capacity may be
+// reserved for another entry.
+func (a access) reservationAllows(w *worker) bool {
+	if w.reservation == nil || w.reservation.entry == a.e || a.overridesReservations {
+		return true
+	}
+	return a.e.RunTime > 0 && !a.p.now.Add(a.e.RunTime).After(w.reservation.availableAt)
 }
--- a/internal/place/gang.go
+++ b/internal/place/gang.go
@@ -21,16 +21,6 @@
 // reservationTTL is how long a reservation lasts before it is made again.
 const reservationTTL = 5 * time.Second
 
-func (p *Placer) reservationAllows(w *worker, e *entry) bool {
-	if w.reservation == nil || w.reservation.entry == e {
-		return true
-	}
-	if e.Class == cell.Urgent && p.urgentUsage.size.DominantShare(p.total) < p.limits.UrgentCap {
-		return true
-	}
-	return e.RunTime > 0 && !p.now.Add(e.RunTime).After(w.reservation.availableAt)
-}
-
 func (p *Placer) reserve(e *entry, w *worker, from time.Time) {
 	if w.reservation != nil && w.reservation.entry != e {
 		return
--- a/internal/place/turn_test.go
+++ b/internal/place/turn_test.go
@@ -39,3 +39,15 @@
 	})))
 	require.LessOrEqual(t, waitUntilPlaced(p, now.Add(time.Second), time.Minute), 11*time.Second)
 }
+
+// Guards against an urgent gang that waits behind the bulk job for which capacity is reserved, because
+// its first tasks alone reach the cap for urgent tasks.
+func TestUrgentGangAboveTheCapStartsOnReservedWorkers(t *testing.T) {
+	p := fleet(place.DefaultLimits, 4)
+	p.Step(now, place.Request{Job: "x", Row: "x", Class: cell.Normal, Size: cores(1), Tasks: tasks("x", 2), RunTime: time.Hour, Spread: true})
+	old := place.Request{Job: "old", Row: "b", Class: cell.Bulk, Size: cores(4), Tasks: tasks("old", 3), Gang: true, RunTime: time.Minute, Since: now.Add(-time.Hour)}
+	require.Empty(t, assignments(p.Step(now, old)))
+	p.Step(now.Add(time.Second), place.Tick{})
+	urgent := place.Request{Job: "u", Row: "u", Class: cell.Urgent, Size: cores(1), Tasks: tasks("u", 14), Gang: true, RunTime: 2 * time.Hour}
+	require.Len(t, assignments(p.Step(now.Add(time.Second), urgent)), 14)
+}
