--- a/internal/place/avoid.go
+++ b/internal/place/avoid.go
@@ -29,16 +29,17 @@
 func (p *Placer) accessOf(e *entry) access {
 	a := access{p: p, e: e, returnAt: e.AvoidUntil, bounded: true}
 	a.overridesReservations = e.Class == cell.Urgent && p.urgentUsage.size.DominantShare(p.total) < p.limits.UrgentCap
+	if len(e.Avoid) == 0 || !a.othersFit(func(w *worker) cell.Size { return w.size }) {
+		return a
+	}
 	limit := p.limits.OverdueAfter[e.Class]
-	switch {
-	case len(e.Avoid) == 0 || !a.othersFit(func(w *worker) cell.Size { return w.size }):
-	case limit == 0:
+	if limit == 0 {
 		a.bounded, a.awaitsOthers = false, true
-	default:
-		end := latest(e.AvoidUntil, e.LastFailure.Add(limit))
-		if e.LastTry || a.othersFit(func(w *worker) cell.Size { return p.freeBy(w, end) }) {
-			a.returnAt, a.awaitsOthers = end, true
-		}
+		return a
+	}
+	end := latest(e.AvoidUntil, e.LastFailure.Add(limit))
+	if e.LastTry || a.othersFit(func(w *worker) cell.Size { return p.freeBy(w, end) }) {
+		a.returnAt, a.awaitsOthers = end, true
 	}
 	return a
 }
--- a/internal/place/correction.go
+++ b/internal/place/correction.go
@@ -7,26 +7,24 @@
 )
 
 // revertCorrections gives waiting entries their declared size back if their corrected size cannot
-// be placed. That is the case if the corrected size does not fit beside the long-running tasks
-// while the declared one does, because workers have gone or are in use since the correction, or if
-// the entry is overdue and its declared size may start now, or if capacity is reserved for it.
+// be placed, because workers have gone or are in use since the correction. Of the overdue entries
+// whose declared size may start now it reverts one per tick: if their tasks use what the correction
+// expects, starting all of them would overload the workers.
 func (p *Placer) revertCorrections() {
 	c := p.newCorrections()
-	for _, lanes := range p.queue.order {
-		for _, l := range lanes {
-			for _, s := range slices.Clone(l.shapes) {
-				p.revertCorrection(s, c)
-			}
-		}
-	}
-}
-
-func (p *Placer) revertCorrection(s *shape, c corrections) {
-	for _, e := range slices.Clone(s.entries) {
-		if e.waiting() && e.smallestSize() != e.Size && p.needsDeclaredSize(e, c) {
+	var overdue *entry
+	for _, e := range p.queue.waitingEntries() {
+		switch {
+		case e.smallestSize() == e.Size:
+		case p.correctionCannotStart(e, c):
 			p.revertToDeclared(e)
+		case p.overdueFor(e) > max(0, p.overdueFor(overdue)) && p.mayStartDeclared(e, c):
+			overdue = e
 		}
 	}
+	if overdue != nil {
+		p.revertToDeclared(overdue)
+	}
 }
 
 // smallestSize returns the declared size of an entry whose corrected size is larger, and its size
@@ -38,14 +36,23 @@
 	return e.Size
 }
 
-func (p *Placer) needsDeclaredSize(e *entry, c corrections) bool {
-	overdue := p.overdueFor(e) > 0
+// correctionCannotStart reports whether capacity is reserved for the entry, which the declared size
+// needs less of, or the corrected size does not fit beside the long-running tasks while the declared
+// one does.
+func (p *Placer) correctionCannotStart(e *entry, c corrections) bool {
+	if e.shape.blocked != NoCapacity && e.shape.blocked != GangTooLarge {
+		return false
+	}
+	return e == p.overdue || !p.fitsBesideLongTasks(e, e.Size, c) && p.fitsBesideLongTasks(e, e.Declared, c)
+}
+
+// mayStartDeclared reports whether the entry is blocked and its declared size may start now.
+func (p *Placer) mayStartDeclared(e *entry, c corrections) bool {
 	switch e.shape.blocked {
 	case NoCapacity, GangTooLarge:
-		return e == p.overdue || overdue && p.fitsNow(e, e.Declared, c) ||
-			!p.fitsBesideLongTasks(e, e.Size, c) && p.fitsBesideLongTasks(e, e.Declared, c)
+		return p.fitsNow(e, e.Declared, c)
 	case RowSizeLimit, TeamQuota, ReservedForUrgent:
-		return overdue && p.checkLimits(e, e.Declared) == Ready
+		return p.checkLimits(e, e.Declared) == Ready
 	default:
 		return false
 	}
--- a/internal/place/gang.go
+++ b/internal/place/gang.go
@@ -144,11 +144,10 @@
 // overdueFor returns for how long an entry has waited beyond the time that its class may wait. It
 // is not positive if the entry is not overdue.
 func (p *Placer) overdueFor(e *entry) time.Duration {
-	limit := p.limits.OverdueAfter[e.Class]
-	if limit == 0 {
+	if e == nil || p.limits.OverdueAfter[e.Class] == 0 {
 		return 0
 	}
-	return p.now.Sub(e.Since) - limit
+	return p.now.Sub(e.Since) - p.limits.OverdueAfter[e.Class]
 }
 
 // mayReserve reports whether reserved capacity would help the entry: no limit of the table forbids
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -205,6 +205,23 @@
 	}
 }
 
+// waitingEntries lists the entries with waiting tasks.
+func (q *queue) waitingEntries() []*entry {
+	var all []*entry
+	for _, lanes := range q.order {
+		for _, l := range lanes {
+			for _, s := range l.shapes {
+				for _, e := range s.entries {
+					if e.waiting() {
+						all = append(all, e)
+					}
+				}
+			}
+		}
+	}
+	return all
+}
+
 // wakeReturning makes the blocked shapes ready whose tasks may return to workers where they have failed.
 func (q *queue) wakeReturning(now time.Time) {
 	q.wake(func(s *shape) bool { return !s.returnAt.IsZero() && !s.returnAt.After(now) })
