--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -37,6 +37,10 @@
 }
 
 func (h *Host) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if h.isLeaving() {
+		// A caller that keeps its connection would lose its next request when this host exits.
+		w.Header()["Connection"] = []string{"close"}
+	}
 	h.mu.Lock()
 	t := h.table
 	h.mu.Unlock()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -42,7 +42,11 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
-	servers   []*http.Server
+	// servers serve callers, readiness checks and metrics. callers tracks the connections of
+	// callers, and closeCallers closes their listener.
+	servers      []*http.Server
+	callers      *callerConns
+	closeCallers func() error
 
 	mu    sync.Mutex
 	table *platform.Table
@@ -103,6 +107,7 @@
 		peers: peer.NewClients(map[string]netip.AddrPort{}), metrics: metrics.NewRegistry(),
 		hosts: map[string]netip.AddrPort{cfg.Name: cfg.Listen.Peer}, pending: map[string]int{},
 		accepted: map[string]time.Time{}, peersSeen: map[string]hostInfo{}, failedSince: map[string]time.Time{},
+		callers: newCallerConns(),
 	}
 	if cfg.Policy != "" {
 		addr, err := netip.ParseAddrPort(cfg.Policy)
@@ -195,6 +200,10 @@
 			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 			ErrorLog: slog.NewLogLogger(h.log.Handler(), slog.LevelDebug),
 		}
+		if l.addr == h.cfg.Listen.Caller {
+			s.ConnState, h.closeCallers = h.callers.stateChanged, ln.Close
+			ln = callerListener{ln, h.callers}
+		}
 		h.servers = append(h.servers, s)
 		h.wg.Go(func() { _ = s.Serve(ln) })
 	}
@@ -240,6 +249,7 @@
 	grace := time.Duration(h.cfg.Times.Grace)
 	sleep(h.ctx, min(drainWait, max(grace-shutdownTimeout-time.Second, 0)))
 	ctx, cancel := context.WithTimeout(h.ctx, shutdownTimeout)
+	h.drainCallers(ctx)
 	for _, s := range h.servers {
 		if err := s.Shutdown(ctx); err != nil {
 			h.log.Warn("entry: connections were still open.", "err", err)
@@ -251,6 +261,16 @@
 	h.log.Info("entry: stopped.", "host", h.cfg.Name)
 }
 
+// drainCallers accepts no more callers and waits until the requests of the others are answered.
+func (h *Host) drainCallers(ctx context.Context) {
+	if err := h.closeCallers(); err != nil {
+		h.log.Warn("entry: listener cannot be closed.", "err", err)
+	}
+	if left := h.callers.drain(ctx); left > 0 {
+		h.log.Warn("entry: callers' requests were still open.", "connections", left)
+	}
+}
+
 // sleep waits for d. It returns false if ctx has ended.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
