--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -57,6 +57,9 @@
 	}()
 	ctx, cancel := context.WithTimeout(h.ctx, claimTimeout)
 	defer cancel()
+	h.mu.Lock()
+	h.abortClaim = cancel
+	h.mu.Unlock()
 	began := h.now()
 	t, err := h.beginTerm(ctx)
 	if err != nil {
--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -223,3 +223,8 @@
 	}
 	return all
 }
+
+// waitForLog waits until a host has logged a line with the text.
+func (c *cluster) waitForLog(text string) {
+	require.Eventually(c.t, func() bool { return strings.Contains(c.logs.String(), text) }, waitTimeout, 20*time.Millisecond, text)
+}
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -380,3 +380,35 @@
 
 // Drop removes old final states.
 func (e *FinalStates) Drop(before time.Time) { e.drop(before) }
+
+// ReadShare is the share of a host in the reads of the store for state queries.
+type ReadShare struct{ readShare }
+
+// NewReadShare returns the share of one host of a store with that bandwidth in MB/s.
+func NewReadShare(megabytes float64) *ReadShare { return &ReadShare{newReadShare(megabytes)} }
+
+// Wait returns how long the host waits for its next read.
+func (s *ReadShare) Wait(now time.Time, rank, hosts, records int) time.Duration {
+	return s.wait(now, rank, hosts, records)
+}
+
+// Record records a read.
+func (s *ReadShare) Record(now time.Time, bytes int) { s.record(now, bytes) }
+
+// HandoverBoundsAfter returns the lease bounds that the host would begin a term with after it was
+// told to succeed.
+func (h *Host) HandoverBoundsAfter(m peer.AnnounceSuccessor) map[string]time.Duration {
+	h.claimMu.Lock()
+	defer h.claimMu.Unlock()
+	h.handleSucceed(m)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.handoverBounds
+}
+
+// Claiming reports whether the host tries to begin a term.
+func (h *Host) Claiming() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.claiming
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -84,6 +84,8 @@
 	// begin a term. claiming reports the latter to other hosts.
 	electionMu, claimMu sync.Mutex
 	claiming, leaving   bool
+	// abortClaim ends the attempt to begin a term.
+	abortClaim context.CancelFunc
 	// successor is the host that this one asked to lead in its place.
 	successor string
 	// standby is the host that is to take over if the leader's process dies, as designated by the
@@ -243,6 +245,9 @@
 	h.log.Info("entry: planned stop.", "host", h.cfg.Name, "peak-mib", peakMemory())
 	h.mu.Lock()
 	h.leaving = true
+	h.mu.Unlock()
+	h.passOnClaim()
+	h.mu.Lock()
 	t := h.ownTerm
 	h.mu.Unlock()
 	h.stepDown(t)
@@ -309,6 +314,18 @@
 	return all
 }
 
+// rank returns how many hosts come before this one in name order, and the number of hosts.
+func (h *Host) rank() (rank, hosts int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for n := range h.hosts {
+		if n < h.cfg.Name {
+			rank++
+		}
+	}
+	return rank, max(len(h.hosts), 1)
+}
+
 // setHosts replaces the set of entry hosts.
 func (h *Host) setHosts(all map[string]netip.AddrPort) {
 	all[h.cfg.Name] = h.cfg.Listen.Peer
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -195,18 +195,13 @@
 // this check the hosts would wait for a leader that never comes. The hosts try one after the
 // other.
 func (h *Host) isLeaderless() bool {
+	rank, _ := h.rank()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.ownTerm != nil || h.leaving {
 		h.lastSync = h.now()
 		return false
 	}
-	rank := 0
-	for n := range h.hosts {
-		if n < h.cfg.Name {
-			rank++
-		}
-	}
 	return h.now().Sub(h.lastSync) > leaderlessTimeout+time.Duration(rank)*leaderlessStep
 }
 
--- /dev/null
+++ b/internal/entry/readshare.go
@@ -0,0 +1,57 @@
+package entry
+
+import "time"
+
+const (
+	// defaultReadRate is the store's read bandwidth in MB/s if the settings do not name it.
+	defaultReadRate = 80
+	// queryReadShare is the share of that bandwidth that all hosts together may use for state
+	// queries. The next leader has to read everything in the meantime.
+	queryReadShare = 0.25
+	// maxRecords is how many records a query reads at most: a page of each partition of stateTopic.
+	// recordBytes is the assumed size of a record before any was read.
+	maxRecords  = 1500
+	recordBytes = 1400
+)
+
+// readShare limits how much a host reads to its share of the store's bandwidth. Without a leader
+// every host gets queries that only the store can answer. Each of them reads pages of hundreds of
+// kilobytes, and a hundred hosts that do so at once leave no bandwidth for the next leader.
+type readShare struct {
+	// rate is the bandwidth for all hosts together in bytes a second.
+	rate float64
+	// last is when the last read ended, bytes how much the last successful one read.
+	last  time.Time
+	bytes int
+}
+
+func newReadShare(megabytes float64) readShare {
+	if megabytes <= 0 {
+		megabytes = defaultReadRate
+	}
+	return readShare{rate: queryReadShare * megabytes * 1e6}
+}
+
+// wait returns how long a host has to wait before it may read. The hosts read in turn: the first of
+// them at once, each other one after those before it. records is the number of records that there
+// may be.
+func (s *readShare) wait(now time.Time, rank, hosts, records int) time.Duration {
+	bytes := s.bytes
+	if bytes == 0 {
+		bytes = min(records, maxRecords) * recordBytes
+	}
+	turn := time.Duration(float64(bytes) / s.rate * float64(time.Second))
+	period := time.Duration(hosts) * turn
+	if s.last.IsZero() || now.Sub(s.last) >= period {
+		return time.Duration(rank) * turn
+	}
+	return period - now.Sub(s.last)
+}
+
+// record records a read that has just ended.
+func (s *readShare) record(now time.Time, bytes int) {
+	s.last = now
+	if bytes > 0 {
+		s.bytes = bytes
+	}
+}
--- /dev/null
+++ b/internal/entry/readshare_test.go
@@ -0,0 +1,57 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/entry"
+)
+
+// readsWithin plays hosts that all have queries for d while no host leads, and returns the bytes
+// that they read in each second.
+func readsWithin(d time.Duration, hosts, records, bytes int) []int {
+	began := time.Unix(1_000, 0)
+	perSecond := make([]int, int(d/time.Second))
+	for rank := range hosts {
+		s := entry.NewReadShare(80)
+		for at := began; ; {
+			at = at.Add(max(s.Wait(at, rank, hosts, records), 500*time.Millisecond))
+			if at.Sub(began) >= d {
+				break
+			}
+			perSecond[int(at.Sub(began)/time.Second)] += bytes
+			s.Record(at, bytes)
+		}
+	}
+	return perSecond
+}
+
+// The leader of 147 hosts is lost and each host is asked for jobs. If all of them read the pages of
+// progress at once, they use up the bandwidth of the store, and no other host can take over.
+func TestHostsWithoutALeaderLeaveTheStoreToTheNextOne(t *testing.T) {
+	const hosts, seconds, bandwidth = 147, 10, 80_000_000
+	for _, bytes := range []int{100_000, 700_000, 2_000_000} {
+		sum := 0
+		for second, read := range readsWithin(seconds*time.Second, hosts, 3000, bytes) {
+			require.LessOrEqual(t, read, bandwidth/2, "second %d, %d bytes a read", second, bytes)
+			sum += read
+		}
+		require.LessOrEqual(t, sum, seconds*bandwidth/4+bytes, "%d bytes a read", bytes)
+	}
+}
+
+// On a few hosts, queries that only the store can answer hardly wait.
+func TestFewHostsReadStatesAtOnce(t *testing.T) {
+	for rank := range 8 {
+		require.Less(t, entry.NewReadShare(80).Wait(time.Unix(1_000, 0), rank, 8, 300), 200*time.Millisecond)
+	}
+}
+
+// Reads that fail count as well: a store that is overloaded must not be asked more often.
+func TestFailedReadsWaitForTheirTurn(t *testing.T) {
+	s, now := entry.NewReadShare(80), time.Unix(1_000, 0)
+	s.Record(now, 0)
+	require.Greater(t, s.Wait(now, 0, 147, 3000), time.Second)
+}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -31,6 +31,9 @@
 	Policy string         `toml:"policy"`
 	// Parts is the number of partitions of a topic in the store.
 	Parts int `toml:"parts"`
+	// ReadRate is the bandwidth in MB/s that all reads of the store share. Zero means
+	// defaultReadRate.
+	ReadRate float64 `toml:"readrate"`
 	// Power is the number of cores of the host. The strongest host leads.
 	Power float64 `toml:"power"`
 	// Memory is the maximum memory use of the process, in MiB.
@@ -99,6 +102,9 @@
 	case s.Parts < 1:
 		return missing("parts")
 	}
+	if s.ReadRate < 0 {
+		return &FieldError{Path: path, Key: "readrate", Reason: "has to be 0 or more"}
+	}
 	if s.Policy != "" {
 		if _, err := netip.ParseAddrPort(s.Policy); err != nil {
 			return &FieldError{Path: path, Key: "policy", Reason: err.Error()}
--- a/internal/entry/settings_test.go
+++ b/internal/entry/settings_test.go
@@ -55,7 +55,7 @@
 		require.ErrorAs(t, err, new(*entry.FieldError), key)
 		require.ErrorContains(t, err, key)
 	}
-	for _, bad := range []string{`policy = "nowhere"`, `store = "x"`, `parts = "many"`, `off = ["gravity"]`} {
+	for _, bad := range []string{`policy = "nowhere"`, `store = "x"`, `parts = "many"`, `off = ["gravity"]`, `readrate = -1.0`} {
 		key, _, _ := strings.Cut(bad, " ")
 		text := strings.Replace(settingsText, key+" = ", "#", 1)
 		_, err := load(t, bad+"\n"+text)
--- a/internal/entry/statecache.go
+++ b/internal/entry/statecache.go
@@ -46,6 +46,8 @@
 	reading bool
 	// lastAcceptedRead is when jobsTopic was last read.
 	lastAcceptedRead time.Time
+	// stateShare and acceptedShare limit the reads of stateTopic and of jobsTopic.
+	stateShare, acceptedShare readShare
 }
 
 type cachedState struct {
@@ -57,6 +59,8 @@
 type stateRead struct {
 	ids  map[string]bool
 	done chan struct{}
+	// waiting is the number of queries that wait for the read.
+	waiting int
 	// found holds the states of the jobs that were found, unreadable the jobs whose record cannot
 	// be decoded. Any other job does not exist, unless err is set.
 	found      map[string]flow.State
@@ -65,7 +69,9 @@
 	err error
 }
 
-func newStateCache(h *Host) *stateCache { return &stateCache{h: h, ended: map[string]cachedState{}} }
+func newStateCache(h *Host) *stateCache {
+	return &stateCache{h: h, ended: map[string]cachedState{}, stateShare: newReadShare(h.cfg.ReadRate), acceptedShare: newReadShare(h.cfg.ReadRate)}
+}
 
 // add stores a final state.
 func (s *stateCache) add(id string, state flow.State) {
@@ -138,6 +144,7 @@
 		select {
 		case <-r.done:
 		case <-ctx.Done():
+			s.leave(r)
 			return "", false, &store.UnansweredError{Op: store.Newest, Cause: ctx.Err()}
 		}
 		state, ok := r.found[id]
@@ -165,6 +172,7 @@
 		s.next = &stateRead{ids: map[string]bool{}, done: make(chan struct{}), found: map[string]flow.State{}, unreadable: map[string]bool{}}
 	}
 	s.next.ids[id] = true
+	s.next.waiting++
 	if !s.reading {
 		s.reading = true
 		s.h.wg.Go(s.run)
@@ -172,14 +180,20 @@
 	return s.next
 }
 
-// run makes one read after the other until there are no more queries.
+// leave records that a query no longer waits for a read.
+func (s *stateCache) leave(r *stateRead) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.waiting--
+}
+
+// run makes one read after the other until there are no more queries. Queries that arrive while it
+// waits for its turn share the read.
 func (s *stateCache) run() {
 	for {
-		s.mu.Lock()
-		r := s.next
-		s.next = nil
-		s.reading = r != nil
-		s.mu.Unlock()
+		rank, hosts := s.h.rank()
+		sleep(s.h.ctx, s.stateShare.wait(s.h.now(), rank, hosts, s.recordCount()))
+		r := s.take()
 		if r == nil {
 			return
 		}
@@ -193,6 +207,27 @@
 	}
 }
 
+// take returns the next read, or nil if no query waits for one.
+func (s *stateCache) take() *stateRead {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.next
+	s.next = nil
+	if r != nil && r.waiting == 0 {
+		close(r.done)
+		r = nil
+	}
+	s.reading = r != nil
+	return r
+}
+
+// recordCount estimates the number of jobs in the store.
+func (s *stateCache) recordCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.ended)
+}
+
 // withoutFinalState lists, in order, the jobs of a read whose final state is not known yet.
 func (s *stateCache) withoutFinalState(r *stateRead) []string {
 	for id := range r.ids {
@@ -228,7 +263,9 @@
 	if len(unproved) == 0 || err != nil {
 		return err
 	}
-	if !sleep(ctx, acceptedReadInterval-s.h.now().Sub(s.lastAcceptedRead)) {
+	rank, hosts := s.h.rank()
+	pause := max(acceptedReadInterval-s.h.now().Sub(s.lastAcceptedRead), s.acceptedShare.wait(s.h.now(), rank, hosts, s.recordCount()))
+	if !sleep(ctx, pause) {
 		return &store.UnansweredError{Op: store.Newest, Cause: ctx.Err()}
 	}
 	s.lastAcceptedRead = s.h.now()
@@ -251,8 +288,10 @@
 // readProgress reads the newest record of each requested job, and stores all final states that it
 // comes across.
 func (s *stateCache) readProgress(ctx context.Context, ids []string) (map[string][]byte, error) {
-	newest := map[string][]byte{}
+	newest, bytes := map[string][]byte{}, 0
+	defer func() { s.stateShare.record(s.h.now(), bytes) }()
 	err := s.scan(ctx, stateTopic, s.h.stateParts(), ids, func(rec store.Record, asked bool) {
+		bytes += len(rec.Value)
 		if rec.Key == claimKey {
 			return
 		}
@@ -272,8 +311,10 @@
 	for i := range parts {
 		parts[i] = i
 	}
-	accepted := map[string]bool{}
+	accepted, bytes := map[string]bool{}, 0
+	defer func() { s.acceptedShare.record(s.h.now(), bytes) }()
 	err := s.scan(ctx, jobsTopic, parts, ids, func(rec store.Record, asked bool) {
+		bytes += len(rec.Value)
 		if asked {
 			accepted[rec.Key] = true
 		}
--- a/internal/entry/succession.go
+++ b/internal/entry/succession.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"pollencroft/internal/cell"
 	"pollencroft/internal/peer"
 )
 
@@ -30,7 +31,11 @@
 		h.followLeader(m.Successor, m.Term)
 		return
 	}
-	bounds := make(map[string]time.Duration, len(m.Bounds))
+	// Without bounds the sender does not lead itself, and the previous leader may still renew leases.
+	var bounds map[string]time.Duration
+	if m.Bounds != nil {
+		bounds = make(map[string]time.Duration, len(m.Bounds))
+	}
 	for incarnation, d := range m.Bounds {
 		bounds[incarnation] = d.Duration
 	}
@@ -55,6 +60,41 @@
 	h.leaveGroup(candidateGroup)
 }
 
+// passOnClaim aborts an attempt to begin a term when this host is to stop, and asks another host to
+// lead. Otherwise nobody leads for as long as the others leave the leadership to this host, or its
+// term ends with its process a moment after it has begun.
+func (h *Host) passOnClaim() {
+	h.mu.Lock()
+	claiming, abort := h.claiming, h.abortClaim
+	h.mu.Unlock()
+	if !claiming {
+		return
+	}
+	if abort != nil {
+		abort()
+	}
+	h.claimMu.Lock()
+	defer h.claimMu.Unlock()
+	h.mu.Lock()
+	began, succeed := h.ownTerm != nil, peer.AnnounceSuccessor{Term: h.term}
+	if h.handoverBounds != nil {
+		succeed.Bounds = map[string]cell.Duration{}
+	}
+	since := h.now().Sub(h.handoverBoundsAt)
+	for incarnation, left := range h.handoverBounds {
+		succeed.Bounds[incarnation] = cell.Duration{Duration: max(left-since, 0)}
+	}
+	h.mu.Unlock()
+	if began {
+		return
+	}
+	ctx, cancel := context.WithTimeout(h.ctx, time.Second)
+	defer cancel()
+	successor := h.firstAvailable(ctx, h.successors())
+	h.log.Info("lead: claim passed on.", "host", successor, "term", succeed.Term)
+	h.announceSuccessor(ctx, successor, succeed)
+}
+
 // announceSuccessor tells all hosts, the successor first, which host is to lead next. The other
 // hosts are told concurrently; otherwise one in a failure domain that is cut off would use up the
 // time for all.
--- a/internal/entry/succession_test.go
+++ b/internal/entry/succession_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"pollencroft/internal/cell"
 	"pollencroft/internal/entry"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/standin/users"
@@ -331,3 +332,52 @@
 		wg.Wait()
 	}
 }
+
+// The leader stops, and the host that it asked to lead is stopped as well while it still tries to
+// begin its term, as when all hosts are replaced one after the other. The others leave the
+// leadership to that host, and nobody leads for many seconds.
+func TestHostThatStopsDuringItsClaimPassesItOn(t *testing.T) {
+	c := newCluster(t, 4, 3, 50*time.Millisecond)
+	old := c.leader()
+	require.Eventually(t, func() bool { return old.RecentHostCount() == 3 }, waitTimeout, 20*time.Millisecond)
+	c.log.BreakReads("jobs", users.Silent)
+	done := make(chan struct{}, 2)
+	stop := func(h *testHost) {
+		h.Stop()
+		done <- struct{}{}
+	}
+	go stop(old)
+	var next *testHost
+	require.Eventually(t, func() bool {
+		for _, h := range c.hosts {
+			if h.Claiming() {
+				next = h
+			}
+		}
+		return next != nil
+	}, waitTimeout, time.Millisecond)
+	go stop(next)
+	c.waitForLog("lead: claim passed on.")
+	c.log.BreakReads("jobs", users.None)
+	<-done
+	<-done
+	for _, h := range []*testHost{old, next} {
+		delete(c.hosts, h.cfg.Name)
+		h.Kill()
+	}
+	c.waitReady()
+	f := c.leader()
+	require.Equal(t, http.StatusOK, c.submit(f, 0).code)
+	c.waitCompleted(f, 1)
+	require.Empty(t, c.checker.Violations())
+}
+
+// A host that does not lead asks a stronger one to lead. It cannot know whether the previous leader
+// has stopped; if the successor assumed so, it could start tasks elsewhere whose leases that leader
+// still renews.
+func TestSuccessorOfAnUnknownLeaderWaitsForItsLeases(t *testing.T) {
+	c := newCluster(t, 1, 1, 50*time.Millisecond)
+	h := c.leader()
+	require.Nil(t, h.HandoverBoundsAfter(peer.AnnounceSuccessor{Term: 1, Successor: h.cfg.Name}))
+	require.NotNil(t, h.HandoverBoundsAfter(peer.AnnounceSuccessor{Term: 1, Successor: h.cfg.Name, Bounds: map[string]cell.Duration{}}))
+}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -282,7 +282,8 @@
 
 // AnnounceSuccessor tells all hosts that the sender is leaving and that Successor is to take
 // over; it has no answer. Bounds holds, for each worker that does not answer, how much longer
-// anything may run there.
+// anything may run there. It is nil if the sender did not lead, so that it is not known whether the
+// previous leader has stopped.
 type AnnounceSuccessor struct {
 	Term      int64
 	Successor string
