--- a/internal/sched/firm_test.go
+++ b/internal/sched/firm_test.go
@@ -77,6 +77,17 @@
 		}
 	}
 	b.list()
+	setWorkloads(b, kinds)
+	var hosts []string
+	for i := range 40 {
+		hosts = append(hosts, fmt.Sprintf("h%02d", i))
+	}
+	b.step(sched.Hosts{Names: hosts})
+	return b
+}
+
+// setWorkloads sets the queues of a cell, and how the policy service answers about them.
+func setWorkloads(b *simCell, kinds []workload) {
 	b.queues = nil
 	good := map[string]float64{}
 	for _, k := range kinds {
@@ -84,11 +95,6 @@
 		good[k.queue.Name] = k.allowedShare
 	}
 	b.step(sched.Queues{Version: 2, All: b.queues})
-	var hosts []string
-	for i := range 40 {
-		hosts = append(hosts, fmt.Sprintf("h%02d", i))
-	}
-	b.step(sched.Hosts{Names: hosts})
 	b.allows = func(step, worker string) bool {
 		share := good[b.specs[jobOf(step)].Queue.Name]
 		return float64(xxhash.Sum64String(step+worker)%1000) < 1000*share
@@ -96,7 +102,6 @@
 	b.queryTime = func(a sched.QueryPolicy) time.Duration {
 		return b.specs[jobOf(a.Step)].Queue.Advice.Cost(len(a.Workers))
 	}
-	return b
 }
 
 // submitArrivals submits the jobs that arrive during d.
--- a/internal/sched/simcell_test.go
+++ b/internal/sched/simcell_test.go
@@ -22,8 +22,10 @@
 // simCell simulates a leader with in-memory workers, on a clock that the test advances. Workers
 // start whatever they are asked to, and record violations of the rules.
 type simCell struct {
-	t       *testing.T
-	now     time.Time
+	t   *testing.T
+	now time.Time
+	// skew is how much the leader's time of day differs from the true time.
+	skew    time.Duration
 	core    *sched.Sched
 	term    int64
 	workers map[string]*fakeWorker
@@ -54,11 +56,17 @@
 	longWaits []sched.Note
 	// resizeNotes are the notes about size changes.
 	resizeNotes []sched.Note
+	// appendedRecords and appendedBytes count what was appended to the store.
+	appendedRecords, appendedBytes int
 	// holds counts the holds sent to workers.
 	holds int
 	// passes counts placement passes, passTook is how long one takes.
 	passes   int
 	passTook time.Duration
+	// passTime is the real time spent in steps with a pass; with measurePasses the core is told of
+	// it instead of passTook.
+	passTime      time.Duration
+	measurePasses bool
 	// coreTime is the real time spent in the core.
 	coreTime   time.Duration
 	queues     []flow.Queue
@@ -165,7 +173,7 @@
 func (b *simCell) advance(d time.Duration) {
 	until := b.now.Add(d)
 	for {
-		next := b.core.Due()
+		next := b.core.Due().Add(-b.skew)
 		if len(b.events) > 0 && !b.events[0].at.After(next) {
 			ev := b.events[0]
 			if ev.at.After(until) {
@@ -195,11 +203,20 @@
 	term := b.term
 	began := time.Now()
 	placed := b.core.LastPass()
-	acts := b.core.Step(b.now, ev)
-	b.coreTime += time.Since(began)
+	if r, ok := ev.(sched.HoldReply); ok {
+		r.Sent, r.Received = r.Sent.Add(b.skew), r.Received.Add(b.skew)
+		ev = r
+	}
+	acts := b.core.Step(b.now.Add(b.skew), ev)
+	took := time.Since(began)
+	b.coreTime += took
 	if b.core.LastPass() != placed {
 		b.passes++
-		b.core.RecordPassDuration(b.passTook)
+		b.passTime += took
+		if !b.measurePasses {
+			took = b.passTook
+		}
+		b.core.RecordPassDuration(took)
 	}
 	for _, a := range acts {
 		b.execute(term, a)
@@ -216,6 +233,10 @@
 func (b *simCell) execute(term int64, a sched.Action) {
 	switch a := a.(type) {
 	case sched.Append:
+		for _, c := range a.Changes {
+			b.appendedBytes += len(c.Value)
+		}
+		b.appendedRecords += len(a.Changes)
 		took := 3 * time.Millisecond
 		if b.storeTime != nil {
 			took = b.storeTime()
@@ -318,7 +339,7 @@
 			jobs = append(jobs, j)
 			continue
 		}
-		j, err := flow.Restore(b.specs[id], rec, b.now)
+		j, err := flow.Restore(b.specs[id], rec, b.now.Add(b.skew))
 		require.NoError(b.t, err)
 		jobs = append(jobs, j)
 	}
