--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -88,10 +88,22 @@
 	if err != nil {
 		return false
 	}
-	t.State, t.Since = next, now
+	t.setState(next)
+	t.Since = now
 	return true
 }
 
+// setState changes the state and the step's count of waiting tasks.
+func (t *Task) setState(next chart.State) {
+	if t.State == Waiting {
+		t.Step.waiting--
+	}
+	if next == Waiting {
+		t.Step.waiting++
+	}
+	t.State = next
+}
+
 // MayBeRunning reports whether a worker may have a run of the task.
 func (t *Task) MayBeRunning() bool {
 	switch t.State {
@@ -112,6 +124,8 @@
 	Tasks []*Task
 	// Done counts the tasks that are done.
 	Done int
+	// waiting counts the tasks that are waiting.
+	waiting int
 	// maxSuspicions is the highest number of crash suspicions among the members of a gang.
 	maxSuspicions int
 	// avoidsUntil is when the last of the tasks stops avoiding a worker.
@@ -121,6 +135,9 @@
 // Finished reports whether all tasks are done.
 func (s *Stage) Finished() bool { return s.Done == len(s.Tasks) }
 
+// AnyWaiting reports whether a task is waiting.
+func (s *Stage) AnyWaiting() bool { return s.waiting > 0 }
+
 // Round is one execution of all steps of a job.
 type Round struct {
 	Index  int
@@ -201,7 +218,7 @@
 func (j *Job) openRound(n int, now time.Time) *Round {
 	r := &Round{Index: n, Due: j.Due(n)}
 	for i, st := range j.Spec.Steps {
-		stage := &Stage{Spec: st, Index: i}
+		stage := &Stage{Spec: st, Index: i, waiting: st.Tasks}
 		for k := range st.Tasks {
 			stage.Tasks = append(stage.Tasks, &Task{
 				Name: Name{Job: j.Spec.ID, Round: n, Step: i, Index: k}, Job: j, Step: stage, State: taskChart.Start(), Since: now, CPUPercent: 100,
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -194,7 +194,7 @@
 	t.restoreAvoidances(tr.Avoid, now)
 	switch {
 	case tr.Done:
-		t.State = Done
+		t.setState(Done)
 		t.Step.Done++
 	case tr.Worker != "":
 		t.Worker = tr.Worker
--- a/internal/sched/candidates.go
+++ b/internal/sched/candidates.go
@@ -27,6 +27,30 @@
 	}
 }
 
+// bestCandidates keeps the best candidates in order, at most a given number. Of equal ones those that
+// were added first come first. A query names a few of a thousand workers, so sorting all of them
+// would be most of its cost.
+type bestCandidates struct {
+	all  []candidate
+	most int
+}
+
+func (b *bestCandidates) add(c candidate) {
+	if len(b.all) >= b.most && (b.most <= 0 || c.compare(b.all[len(b.all)-1]) >= 0) {
+		return
+	}
+	i, _ := slices.BinarySearchFunc(b.all, c, func(kept, c candidate) int {
+		if kept.compare(c) <= 0 {
+			return -1
+		}
+		return 1
+	})
+	if len(b.all) >= b.most {
+		b.all = b.all[:len(b.all)-1]
+	}
+	b.all = slices.Insert(b.all, i, c)
+}
+
 // workersToQuery lists the workers to name in a query for a step with n waiting tasks. First come
 // workers with free capacity that may be allowed, the best first, as many as the tasks need; then
 // others, as long as they add little to the cost of the query. The list is empty if nothing could
@@ -54,10 +78,11 @@
 	if enough(named) {
 		return named
 	}
-	for _, c := range s.otherCandidates(r, a, p) {
-		if enough(named) {
-			break
-		}
+	left := maxQueryWorkers - len(named)
+	if want <= 0 {
+		left = min(left, more-len(named))
+	}
+	for _, c := range s.otherCandidates(r, a, p, left) {
 		named = append(named, c.incarnation)
 	}
 	return named
@@ -69,7 +94,8 @@
 // expensive ordering is done only for workers that have it.
 func (s *Sched) candidatesWithCapacity(r readyStep, a *advice, p *pool) (all []candidate, most int) {
 	demand, some := r.stage.Spec.Demand(), false
-	for _, w := range p.workers {
+	best := bestCandidates{most: maxQueryWorkers}
+	for _, w := range p.open {
 		if !demand.Fits(w.available().Sub(w.earmarked)) {
 			continue
 		}
@@ -82,30 +108,28 @@
 		got, known := a.tickets[w.Incarnation]
 		if !known || !s.now.Before(got.until) {
 			// A worker with a valid ticket was not chosen for another reason.
-			all = append(all, candidate{incarnation: w.Incarnation, tasks: hold, known: known, cost: s.cost(r, w)})
+			best.add(candidate{incarnation: w.Incarnation, tasks: hold, known: known, cost: s.cost(r, w)})
 		}
 	}
 	if !some {
 		p.unfit = append(p.unfit, demand)
 	}
-	slices.SortStableFunc(all, candidate.compare)
-	return all, most
+	return best.all, most
 }
 
-// otherCandidates lists the workers that have no capacity for the step now and have not been asked
-// about yet.
-func (s *Sched) otherCandidates(r readyStep, a *advice, p *pool) []candidate {
-	var all []candidate
+// otherCandidates lists the n best workers that have no capacity for the step now and have not been
+// asked about yet.
+func (s *Sched) otherCandidates(r readyStep, a *advice, p *pool, n int) []candidate {
+	best := bestCandidates{most: n}
 	demand := r.stage.Spec.Demand()
 	for _, w := range p.workers {
 		_, known := a.tickets[w.Incarnation]
 		if known || a.denied[w.Incarnation] || !demand.Fits(w.Size) || demand.Fits(w.available().Sub(w.earmarked)) || !s.suitsAny(r, w) {
 			continue
 		}
-		all = append(all, candidate{incarnation: w.Incarnation, cost: s.cost(r, w)})
+		best.add(candidate{incarnation: w.Incarnation, cost: s.cost(r, w)})
 	}
-	slices.SortStableFunc(all, candidate.compare)
-	return all
+	return best.all
 }
 
 // extraQueryWorkers returns how many workers a query may name without taking much longer.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -33,7 +33,7 @@
 		q := s.queue(j)
 		for _, r := range j.Rounds {
 			for _, st := range r.Stages {
-				if st.Finished() || !r.Ready(st) {
+				if !st.AnyWaiting() || !r.Ready(st) {
 					continue
 				}
 				if tasks := startableTasks(st); len(tasks) > 0 {
@@ -78,6 +78,9 @@
 // pool is the capacity of one service during one pass.
 type pool struct {
 	workers []*worker
+	// open lists the workers that have capacity for one of the waiting steps at the beginning of the
+	// pass. Capacity only shrinks during a pass.
+	open []*worker
 	// totalCPU is the processor capacity of all workers, freeCPU the part that is free now.
 	totalCPU, freeCPU int64
 	// total is the capacity of all workers in every resource. prefetched is the capacity needed by
@@ -127,6 +130,7 @@
 	if len(steps) == 0 {
 		return
 	}
+	s.listOpenWorkers(pools, steps)
 	s.noFreeHost = [2]bool{}
 	top := steps[0].queue.Rank
 	for _, q := range s.queues {
@@ -151,6 +155,29 @@
 	s.accountWaits(steps)
 }
 
+// listOpenWorkers lists the workers of each pool that have capacity for any of the steps. In a full
+// cell they are few, and hundreds of steps look for one.
+func (s *Sched) listOpenWorkers(pools map[string]*pool, steps []readyStep) {
+	least := map[string]int64{}
+	for _, r := range steps {
+		cpu := r.stage.Spec.Demand().CPU
+		if known, ok := least[r.queue.Service]; !ok || cpu < known {
+			least[r.queue.Service] = cpu
+		}
+	}
+	for service, cpu := range least {
+		p, ok := pools[service]
+		if !ok {
+			continue
+		}
+		for _, w := range p.workers {
+			if w.available().CPU >= cpu {
+				p.open = append(p.open, w)
+			}
+		}
+	}
+}
+
 // placeStep places as many tasks of a step as possible.
 func (s *Sched) placeStep(r readyStep, p *pool, reservedCPU int64) {
 	if r.stage.Spec.Gang {
@@ -304,14 +331,7 @@
 }
 
 // runsTaskOf reports whether a task of the job is on the worker.
-func (w *worker) runsTaskOf(j *flow.Job) bool {
-	for _, t := range w.tasks {
-		if t.Job == j {
-			return true
-		}
-	}
-	return false
-}
+func (w *worker) runsTaskOf(j *flow.Job) bool { return w.jobs[j] > 0 }
 
 // runsServing reports whether the worker has a task with a response-time target.
 func (w *worker) runsServing() bool {
--- a/internal/sched/prefetch.go
+++ b/internal/sched/prefetch.go
@@ -1,6 +1,6 @@
 package sched
 
-import "slices"
+import "time"
 
 // prefetchShare is the largest share of a service's workers that steps may need in total when their
 // tickets are prefetched, that is, queried before there is capacity for them. A ticket is valid for
@@ -41,7 +41,11 @@
 // while: first those that were allowed before, then those not asked about yet.
 func (s *Sched) prefetchCandidates(r readyStep, a *advice, p *pool) []string {
 	cost := r.queue.Advice.Cost(1)
-	var all []candidate
+	if !r.stage.Spec.Gang && s.hasLastingTicket(r, a, cost) {
+		// One worker that the step may start on is enough for now.
+		return nil
+	}
+	best := bestCandidates{most: min(max(s.extraQueryWorkers(r.queue.Advice), 1), maxQueryWorkers)}
 	var most int64
 	for _, w := range p.workers {
 		got, known := a.tickets[w.Incarnation]
@@ -49,25 +53,32 @@
 			most += r.stage.Spec.Demand().FitCount(w.Size)
 		}
 		if known && s.now.Add(cost).Before(got.until) {
-			if !r.stage.Spec.Gang {
-				// One worker that the step may start on is enough for now.
-				return nil
-			}
 			continue
 		}
 		if a.denied[w.Incarnation] || !r.stage.Spec.Demand().Fits(w.Size) || !s.suitsAny(r, w) {
 			continue
 		}
-		all = append(all, candidate{incarnation: w.Incarnation, known: known, cost: s.cost(r, w)})
+		best.add(candidate{incarnation: w.Incarnation, known: known, cost: s.cost(r, w)})
 	}
 	if r.stage.Spec.Gang && most < int64(len(r.tasks)) {
 		// Even if all workers that may be allowed were empty, the gang could not start.
 		return nil
 	}
-	slices.SortStableFunc(all, candidate.compare)
 	var named []string
-	for _, c := range all[:min(len(all), max(s.extraQueryWorkers(r.queue.Advice), 1), maxQueryWorkers)] {
+	for _, c := range best.all {
 		named = append(named, c.incarnation)
 	}
 	return named
 }
+
+// hasLastingTicket reports whether a worker of the step's service that is usable now has a ticket
+// that is still valid after another query.
+func (s *Sched) hasLastingTicket(r readyStep, a *advice, cost time.Duration) bool {
+	for incarnation, got := range a.tickets {
+		w, ok := s.workers[incarnation]
+		if ok && w.Service == r.queue.Service && w.usable(s.now) && s.now.Add(cost).Before(got.until) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/sched/waits.go
+++ b/internal/sched/waits.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 
@@ -76,7 +75,7 @@
 		}
 		w.times[w.reason] += s.now.Sub(w.accountedUntil)
 		w.accountedUntil, w.reason = s.now, s.waitReason(r)
-		if !slices.ContainsFunc(r.stage.Tasks, func(t *flow.Task) bool { return t.State == flow.Waiting }) {
+		if !r.stage.AnyWaiting() {
 			delete(s.waits, r.stage)
 			s.emit(StepWaited{Rank: r.queue.Rank, Times: w.times})
 			continue
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -21,6 +21,8 @@
 	// sizedAt is when its current size was first listed.
 	sizedAt time.Time
 	tasks   map[flow.Name]*flow.Task
+	// jobs counts the tasks by job.
+	jobs map[*flow.Job]int
 	// used is the capacity that tasks use, bestEffortCPU the processors of best-effort tasks.
 	used          cell.Size
 	bestEffortCPU int64
@@ -73,7 +75,7 @@
 }
 
 func newWorker(w Worker) *worker {
-	return &worker{Worker: w, tasks: map[flow.Name]*flow.Task{}, pace: newPacing(), speed: 1, untracked: map[runKey]untrackedRun{}, lostRuns: map[flow.Name]lostRun{}}
+	return &worker{Worker: w, tasks: map[flow.Name]*flow.Task{}, jobs: map[*flow.Job]int{}, pace: newPacing(), speed: 1, untracked: map[runKey]untrackedRun{}, lostRuns: map[flow.Name]lostRun{}}
 }
 
 func (w *worker) add(t *flow.Task) {
@@ -81,6 +83,7 @@
 		return
 	}
 	w.tasks[t.Name] = t
+	w.jobs[t.Job]++
 	w.used = w.used.Add(t.Spec().Demand())
 	if t.Spec().BestEffort {
 		w.bestEffortCPU += t.Spec().Size.CPU
@@ -92,6 +95,9 @@
 		return
 	}
 	delete(w.tasks, t.Name)
+	if w.jobs[t.Job]--; w.jobs[t.Job] == 0 {
+		delete(w.jobs, t.Job)
+	}
 	w.used = w.used.Sub(t.Spec().Demand())
 	if t.Spec().BestEffort {
 		w.bestEffortCPU -= t.Spec().Size.CPU
