--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -108,11 +108,6 @@
 	case s.Parts < 1:
 		return missing("parts")
 	}
-	for key, v := range map[string]float64{"readrate": s.ReadRate, "agents.workers": s.Agents.Workers} {
-		if v < 0 {
-			return &FieldError{Path: path, Key: key, Reason: "has to be 0 or more"}
-		}
-	}
 	if s.Policy != "" {
 		if _, err := netip.ParseAddrPort(s.Policy); err != nil {
 			return &FieldError{Path: path, Key: "policy", Reason: err.Error()}
@@ -123,6 +118,15 @@
 			return &FieldError{Path: path, Key: "off", Reason: fmt.Sprintf("%q is none of %q", m, sched.Mechanisms())}
 		}
 	}
+	return s.checkNumbers(path)
+}
+
+func (s Settings) checkNumbers(path string) error {
+	for key, v := range map[string]float64{"readrate": s.ReadRate, "agents.workers": s.Agents.Workers} {
+		if v < 0 {
+			return &FieldError{Path: path, Key: key, Reason: "has to be 0 or more"}
+		}
+	}
 	times := map[string]Duration{"times.lease": s.Times.Lease, "times.stop": s.Times.Stop, "times.grace": s.Times.Grace, "times.keep": s.Times.Keep}
 	for key, d := range times {
 		if d <= 0 {
