--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -343,6 +343,13 @@
 	return h.sentHosts, h.sentHostList
 }
 
+// knowsHosts reports whether a leader has told this host which hosts there are, or this host leads.
+func (h *Host) knowsHosts() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ownTerm != nil || h.leaderHostList != ""
+}
+
 // rank returns how many hosts come before this one in name order, and the number of hosts.
 func (h *Host) rank() (rank, hosts int) {
 	h.mu.Lock()
--- a/internal/entry/readshare.go
+++ b/internal/entry/readshare.go
@@ -8,10 +8,8 @@
 	// queryReadShare is the share of that bandwidth that all hosts together may use for state
 	// queries. The next leader has to read everything in the meantime.
 	queryReadShare = 0.25
-	// maxRecords is how many records a query reads at most: a page of each partition of stateTopic.
-	// recordBytes is the assumed size of a record before any was read.
-	maxRecords  = 1500
-	recordBytes = 1400
+	// firstReadBytes is the assumed size of a read before the first one: three pages of 500 records.
+	firstReadBytes = 2 << 20
 )
 
 // readShare limits how much a host reads to its share of the store's bandwidth. Without a leader
@@ -33,12 +31,11 @@
 }
 
 // wait returns how long a host has to wait before it may read. The hosts read in turn: the first of
-// them at once, each other one after those before it. records is the number of records that there
-// may be.
-func (s *readShare) wait(now time.Time, rank, hosts, records int) time.Duration {
+// them at once, each other one after those before it.
+func (s *readShare) wait(now time.Time, rank, hosts int) time.Duration {
 	bytes := s.bytes
 	if bytes == 0 {
-		bytes = min(records, maxRecords) * recordBytes
+		bytes = firstReadBytes
 	}
 	turn := time.Duration(float64(bytes) / s.rate * float64(time.Second))
 	period := time.Duration(hosts) * turn
--- a/internal/entry/statecache.go
+++ b/internal/entry/statecache.go
@@ -191,8 +191,7 @@
 // waits for its turn share the read.
 func (s *stateCache) run() {
 	for {
-		rank, hosts := s.h.rank()
-		sleep(s.h.ctx, s.stateShare.wait(s.h.now(), rank, hosts, s.recordCount()))
+		sleep(s.h.ctx, s.turn(&s.stateShare))
 		r := s.take()
 		if r == nil {
 			return
@@ -221,11 +220,14 @@
 	return r
 }
 
-// recordCount estimates the number of jobs in the store.
-func (s *stateCache) recordCount() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.ended)
+// turn returns how long this host waits until it may read. A host that has just started learns from
+// the store how many others there are; after a power failure all of them have just started.
+func (s *stateCache) turn(share *readShare) time.Duration {
+	if !s.h.knowsHosts() {
+		s.h.readHosts()
+	}
+	rank, hosts := s.h.rank()
+	return share.wait(s.h.now(), rank, hosts)
 }
 
 // withoutFinalState lists, in order, the jobs of a read whose final state is not known yet.
@@ -263,9 +265,7 @@
 	if len(unproved) == 0 || err != nil {
 		return err
 	}
-	rank, hosts := s.h.rank()
-	pause := max(acceptedReadInterval-s.h.now().Sub(s.lastAcceptedRead), s.acceptedShare.wait(s.h.now(), rank, hosts, s.recordCount()))
-	if !sleep(ctx, pause) {
+	if !sleep(ctx, max(acceptedReadInterval-s.h.now().Sub(s.lastAcceptedRead), s.turn(&s.acceptedShare))) {
 		return &store.UnansweredError{Op: store.Newest, Cause: ctx.Err()}
 	}
 	s.lastAcceptedRead = s.h.now()
@@ -354,7 +354,7 @@
 		if id <= last {
 			continue
 		}
-		a, err := s.h.store.Do(ctx, store.Call{Op: store.Newest, Topic: topic, Part: part, After: keyBefore(id)})
+		a, err := s.h.store.Do(ctx, store.Call{Op: store.Newest, Topic: topic, Part: part, After: keyBefore(id), Bulk: true})
 		if err != nil {
 			return err
 		}
--- a/internal/store/routed.go
+++ b/internal/store/routed.go
@@ -168,9 +168,31 @@
 		}
 	}
 	c.Wait = 0
+	if c.Bulk {
+		return r.oneAfterTheOther(ctx, c)
+	}
 	return newRace(r, c).run(ctx)
 }
 
+// oneAfterTheOther makes a call on the direct route, and through one peer if the store refuses it
+// there. A host that the store does not serve asks a peer at once.
+func (r *Routed) oneAfterTheOther(ctx context.Context, c Call) (Answer, error) {
+	var failed error = &RefusedError{Op: c.Op, Reason: "no way to the store"}
+	if !r.isClosed(c) && !r.isCut(c) {
+		a, err := r.callDirect(ctx, c)
+		if !NotDone(err) {
+			return a, err
+		}
+		failed = err
+	}
+	peers := r.peers()
+	if len(peers) == 0 {
+		return Answer{}, failed
+	}
+	a, err := r.callPeer(ctx, peers[0], c)
+	return a, CombineErrors(failed, err)
+}
+
 // longPoll makes a read that waits for records. It returns false if there is no answer in time. A
 // read that fails at once is not made through a peer, since the caller soon repeats it.
 func (r *Routed) longPoll(ctx context.Context, c Call) (result, bool) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -55,6 +55,9 @@
 	Topics     []string      `json:"topics,omitempty"`
 	TTL        time.Duration `json:"ttl,omitempty"`
 	Generation int64         `json:"generation,omitempty"`
+	// Bulk means that the answer may be large and is not urgent. A large answer on a slow link looks
+	// like silence, so such a call is made on one route after the other, not on several at once.
+	Bulk bool `json:"-"`
 	// NewConn asks for a new connection, because the open ones may have gone silent.
 	NewConn bool `json:"-"`
 }
