--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -170,7 +171,9 @@
 	}
 	a.queriedAt, a.host, a.queried, a.giveUpAt = s.now, name, named, h.busyUntil.Add(queryGrace)
 	a.valid, a.queue = r.queue.Advice.Valid, r.queue.Name
-	s.emit(QueryPolicy{Host: name, Step: r.stage.Tasks[0].Name.StepName(), Workers: named, Timeout: a.giveUpAt.Sub(s.now)})
+	step := r.stage.Tasks[0].Name.StepName()
+	s.queries[step] = r.stage
+	s.emit(QueryPolicy{Host: name, Step: step, Workers: named, Timeout: a.giveUpAt.Sub(s.now)})
 }
 
 // earmark sets aside the capacity that the step is likely to take once its query is answered, so
@@ -204,11 +207,9 @@
 }
 
 func (s *Sched) policyReplied(ev PolicyReply) {
-	for _, st := range s.stepsBeingQueried() {
-		a := s.advice[st]
-		if a.host != ev.Host || st.Tasks[0].Name.StepName() != ev.Step {
-			continue
-		}
+	// The step may be over, and its advice forgotten.
+	if a, ok := s.advice[s.queries[ev.Step]]; ok && !a.queriedAt.IsZero() && a.host == ev.Host {
+		delete(s.queries, ev.Step)
 		s.recordReply(a, ev)
 	}
 	if h, ok := s.hosts[ev.Host]; ok {
@@ -256,28 +257,20 @@
 	s.emit(Note{ID: ev.Step, What: "advice", Detail: ev.Host})
 }
 
-// stepsBeingQueried lists the steps with a query in flight, in order.
-func (s *Sched) stepsBeingQueried() []*flow.Stage {
-	var all []*flow.Stage
-	for st, a := range s.advice {
-		if !a.queriedAt.IsZero() {
-			all = append(all, st)
-		}
-	}
-	slices.SortFunc(all, func(a, b *flow.Stage) int { return compareNames(a.Tasks[0].Name, b.Tasks[0].Name) })
-	return all
-}
-
 // expireQueries gives up queries that have taken too long.
 func (s *Sched) expireQueries() {
-	for _, st := range s.stepsBeingQueried() {
-		a := s.advice[st]
-		if s.now.After(a.giveUpAt) {
+	for _, step := range slices.Sorted(maps.Keys(s.queries)) {
+		a, ok := s.advice[s.queries[step]]
+		switch {
+		case !ok:
+			delete(s.queries, step)
+		case s.now.After(a.giveUpAt):
+			delete(s.queries, step)
 			a.queriedAt = time.Time{}
 			if h, ok := s.hosts[a.host]; ok {
 				h.queryFailed(s.now)
 			}
-			s.emit(Note{ID: st.Tasks[0].Name.StepName(), What: "advice timed out", Detail: a.host})
+			s.emit(Note{ID: step, What: "advice timed out", Detail: a.host})
 		}
 	}
 }
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"pollencroft/internal/flow"
@@ -136,12 +137,23 @@
 		listed[l.Task] = l.Run
 		s.runListed(w, l, ev.Clock)
 	}
-	for _, t := range w.sortedTasks() {
-		if listed[t.Name] != t.Run {
-			s.runMissing(t, ev.Sent)
-		}
+	for _, t := range w.tasksNotListed(listed) {
+		s.runMissing(t, ev.Sent)
 	}
 	s.checkSpeed(w, ev.Clock)
 	w.releaseUntracked(listed, s.now)
 	s.adjustPace(w, ev.Running)
 }
+
+// tasksNotListed returns the worker's tasks whose run is not listed, sorted by name. Nearly always
+// there is none.
+func (w *worker) tasksNotListed(listed map[flow.Name]int) []*flow.Task {
+	var all []*flow.Task
+	for _, t := range w.tasks {
+		if listed[t.Name] != t.Run {
+			all = append(all, t)
+		}
+	}
+	slices.SortFunc(all, func(a, b *flow.Task) int { return compareNames(a.Name, b.Name) })
+	return all
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -31,7 +31,9 @@
 	sortedCache []*worker
 	hosts       map[string]*host
 	advice      map[*flow.Stage]*advice
-	allowRates  map[string]float64
+	// queries are the steps with a query in flight, by name.
+	queries    map[string]*flow.Stage
+	allowRates map[string]float64
 	// urgentUsage is how many hosts the queries of the most urgent queues keep busy.
 	urgentUsage usage
 	stops       map[runKey]*pendingStop
@@ -93,7 +95,7 @@
 func New(limits Limits, term int64, jobs []*flow.Job) *Sched {
 	s := &Sched{
 		limits: limits, term: term, queues: map[string]flow.Queue{}, jobs: map[string]*flow.Job{}, openJobs: map[string]*flow.Job{},
-		workers: map[string]*worker{}, hosts: map[string]*host{}, advice: map[*flow.Stage]*advice{}, allowRates: map[string]float64{},
+		workers: map[string]*worker{}, hosts: map[string]*host{}, advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
 		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, preemptions: map[*flow.Stage][]preemption{}, waits: map[*flow.Stage]*stepWait{}, earlyCancels: map[string]time.Time{}, dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
 	}
 	for _, j := range jobs {
--- a/internal/sched/speed.go
+++ b/internal/sched/speed.go
@@ -68,6 +68,9 @@
 // too slow. A run that is slow by itself has more work than its estimate says, and would be slow
 // everywhere.
 func (s *Sched) checkSpeed(w *worker, clock time.Time) {
+	if len(w.jobs) < 2 || len(w.tasks) < minSlowRuns {
+		return
+	}
 	var slow []*flow.Task
 	jobs := map[string]bool{}
 	judged, worst := 0, 1.0
