--- a/internal/agent/dispatcher.go
+++ b/internal/agent/dispatcher.go
@@ -336,16 +336,14 @@
 	}
 }
 
-// failed suspends an agent that did not confirm orders. Orders that it certainly does not have are
-// sent directly, and so are those that may be carried out twice. A start may not: if its task had
-// ended in the meantime, the worker would refuse the second one as if nothing had run.
+// failed suspends an agent that did not confirm a message, and deals with the orders in it. Orders
+// that the agent certainly does not have are sent another way. Of the others, and of those that it
+// confirmed before, nobody knows whether they are carried out, see unsure.
 func (d *Dispatcher) failed(name string, m peer.Orders, err error) {
 	var unreached *peer.UnreachableError
 	var refused *peer.RefusedError
-	unsent := errors.As(err, &unreached) || errors.As(err, &refused)
+	leaving, unsent := errors.As(err, &refused), errors.As(err, &unreached)
 	now := d.leader.Now()
-	var direct []sched.Action
-	var events []sched.Event
 	d.mu.Lock()
 	g := d.agent(name)
 	if !now.Before(g.suspendedUntil) {
@@ -354,26 +352,54 @@
 		d.leader.Log.Warn("agent: suspended.", "host", name, "term", m.Term, "for", g.suspension, "orders", len(m.All), "err", err)
 		d.rechoose()
 	}
-	for _, o := range m.All {
-		s, ok := d.sent[o.ID]
-		if !ok {
-			continue
-		}
-		delete(d.sent, o.ID)
-		if _, start := s.action.(sched.Start); start && !unsent {
-			events = append(events, lost(s.action, s.at, now))
-			continue
+	var again []sched.Action
+	if leaving || unsent {
+		for _, o := range m.All {
+			if s, ok := d.sent[o.ID]; ok {
+				delete(d.sent, o.ID)
+				again = append(again, s.action)
+			}
 		}
-		direct = append(direct, s.action)
+	}
+	var direct []sched.Action
+	var events []sched.Event
+	if !leaving {
+		direct, events = d.unsure(name, now)
 	}
 	d.mu.Unlock()
 	d.leader.Count("orders.failed")
+	for _, a := range again {
+		if !d.Send(a) {
+			d.leader.Direct(a)
+		}
+	}
+	d.Flush()
 	for _, a := range direct {
 		d.leader.Direct(a)
 	}
 	d.leader.Apply(events...)
 }
 
+// unsure gives up the orders that an agent which is gone or silent may have, in the order in which
+// they were sent. Those that may be carried out twice are returned to be sent directly. A start may
+// not: if its task had ended in the meantime, the worker would refuse the second one as if nothing
+// had run. The caller holds mu.
+func (d *Dispatcher) unsure(name string, now time.Time) (direct []sched.Action, events []sched.Event) {
+	for _, id := range slices.Sorted(maps.Keys(d.sent)) {
+		s := d.sent[id]
+		if s.agent != name || slices.ContainsFunc(d.agents[name].queue, func(q queuedOrder) bool { return q.id == id }) {
+			continue
+		}
+		delete(d.sent, id)
+		if _, start := s.action.(sched.Start); start {
+			events = append(events, lost(s.action, s.at, now))
+			continue
+		}
+		direct = append(direct, s.action)
+	}
+	return direct, events
+}
+
 // Results applies the results of orders. Results of orders that count as lost are ignored.
 func (d *Dispatcher) Results(m peer.OrderResults) {
 	now := d.leader.Now()
