--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -187,6 +187,32 @@
 	}
 }
 
+// Bulk has filled the cell and hundreds of its steps wait, so that a pass over all of them takes
+// a twenty-seventh of a second and is made four times a second. Scans that arrive meanwhile have to be
+// placed within a few batches, not with the next pass over the backlog.
+func TestUrgentStepsDoNotWaitForPassesOverABacklog(t *testing.T) {
+	b := newSimCell(t, 24)
+	for i := range 100 {
+		b.submit(fmt.Sprintf("bulk%03d", i), "print", bulk(8))
+	}
+	b.advance(time.Second)
+	b.passTook, b.urgentPassTook = 37*time.Millisecond, 2*time.Millisecond
+	b.advance(time.Second)
+	slowest := time.Duration(0)
+	for i := range 20 {
+		began, id := b.now, fmt.Sprintf("scan%02d", i)
+		b.submit(id, "scan", scan(1))
+		for b.starts[flow.Name{Job: id}] == 0 {
+			b.advance(5 * time.Millisecond)
+			require.Less(t, b.now.Sub(began), time.Second)
+		}
+		slowest = max(slowest, b.now.Sub(began))
+		b.advance(43 * time.Millisecond)
+	}
+	require.LessOrEqual(t, slowest, 100*time.Millisecond)
+	require.Empty(t, b.violations)
+}
+
 // A leader is suspended for seconds in the middle of a pass. Afterwards waiting work is placed as
 // quickly as before, not as if each pass took that long.
 func TestSuspensionInAPassDoesNotSlowLaterPasses(t *testing.T) {
--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -22,11 +22,14 @@
 	OnTimeFirst Mechanism = "in-time-first"
 	// LimitPassTime limits the share of the leader's time that passes take.
 	LimitPassTime Mechanism = "pace-passes"
+	// PassUrgentFirst places the most urgent steps by themselves while a pass over all steps has to
+	// wait for its share of time.
+	PassUrgentFirst Mechanism = "urgent-passes"
 )
 
 // Mechanisms lists all mechanisms.
 func Mechanisms() []Mechanism {
-	return []Mechanism{AdaptUrgentHosts, QueryMoreWorkers, PrefetchTickets, ReserveForWide, PreemptBulk, OnTimeFirst, LimitPassTime}
+	return []Mechanism{AdaptUrgentHosts, QueryMoreWorkers, PrefetchTickets, ReserveForWide, PreemptBulk, OnTimeFirst, LimitPassTime, PassUrgentFirst}
 }
 
 // enabled reports whether a mechanism is in use.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"slices"
 
 	"pollencroft/internal/cell"
@@ -23,14 +24,14 @@
 	class deadlineClass
 }
 
-// waitingSteps lists the steps that may run, the most urgent first.
-func (s *Sched) waitingSteps(pools map[string]*pool) []readyStep {
+// waitingSteps lists the steps up to a rank that may run, the most urgent first.
+func (s *Sched) waitingSteps(pools map[string]*pool, maxRank int) []readyStep {
 	var all []readyStep
 	for _, j := range s.openJobs {
-		if j.State.Final() {
+		q := s.queue(j)
+		if j.State.Final() || q.Rank > maxRank {
 			continue
 		}
-		q := s.queue(j)
 		for _, r := range j.Rounds {
 			for _, st := range r.Stages {
 				if !st.AnyWaiting() || !r.Ready(st) {
@@ -121,21 +122,22 @@
 
 // placeSteps assigns waiting tasks to workers, in order of urgency, and queries the policy service
 // about steps that could start.
-func (s *Sched) placeSteps() {
+func (s *Sched) placeSteps(kind passKind) {
 	if len(s.openJobs) == 0 {
 		return
 	}
+	top, maxRank := s.topRank(), math.MaxInt
+	if kind == urgentPass {
+		maxRank = top
+	}
 	pools := s.pools()
-	steps := s.waitingSteps(pools)
+	steps := s.waitingSteps(pools, maxRank)
 	if len(steps) == 0 {
 		return
 	}
+	top = min(top, steps[0].queue.Rank)
 	s.listOpenWorkers(pools, steps)
 	s.noFreeHost = [2]bool{}
-	top := steps[0].queue.Rank
-	for _, q := range s.queues {
-		top = min(top, q.Rank)
-	}
 	for _, r := range steps {
 		p, ok := pools[r.queue.Service]
 		if !ok {
@@ -155,6 +157,15 @@
 	s.accountWaits(steps)
 }
 
+// topRank returns the rank of the most urgent queues of the table.
+func (s *Sched) topRank() int {
+	top := math.MaxInt
+	for _, q := range s.queues {
+		top = min(top, q.Rank)
+	}
+	return top
+}
+
 // listOpenWorkers lists the workers of each pool that have capacity for any of the steps. In a full
 // cell they are few, and hundreds of steps look for one.
 func (s *Sched) listOpenWorkers(pools map[string]*pool, steps []readyStep) {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -60,16 +60,28 @@
 	// noFreeHost means for the most urgent queues and for the others that no host can take a query
 	// in this pass.
 	noFreeHost [2]bool
-	// changed means that something has changed since the last placement pass.
-	changed bool
-	// lastPass is the time of the last placement pass, lastAppend that of the last append.
-	lastPass   time.Time
+	// changed means for each kind of pass that something has changed since the last one.
+	changed [passKinds]bool
+	// lastPasses are the times of the last pass of each kind, passDurations how long these took.
+	// lastKind is the kind of the last pass.
+	lastPasses    [passKinds]time.Time
+	passDurations [passKinds]time.Duration
+	lastKind      passKind
+	// lastAppend is the time of the last append.
 	lastAppend time.Time
 	lastSweep  time.Time
-	// passDuration is how long the last pass took.
-	passDuration time.Duration
 }
 
+// passKind is which steps a placement pass is about.
+type passKind int
+
+const (
+	// fullPass is about all steps, urgentPass about those of the most urgent queues.
+	fullPass passKind = iota
+	urgentPass
+	passKinds
+)
+
 // batch is what may happen once an append is stored. Runs may start and states may be published at
 // once, since each record holds everything about its job. Workers may forget ends only when all
 // earlier appends are stored too, since those hold the jobs of earlier ends.
@@ -140,7 +152,7 @@
 	}
 	s.handle(ev)
 	if _, idle := ev.(Tick); !idle {
-		s.changed = true
+		s.noteChange()
 	}
 	s.flush()
 	return s.actions
@@ -219,7 +231,11 @@
 	}
 	s.lastSweep = s.now
 	// Time alone may allow a placement: a quarantine has ended or a ticket has expired.
-	s.changed = len(s.openJobs) > 0
+	if len(s.openJobs) > 0 {
+		s.noteChange()
+	} else {
+		s.changed = [passKinds]bool{}
+	}
 	s.beginRounds()
 	s.checkWorkers()
 	s.pruneSuspects()
@@ -240,15 +256,18 @@
 
 func (s *Sched) markDirty(j *flow.Job) { s.dirty[j.Spec.ID] = j }
 
+func (s *Sched) noteChange() { s.changed = [passKinds]bool{true, true} }
+
 // flush runs a placement pass if one is due, and appends the changes if an append may be sent.
 func (s *Sched) flush() {
-	if s.now.Sub(s.lastPass) < s.limits.BatchInterval {
+	if s.now.Sub(s.LastPass()) < s.limits.BatchInterval {
 		return
 	}
-	if s.changed && !s.now.Before(s.nextPassAt()) {
-		s.changed, s.lastPass = false, s.now
-		s.placeSteps()
-		s.sendUnstored()
+	for kind := range passKinds {
+		if s.changed[kind] && !s.now.Before(s.nextPassAt(kind)) {
+			s.pass(kind)
+			break
+		}
 	}
 	if !s.canAppend() || s.now.Before(s.nextAppendAt()) {
 		return
@@ -275,33 +294,63 @@
 	s.emit(Append{Number: b.number, Changes: changes})
 }
 
+// pass places steps. A full pass is also one for urgent steps.
+func (s *Sched) pass(kind passKind) {
+	s.changed[urgentPass] = false
+	if kind == fullPass {
+		s.changed[fullPass] = false
+	}
+	s.lastPasses[kind], s.lastKind = s.now, kind
+	s.placeSteps(kind)
+	s.sendUnstored()
+}
+
 const (
 	// maxPassShare is the share of the leader's time that placement passes may take. Without a
 	// limit a backlog would sustain itself: passes take longer with more waiting work, and the
 	// processor time that they use is then missing for starts and replies, so that even more work
 	// waits.
 	maxPassShare = 0.25
-	// maxPassDelay is the longest time that a pass is delayed for this reason.
+	// urgentPassShare is the part of it for passes over urgent steps only.
+	urgentPassShare = 0.1
+	// maxPassDelay is the longest time that passes as a whole are delayed for this reason.
 	maxPassDelay = 250 * time.Millisecond
 )
 
-// nextPassAt returns when the next pass may be made.
-func (s *Sched) nextPassAt() time.Time {
+// passShares are the shares of the leader's time that each kind of pass may take.
+var passShares = [passKinds]float64{fullPass: maxPassShare - urgentPassShare, urgentPass: urgentPassShare}
+
+// nextPassAt returns when the next pass of a kind may be made. Passes about urgent steps are made
+// while a full pass has to wait: those steps are few, and must not wait for the time that a pass
+// over a backlog of bulk takes.
+func (s *Sched) nextPassAt(kind passKind) time.Time {
 	if !s.enabled(LimitPassTime) {
-		return s.lastPass.Add(s.limits.BatchInterval)
+		return s.lastPasses[fullPass].Add(s.limits.BatchInterval)
+	}
+	if kind == urgentPass && !s.enabled(PassUrgentFirst) {
+		return s.nextPassAt(fullPass)
 	}
-	return s.lastPass.Add(max(s.limits.BatchInterval, time.Duration(float64(s.passDuration)/maxPassShare)))
+	pause := max(s.limits.BatchInterval, time.Duration(float64(s.passDurations[kind])/passShares[kind]))
+	return s.lastPasses[kind].Add(pause)
 }
 
 // LastPass returns the time of the last placement pass.
-func (s *Sched) LastPass() time.Time { return s.lastPass }
+func (s *Sched) LastPass() time.Time {
+	if urgent := s.lastPasses[urgentPass]; urgent.After(s.lastPasses[fullPass]) {
+		return urgent
+	}
+	return s.lastPasses[fullPass]
+}
+
+// LastPassUrgent reports whether the last pass was only about the most urgent queues.
+func (s *Sched) LastPassUrgent() bool { return s.lastKind == urgentPass }
 
 // RecordPassDuration reports how long the step with the last pass took. The core has no clock of
 // its own, and the same work takes several times as long on a host that is short of processor time.
 // The duration is capped, because a leader that was suspended for seconds during a pass says
 // nothing about later passes.
 func (s *Sched) RecordPassDuration(d time.Duration) {
-	s.passDuration = min(d, time.Duration(maxPassShare*float64(maxPassDelay)))
+	s.passDurations[s.lastKind] = min(d, time.Duration(maxPassShare*float64(maxPassDelay)))
 }
 
 // canAppend reports whether there is anything to store and a partition to store it in.
@@ -326,15 +375,16 @@
 // nextFlushAt returns when the changes are stored: with a pass, or between two passes that are far
 // apart.
 func (s *Sched) nextFlushAt() time.Time {
-	at := s.lastPass.Add(s.limits.BatchInterval)
+	at := s.LastPass().Add(s.limits.BatchInterval)
 	if next := s.nextAppendAt(); next.After(at) {
 		return next
 	}
 	return at
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
+// earliest returns the earlier of two times; zero means that a is not set.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
 		return b
 	}
 	return a
@@ -409,13 +459,10 @@
 
 // Due returns the latest time at which the core has to be stepped again.
 func (s *Sched) Due() time.Time {
+	due, ok := s.nextChangeAt()
 	switch {
-	case s.changed && s.canAppend():
-		return earlier(s.nextPassAt(), s.nextFlushAt())
-	case s.changed:
-		return s.nextPassAt()
-	case s.canAppend():
-		return s.nextFlushAt()
+	case ok:
+		return due
 	case len(s.openJobs) > 0:
 		return s.lastSweep.Add(sweepInterval)
 	default:
@@ -423,6 +470,23 @@
 	}
 }
 
+// nextChangeAt returns when a pass or an append is due, or false if nothing has changed.
+func (s *Sched) nextChangeAt() (due time.Time, ok bool) {
+	for kind := range passKinds {
+		if s.changed[kind] {
+			at := s.nextPassAt(kind)
+			if first := s.LastPass().Add(s.limits.BatchInterval); first.After(at) {
+				at = first
+			}
+			due, ok = earliest(due, at), true
+		}
+	}
+	if s.canAppend() {
+		due, ok = earliest(due, s.nextFlushAt()), true
+	}
+	return due, ok
+}
+
 // State returns the published state of a job, or false if the job is not known.
 func (s *Sched) State(id string) (flow.State, bool) {
 	j, ok := s.jobs[id]
--- a/internal/sched/simcell_test.go
+++ b/internal/sched/simcell_test.go
@@ -63,6 +63,8 @@
 	// passes counts placement passes, passTook is how long one takes.
 	passes   int
 	passTook time.Duration
+	// urgentPassTook is the same for a pass over the most urgent steps only, if it is set.
+	urgentPassTook time.Duration
 	// passTime is the real time spent in steps with a pass; with measurePasses the core is told of
 	// it instead of passTook.
 	passTime      time.Duration
@@ -213,7 +215,11 @@
 	if b.core.LastPass() != placed {
 		b.passes++
 		b.passTime += took
-		if !b.measurePasses {
+		switch {
+		case b.measurePasses:
+		case b.core.LastPassUrgent() && b.urgentPassTook > 0:
+			took = b.urgentPassTook
+		default:
 			took = b.passTook
 		}
 		b.core.RecordPassDuration(took)
