--- a/internal/sched/large_test.go
+++ b/internal/sched/large_test.go
@@ -50,18 +50,21 @@
 }
 
 // newHallCell returns the cell of such a pass office, with 147 hosts.
-func newHallCell(t *testing.T, kinds []workload) *simCell {
+func newHallCell(t *testing.T, kinds []workload) *simCell { return newHallPart(t, kinds, 1100, 147) }
+
+// newHallPart returns a cell like that of the pass office with as many workers and hosts.
+func newHallPart(t *testing.T, kinds []workload, workers, hostCount int) *simCell {
 	b := newSimCell(t, 0)
 	sizes := []float64{1, 1, 0.5, 2}
-	for i := range 1100 {
+	for i := range workers {
 		w := b.addWorker(fmt.Sprintf("w%04d", i), i)
-		w.info.Domain, w.info.Rack = fmt.Sprintf("d%d", i/220), fmt.Sprintf("r%d", i/8)
+		w.info.Domain, w.info.Rack = fmt.Sprintf("d%d", i*5/workers), fmt.Sprintf("r%d", i/8)
 		w.info.Size = cell.Size{CPU: 64_000, Mem: 256 << 30}.Scale(sizes[i%4])
 	}
 	b.list()
 	setWorkloads(b, kinds)
 	var hosts []string
-	for i := range 147 {
+	for i := range hostCount {
 		hosts = append(hosts, fmt.Sprintf("h%03d", i))
 	}
 	b.step(sched.Hosts{Names: hosts})
