lead: a list from before a start frees no capacity of a handed-over job

Callers saw workers overfilled, and slowed down everything that ran on them.

Cause: a worker lists an earlier start of a task until the next one arrives. For jobs that a host leads, the job state machine knows that such an entry tells nothing of the next start. For a job that was just handed over, only the capacity is kept, and any list freed it that did not show the task as running: also the last list, which is read again whenever another job is inherited or adopted, and which may be from before the task was started again.

Why it works: a dropped job's runs and starts in flight are remembered until a list that was asked for after the drop shows them running, or shows anything else after the start has expired; only such a list frees capacity. Tasks that run on a worker that is held are remembered too, and forgotten when the worker is lost, since it is read anew before it is led again.

--- a/internal/lead/inherit.go
+++ b/internal/lead/inherit.go
@@ -162,19 +162,24 @@
 // at the same instant might not show the most recent start.
 const rereadDelay = time.Millisecond
 
-// dropJob stops leading a job. It remembers the job's starts that may still arrive; their capacity
-// stays taken until the worker shows that they did not.
+// dropJob stops leading a job. The capacity of its tasks stays taken until their workers show that
+// they do not run.
 func (l *Leader) dropJob(id string, rememberPlaces bool) {
-	now := l.Clock()
+	now, held := l.Clock(), l.Leases.Held()
 	if c, ok := l.Jobs.Snapshot(id); ok {
 		for i, t := range c.Tasks {
 			if t.Worker == "" {
 				continue
 			}
-			l.lastDropped[t.Worker] = now
 			l.stepLeases(lease.Poll{Worker: t.Worker, After: rereadDelay})
-			if t.State == "unsure" || t.State == "stopping" || t.State == "pausing" {
+			switch t.State {
+			case "unsure", "stopping", "pausing":
 				l.untracked[job.TaskID(id, i)] = untrackedRun{worker: t.Worker, deadline: t.Deadline, since: now}
+			case "running":
+				// A worker that is not held is read anew before it is led again.
+				if slices.Contains(held, t.Worker) {
+					l.untracked[job.TaskID(id, i)] = untrackedRun{worker: t.Worker, since: now}
+				}
 			}
 		}
 	}
@@ -233,32 +238,35 @@
 // reconcile frees the capacity of tasks on a held worker that are no longer running and that the
 // job state machine does not track, and lets the worker forget those whose jobs have ended.
 func (l *Leader) reconcile(name string, r lease.Reading) {
-	running := map[string]bool{}
+	states := map[string]string{}
 	for _, t := range r.Tasks {
-		if t.State == "running" {
-			running[t.ID] = true
+		states[t.ID] = t.State
+		switch {
+		case t.State == "running":
 			l.taskWorkers[t.ID] = name
-			continue
-		}
-		if l.Jobs.HasTask(t.ID) {
-			continue
+		case !l.Jobs.HasTask(t.ID):
+			if l.EndLogged != nil && l.EndLogged(t.Job) {
+				l.forgetStart(name, t.Lease)
+			}
 		}
-		if l.EndLogged != nil && l.EndLogged(t.Job) {
-			l.forgetStart(name, t.Lease)
+	}
+	var gone []string
+	for id, run := range l.untracked {
+		if run.worker == name && run.settledBy(r, states[id]) {
+			delete(l.untracked, id)
+			gone = append(gone, id)
 		}
-		l.freeCapacity(t.ID, name)
 	}
-	for _, id := range slices.Sorted(maps.Keys(l.taskWorkers)) {
-		if l.taskWorkers[id] == name && !running[id] {
-			l.freeCapacity(id, name)
+	gone = slices.AppendSeq(gone, maps.Keys(states))
+	for id, worker := range l.taskWorkers {
+		if worker == name {
+			gone = append(gone, id)
 		}
 	}
-	for id, run := range l.untracked {
-		if run.worker == name && (running[id] || r.Sent.After(run.since) && r.Clock.After(run.deadline)) {
-			delete(l.untracked, id)
-			if !running[id] {
-				l.freeCapacity(id, name)
-			}
+	slices.Sort(gone)
+	for _, id := range slices.Compact(gone) {
+		if states[id] != "running" && l.untracked[id].worker != name {
+			l.freeCapacity(id, name)
 		}
 	}
 }
--- a/internal/lead/inventory.go
+++ b/internal/lead/inventory.go
@@ -63,27 +63,33 @@
 		}
 	}
 	for _, name := range l.Leases.Held() {
-		if r, ok := l.Leases.LastReading(name); ok && l.listIsComplete(name, r, q) {
+		if r, ok := l.Leases.LastReading(name); ok && l.mayReport(name, r, q) {
 			c.Workers = append(c.Workers, l.workerState(name, r, q))
 		}
 	}
 	return c
 }
 
-// listIsComplete reports whether a worker's list shows all starts of the jobs that were dropped
-// here and, if keys are requested, of counted rows. The peer would conclude that a task missing
-// from the list runs nowhere.
-func (l *Leader) listIsComplete(name string, r lease.Reading, q InventoryRequest) bool {
+// mayReport reports whether a peer may be told a worker's list: it shows all starts of the jobs
+// that were dropped here and, if keys are requested, of counted rows. The peer would conclude that
+// a task missing from the list runs nowhere.
+func (l *Leader) mayReport(name string, r lease.Reading, q InventoryRequest) bool {
 	if len(q.Keys) > 0 && !r.Sent.After(l.lastLimitedStart[name]) {
 		l.stepLeases(lease.Poll{Worker: name, After: rereadDelay})
 		return false
 	}
+	return l.listIsComplete(name)
+}
+
+// listIsComplete reports whether a worker's last list shows all starts of the jobs that were
+// dropped here.
+func (l *Leader) listIsComplete(name string) bool {
 	for _, run := range l.untracked {
 		if run.worker == name {
 			return false
 		}
 	}
-	return r.Sent.After(l.lastDropped[name])
+	return true
 }
 
 func (l *Leader) workerState(name string, r lease.Reading, q InventoryRequest) WorkerState {
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -71,11 +72,9 @@
 	toForget map[string][]string
 	// taskWorkers holds, by task, the held worker on which the task is listed as running.
 	taskWorkers map[string]string
-	// untracked holds, by task, starts that may still arrive although this host no longer leads the
-	// job.
+	// untracked holds, by task, runs and starts in flight of jobs that this host has dropped, until a
+	// list of the worker tells what came of them.
 	untracked map[string]untrackedRun
-	// lastDropped holds, by worker, the time at which a job with tasks there was last dropped.
-	lastDropped map[string]time.Time
 	// expectedHandovers holds, by peer, the handover that the peer may send next.
 	expectedHandovers map[string]expectedHandover
 	// counts holds the keys that this host counts. countedElsewhere holds, by worker, the running
@@ -101,14 +100,29 @@
 	wg         sync.WaitGroup
 }
 
-// untrackedRun is a start of a job that is no longer led here. It may still reach the worker.
+// untrackedRun is a run of a dropped job, or a start of it that may still reach the worker.
 type untrackedRun struct {
-	worker   string
+	worker string
+	// deadline is when a start in flight expires, by the worker's clock; zero if it has arrived.
 	deadline time.Time
 	// since is when the job was dropped.
 	since time.Time
 }
 
+// settledBy reports whether a list tells what came of the run. A list from before the drop may lack
+// the task's last start and show an earlier one instead; so may a later list, until the start has
+// arrived or expired. A task that has ended is not started again.
+func (u untrackedRun) settledBy(r lease.Reading, state string) bool {
+	switch {
+	case state == "ended":
+		return true
+	case !r.Sent.After(u.since):
+		return false
+	default:
+		return state == "running" || r.Clock.After(u.deadline)
+	}
+}
+
 // askTimeout limits one exchange with a worker.
 const askTimeout = time.Second
 
@@ -122,7 +136,7 @@
 	}
 	return &Leader{
 		Deps: d, ctx: ctx, machines: map[string]Machine{}, toForget: map[string][]string{}, taskWorkers: map[string]string{},
-		counts: map[string]*keyCount{}, countedElsewhere: map[string][]CountedTask{}, lastLimitedStart: map[string]time.Time{}, untracked: map[string]untrackedRun{}, lastDropped: map[string]time.Time{}, expectedHandovers: map[string]expectedHandover{}, lastHeld: map[string]time.Time{}, incarnations: map[string]*incarnation{}, appliedRules: map[string]place.Rule{}, epoch: 1,
+		counts: map[string]*keyCount{}, countedElsewhere: map[string][]CountedTask{}, lastLimitedStart: map[string]time.Time{}, untracked: map[string]untrackedRun{}, expectedHandovers: map[string]expectedHandover{}, lastHeld: map[string]time.Time{}, incarnations: map[string]*incarnation{}, appliedRules: map[string]place.Rule{}, epoch: 1,
 	}
 }
 
@@ -256,6 +270,9 @@
 			l.Estimates.Forget(id)
 		}
 	}
+	maps.DeleteFunc(l.untracked, func(_ string, run untrackedRun) bool {
+		return run.worker == name && run.deadline.IsZero()
+	})
 	l.keepCounted(name)
 	l.stepPlacement(place.Down{Worker: name})
 	l.stepTakeover(takeover.WorkerLost{Worker: name})
