lead, takeover: read the workers again before a job that was led here is inherited

Callers saw tasks of one job run twice, and workers overfilled with them.

Cause: a host that hands a job over and gets no answer gives the job up. If it takes its peer for gone then, it inherits the job itself. Its inventory took every worker that it holds for read, though its last lists may be from before it started the job's tasks. So tasks that ran counted as running nowhere and were started again. A task that waits takes no capacity any more once it is placed, so each second start made room for the next one on the same, full worker. Lists told to peers had to show all starts of jobs that were given up; the host's own did not.

Why it works: from the moment a job is dropped until a list was made after every start of it had arrived or could no longer be carried out, the worker counts as not read.

--- a/internal/lead/inherit.go
+++ b/internal/lead/inherit.go
@@ -172,6 +172,7 @@
 				continue
 			}
 			l.stepLeases(lease.Poll{Worker: t.Worker, After: rereadDelay})
+			l.stepTakeover(takeover.ListIncomplete{Worker: t.Worker})
 			switch t.State {
 			case "unsure", "stopping", "pausing":
 				l.untracked[job.TaskID(id, i)] = untrackedRun{worker: t.Worker, deadline: t.Deadline, since: now}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -383,6 +383,9 @@
 	}
 	l.stepJobs(ev)
 	l.reconcile(name, r)
+	if l.listIsComplete(name) {
+		l.stepTakeover(takeover.ListComplete{Worker: name})
+	}
 	l.recordUsage(r.Tasks)
 }
 
--- a/internal/takeover/messages.go
+++ b/internal/takeover/messages.go
@@ -27,6 +27,12 @@
 // WorkerLost reports that this host no longer holds a worker.
 type WorkerLost struct{ Worker string }
 
+// ListIncomplete reports that a worker's last list may lack starts of a job that this host dropped.
+type ListIncomplete struct{ Worker string }
+
+// ListComplete reports that a worker's last list shows all starts that this host sent.
+type ListComplete struct{ Worker string }
+
 // WorkerContact reports that a worker answered, even if only to refuse.
 type WorkerContact struct{ Worker string }
 
@@ -61,20 +67,22 @@
 // Tick only advances the time.
 type Tick struct{}
 
-func (SetWorkers) event()    {}
-func (SetPeers) event()      {}
-func (FoundJob) event()      {}
-func (GoneJob) event()       {}
-func (WatchWorkers) event()  {}
-func (WorkerHeld) event()    {}
-func (WorkerLost) event()    {}
-func (WorkerContact) event() {}
-func (LogRead) event()       {}
-func (PeerAnswer) event()    {}
-func (PeerAsked) event()     {}
-func (AddKey) event()        {}
-func (RemoveKey) event()     {}
-func (Tick) event()          {}
+func (SetWorkers) event()     {}
+func (SetPeers) event()       {}
+func (FoundJob) event()       {}
+func (GoneJob) event()        {}
+func (WatchWorkers) event()   {}
+func (WorkerHeld) event()     {}
+func (WorkerLost) event()     {}
+func (ListIncomplete) event() {}
+func (ListComplete) event()   {}
+func (WorkerContact) event()  {}
+func (LogRead) event()        {}
+func (PeerAnswer) event()     {}
+func (PeerAsked) event()      {}
+func (AddKey) event()         {}
+func (RemoveKey) event()      {}
+func (Tick) event()           {}
 
 // Action is a request of the takeover state machine to its caller.
 type Action interface{ action() }
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -22,6 +22,8 @@
 
 type worker struct {
 	held bool
+	// listIncomplete is set while the last list of a held worker may lack starts of this host.
+	listIncomplete bool
 	// lastContact is when the worker was last heard of, or when it was first known.
 	lastContact time.Time
 	// reportedAt is when the request was sent to which the live host that holds the worker
@@ -68,6 +70,10 @@
 		t.recordContact(now, ev.Worker, true)
 	case WorkerLost:
 		t.workerLost(now, ev.Worker)
+	case ListIncomplete:
+		t.setListIncomplete(ev.Worker, true)
+	case ListComplete:
+		t.setListIncomplete(ev.Worker, false)
 	case WorkerContact:
 		t.recordContact(now, ev.Worker, false)
 	case LogRead:
@@ -163,6 +169,12 @@
 	}
 }
 
+func (t *Takeover) setListIncomplete(name string, incomplete bool) {
+	if w, ok := t.workers[name]; ok {
+		w.listIncomplete = incomplete
+	}
+}
+
 // workerLost restarts every inventory. A host that was paused for so long that it lost a worker
 // must not go on with answers from before the pause: another host may have completed its own
 // inventory and started the job since then.
@@ -258,6 +270,9 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(t.workers)) {
 		w := t.workers[name]
+		if w.held && w.listIncomplete {
+			return name
+		}
 		if !w.held && !w.reportedAt.After(since) && now.Sub(later(w.lastContact, since)) <= t.limits.LongestLease {
 			return name
 		}
