lead: test that a list from before a start does not end it

The test forces this in virtual time: without the check of earlier starts in job.handleEntry Twice 1 and Overfilled 1, with it none.

--- a/internal/lead/dropped_test.go
+++ b/internal/lead/dropped_test.go
@@ -84,6 +84,19 @@
 	p.requireConsistent()
 }
 
+// Guards against a task that runs twice on one worker, which it overfills: the last list is from
+// before the task was started again, and is read again when another job is inherited.
+func TestListFromBeforeAStartDoesNotEndIt(t *testing.T) {
+	p, _ := newPairAfterExpiry(t)
+	for p.starts("old") < 2 {
+		p.run("a", 100*time.Millisecond)
+	}
+	p.hosts["a"].Inherit([]job.Spec{p.spec("other")})
+	p.run("a", 5*time.Second)
+	require.Equal(t, "running", p.state("a", "old"))
+	p.requireConsistent()
+}
+
 // The capacity of a dropped job's task is free again once its start has expired.
 func TestCapacityOfAnExpiredStartOfADroppedJobIsFreed(t *testing.T) {
 	p, d := newPairAfterExpiry(t)
