lead, place: free capacity that a task has where it does not run

Callers saw accepted jobs wait for good beside idle workers: some of a job's tasks ended, the others wait, and "what is free is kept back for urgent work".

Cause: capacity of a task that does not run was freed by the job state machine only for a task that it knows on that worker, and by the lists of workers only for a task that it does not know at all. A start that was sent and never arrived keeps its capacity when the job is given up, until it has expired. When the host has inherited the job by then, the task is known but nowhere, nothing frees the capacity, and it stays taken until the task is placed again. Where too little is left for that, the job waits for its own capacity.

The missed wake-ups that were suspected can't leave that message on two workers that are idle but for lasting tasks: the reserve and one task need at least 107 of 128 cores in use, and one quarantined worker has 64.

Why it works: a list that settles a run frees its capacity on that worker unless the job state machine has the task there; and a task that requests capacity gives up what it still has, since it runs nowhere.

--- a/internal/job/inherit.go
+++ b/internal/job/inherit.go
@@ -372,6 +372,12 @@
 	return ok
 }
 
+// IsOn reports whether an unfinished task is on a worker, as far as is known.
+func (j *Jobs) IsOn(task, worker string) bool {
+	t, ok := j.tasks[task]
+	return ok && t.worker == worker && !taskChart.Final(t.state)
+}
+
 // TaskID returns the ID of the job's task n.
 func TaskID(id string, n int) string { return fmt.Sprintf("%s.%d", id, n) }
 
--- a/internal/lead/inherit.go
+++ b/internal/lead/inherit.go
@@ -237,7 +237,7 @@
 }
 
 // reconcile frees the capacity of tasks on a held worker that are no longer running and that the
-// job state machine does not track, and lets the worker forget those whose jobs have ended.
+// job state machine does not track there, and lets the worker forget those whose jobs have ended.
 func (l *Leader) reconcile(name string, r lease.Reading) {
 	states := map[string]string{}
 	for _, t := range r.Tasks {
@@ -272,15 +272,14 @@
 	}
 }
 
-// freeCapacity releases the capacity of a task, unless the task now runs on another worker or the
-// job state machine tracks it and releases the capacity itself.
+// freeCapacity releases the capacity that a task has on a worker, unless the job state machine
+// tracks the task there and releases the capacity itself.
 func (l *Leader) freeCapacity(id, name string) {
-	if at, ok := l.taskWorkers[id]; ok && at != name {
-		return
+	if l.taskWorkers[id] == name {
+		delete(l.taskWorkers, id)
 	}
-	delete(l.taskWorkers, id)
-	if !l.Jobs.HasTask(id) {
-		l.stepPlacement(place.Freed{Task: id})
+	if !l.Jobs.IsOn(id, name) {
+		l.stepPlacement(place.Vacated{Task: id, Worker: name})
 	}
 }
 
--- a/internal/place/messages.go
+++ b/internal/place/messages.go
@@ -92,6 +92,10 @@
 // Freed reports that a task has ended or does not wait any more.
 type Freed struct{ Task string }
 
+// Vacated reports that a task does not run on a worker, although its allocation may be there. A
+// request of the task stays.
+type Vacated struct{ Task, Worker string }
+
 // TaskResized reports a new size of a running task, and its measured usage.
 type TaskResized struct {
 	Task      string
@@ -114,6 +118,7 @@
 func (Down) event()          {}
 func (Request) event()       {}
 func (Freed) event()         {}
+func (Vacated) event()       {}
 func (TaskResized) event()   {}
 func (Result) event()        {}
 func (RuleChanged) event()   {}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -82,12 +82,21 @@
 	case Down:
 		p.removeWorker(ev.Worker)
 	case Request:
+		// A task that requests capacity runs nowhere.
+		for _, task := range ev.Tasks {
+			p.freeTask(task)
+		}
 		p.queue.add(now, ev)
 	case Freed:
 		if p.queue.drop(ev.Task) {
 			return nil
 		}
 		p.freeTask(ev.Task)
+	case Vacated:
+		if !p.IsAssigned(ev.Task, ev.Worker) {
+			return nil
+		}
+		p.freeTask(ev.Task)
 	case TaskResized:
 		p.resizeTask(ev)
 	case Result:
