--- a/internal/lead/inherit.go
+++ b/internal/lead/inherit.go
@@ -172,16 +172,20 @@
 				continue
 			}
 			l.stepLeases(lease.Poll{Worker: t.Worker, After: rereadDelay})
-			l.stepTakeover(takeover.ListIncomplete{Worker: t.Worker})
+			run := untrackedRun{worker: t.Worker, since: now}
 			switch t.State {
 			case "unsure", "stopping", "pausing":
-				l.untracked[job.TaskID(id, i)] = untrackedRun{worker: t.Worker, deadline: t.Deadline, since: now}
+				run.deadline = t.Deadline
 			case "running":
 				// A worker that is not held is read anew before it is led again.
-				if slices.Contains(held, t.Worker) {
-					l.untracked[job.TaskID(id, i)] = untrackedRun{worker: t.Worker, since: now}
+				if !slices.Contains(held, t.Worker) {
+					continue
 				}
+			default:
+				continue
 			}
+			l.untracked[job.TaskID(id, i)] = run
+			l.stepTakeover(takeover.ListIncomplete{Worker: t.Worker})
 		}
 	}
 	l.stepJobs(job.Drop{ID: id, RememberPlaces: rememberPlaces})
