place: revert a corrected size that the urgent reserve forbids

A bulk entry at the urgent reserve kept its corrected size until it was overdue after ten minutes, although its declared size would have kept the reserve: correctionCannotStart asked only about entries without capacity. It now also asks whether the corrected size would use the reserve beside the tasks that are not expected to end, and the declared one would not.

--- a/internal/place/correction.go
+++ b/internal/place/correction.go
@@ -37,13 +37,25 @@
 }
 
 // correctionCannotStart reports whether capacity is reserved for the entry, which the declared size
-// needs less of, or the corrected size does not fit beside the long-running tasks while the declared
-// one does.
+// needs less of, or the corrected size does not fit beside the long-running tasks, or would use the
+// urgent reserve there, while the declared one does not.
 func (p *Placer) correctionCannotStart(e *entry, c corrections) bool {
-	if e.shape.blocked != NoCapacity && e.shape.blocked != GangTooLarge {
+	switch e.shape.blocked {
+	case NoCapacity, GangTooLarge:
+		return e == p.overdue || !p.fitsBesideLongTasks(e, e.Size, c) && p.fitsBesideLongTasks(e, e.Declared, c)
+	case ReservedForUrgent:
+		return !p.keepsReserveBesideLongTasks(e, e.Size, c) && p.keepsReserveBesideLongTasks(e, e.Declared, c)
+	default:
 		return false
 	}
-	return e == p.overdue || !p.fitsBesideLongTasks(e, e.Size, c) && p.fitsBesideLongTasks(e, e.Declared, c)
+}
+
+// keepsReserveBesideLongTasks reports whether the urgent reserve would stay free if the entry's
+// tasks of that size ran beside the tasks that are not expected to end while the entry's class may
+// wait.
+func (p *Placer) keepsReserveBesideLongTasks(e *entry, size cell.Size, c corrections) bool {
+	left := c.expectedFree[e.Class].Sub(multiply(size, e.tasksToPlace()))
+	return left.MinShare(p.total) >= p.limits.UrgentReserve
 }
 
 // mayStartDeclared reports whether the entry is blocked and its declared size may start now.
@@ -63,12 +75,22 @@
 type corrections struct {
 	now        fitCounter
 	besideLong []fitCounter
+	// expectedFree is, by class, the capacity that is free or expected to become free while the
+	// class may wait. A task of unknown duration is not expected to end.
+	expectedFree []cell.Size
 }
 
 func (p *Placer) newCorrections() corrections {
 	c := corrections{now: p.newFitCounter(func(w *worker) cell.Size { return w.free })}
 	for _, class := range cell.Classes {
 		c.besideLong = append(c.besideLong, p.newFitCounter(func(w *worker) cell.Size { return p.freeBesideLongTasks(w, class) }))
+		var free cell.Size
+		for _, w := range p.workers {
+			free = free.Add(w.freeAfter(func(r *allocation) bool {
+				return !r.plannedEnd.IsZero() && r.plannedEnd.Sub(p.now) <= p.limits.OverdueAfter[class]
+			}))
+		}
+		c.expectedFree = append(c.expectedFree, free)
 	}
 	return c
 }
