--- /dev/null
+++ b/internal/entry/authorize.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"cmp"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollencroft/internal/access"
+	"pollencroft/internal/flow"
+	"pollencroft/internal/quota"
+	"pollencroft/platform"
+)
+
+// refuseKeyAfter is the age up to which the table proves that a key is invalid. While the store
+// answers, the table is read every followReadWait.
+const refuseKeyAfter = followReadWait + 700*time.Millisecond
+
+// organisationOf returns the organisation on whose behalf a request is made; empty for a public
+// route. If it is not known, it answers the request and returns false.
+func (h *Host) organisationOf(w http.ResponseWriter, r *http.Request, t *platform.Table, route platform.Route) (string, bool) {
+	if route.Public {
+		return "", true
+	}
+	h.mu.Lock()
+	age := h.now().Sub(h.tableReadAt)
+	h.mu.Unlock()
+	organisation := ""
+	key, err := access.ParseHeader(r.Header["Authorization"])
+	if err == nil {
+		limits := access.Limits{Refuse: refuseKeyAfter, Trust: time.Duration(cmp.Or(h.cfg.Times.Trust, defaultTrust))}
+		organisation, err = limits.Authorize(t.Callers, key, age, r.Method != http.MethodGet)
+	}
+	if err == nil {
+		return organisation, true
+	}
+	var missing *access.MissingKeyError
+	var stale *access.StaleTableError
+	code, counter, shown := http.StatusUnauthorized, "access.unknown", key.String()
+	switch {
+	case errors.As(err, &missing):
+		counter, shown = "access.missing", ""
+	case errors.As(err, &stale):
+		code, counter = http.StatusServiceUnavailable, "access.stale"
+	}
+	h.incCounter(counter)
+	h.log.Info("access: not authorized.", "method", r.Method, "queue", route.Queue.Name, "key", shown, "table", t.Version, "age", age, "err", err)
+	if code == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	h.refuse(w, code, "", err.Error())
+	return "", false
+}
+
+// acceptance is a job that this host accepted.
+type acceptance struct {
+	at           time.Time
+	organisation string
+}
+
+// ownedByOther reports whether this host knows that the job belongs to an organisation that the
+// caller does not act for.
+func (h *Host) ownedByOther(id, organisation string) bool {
+	if st, ok := h.states.final(id); ok {
+		return !access.Owns(organisation, st.organisation)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a, ok := h.accepted[id]
+	return ok && !access.Owns(organisation, a.organisation)
+}
+
+// QuotaError means that a step of a job can never start within its organisation's quota.
+type QuotaError struct {
+	Organisation, Resource string
+	Step                   int
+	Version                int64
+}
+
+func (e *QuotaError) Error() string {
+	return "can never run: " + e.Resource + " of a step exceeds the quota of organisation " + e.Organisation
+}
+
+// checkQuota returns a QuotaError if a task, or all members of a gang, need more than the
+// organisation may have running.
+func checkQuota(t *platform.Table, spec flow.Spec) error {
+	q, ok := t.Quotas[spec.Organisation]
+	if !ok {
+		return nil
+	}
+	for i, st := range spec.Steps {
+		if resource := quota.Exceeded(q, st.QuotaNeed()); resource != "" {
+			return &QuotaError{Organisation: spec.Organisation, Resource: resource, Step: i, Version: t.Version}
+		}
+	}
+	return nil
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -11,6 +11,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/rcrowley/go-metrics"
 
+	"pollencroft/internal/access"
 	"pollencroft/internal/flow"
 	"pollencroft/internal/store"
 	"pollencroft/platform"
@@ -48,11 +49,16 @@
 		h.refuse(w, http.StatusServiceUnavailable, "", "no table yet")
 		return
 	}
-	q, id, ok := t.Find(r.Host, r.URL.Path)
+	route, id, ok := t.Find(r.Host, r.URL.Path)
 	if !ok {
 		h.refuse(w, http.StatusNotFound, "", "no such queue")
 		return
 	}
+	organisation, ok := h.organisationOf(w, r, t, route)
+	if !ok {
+		return
+	}
+	q := route.Queue
 	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
 	defer cancel()
 	began := h.now()
@@ -68,11 +74,11 @@
 	case !platform.IsJobID(id):
 		h.refuse(w, http.StatusNotFound, id, "no job's id")
 	case r.Method == http.MethodPost:
-		h.submit(ctx, w, r, q, id)
+		h.submit(ctx, w, r, t, q, requestKey{id: id, organisation: organisation})
 	case r.Method == http.MethodGet:
-		h.serveState(ctx, w, id)
+		h.serveState(ctx, w, id, organisation)
 	case r.Method == http.MethodDelete:
-		h.cancelJob(ctx, w, id)
+		h.cancelJob(ctx, w, requestKey{id: id, organisation: organisation, cancels: true})
 	default:
 		h.refuse(w, http.StatusMethodNotAllowed, id, r.Method)
 	}
@@ -134,8 +140,8 @@
 }
 
 // submit stores a job. It reports a refusal only if the store certainly did nothing.
-func (h *Host) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, q flow.Queue, id string) {
-	most := h.maxBody()
+func (h *Host) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, t *platform.Table, q flow.Queue, k requestKey) {
+	id, most := k.id, h.maxBody()
 	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
 	if err != nil {
 		h.refuse(w, http.StatusBadRequest, id, "body ends too early")
@@ -150,18 +156,27 @@
 		h.refuse(w, http.StatusBadRequest, id, err.Error())
 		return
 	}
+	spec.Organisation = k.organisation
+	if h.ownedByOther(id, k.organisation) {
+		h.refuse(w, http.StatusConflict, id, "the id is taken")
+		return
+	}
+	if err := checkQuota(t, spec); err != nil {
+		h.refuse(w, http.StatusUnprocessableEntity, id, err.Error())
+		return
+	}
 	b, err := json.Marshal(spec)
 	if err != nil {
 		h.refuse(w, http.StatusBadRequest, id, err.Error())
 		return
 	}
 	began := h.now()
-	err = h.inbox.append(ctx, store.Record{Key: id, Value: b})
+	err = h.inbox.append(ctx, store.Record{Key: k.String(), Value: b})
 	h.observe("caller.store", h.now().Sub(began))
 	switch {
 	case err == nil:
-		h.noteAccepted(id)
-		h.log.Info("caller: accepted.", "id", id, "queue", q.Name)
+		h.noteAccepted(k)
+		h.log.Info("caller: accepted.", "id", id, "queue", q.Name, "organisation", k.organisation)
 		reply(w, http.StatusOK, []byte("{}"))
 	case store.NotDone(err):
 		h.refuse(w, http.StatusServiceUnavailable, id, "not stored: "+err.Error())
@@ -179,10 +194,10 @@
 	return defaultMaxBody
 }
 
-func (h *Host) noteAccepted(id string) {
+func (h *Host) noteAccepted(k requestKey) {
 	h.incCounter("caller.accepted")
 	h.mu.Lock()
-	h.accepted[id] = h.now()
+	h.accepted[k.id] = acceptance{at: h.now(), organisation: k.organisation}
 	h.mu.Unlock()
 }
 
@@ -194,13 +209,21 @@
 	return ok
 }
 
-func (h *Host) serveState(ctx context.Context, w http.ResponseWriter, id string) {
+// serveState answers with a job's state. A job of another organisation is reported as unknown, so
+// that nobody learns that it exists.
+func (h *Host) serveState(ctx context.Context, w http.ResponseWriter, id, organisation string) {
 	began := h.now()
-	state, known, err := h.stateOf(ctx, id)
+	if h.ownedByOther(id, organisation) {
+		h.refuse(w, http.StatusGone, id, "no such job")
+		return
+	}
+	st, known, err := h.statusOf(ctx, id)
 	if err == nil && known {
-		h.log.Info("caller: state reported.", "id", id, "state", state, "term", h.currentTerm(), "took", h.now().Sub(began))
+		h.log.Info("caller: state reported.", "id", id, "state", st.state, "term", h.currentTerm(), "took", h.now().Sub(began))
 	}
 	switch {
+	case err == nil && known && !access.Owns(organisation, st.organisation):
+		h.refuse(w, http.StatusGone, id, "no such job")
 	case err == nil && !known && h.acceptedRecently(id):
 		// The leader does not know the job yet, so none of its tasks has started.
 		reply(w, http.StatusOK, platform.StateBody(flow.Queued))
@@ -209,24 +232,26 @@
 	case !known:
 		h.refuse(w, http.StatusGone, id, "no such job")
 	default:
-		reply(w, http.StatusOK, platform.StateBody(state))
+		reply(w, http.StatusOK, platform.StateBody(st.state))
 	}
 }
 
 // cancelJob stores the cancellation of a job. While no leader answers, the cancellation is stored
 // without a check whether the job exists: cancelling an unknown job only means that it never
-// starts.
-func (h *Host) cancelJob(ctx context.Context, w http.ResponseWriter, id string) {
-	state, known, err := h.finalOrLeaderState(ctx, id)
-	if err == nil && !known && !h.acceptedRecently(id) {
+// starts. The leader ignores the cancellation of another organisation's job.
+func (h *Host) cancelJob(ctx context.Context, w http.ResponseWriter, k requestKey) {
+	id := k.id
+	st, known, err := h.finalOrLeaderStatus(ctx, id)
+	gone := err == nil && (!known && !h.acceptedRecently(id) || known && !access.Owns(k.organisation, st.organisation))
+	if gone || h.ownedByOther(id, k.organisation) {
 		h.refuse(w, http.StatusGone, id, "no such job")
 		return
 	}
-	if err == nil && known && state.Final() {
+	if err == nil && known && st.state.Final() {
 		reply(w, http.StatusOK, []byte("{}"))
 		return
 	}
-	err = h.inbox.append(ctx, store.Record{Key: id + cancelMark, Value: []byte("1")})
+	err = h.inbox.append(ctx, store.Record{Key: k.String(), Value: []byte("1")})
 	switch {
 	case err == nil:
 		h.log.Info("caller: cancelled.", "id", id)
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -5,13 +5,13 @@
 	"encoding/json"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"pollencroft/internal/flow"
+	"pollencroft/internal/sched"
 	"pollencroft/internal/store"
 )
 
@@ -211,11 +211,18 @@
 type restored struct {
 	jobs       []*flow.Job
 	notStarted []flow.Spec
-	cancels    []string
+	cancels    []sched.Cancel
 	// unreadable are the ids of jobs whose records cannot be decoded.
 	unreadable []string
 }
 
+// isOtherOrganisation reports whether the job whose progress is b was submitted by another
+// organisation than the request with the key.
+func isOtherOrganisation(k requestKey, b []byte) bool {
+	sum, ok := flow.Summarize(b)
+	return ok && sum.Organisation != k.organisation
+}
+
 // restore combines job specs and progress. A record that cannot be decoded is logged and skipped,
 // because its content cannot be guessed.
 func (h *Host) restore(states []store.Record, requests [][]store.Record) restored {
@@ -232,34 +239,35 @@
 		if len(a.Value) == 0 {
 			continue
 		}
-		if id, ok := strings.CutSuffix(a.Key, cancelMark); ok {
-			r.cancels = append(r.cancels, id)
+		k := parseRequestKey(a.Key)
+		if k.cancels {
+			r.cancels = append(r.cancels, sched.Cancel{ID: k.id, Organisation: k.organisation})
 			continue
 		}
-		if had[a.Key] {
+		b, ok := progress[k.id]
+		if had[k.id] || ok && isOtherOrganisation(k, b) {
 			continue
 		}
-		b, ok := progress[a.Key]
-		if j, ended := flow.RestoreEnded(a.Key, b); ended {
-			had[a.Key] = true
+		if j, ended := flow.RestoreEnded(k.id, b); ended {
+			had[k.id] = true
 			r.jobs = append(r.jobs, j)
 			continue
 		}
 		var spec flow.Spec
 		if err := json.Unmarshal(a.Value, &spec); err != nil {
 			h.log.Error("lead: job cannot be decoded.", "id", a.Key, "offset", a.Offset, "err", err)
-			r.unreadable = append(r.unreadable, a.Key)
+			r.unreadable = append(r.unreadable, k.id)
 			continue
 		}
-		had[a.Key] = true
+		had[k.id] = true
 		if !ok {
 			r.notStarted = append(r.notStarted, spec)
 			continue
 		}
 		j, err := flow.Restore(spec, b, h.now())
 		if err != nil {
-			h.log.Error("lead: progress cannot be decoded.", "id", a.Key, "err", err)
-			r.unreadable = append(r.unreadable, a.Key)
+			h.log.Error("lead: progress cannot be decoded.", "id", k.id, "err", err)
+			r.unreadable = append(r.unreadable, k.id)
 			continue
 		}
 		r.jobs = append(r.jobs, j)
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -375,10 +375,19 @@
 type FinalStates struct{ finalStates }
 
 // Add adds a final state.
-func (e *FinalStates) Add(id string, state flow.State, now time.Time) { e.add(id, state, now) }
+func (e *FinalStates) Add(id string, state flow.State, now time.Time) {
+	e.add(id, jobStatus{state: state}, now)
+}
 
 // From returns jobs by state, starting at a sequence number.
-func (e *FinalStates) From(n int) (map[flow.State][]string, int) { return e.from(n) }
+func (e *FinalStates) From(n int) (map[flow.State][]string, int) {
+	by, next := e.from(n)
+	all := map[flow.State][]string{}
+	for st, ids := range by {
+		all[st.state] = ids
+	}
+	return all, next
+}
 
 // Drop removes old final states.
 func (e *FinalStates) Drop(before time.Time) { e.drop(before) }
--- a/internal/entry/finalstates.go
+++ b/internal/entry/finalstates.go
@@ -22,13 +22,19 @@
 }
 
 type finalState struct {
-	id    string
-	state flow.State
-	at    time.Time
+	id string
+	jobStatus
+	at time.Time
 }
 
-func (e *finalStates) add(id string, state flow.State, now time.Time) {
-	e.all = append(e.all, finalState{id, state, now})
+// jobStatus is a job's state, and the organisation that the job belongs to.
+type jobStatus struct {
+	state        flow.State
+	organisation string
+}
+
+func (e *finalStates) add(id string, st jobStatus, now time.Time) {
+	e.all = append(e.all, finalState{id, st, now})
 }
 
 // drop removes the states that were added before a time. It waits until there are many, because
@@ -45,14 +51,14 @@
 	e.all = slices.Delete(e.all, 0, n)
 }
 
-// from returns job ids by state, starting at sequence number n, and the number to continue with.
-func (e *finalStates) from(n int) (map[flow.State][]string, int) {
+// from returns job ids by status, starting at sequence number n, and the number to continue with.
+func (e *finalStates) from(n int) (map[jobStatus][]string, int) {
 	n = min(max(n, e.first), e.first+len(e.all))
 	some := e.all[n-e.first:]
 	some = some[:min(len(some), maxFinalStatesPerReply)]
-	by := map[flow.State][]string{}
+	by := map[jobStatus][]string{}
 	for _, x := range some {
-		by[x.state] = append(by[x.state], x.id)
+		by[x.jobStatus] = append(by[x.jobStatus], x.id)
 	}
 	return by, n + len(some)
 }
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -34,6 +34,7 @@
 			continue
 		}
 		read(all)
+		h.noteTableRead(topic)
 		h.followFrom(topic, from, read)
 	}
 }
@@ -81,6 +82,7 @@
 		if len(a.Records) > 0 {
 			read(a.Records)
 		}
+		h.noteTableRead(topic)
 		from += int64(len(a.Records))
 		if len(a.Records) == 0 {
 			// While the direct route is silent, reads do not wait for records.
@@ -89,6 +91,16 @@
 	}
 }
 
+// noteTableRead notes that the table in force was the newest one a moment ago.
+func (h *Host) noteTableRead(topic string) {
+	if topic != platform.TableTopic {
+		return
+	}
+	h.mu.Lock()
+	h.tableReadAt = h.now()
+	h.mu.Unlock()
+}
+
 // applyTable adopts the newest table. A table with a lower version than the one in force is a
 // record that was read twice. It is ignored, so that the table never goes back.
 func (h *Host) applyTable(all []store.Record) {
@@ -119,14 +131,20 @@
 	ownTerm := h.ownTerm
 	h.mu.Unlock()
 	metrics.GetOrRegisterGauge("table.version", h.metrics).Update(t.Version)
-	h.log.Info("table: in force.", "version", t.Version, "queues", len(t.Routes))
+	h.log.Info("table: in force.", "version", t.Version, "queues", len(t.Routes), "organisations", len(t.Quotas))
+	if len(t.Problems) > 0 {
+		h.log.Warn("table: not all of it is in force.", "version", t.Version, "problems", len(t.Problems), "err", errors.Join(t.Problems[:min(len(t.Problems), maxLoggedProblems)]...))
+	}
 	if ownTerm != nil {
 		ownTerm.step(queuesOf(t))
 	}
 }
 
+// maxLoggedProblems is how many problems of a table one log line names.
+const maxLoggedProblems = 5
+
 func queuesOf(t *platform.Table) sched.Queues {
-	ev := sched.Queues{Version: t.Version}
+	ev := sched.Queues{Version: t.Version, Quotas: t.Quotas}
 	for _, r := range t.Routes {
 		ev.All = append(ev.All, r.Queue)
 	}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -53,6 +53,8 @@
 
 	mu    sync.Mutex
 	table *platform.Table
+	// tableReadAt is when the store last answered a read of the table.
+	tableReadAt time.Time
 	// hosts holds the addresses of the entry hosts by name. leader is the current leader, and
 	// term is its term.
 	hosts map[string]netip.AddrPort
@@ -105,7 +107,7 @@
 	standby string
 	// accepted holds the jobs that this host accepted recently. peersSeen holds the hosts that
 	// sent requests to this one.
-	accepted  map[string]time.Time
+	accepted  map[string]acceptance
 	peersSeen map[string]hostInfo
 	// wasReady is the last readiness reported to the load balancer.
 	wasReady bool
@@ -120,7 +122,7 @@
 		cfg: cfg, log: log, now: now, startedAt: now(), workers: platform.NewWorkers(c),
 		peers: peer.NewClients(map[string]netip.AddrPort{}), metrics: metrics.NewRegistry(),
 		hosts: map[string]netip.AddrPort{cfg.Name: cfg.Listen.Peer}, pending: map[string]int{},
-		accepted: map[string]time.Time{}, peersSeen: map[string]hostInfo{}, failedSince: map[string]time.Time{},
+		accepted: map[string]acceptance{}, peersSeen: map[string]hostInfo{}, failedSince: map[string]time.Time{},
 		callers: newCallerConns(),
 	}
 	if cfg.Policy != "" {
--- a/internal/entry/inbox.go
+++ b/internal/entry/inbox.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,15 +12,46 @@
 	"pollencroft/internal/store"
 )
 
-// jobsTopic holds the requests of callers: job specs under their ids, and cancellations under the
-// id with the suffix cancelMark. Each host appends to a partition of its own as long as there are
-// enough partitions. A partition handles one append at a time, so hosts that share one would wait
-// for each other when the store is slow.
+// jobsTopic holds the requests of callers under their requestKeys. Each host appends to a partition
+// of its own as long as there are enough partitions. A partition handles one append at a time, so
+// hosts that share one would wait for each other when the store is slow.
+const jobsTopic = "jobs"
+
+// requestKey identifies a caller's request in jobsTopic. Requests for the same job from callers of
+// different organisations have different keys, so that neither replaces the other.
+type requestKey struct {
+	id string
+	// organisation is the caller's; empty for public routes.
+	organisation string
+	cancels      bool
+}
+
+// submitMark and cancelMark separate the id from the organisation in the text of a key. A job of no
+// organisation is stored under its id alone.
 const (
-	jobsTopic  = "jobs"
+	submitMark = "@"
 	cancelMark = "!"
 )
 
+func (k requestKey) String() string {
+	switch {
+	case k.cancels:
+		return k.id + cancelMark + k.organisation
+	case k.organisation != "":
+		return k.id + submitMark + k.organisation
+	default:
+		return k.id
+	}
+}
+
+func parseRequestKey(key string) requestKey {
+	i := strings.IndexAny(key, submitMark+cancelMark)
+	if i < 0 {
+		return requestKey{id: key}
+	}
+	return requestKey{id: key[:i], organisation: key[i+1:], cancels: key[i:i+1] == cancelMark}
+}
+
 // inbox stores the requests of callers. Requests that arrive while an append is in progress are
 // stored together in the next one.
 type inbox struct {
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -317,8 +317,8 @@
 func (h *Host) dropAccepted() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for id, at := range h.accepted {
-		if h.now().Sub(at) > acceptedExpiry {
+	for id, a := range h.accepted {
+		if h.now().Sub(a.at) > acceptedExpiry {
 			delete(h.accepted, id)
 		}
 	}
--- a/internal/entry/messages.go
+++ b/internal/entry/messages.go
@@ -92,16 +92,16 @@
 	if t == nil {
 		return peer.StateReply{}
 	}
-	if state, ok := h.states.final(id); ok {
-		return peer.StateReply{Lead: true, Known: true, State: string(state)}
+	if st, ok := h.states.final(id); ok {
+		return peer.StateReply{Lead: true, Known: true, State: string(st.state), Organisation: st.organisation}
 	}
 	began := h.now()
-	state, known, sure := t.state(id)
+	st, known, sure := t.status(id)
 	if took := h.now().Sub(began); took > slowStateReply {
 		h.incCounter("state.late")
 		h.log.Info("state: slow reply.", "id", id, "term", t.number, "waited", took)
 	}
-	return peer.StateReply{Lead: true, Known: known, Unsure: !sure, State: string(state)}
+	return peer.StateReply{Lead: true, Known: known, Unsure: !sure, State: string(st.state), Organisation: st.organisation}
 }
 
 // UncertainError is returned if the leader does not know a job and has not recently read what was
@@ -135,10 +135,10 @@
 	if m.Term != t.number {
 		m.Endings = 0
 	}
-	byState, next := t.finalStatesFrom(m.Endings)
-	ended := make(map[string][]string, len(byState))
-	for state, ids := range byState {
-		ended[string(state)] = ids
+	byStatus, next := t.finalStatesFrom(m.Endings)
+	ended := make([]peer.EndedJobs, 0, len(byStatus))
+	for st, ids := range byStatus {
+		ended = append(ended, peer.EndedJobs{State: string(st.state), Organisation: st.organisation, IDs: ids})
 	}
 	return peer.SyncReply{
 		Ended: ended, Endings: next, Leading: true, Lead: true, Leaving: leaving, Served: true, Standby: h.chooseStandby(), Follows: follows,
--- a/internal/entry/records_test.go
+++ b/internal/entry/records_test.go
@@ -229,6 +229,6 @@
 	reported := make(chan string, 1)
 	go func() { reported <- c.stateAt(h, 0) }()
 	time.Sleep(100 * time.Millisecond)
-	h.SyncPositionAfter(peer.SyncReply{Lead: true, Term: 1 << 40, Ended: map[string][]string{"completed": {jobID(0)}}})
+	h.SyncPositionAfter(peer.SyncReply{Lead: true, Term: 1 << 40, Ended: []peer.EndedJobs{{State: "completed", IDs: []string{jobID(0)}}}})
 	require.Equal(t, completedReply, <-reported)
 }
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -22,7 +21,7 @@
 		t.nextOffset[part] = max(t.nextOffset[part], first+int64(len(records)))
 	}
 	for _, r := range records {
-		t.notePart(part, r)
+		t.noteRequest(part, r)
 	}
 	t.mu.Unlock()
 	for _, r := range records {
@@ -30,27 +29,31 @@
 	}
 }
 
-// notePart records in which partition a record is stored, so that it can be deleted later. mu is
-// held, or t is not shared yet.
-func (t *term) notePart(part int, r store.Record) {
+// partKey is a key in a partition of jobsTopic.
+type partKey struct {
+	part int
+	key  string
+}
+
+// noteRequest records where a record is stored, so that it can be deleted later. mu is held, or t is
+// not shared yet.
+func (t *term) noteRequest(part int, r store.Record) {
 	if len(r.Value) == 0 {
 		return
 	}
-	id, _ := strings.CutSuffix(r.Key, cancelMark)
-	if t.jobParts[id] == nil {
-		t.jobParts[id] = map[int]bool{}
+	id := parseRequestKey(r.Key).id
+	if t.requestKeys[id] == nil {
+		t.requestKeys[id] = map[partKey]bool{}
 	}
-	t.jobParts[id][part] = true
+	t.requestKeys[id][partKey{part, r.Key}] = true
 }
 
 func (t *term) acceptRecord(r store.Record) {
-	if id, ok := strings.CutSuffix(r.Key, cancelMark); ok {
-		if len(r.Value) > 0 {
-			t.step(sched.Cancel{ID: id})
-		}
+	if len(r.Value) == 0 {
 		return
 	}
-	if len(r.Value) == 0 {
+	if k := parseRequestKey(r.Key); k.cancels {
+		t.step(sched.Cancel{ID: k.id, Organisation: k.organisation})
 		return
 	}
 	var spec flow.Spec
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -48,6 +48,9 @@
 		Grace Duration `toml:"grace"`
 		// Keep is how long the state of an ended job is reported.
 		Keep Duration `toml:"keep"`
+		// Trust is how long a host that cannot read the table goes on to accept and cancel jobs by
+		// the keys that it knows. Zero means defaultTrust.
+		Trust Duration `toml:"trust"`
 	} `toml:"times"`
 	// Agents says when a leader sends orders to workers through other hosts.
 	Agents struct {
@@ -60,6 +63,9 @@
 	Off []sched.Mechanism `toml:"off"`
 }
 
+// defaultTrust is used if the settings don't set the time.
+const defaultTrust = Duration(5 * time.Second)
+
 // Duration is a duration in a settings file.
 type Duration time.Duration
 
@@ -127,6 +133,9 @@
 			return &FieldError{Path: path, Key: key, Reason: "has to be 0 or more"}
 		}
 	}
+	if s.Times.Trust < 0 {
+		return &FieldError{Path: path, Key: "times.trust", Reason: "has to be 0s or more"}
+	}
 	times := map[string]Duration{"times.lease": s.Times.Lease, "times.stop": s.Times.Stop, "times.grace": s.Times.Grace, "times.keep": s.Times.Keep}
 	for key, d := range times {
 		if d <= 0 {
--- a/internal/entry/statecache.go
+++ b/internal/entry/statecache.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"time"
+	"unique"
 
 	"golang.org/x/sync/errgroup"
 
@@ -51,8 +52,8 @@
 }
 
 type cachedState struct {
-	state flow.State
-	at    time.Time
+	jobStatus
+	at time.Time
 }
 
 // stateRead is a read of the states of several jobs. Its results are valid once done is closed.
@@ -63,7 +64,7 @@
 	waiting int
 	// found holds the states of the jobs that were found, unreadable the jobs whose record cannot
 	// be decoded. Any other job does not exist, unless err is set.
-	found      map[string]flow.State
+	found      map[string]jobStatus
 	unreadable map[string]bool
 	// err is why jobs that were not found may exist nevertheless.
 	err error
@@ -74,19 +75,21 @@
 }
 
 // add stores a final state.
-func (s *stateCache) add(id string, state flow.State) {
-	if !state.Final() {
+func (s *stateCache) add(id string, st jobStatus) {
+	if !st.state.Final() {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.addLocked(id, state)
+	s.addLocked(id, st)
 }
 
 // addLocked is like add, but mu is held.
-func (s *stateCache) addLocked(id string, state flow.State) {
+func (s *stateCache) addLocked(id string, st jobStatus) {
 	if _, ok := s.ended[id]; !ok && len(s.ended) < maxFinalStates {
-		s.ended[id] = cachedState{state, s.h.now()}
+		// Thousands of jobs share the name of their organisation.
+		st.organisation = unique.Make(st.organisation).Value()
+		s.ended[id] = cachedState{st, s.h.now()}
 	}
 }
 
@@ -104,9 +107,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for state, ids := range r.Ended {
-		for _, id := range ids {
-			s.addLocked(id, flow.State(state))
+	for _, e := range r.Ended {
+		for _, id := range e.IDs {
+			s.addLocked(id, jobStatus{flow.State(e.State), e.Organisation})
 		}
 	}
 	switch {
@@ -117,12 +120,12 @@
 	}
 }
 
-// final returns the state of a job that is known to have ended.
-func (s *stateCache) final(id string) (flow.State, bool) {
+// final returns the status of a job that is known to have ended.
+func (s *stateCache) final(id string) (jobStatus, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.ended[id]
-	return e.state, ok
+	return e.jobStatus, ok
 }
 
 // drop removes final states after the time for which they have to be reported.
@@ -132,29 +135,29 @@
 	maps.DeleteFunc(s.ended, func(_ string, e cachedState) bool { return s.h.now().Sub(e.at) > time.Duration(s.h.cfg.Times.Keep) })
 }
 
-// read returns a job's state as the store contains it after the call, or false if there is no
+// read returns a job's status as the store contains it after the call, or false if there is no
 // such job. While a part of the store cannot be read, it returns only states that the missing
 // part cannot change. A failed read is repeated once as long as the store answers this host.
-func (s *stateCache) read(ctx context.Context, id string) (flow.State, bool, error) {
+func (s *stateCache) read(ctx context.Context, id string) (jobStatus, bool, error) {
 	for try := 1; ; try++ {
 		if !s.h.store.AnsweredWithin(storeFreshness) {
-			return "", false, &store.RefusedError{Op: store.Newest, Reason: "the store has not answered for a while"}
+			return jobStatus{}, false, &store.RefusedError{Op: store.Newest, Reason: "the store has not answered for a while"}
 		}
 		r := s.join(id)
 		select {
 		case <-r.done:
 		case <-ctx.Done():
 			s.leave(r)
-			return "", false, &store.UnansweredError{Op: store.Newest, Cause: ctx.Err()}
+			return jobStatus{}, false, &store.UnansweredError{Op: store.Newest, Cause: ctx.Err()}
 		}
-		state, ok := r.found[id]
+		st, ok := r.found[id]
 		switch {
 		case ok:
-			return state, true, nil
+			return st, true, nil
 		case r.unreadable[id]:
-			return "", false, &UnreadableStateError{ID: id}
+			return jobStatus{}, false, &UnreadableStateError{ID: id}
 		case try == maxStateReads || !store.IsUnavailable(r.err):
-			return "", false, r.err
+			return jobStatus{}, false, r.err
 		}
 	}
 }
@@ -169,7 +172,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.next == nil {
-		s.next = &stateRead{ids: map[string]bool{}, done: make(chan struct{}), found: map[string]flow.State{}, unreadable: map[string]bool{}}
+		s.next = &stateRead{ids: map[string]bool{}, done: make(chan struct{}), found: map[string]jobStatus{}, unreadable: map[string]bool{}}
 	}
 	s.next.ids[id] = true
 	s.next.waiting++
@@ -233,11 +236,11 @@
 // withoutFinalState lists, in order, the jobs of a read whose final state is not known yet.
 func (s *stateCache) withoutFinalState(r *stateRead) []string {
 	for id := range r.ids {
-		if state, ok := s.final(id); ok {
-			r.found[id] = state
+		if st, ok := s.final(id); ok {
+			r.found[id] = st
 		}
 	}
-	return slices.DeleteFunc(slices.Sorted(maps.Keys(r.ids)), func(id string) bool { return r.found[id] != "" })
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(r.ids)), func(id string) bool { return r.found[id].state != "" })
 }
 
 // readAll looks for the jobs first in stateTopic, and for those that have no progress there in
@@ -251,13 +254,13 @@
 	var unproved []string
 	for _, id := range ids {
 		b, ok := progress[id]
-		state, began, readable := flow.RecordState(b)
+		sum, readable := flow.Summarize(b)
 		switch {
 		case ok && !readable:
 			s.h.log.Error("state: record cannot be decoded.", "id", id)
 			r.unreadable[id] = true
-		case state.Final(), ok && err == nil && !s.mayBeForgotten(began):
-			r.found[id] = state
+		case sum.State.Final(), ok && err == nil && !s.mayBeForgotten(sum.Accepted):
+			r.found[id] = jobStatus{sum.State, sum.Organisation}
 		default:
 			unproved = append(unproved, id)
 		}
@@ -270,10 +273,10 @@
 	}
 	s.lastAcceptedRead = s.h.now()
 	accepted, err := s.readAccepted(ctx, unproved)
-	for id := range accepted {
-		r.found[id] = flow.Queued
-		if state, _, ok := flow.RecordState(progress[id]); ok {
-			r.found[id] = state
+	for id, organisation := range accepted {
+		r.found[id] = jobStatus{flow.Queued, organisation}
+		if sum, ok := flow.Summarize(progress[id]); ok {
+			r.found[id] = jobStatus{sum.State, sum.Organisation}
 		}
 	}
 	return err
@@ -298,25 +301,25 @@
 		if asked {
 			newest[rec.Key] = flow.NewerRecord(newest[rec.Key], rec.Value)
 		}
-		if state, _, ok := flow.RecordState(rec.Value); ok {
-			s.add(rec.Key, state)
+		if sum, ok := flow.Summarize(rec.Value); ok {
+			s.add(rec.Key, jobStatus{sum.State, sum.Organisation})
 		}
 	})
 	return newest, err
 }
 
-// readAccepted returns which of the jobs are in jobsTopic.
-func (s *stateCache) readAccepted(ctx context.Context, ids []string) (map[string]bool, error) {
+// readAccepted returns which of the jobs are in jobsTopic, with their organisations.
+func (s *stateCache) readAccepted(ctx context.Context, ids []string) (map[string]string, error) {
 	parts := make([]int, s.h.cfg.Parts)
 	for i := range parts {
 		parts[i] = i
 	}
-	accepted, bytes := map[string]bool{}, 0
+	accepted, bytes := map[string]string{}, 0
 	defer func() { s.acceptedShare.record(s.h.now(), bytes) }()
 	err := s.scan(ctx, jobsTopic, parts, ids, func(rec store.Record, asked bool) {
 		bytes += len(rec.Value)
-		if asked {
-			accepted[rec.Key] = true
+		if k := parseRequestKey(rec.Key); asked && !k.cancels {
+			accepted[k.id] = k.organisation
 		}
 	})
 	return accepted, err
@@ -336,7 +339,7 @@
 				mu.Lock()
 				defer mu.Unlock()
 				for _, rec := range all {
-					_, asked := slices.BinarySearch(ids, rec.Key)
+					_, asked := slices.BinarySearch(ids, parseRequestKey(rec.Key).id)
 					if len(rec.Value) > 0 {
 						visit(rec, asked)
 					}
--- a/internal/entry/statequery.go
+++ b/internal/entry/statequery.go
@@ -57,23 +57,23 @@
 }
 
 type stateAnswer struct {
-	state flow.State
-	known bool
-	err   error
+	status jobStatus
+	known  bool
+	err    error
 	// stored reports whether the answer was read from the store.
 	stored bool
 }
 
-// stateOf returns a job's state, or false if there is no such job.
-func (h *Host) stateOf(ctx context.Context, id string) (flow.State, bool, error) {
-	if state, ok := h.states.final(id); ok {
-		return state, true, nil
+// statusOf returns a job's status, or false if there is no such job.
+func (h *Host) statusOf(ctx context.Context, id string) (jobStatus, bool, error) {
+	if st, ok := h.states.final(id); ok {
+		return st, true, nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	q := &stateQuery{h: h, ctx: ctx, id: id, answers: make(chan stateAnswer, maxLeadersAsked+1), leaderErr: &LateError{Host: h.cfg.Name}}
 	a := q.run()
-	return a.state, a.known, a.err
+	return a.status, a.known, a.err
 }
 
 func (q *stateQuery) run() stateAnswer {
@@ -86,15 +86,15 @@
 		select {
 		case a := <-q.answers:
 			if a.err == nil {
-				q.h.states.add(q.id, a.state)
+				q.h.states.add(q.id, a.status)
 				return a
 			}
 			q.noteFailure(a)
 		case <-timer.C:
 			q.readStore()
 		case <-recheck.C:
-			if state, ok := q.h.states.final(q.id); ok {
-				return stateAnswer{state: state, known: true}
+			if st, ok := q.h.states.final(q.id); ok {
+				return stateAnswer{status: st, known: true}
 			}
 			q.askNewLeader()
 		case <-q.ctx.Done():
@@ -158,8 +158,8 @@
 	q.leader, _ = q.h.currentLeader()
 	q.term = q.h.currentTerm()
 	go func() {
-		state, known, err := q.h.askState(q.ctx, q.id)
-		q.answers <- stateAnswer{state: state, known: known, err: err}
+		st, known, err := q.h.askStatus(q.ctx, q.id)
+		q.answers <- stateAnswer{status: st, known: known, err: err}
 	}()
 }
 
@@ -169,24 +169,24 @@
 	}
 	q.readingStore = true
 	go func() {
-		state, known, err := q.h.states.read(q.ctx, q.id)
-		q.answers <- stateAnswer{state: state, known: known, err: err, stored: true}
+		st, known, err := q.h.states.read(q.ctx, q.id)
+		q.answers <- stateAnswer{status: st, known: known, err: err, stored: true}
 	}()
 }
 
-// finalOrLeaderState returns a job's final state if this host knows it. Otherwise it returns the
-// state that the leader reports within askTimeout.
-func (h *Host) finalOrLeaderState(ctx context.Context, id string) (flow.State, bool, error) {
-	if state, ok := h.states.final(id); ok {
-		return state, true, nil
+// finalOrLeaderStatus returns a job's status if this host knows that it has ended. Otherwise it
+// returns the status that the leader reports within askTimeout.
+func (h *Host) finalOrLeaderStatus(ctx context.Context, id string) (jobStatus, bool, error) {
+	if st, ok := h.states.final(id); ok {
+		return st, true, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	return h.askState(ctx, id)
+	return h.askStatus(ctx, id)
 }
 
-// askState asks the leader for a job's state.
-func (h *Host) askState(ctx context.Context, id string) (flow.State, bool, error) {
+// askStatus asks the leader for a job's status.
+func (h *Host) askStatus(ctx context.Context, id string) (jobStatus, bool, error) {
 	h.mu.Lock()
 	leader, term, leading := h.leader, h.term, h.ownTerm != nil
 	h.mu.Unlock()
@@ -201,25 +201,25 @@
 	default:
 		err = h.peers.Ask(ctx, leader, peer.AskState{ID: id}, &r)
 	}
-	state, known, err := parseStateReply(id, r, err)
+	st, known, err := parseStateReply(id, r, err)
 	if err != nil {
 		h.incCounter("state.untold")
 		h.log.Info("state: no answer from the leader.", "id", id, "lead", leader, "term", term, "waited", h.now().Sub(began), "err", err)
 	}
-	return state, known, err
+	return st, known, err
 }
 
 // parseStateReply interprets a leader's answer.
-func parseStateReply(id string, r peer.StateReply, err error) (flow.State, bool, error) {
+func parseStateReply(id string, r peer.StateReply, err error) (jobStatus, bool, error) {
 	switch {
 	case err != nil:
-		return "", false, err
+		return jobStatus{}, false, err
 	case !r.Lead:
-		return "", false, &NoLeaderError{}
+		return jobStatus{}, false, &NoLeaderError{}
 	case r.Unsure:
-		return "", false, &UncertainError{ID: id}
+		return jobStatus{}, false, &UncertainError{ID: id}
 	default:
-		return flow.State(r.State), r.Known, nil
+		return jobStatus{flow.State(r.State), r.Organisation}, r.Known, nil
 	}
 }
 
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -10,7 +10,6 @@
 
 	"pollencroft/internal/agent"
 	"pollencroft/internal/cell"
-	"pollencroft/internal/flow"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/sched"
 	"pollencroft/internal/store"
@@ -41,8 +40,8 @@
 	nextOffset []int64
 	// lastPoll is when the last successful poll of all partitions started.
 	lastPoll time.Time
-	// jobParts holds, by job, the partitions that contain the job's requests.
-	jobParts map[string]map[int]bool
+	// requestKeys holds, by job, the partitions and keys of the job's requests in the store.
+	requestKeys map[string]map[partKey]bool
 	// workers are the workers in the store's list, by incarnation.
 	workers map[string]sched.Worker
 	// finalStates are the final states of the term's jobs.
@@ -88,7 +87,7 @@
 	limits.Retention = time.Duration(h.cfg.Times.Keep) * 5 / 4
 	t := &term{
 		h: h, number: number, readAt: read, beganAt: began, lastPoll: read, jobs: len(r.jobs) + len(r.notStarted), open: len(r.notStarted),
-		kick: make(chan struct{}, 1), nextOffset: next, jobParts: map[string]map[int]bool{}, workers: map[string]sched.Worker{}, unreadable: map[string]bool{},
+		kick: make(chan struct{}, 1), nextOffset: next, requestKeys: map[string]map[partKey]bool{}, workers: map[string]sched.Worker{}, unreadable: map[string]bool{},
 		core: sched.New(limits, number, r.jobs), journal: newJournal(h.store, h.log, &h.wg, number, h.stateParts()),
 	}
 	for _, id := range r.unreadable {
@@ -99,14 +98,15 @@
 			t.open++
 			continue
 		}
-		h.states.add(j.Spec.ID, j.State)
-		t.finalStates.add(j.Spec.ID, j.State, began)
+		st := jobStatus{j.State, j.Spec.Organisation}
+		h.states.add(j.Spec.ID, st)
+		t.finalStates.add(j.Spec.ID, st, began)
 	}
 	t.ctx, t.cancel = context.WithCancel(h.ctx)
 	t.orders, t.dispatcher = newOrders(h, t.ctx), t.newDispatcher()
 	for part, all := range requests {
 		for _, a := range all {
-			t.notePart(part, a)
+			t.noteRequest(part, a)
 		}
 	}
 	t.dispatcher.SetHosts(h.possibleAgents())
@@ -122,8 +122,8 @@
 	for _, spec := range r.notStarted {
 		t.step(sched.Submit{Spec: spec})
 	}
-	for _, id := range r.cancels {
-		t.step(sched.Cancel{ID: id})
+	for _, c := range r.cancels {
+		t.step(c)
 	}
 	h.wg.Go(t.awaitPreviousLeader)
 	h.wg.Go(t.followWorkers)
@@ -252,17 +252,18 @@
 // noteEnded records a final state, for this host and for those that sync with it.
 func (t *term) noteEnded(a sched.JobEnded) {
 	t.h.log.Info("sched: ended.", "id", a.ID, "term", t.number, "detail", a.State)
-	t.h.states.add(a.ID, a.State)
+	st := jobStatus{a.State, a.Organisation}
+	t.h.states.add(a.ID, st)
 	now := t.h.now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.finalStates.add(a.ID, a.State, now)
+	t.finalStates.add(a.ID, st, now)
 	t.finalStates.drop(now.Add(-time.Duration(t.h.cfg.Times.Keep)))
 }
 
 // finalStatesFrom returns final states starting at sequence number n, and the number to continue
 // with.
-func (t *term) finalStatesFrom(n int) (map[flow.State][]string, int) {
+func (t *term) finalStatesFrom(n int) (map[jobStatus][]string, int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.finalStates.from(n)
@@ -290,11 +291,14 @@
 // it again.
 func (t *term) forget(id string) {
 	t.mu.Lock()
-	parts := t.jobParts[id]
-	delete(t.jobParts, id)
+	parts := map[int][]store.Record{}
+	for k := range t.requestKeys[id] {
+		parts[k.part] = append(parts[k.part], store.Record{Key: k.key})
+	}
+	delete(t.requestKeys, id)
 	t.mu.Unlock()
-	for part := range parts {
-		c := store.Call{Op: store.Append, Topic: jobsTopic, Part: part, Keyed: true, Records: []store.Record{{Key: id}, {Key: id + cancelMark}}}
+	for part, records := range parts {
+		c := store.Call{Op: store.Append, Topic: jobsTopic, Part: part, Keyed: true, Records: records}
 		if _, err := t.h.store.Do(t.ctx, c); err != nil {
 			t.h.log.Warn("lead: ended job cannot be deleted.", "id", id, "part", part, "err", err)
 			return
@@ -331,14 +335,15 @@
 	}
 }
 
-// state returns a job's state. It is sure that a job does not exist only if the term has read,
+// status returns a job's status. It is sure that a job does not exist only if the term has read,
 // within maxPollAge, everything that was stored. Otherwise a caller could be told that an
 // accepted job does not exist.
-func (t *term) state(id string) (state flow.State, known, sure bool) {
+func (t *term) status(id string) (st jobStatus, known, sure bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	state, known = t.core.State(id)
-	return state, known, known || !t.unreadable[id] && t.h.now().Sub(t.lastPoll) < maxPollAge
+	st.state, known = t.core.State(id)
+	st.organisation = t.core.Organisation(id)
+	return st, known, known || !t.unreadable[id] && t.h.now().Sub(t.lastPoll) < maxPollAge
 }
 
 // pending returns the number of jobs of which no task has started, by queue, as of at most
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -14,12 +14,14 @@
 // done, where a run may exist, and the latest checkpoints.
 type record struct {
 	Version
-	State     State         `json:"s"`
-	Accepted  int64         `json:"b"`
-	Number    int64         `json:"n"`
-	NextRound int           `json:"x,omitempty"`
-	Rounds    []roundRecord `json:"r,omitempty"`
-	Ended     int64         `json:"e,omitempty"`
+	State     State `json:"s"`
+	Accepted  int64 `json:"b"`
+	Number    int64 `json:"n"`
+	NextRound int   `json:"x,omitempty"`
+	// Organisation is the job's organisation, which is needed after the spec is deleted.
+	Organisation string        `json:"o,omitempty"`
+	Rounds       []roundRecord `json:"r,omitempty"`
+	Ended        int64         `json:"e,omitempty"`
 	// MayHaveCopies marks an ended job of which copies of tasks may still run. The job's spec
 	// is then still needed, because it says how much capacity they use.
 	MayHaveCopies bool `json:"k,omitempty"`
@@ -85,7 +87,7 @@
 
 // Record encodes the job's progress.
 func (j *Job) Record(v Version) []byte {
-	rec := record{Version: v, State: j.State, Accepted: j.Accepted.UnixMilli(), Number: j.Number, NextRound: j.NextRound}
+	rec := record{Version: v, State: j.State, Accepted: j.Accepted.UnixMilli(), Number: j.Number, NextRound: j.NextRound, Organisation: j.Spec.Organisation}
 	if j.State.Final() {
 		rec.Ended = j.Ended.UnixMilli()
 		rec.MayHaveCopies = slices.ContainsFunc(j.Spec.Steps, func(s Step) bool { return s.AllowCopies })
@@ -137,22 +139,30 @@
 	if json.Unmarshal(b, &rec) != nil || !rec.State.Final() || rec.MayHaveCopies || len(rec.Rounds) > 0 {
 		return nil, false
 	}
-	j := New(Spec{ID: id}, rec.Number, time.UnixMilli(rec.Accepted))
+	j := New(Spec{ID: id, Organisation: rec.Organisation}, rec.Number, time.UnixMilli(rec.Accepted))
 	j.NextRound, j.State, j.Published, j.Ended = rec.NextRound, rec.State, rec.State, time.UnixMilli(rec.Ended)
 	return j, true
 }
 
-// RecordState decodes only a job's state and the time of its acceptance. It returns false if
-// the record is missing or unreadable.
-func RecordState(b []byte) (state State, began time.Time, ok bool) {
+// Summary is the part of a job's record that callers are told.
+type Summary struct {
+	State        State
+	Accepted     time.Time
+	Organisation string
+}
+
+// Summarize decodes only the summary of a record. It returns false if the record is missing or
+// unreadable.
+func Summarize(b []byte) (Summary, bool) {
 	var rec struct {
-		State State `json:"s"`
-		Began int64 `json:"b"`
+		State        State  `json:"s"`
+		Accepted     int64  `json:"b"`
+		Organisation string `json:"o"`
 	}
 	if json.Unmarshal(b, &rec) != nil || rec.State == "" {
-		return "", time.Time{}, false
+		return Summary{}, false
 	}
-	return rec.State, time.UnixMilli(rec.Began), true
+	return Summary{State: rec.State, Accepted: time.UnixMilli(rec.Accepted), Organisation: rec.Organisation}, true
 }
 
 // Restore restores a job from its spec and its record. A task of which a worker may have a
--- a/internal/flow/spec.go
+++ b/internal/flow/spec.go
@@ -18,6 +18,9 @@
 	// Queue is the policy under which the job was accepted. While the table has a row for this
 	// queue, that row takes precedence.
 	Queue Queue `json:"queue"`
+	// Organisation is the organisation whose caller submitted the job; empty if it came from a
+	// public route. Its quota limits what the job may have running.
+	Organisation string `json:"org,omitempty"`
 	// Text is passed to each task uninterpreted.
 	Text   string `json:"text"`
 	Steps  []Step `json:"steps"`
@@ -97,6 +100,16 @@
 	return s.Size
 }
 
+// QuotaNeed returns what the step needs of its organisation's quota in order to start anything: all
+// members of a gang, otherwise one task. Best-effort tasks count with their processors, although
+// these are not booked on a worker.
+func (s Step) QuotaNeed() cell.Size {
+	if s.Gang {
+		return s.Size.Scale(float64(s.Tasks))
+	}
+	return s.Size
+}
+
 // Repeat runs the steps Count times. If Count is zero they run once, immediately.
 type Repeat struct {
 	Count int           `json:"count"`
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -212,6 +212,8 @@
 	Lead, Known bool
 	Unsure      bool
 	State       string
+	// Organisation is the job's organisation; empty if it has none.
+	Organisation string `json:",omitempty"`
 }
 
 // Sync asks the leader for what every host reports to callers, and tells the leader that the
@@ -258,9 +260,16 @@
 	// Agents are the hosts that send the leader's orders to workers, so that its successor knows
 	// them.
 	Agents []AgentHost `json:",omitempty"`
-	// Ended holds job ids by final state. Endings is the number from which to read on.
-	Ended   map[string][]string `json:",omitempty"`
-	Endings int                 `json:",omitempty"`
+	// Ended lists jobs that have ended. Endings is the number from which to read on.
+	Ended   []EndedJobs `json:"Ends,omitempty"`
+	Endings int         `json:",omitempty"`
+}
+
+// EndedJobs are jobs of one organisation that have ended in the same state.
+type EndedJobs struct {
+	State        string
+	Organisation string `json:",omitempty"`
+	IDs          []string
 }
 
 // AgentHost is a host that sends orders to workers. Power is its number of cores.
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -5,23 +5,26 @@
 
 	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
+	"pollencroft/internal/quota"
 )
 
 // untrackedRun is a run that the scheduler no longer tracks but that may still be on its worker and
 // take capacity. It may begin as late as latestStart.
 type untrackedRun struct {
 	demand      cell.Size
+	quota       quota.Run
 	latestStart time.Time
 	// sizeUnknown means that the run's size is not known: it may fill the whole worker.
 	sizeUnknown bool
 }
 
 // untrack keeps the capacity of a run booked that is no longer tracked.
-func (w *worker) untrack(k runKey, demand cell.Size, until time.Time) {
+func (w *worker) untrack(k runKey, demand cell.Size, q quota.Run, until time.Time) {
 	l, ok := w.untracked[k]
 	if !ok {
-		l.demand = demand
+		l.demand, l.quota = demand, q
 		w.used = w.used.Add(demand)
+		w.usage.Add(q)
 	}
 	if until.After(l.latestStart) {
 		l.latestStart = until
@@ -31,7 +34,7 @@
 
 // untrackUnknownSize is like untrack for a run of unknown size.
 func (w *worker) untrackUnknownSize(k runKey, until time.Time) {
-	w.untrack(k, cell.Size{}, until)
+	w.untrack(k, cell.Size{}, quota.Run{}, until)
 	l := w.untracked[k]
 	l.sizeUnknown = true
 	w.untracked[k] = l
@@ -59,8 +62,20 @@
 		if listed[k.task] == k.run || now.Before(l.latestStart) {
 			continue
 		}
-		w.used = w.used.Sub(l.demand)
-		delete(w.untracked, k)
+		w.release(k, l)
+	}
+}
+
+func (w *worker) release(k runKey, l untrackedRun) {
+	w.used = w.used.Sub(l.demand)
+	w.usage.Remove(l.quota)
+	delete(w.untracked, k)
+}
+
+// dropUntracked releases all untracked runs of a worker on which nothing runs any more.
+func (w *worker) dropUntracked() {
+	for k, l := range w.untracked {
+		w.release(k, l)
 	}
 }
 
@@ -121,7 +136,7 @@
 func (s *Sched) copyDone(t *flow.Task) {
 	if w, ok := s.workers[t.Worker]; ok && t.MayBeRunning() && t.State != flow.Assigned {
 		s.emit(Stop{To: w.Address, Term: s.term, Task: t.Name, Run: t.Run})
-		w.untrack(runKey{t.Name, t.Run}, t.Spec().Demand(), s.latestStart())
+		w.untrack(runKey{t.Name, t.Run}, t.Spec().Demand(), quotaRun(t.Job, t.Spec()), s.latestStart())
 	}
 	s.taskDone(t)
 }
@@ -131,7 +146,7 @@
 func (s *Sched) copySilentTasks(w *worker) {
 	for _, t := range w.sortedTasks() {
 		if t.Spec().AllowCopies && !t.Spec().Gang && (t.State == flow.Running || t.State == flow.Starting) {
-			w.untrack(runKey{t.Name, t.Run}, t.Spec().Demand(), s.latestStart())
+			w.untrack(runKey{t.Name, t.Run}, t.Spec().Demand(), quotaRun(t.Job, t.Spec()), s.latestStart())
 			s.markLost(t, w)
 			s.requeueTask(t, "worker is silent, a copy may run")
 		}
--- a/internal/sched/deadline.go
+++ b/internal/sched/deadline.go
@@ -74,7 +74,7 @@
 func (s *Sched) promoteStarved(steps []readyStep, pools map[string]*pool) {
 	var waiting []*readyStep
 	for i := range steps {
-		if steps[i].class == starved {
+		if steps[i].class == starved && s.quotaAllows(steps[i]) {
 			waiting = append(waiting, &steps[i])
 		}
 	}
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -17,6 +17,9 @@
 		return
 	}
 	need := r.stage.Spec.Demand().CPU * int64(len(tasks))
+	if !s.quotaAllows(r) {
+		return
+	}
 	if reservedCPU > 0 && need > p.freeCPU-reservedCPU {
 		return
 	}
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -1,9 +1,15 @@
 package sched
 
-import "pollencroft/internal/flow"
+import (
+	"pollencroft/internal/access"
+	"pollencroft/internal/flow"
+)
 
 func (s *Sched) submit(spec flow.Spec) {
-	if _, ok := s.jobs[spec.ID]; ok {
+	if j, ok := s.jobs[spec.ID]; ok {
+		if !access.Owns(spec.Organisation, j.Spec.Organisation) {
+			s.emit(Note{ID: spec.ID, What: "id is another organisation's", Detail: spec.Organisation})
+		}
 		return
 	}
 	s.lastNumber++
@@ -12,26 +18,31 @@
 	j.BeginRounds(s.now)
 	s.markDirty(j)
 	s.emit(Note{ID: spec.ID, What: "queued", Detail: spec.Queue.Name})
-	if _, ok := s.earlyCancels[spec.ID]; ok {
-		delete(s.earlyCancels, spec.ID)
-		s.cancel(spec.ID)
+	for c := range s.earlyCancels {
+		if c.ID == spec.ID && access.Owns(c.Organisation, spec.Organisation) {
+			delete(s.earlyCancels, c)
+			s.cancel(c)
+		}
 	}
 }
 
 // cancel stops a job. The cancellation may arrive before the job itself, since different hosts may
 // have stored the two. If it were dropped then, the job would run although its caller was told that
 // it is cancelled.
-func (s *Sched) cancel(id string) {
-	j, ok := s.jobs[id]
+func (s *Sched) cancel(c Cancel) {
+	j, ok := s.jobs[c.ID]
 	switch {
 	case !ok:
-		s.earlyCancels[id] = s.now
-		s.emit(Note{ID: id, What: "cancelled before submission"})
+		s.earlyCancels[c] = s.now
+		s.emit(Note{ID: c.ID, What: "cancelled before submission"})
 		return
 	case j.State.Final():
 		return
+	case !access.Owns(c.Organisation, j.Spec.Organisation):
+		s.emit(Note{ID: c.ID, What: "cancellation by another organisation ignored", Detail: c.Organisation})
+		return
 	}
-	s.emit(Note{ID: id, What: "cancelled by its caller"})
+	s.emit(Note{ID: c.ID, What: "cancelled by its caller"})
 	s.endJob(j, flow.Cancelled)
 }
 
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -77,10 +77,11 @@
 // Event is an input of the scheduler core.
 type Event interface{ event() }
 
-// Queues replaces the table's queues.
+// Queues replaces the table's queues and the quotas of the organisations.
 type Queues struct {
 	Version int64
 	All     []flow.Queue
+	Quotas  map[string]cell.Size
 }
 
 // Workers replaces the list of workers.
@@ -92,8 +93,9 @@
 // Submit adds a job that is already stored.
 type Submit struct{ Spec flow.Spec }
 
-// Cancel stops a job; the request to do so is already stored.
-type Cancel struct{ ID string }
+// Cancel stops a job on behalf of a caller of an organisation; the request to do so is already
+// stored.
+type Cancel struct{ ID, Organisation string }
 
 // Appended reports that the Append with that number is stored. Appends may be stored in any order.
 type Appended struct{ Number int64 }
@@ -266,8 +268,8 @@
 
 // JobEnded reports that a job's final state is stored. It never changes afterwards.
 type JobEnded struct {
-	ID    string
-	State flow.State
+	ID, Organisation string
+	State            flow.State
 }
 
 // Note describes a decision, for the log.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -131,10 +131,15 @@
 		maxRank = top
 	}
 	pools := s.pools()
-	steps := s.waitingSteps(pools, maxRank)
-	if len(steps) == 0 {
-		return
+	steps, held := s.splitHeld(s.waitingSteps(pools, maxRank))
+	if len(steps) > 0 {
+		s.placeInOrder(steps, pools, top)
 	}
+	s.accountWaits(steps, held)
+}
+
+// placeInOrder places steps that are in order of urgency. top is the rank of the most urgent queues.
+func (s *Sched) placeInOrder(steps []readyStep, pools map[string]*pool, top int) {
 	top = min(top, steps[0].queue.Rank)
 	s.listOpenWorkers(pools, steps)
 	s.noFreeHost = [2]bool{}
@@ -150,11 +155,10 @@
 		s.placeStep(r, p, reservedCPU)
 	}
 	for _, r := range steps {
-		if p, ok := pools[r.queue.Service]; ok {
+		if p, ok := pools[r.queue.Service]; ok && s.quotaAllows(r) {
 			s.prefetchTickets(r, p)
 		}
 	}
-	s.accountWaits(steps)
 }
 
 // topRank returns the rank of the most urgent queues of the table.
@@ -202,7 +206,7 @@
 	}
 	// Without a ticket no worker may run the step: a backlog of such steps is skipped without
 	// checking a single worker.
-	for len(left) > 0 && (reservedCPU == 0 || p.freeCPU >= reservedCPU+need) {
+	for len(left) > 0 && (reservedCPU == 0 || p.freeCPU >= reservedCPU+need) && s.quotaAllows(r) {
 		w := s.bestWorker(r, left[0], allowed)
 		if w == nil && (left[0].CrashSuspicions() >= aloneAfter || s.avoidsFreeWorker(left[0], allowed)) {
 			skipped, left = append(skipped, left[0]), left[1:]
@@ -216,6 +220,9 @@
 		left = left[1:]
 	}
 	left = append(left, skipped...)
+	if !s.quotaAllows(r) {
+		return
+	}
 	if len(left) > 0 && r.queue.Advice != nil && p.freeCPU-reservedCPU >= need {
 		s.maybeQuery(r, p, len(left))
 	}
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -36,7 +36,8 @@
 	// The run is listed, so it has begun. Older lists may still be in transit.
 	until := s.now.Add(maxTransit)
 	if j, ok := s.jobs[l.Task.Job]; ok && l.Task.Step < len(j.Spec.Steps) {
-		w.untrack(k, j.Spec.Steps[l.Task.Step].Demand(), until)
+		st := j.Spec.Steps[l.Task.Step]
+		w.untrack(k, st.Demand(), quotaRun(j, st), until)
 	} else {
 		w.untrackUnknownSize(k, until)
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -9,7 +9,9 @@
 	"slices"
 	"time"
 
+	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
+	"pollencroft/internal/quota"
 )
 
 // Sched is the scheduler of one term. It is not safe for concurrent use.
@@ -46,7 +48,9 @@
 	// preemptions is the capacity that other tasks were stopped for, by the step that it is for.
 	preemptions map[*flow.Stage][]preemption
 	// earlyCancels is when jobs that are not known yet were cancelled.
-	earlyCancels map[string]time.Time
+	earlyCancels map[Cancel]time.Time
+	// usage is what the organisations have running.
+	usage *quota.Usage
 	// dirty are jobs whose changes are not in an append yet.
 	dirty map[string]*flow.Job
 	// unstoredStarts are runs that may start before they are stored.
@@ -81,10 +85,12 @@
 	starts    []runKey
 	states    map[*flow.Job]flow.State
 	ackedEnds map[*worker]int64
+	// unstoredSizes is what organisations have started before it is stored, with the append.
+	unstoredSizes map[string]cell.Size
 }
 
 func newBatch() *batch {
-	return &batch{states: map[*flow.Job]flow.State{}, ackedEnds: map[*worker]int64{}}
+	return &batch{states: map[*flow.Job]flow.State{}, ackedEnds: map[*worker]int64{}, unstoredSizes: map[string]cell.Size{}}
 }
 
 // runKey identifies one run of a task.
@@ -98,7 +104,7 @@
 	s := &Sched{
 		limits: limits, term: term, queues: map[string]flow.Queue{}, jobs: map[string]*flow.Job{}, openJobs: map[string]*flow.Job{},
 		workers: map[string]*worker{}, hosts: map[string]*host{}, advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
-		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, preemptions: map[*flow.Stage][]preemption{}, waits: map[*flow.Stage]*stepWait{}, earlyCancels: map[string]time.Time{}, dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
+		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, preemptions: map[*flow.Stage][]preemption{}, waits: map[*flow.Stage]*stepWait{}, earlyCancels: map[Cancel]time.Time{}, usage: quota.New(), dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
 	}
 	for _, j := range jobs {
 		s.jobs[j.Spec.ID] = j
@@ -127,7 +133,7 @@
 func (s *Sched) ensureWorker(incarnation string) *worker {
 	w, ok := s.workers[incarnation]
 	if !ok {
-		w = newWorker(Worker{Address: Address{Incarnation: incarnation}})
+		w = newWorker(Worker{Address: Address{Incarnation: incarnation}}, s.usage)
 		s.workers[incarnation] = w
 		s.workersChanged()
 	}
@@ -159,7 +165,7 @@
 	case Submit:
 		s.submit(ev.Spec)
 	case Cancel:
-		s.cancel(ev.ID)
+		s.cancel(ev)
 	case Appended:
 		s.appended(ev.Number)
 	case HoldReply:
@@ -197,6 +203,7 @@
 	for _, q := range ev.All {
 		s.queues[q.Name] = q
 	}
+	s.usage.SetQuotas(ev.Quotas)
 }
 
 // queue returns a job's queue as the table has it now, or as it was when the job was accepted if
@@ -359,7 +366,7 @@
 	}
 	j.Published, j.PublishedAppend = b.states[j], b.number
 	if j.Published.Final() {
-		s.emit(JobEnded{ID: j.Spec.ID, State: j.Published})
+		s.emit(JobEnded{ID: j.Spec.ID, Organisation: j.Spec.Organisation, State: j.Published})
 	}
 }
 
@@ -377,7 +384,7 @@
 // deleted first and the progress after it: a spec without progress looks like a new job to the next
 // leader, which would run it again.
 func (s *Sched) forgetEndedJobs() {
-	maps.DeleteFunc(s.earlyCancels, func(_ string, at time.Time) bool { return s.now.Sub(at) > s.limits.Retention })
+	maps.DeleteFunc(s.earlyCancels, func(_ Cancel, at time.Time) bool { return s.now.Sub(at) > s.limits.Retention })
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		j := s.jobs[id]
 		if j.State.Final() && j.Published.Final() && s.now.Sub(j.Ended) > s.limits.Retention {
@@ -427,6 +434,14 @@
 	return j.Published, true
 }
 
+// Organisation returns the organisation of a job; empty if the job belongs to none.
+func (s *Sched) Organisation(id string) string {
+	if j, ok := s.jobs[id]; ok {
+		return j.Spec.Organisation
+	}
+	return ""
+}
+
 // Pending counts the jobs of which no task has started, by queue.
 func (s *Sched) Pending() map[string]int {
 	n := map[string]int{}
--- a/internal/sched/start.go
+++ b/internal/sched/start.go
@@ -23,7 +23,7 @@
 	if t.CrashSuspicions() > 0 {
 		s.markSuspect(t)
 	}
-	if t.Spec().AllowCopies && t.CrashSuspicions() == 0 {
+	if t.Spec().AllowCopies && t.CrashSuspicions() == 0 && s.mayStartUnstored(t) {
 		s.unstoredStarts = append(s.unstoredStarts, runKey{t.Name, run})
 		return
 	}
--- a/internal/sched/waits.go
+++ b/internal/sched/waits.go
@@ -19,10 +19,12 @@
 	WaitForHost WaitReason = iota
 	WaitForPolicy
 	WaitForCapacity
+	// WaitForQuota is waiting until the organisation has less running.
+	WaitForQuota
 	waitReasonCount
 )
 
-var reasonNames = [waitReasonCount]string{"host", "advice", "room"}
+var reasonNames = [waitReasonCount]string{"host", "advice", "room", "quota"}
 
 // String returns the reason for logs and metrics.
 func (r WaitReason) String() string { return reasonNames[r] }
@@ -66,24 +68,35 @@
 // accountWaits adds the time since the last pass to each step's current wait reason, and reports
 // steps whose tasks have all been placed. Start times alone don't show why a job is late: it may
 // have waited for capacity, for the policy service, or for a host to query it.
-func (s *Sched) accountWaits(steps []readyStep) {
+func (s *Sched) accountWaits(steps, held []readyStep) {
 	for _, r := range steps {
-		w, ok := s.waits[r.stage]
-		if !ok {
-			w = &stepWait{accountedUntil: s.now, nextNote: firstWaitNote}
-			s.waits[r.stage] = w
-		}
-		w.times[w.reason] += s.now.Sub(w.accountedUntil)
-		w.accountedUntil, w.reason = s.now, s.waitReason(r)
-		if !r.stage.AnyWaiting() {
-			delete(s.waits, r.stage)
-			s.emit(StepWaited{Rank: r.queue.Rank, Times: w.times})
-			continue
-		}
-		if total := w.times.Total(); total >= w.nextNote {
-			w.nextNote = 2 * total
-			s.emit(Note{ID: r.stage.Tasks[0].Name.StepName(), What: "step waits", Detail: w.times.String()})
+		s.accountWait(r, s.waitReason(r))
+	}
+	for _, r := range held {
+		s.accountWait(r, WaitForQuota)
+	}
+}
+
+func (s *Sched) accountWait(r readyStep, reason WaitReason) {
+	w, ok := s.waits[r.stage]
+	if !ok {
+		w = &stepWait{accountedUntil: s.now, nextNote: firstWaitNote}
+		s.waits[r.stage] = w
+	}
+	w.times[w.reason] += s.now.Sub(w.accountedUntil)
+	w.accountedUntil, w.reason = s.now, reason
+	if !r.stage.AnyWaiting() {
+		delete(s.waits, r.stage)
+		s.emit(StepWaited{Rank: r.queue.Rank, Times: w.times})
+		return
+	}
+	if total := w.times.Total(); total >= w.nextNote {
+		w.nextNote = 2 * total
+		detail := w.times.String()
+		if reason == WaitForQuota {
+			detail += "; " + s.usage.Describe(r.job.Spec.Organisation)
 		}
+		s.emit(Note{ID: r.stage.Tasks[0].Name.StepName(), What: "step waits", Detail: detail})
 	}
 }
 
@@ -95,6 +108,8 @@
 	}
 	a, ok := s.advice[r.stage]
 	switch {
+	case !s.quotaAllows(r):
+		return WaitForQuota
 	case r.queue.Advice == nil, s.hasTicket(r):
 		return WaitForCapacity
 	case ok && !a.queriedAt.IsZero():
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -8,6 +8,7 @@
 
 	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
+	"pollencroft/internal/quota"
 )
 
 // worker is one incarnation of a worker, as this leader knows it.
@@ -69,13 +70,15 @@
 	// reported it.
 	predecessorLeaseEnd time.Time
 	health              health
+	// usage is what the organisations have running on all workers.
+	usage *quota.Usage
 	// speed is how fast its runs progress, relative to their estimates.
 	speed float64
 	pace  pacing
 }
 
-func newWorker(w Worker) *worker {
-	return &worker{Worker: w, tasks: map[flow.Name]*flow.Task{}, jobs: map[*flow.Job]int{}, pace: newPacing(), speed: 1, untracked: map[runKey]untrackedRun{}, lostRuns: map[flow.Name]lostRun{}}
+func newWorker(w Worker, u *quota.Usage) *worker {
+	return &worker{Worker: w, usage: u, tasks: map[flow.Name]*flow.Task{}, jobs: map[*flow.Job]int{}, pace: newPacing(), speed: 1, untracked: map[runKey]untrackedRun{}, lostRuns: map[flow.Name]lostRun{}}
 }
 
 func (w *worker) add(t *flow.Task) {
@@ -83,6 +86,7 @@
 		return
 	}
 	w.tasks[t.Name] = t
+	w.usage.Add(quotaRun(t.Job, t.Spec()))
 	w.jobs[t.Job]++
 	w.used = w.used.Add(t.Spec().Demand())
 	if t.Spec().BestEffort {
@@ -95,6 +99,7 @@
 		return
 	}
 	delete(w.tasks, t.Name)
+	w.usage.Remove(quotaRun(t.Job, t.Spec()))
 	if w.jobs[t.Job]--; w.jobs[t.Job] == 0 {
 		delete(w.jobs, t.Job)
 	}
@@ -184,6 +189,7 @@
 		return
 	}
 	w.dead, w.judgeAt = true, s.now.Add(crashJudgeDelay)
+	w.dropUntracked()
 	s.recordOutage(w)
 	s.emit(Note{ID: incarnation, What: "worker has begun another incarnation", Worker: incarnation, Detail: w.describeRuns()})
 	for _, t := range w.sortedTasks() {
@@ -217,6 +223,9 @@
 			s.emit(Note{ID: incarnation, What: "leases have lapsed", Worker: incarnation})
 			s.loseTasks(w)
 		}
+		if !w.dead && w.silent(s.now) && s.now.After(s.leaseBound(w)) {
+			w.releaseUntracked(nil, s.now)
+		}
 		if w.dead && !s.now.Before(w.judgeAt) {
 			s.countLostRuns(w)
 		}
@@ -228,6 +237,7 @@
 		case s.canForget(w):
 			s.emit(Note{ID: incarnation, What: "worker forgotten", Worker: incarnation, Detail: w.describeEnd()})
 			s.resolveForgotten(w)
+			w.dropUntracked()
 			delete(s.workers, incarnation)
 			s.workersChanged()
 		case len(w.lostRuns) > 0:
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -17,7 +17,7 @@
 		listed[l.Incarnation] = true
 		w, ok := s.workers[l.Incarnation]
 		if !ok {
-			w = newWorker(l)
+			w = newWorker(l, s.usage)
 			w.firstSeen = s.now
 			s.workers[l.Incarnation] = w
 			s.workersChanged()
