entry, access, quota, sched: tests of keys, owners and quotas; wide gangs hold back for two seconds

A gang that needs more than half of its organisation's quota held back all later steps of the organisation until it had drained; TestRandomCells/1296_quotas shows jobs that have nothing running for three seconds under half of the quota. They now wait for two seconds in six.

--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -66,9 +66,9 @@
 
 func (e *MissingKeyError) Error() string {
 	if e.Malformed {
-		return "the Authorization header is not of the form: Bearer KEY"
+		return "malformed key, the call needs the header Authorization: Bearer KEY"
 	}
-	return "the call needs a key: Authorization: Bearer KEY"
+	return "no key, the call needs the header Authorization: Bearer KEY"
 }
 
 // UnknownKeyError means that the key belongs to no organisation.
--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -183,9 +183,13 @@
 }
 
 func (c *cluster) call(addr netip.AddrPort, method, path, body string) response {
+	return c.callWithHeader(addr, http.Header{}, method, path, body)
+}
+
+func (c *cluster) callWithHeader(addr netip.AddrPort, header http.Header, method, path, body string) response {
 	req, err := http.NewRequestWithContext(c.t.Context(), method, "http://"+addr.String()+path, strings.NewReader(body))
 	require.NoError(c.t, err)
-	req.Host = callerHost
+	req.Host, req.Header = callerHost, header
 	if c.deadline > 0 {
 		req.Header.Set("X-Deadline-Ms", strconv.FormatInt(c.deadline.Milliseconds(), 10))
 	}
--- a/internal/entry/finalstates_test.go
+++ b/internal/entry/finalstates_test.go
@@ -71,7 +71,7 @@
 	previous := c.leader()
 	c.submitMany(previous, 0, jobs)
 	c.waitCompleted(previous, jobs)
-	require.Eventually(t, func() bool { return len(previous.SyncReply(0, 0).Ended["completed"]) == jobs }, waitTimeout, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return endedJobs(previous.SyncReply(0, 0), "completed") == jobs }, waitTimeout, 10*time.Millisecond)
 	old := previous.SyncReply(0, 0)
 	require.Empty(t, previous.SyncReply(old.Term, old.Endings).Ended)
 	previous.Kill()
@@ -79,7 +79,18 @@
 	require.Eventually(t, func() bool { return c.leader() != nil }, waitTimeout, 10*time.Millisecond)
 	r := c.leader().SyncReply(old.Term, old.Endings)
 	require.Greater(t, r.Term, old.Term)
-	require.Len(t, r.Ended["completed"], jobs)
+	require.Equal(t, jobs, endedJobs(r, "completed"))
+}
+
+// endedJobs counts the jobs of a sync reply that ended in a state.
+func endedJobs(r peer.SyncReply, state string) int {
+	n := 0
+	for _, e := range r.Ended {
+		if e.State == state {
+			n += len(e.IDs)
+		}
+	}
+	return n
 }
 
 // Guards against a late reply of a previous leader that moves the position in the current
--- a/internal/sched/fakeworker_test.go
+++ b/internal/sched/fakeworker_test.go
@@ -163,6 +163,7 @@
 	if used, size := w.used(), w.maxSizeSince(sent); !used.Fits(size) {
 		w.b.violation("%s is overfilled: %+v used of %+v", w.info.Incarnation, used, size)
 	}
+	w.b.checkQuota(a.Task, sent)
 	w.lapseLater()
 	if w.b.crashesWorker != nil && w.b.crashesWorker(a.Task) {
 		w.b.after(crashDelay, func() { w.crashUnder(a.Task, r) })
--- a/internal/sched/history_test.go
+++ b/internal/sched/history_test.go
@@ -29,7 +29,8 @@
 // steps; workers fall silent, die, leave, fail, slow down and carry starts out late; the store is
 // down; jobs are cancelled. No task may run twice at the same time or after its end was
 // acknowledged, no worker may be overfilled, and once all faults have ended every job must end.
-// Each seed is played a second time with workers that shrink and grow meanwhile.
+// Each seed is played again with workers that shrink and grow meanwhile, and with organisations
+// whose quotas change: none may have more running than its quota allows.
 func TestRandomHistories(t *testing.T) {
 	seeds := failedSeeds
 	for i := range *histories {
@@ -38,6 +39,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runHistory(t, seed, nil, nil) })
 		t.Run(fmt.Sprintf("%d_sizes", seed), func(t *testing.T) { runHistory(t, seed, nil, sizeRand(seed)) })
+		t.Run(fmt.Sprintf("%d_quotas", seed), func(t *testing.T) { runQuotaHistory(t, seed) })
 	}
 }
 
@@ -53,15 +55,28 @@
 // these stay the same for a seed.
 func sizeRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 2)) }
 
+// quotaRand returns a random source for organisations and their quotas.
+func quotaRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 3)) }
+
 // runHistory plays the history of a seed. crashes is the random source for worker crashes and sizes
 // that for size changes; nil means none.
 func runHistory(t *testing.T, seed uint64, crashes, sizes *rand.Rand) {
 	r := rand.New(rand.NewPCG(seed, 0))
 	b := newSimCell(t, 3+r.IntN(7))
 	b.pickCrashingJobs(crashes, seed)
+	b.playHistory(r, crashes, sizes, nil)
+}
+
+// playHistory plays a history on a cell; see runHistory. beforeStep, if set, is called before each
+// step of the history.
+func (b *simCell) playHistory(r, crashes, sizes *rand.Rand, beforeStep func()) {
+	t := b.t
 	jobs := map[string]bool{}
 	spare := 50
 	for i := range 40 + r.IntN(40) {
+		if beforeStep != nil {
+			beforeStep()
+		}
 		switch n := r.IntN(20); {
 		case n < 6:
 			id := fmt.Sprintf("s%02d", i)
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -1,6 +1,9 @@
 package sched
 
 import (
+	"time"
+
+	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
 	"pollencroft/internal/quota"
 )
@@ -16,9 +19,16 @@
 	return s.usage.Fits(r.job.Spec.Organisation, r.stage.Spec.QuotaNeed())
 }
 
-// holdShare is the share of its quota from which an organisation's later steps wait behind one that
-// its quota holds back. Below it the platform guarantees that no job waits beside free capacity.
-const holdShare = 0.5
+const (
+	// holdShare is the share of its quota from which an organisation's later steps wait behind one
+	// that its quota holds back. Below it the platform guarantees that no job has nothing running
+	// for three seconds beside free capacity.
+	holdShare = 0.5
+	// wideHold is for how long they wait nevertheless for a gang that needs more than that share,
+	// and wideHoldInterval the time from one such wait to the next.
+	wideHold         = 2 * time.Second
+	wideHoldInterval = 6 * time.Second
+)
 
 // splitHeld removes the steps that their organisation's quota holds back, so that nothing is
 // reserved, queried or stopped for them. The steps are in order. A step that fits waits behind an
@@ -34,10 +44,7 @@
 			placeable = append(placeable, r)
 		case !s.quotaAllows(r):
 			held = append(held, r)
-			if need := r.stage.Spec.QuotaNeed(); s.usage.FitsBesideLasting(o, need) {
-				wide := need.DominantShare(s.usage.Quota(o)) > holdShare
-				waitsFor[o] = waitsFor[o] || wide || s.usage.Share(o) >= holdShare
-			}
+			waitsFor[o] = waitsFor[o] || s.holdsBack(o, r.stage.Spec.QuotaNeed())
 		case waitsFor[o]:
 			held = append(held, r)
 		default:
@@ -47,6 +54,36 @@
 	return placeable, held
 }
 
+// holdsBack reports whether later steps of an organisation wait for one that its quota holds back
+// and that needs that much.
+func (s *Sched) holdsBack(organisation string, need cell.Size) bool {
+	switch {
+	case !s.usage.FitsBesideLasting(organisation, need):
+		return false
+	case s.usage.Share(organisation) >= holdShare:
+		return true
+	case need.DominantShare(s.usage.Quota(organisation)) <= holdShare:
+		return false
+	}
+	since, ok := s.wideHolds[organisation]
+	if !ok || s.now.Sub(since) >= wideHoldInterval {
+		since = s.now
+		s.wideHolds[organisation] = since
+	}
+	return s.now.Sub(since) < wideHold
+}
+
+// recallAboveQuota requeues unsent starts of organisations that have more running than their quota
+// allows since it was lowered, the least urgent first. Runs that may have begun are not stopped:
+// their work would be lost, and they end by themselves.
+func (s *Sched) recallAboveQuota() {
+	for _, t := range s.unsentStarts(s.sortedWorkers()...) {
+		if t.State == flow.Assigned && !s.usage.Fits(t.Job.Spec.Organisation, cell.Size{}) {
+			s.requeueTask(t, "quota lowered before the start")
+		}
+	}
+}
+
 // maxUnstoredShare is the largest share of its quota that an organisation may have started before
 // it is stored. A successor does not know of these runs, so they may come on top of the quota.
 const maxUnstoredShare = 0.05
--- a/internal/sched/randomcells_test.go
+++ b/internal/sched/randomcells_test.go
@@ -139,9 +139,14 @@
 		advised := d.specs[id].Queue.Advice == nil || d.allows(id+".0.0", w.info.Incarnation)
 		hasCapacity = hasCapacity || advised && need.Fits(free)
 	}
-	return hasCapacity && used.DominantShare(whole) < 0.5
+	o := d.specs[id].Organisation
+	return hasCapacity && used.DominantShare(whole) < 0.5 && d.running(o).DominantShare(d.quotas[o]) < 0.5
 }
 
+// failedQuotaSeeds are seeds of random cells with quotas that failed before. 1296: an organisation's
+// jobs waited for more than three seconds for a gang that needed most of its quota.
+var failedQuotaSeeds = []uint64{1296}
+
 // failedCellSeeds are seeds of random cells that failed before. 44, 393, 908: capacity was reserved
 // for a wide task on the only workers that were allowed for it and for small tasks, while other
 // workers were idle. 930, 5941: the capacity of ended gang members stayed booked for seconds.
@@ -150,24 +155,34 @@
 // Plays random cells with temporary overload, preemptible bulk, wide tasks, gangs, tickets, and
 // overlapping faults. No task may run twice at the same time or after its end was acknowledged, and
 // no worker may be overfilled. Once all faults have ended, no job that could run may wait in an
-// idle cell, and every job must end. Each seed is played a second time with workers that shrink and
-// grow meanwhile.
+// idle cell, and every job must end. Each seed is played again with workers that shrink and grow
+// meanwhile, and with organisations whose quotas change.
 func TestRandomCells(t *testing.T) {
 	seeds := slices.Clone(failedCellSeeds)
 	for i := range *histories {
 		seeds = append(seeds, *firstSeed+uint64(i))
 	}
+	for _, seed := range failedQuotaSeeds {
+		t.Run(fmt.Sprintf("%d_quotas", seed), func(t *testing.T) { runRandomCell(t, seed, nil, quotaRand(seed)) })
+	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomCell(t, seed, nil) })
-		t.Run(fmt.Sprintf("%d_sizes", seed), func(t *testing.T) { runRandomCell(t, seed, sizeRand(seed)) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomCell(t, seed, nil, nil) })
+		t.Run(fmt.Sprintf("%d_sizes", seed), func(t *testing.T) { runRandomCell(t, seed, sizeRand(seed), nil) })
+		t.Run(fmt.Sprintf("%d_quotas", seed), func(t *testing.T) { runRandomCell(t, seed, nil, quotaRand(seed)) })
 	}
 }
 
-func runRandomCell(t *testing.T, seed uint64, sizes *rand.Rand) {
+// runRandomCell plays the cell of a seed. sizes is the random source for size changes and quotas that
+// for organisations and their quotas; nil means none.
+func runRandomCell(t *testing.T, seed uint64, sizes, quotas *rand.Rand) {
 	r := rand.New(rand.NewPCG(seed, 1))
 	d := newRandomCell(t, r)
 	spare := 50
 	for range 60 + r.IntN(60) {
+		if quotas != nil {
+			// Three of the widest tasks fit, which is the widest gang.
+			d.drawOrganisation(quotas, d.size.Scale(3))
+		}
 		switch n := r.IntN(20); {
 		case n < 12:
 			d.submitRandom(r)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -51,6 +51,8 @@
 	earlyCancels map[Cancel]time.Time
 	// usage is what the organisations have running.
 	usage *quota.Usage
+	// wideHolds is when the steps of an organisation last began to wait for a wide gang.
+	wideHolds map[string]time.Time
 	// dirty are jobs whose changes are not in an append yet.
 	dirty map[string]*flow.Job
 	// unstoredStarts are runs that may start before they are stored.
@@ -104,7 +106,7 @@
 	s := &Sched{
 		limits: limits, term: term, queues: map[string]flow.Queue{}, jobs: map[string]*flow.Job{}, openJobs: map[string]*flow.Job{},
 		workers: map[string]*worker{}, hosts: map[string]*host{}, advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
-		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, preemptions: map[*flow.Stage][]preemption{}, waits: map[*flow.Stage]*stepWait{}, earlyCancels: map[Cancel]time.Time{}, usage: quota.New(), dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
+		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, preemptions: map[*flow.Stage][]preemption{}, waits: map[*flow.Stage]*stepWait{}, earlyCancels: map[Cancel]time.Time{}, usage: quota.New(), wideHolds: map[string]time.Time{}, dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
 	}
 	for _, j := range jobs {
 		s.jobs[j.Spec.ID] = j
@@ -204,6 +206,7 @@
 		s.queues[q.Name] = q
 	}
 	s.usage.SetQuotas(ev.Quotas)
+	s.recallAboveQuota()
 }
 
 // queue returns a job's queue as the table has it now, or as it was when the job was accepted if
--- a/internal/sched/simcell_test.go
+++ b/internal/sched/simcell_test.go
@@ -70,9 +70,13 @@
 	passTime      time.Duration
 	measurePasses bool
 	// coreTime is the real time spent in the core.
-	coreTime   time.Duration
-	queues     []flow.Queue
-	violations []string
+	coreTime time.Duration
+	queues   []flow.Queue
+	// quotas are the organisations' quotas, organisation that of the jobs submitted next.
+	quotas       map[string]cell.Size
+	formerQuotas []formerQuotas
+	organisation string
+	violations   []string
 	// done are tasks that ended as done and whose end was acknowledged.
 	done map[flow.Name]bool
 	// starts counts starts by task.
@@ -314,7 +318,7 @@
 
 // submit submits a job whose steps run one after the other.
 func (b *simCell) submit(id, queue string, steps ...flow.Step) {
-	spec := flow.Spec{ID: id, Steps: steps}
+	spec := flow.Spec{ID: id, Steps: steps, Organisation: b.organisation}
 	for _, q := range b.queues {
 		if q.Name == queue {
 			spec.Queue = q
@@ -350,13 +354,13 @@
 		jobs = append(jobs, j)
 	}
 	b.core = sched.New(sched.DefaultLimits, b.term, jobs)
-	b.step(sched.Queues{Version: 1, All: b.queues})
+	b.step(sched.Queues{Version: 1, All: b.queues, Quotas: b.quotas})
 	b.step(sched.Hosts{Names: []string{"h1", "h2", "h3", "h4"}})
 	for _, s := range fresh {
 		b.step(sched.Submit{Spec: s})
 	}
 	for _, id := range b.storedCancels {
-		b.step(sched.Cancel{ID: id})
+		b.step(sched.Cancel{ID: id, Organisation: b.specs[id].Organisation})
 	}
 	b.list()
 }
@@ -365,7 +369,7 @@
 func (b *simCell) cancel(id string) {
 	b.storedCancels = append(b.storedCancels, id)
 	b.cancelledAt[id] = b.now
-	b.step(sched.Cancel{ID: id})
+	b.step(sched.Cancel{ID: id, Organisation: b.specs[id].Organisation})
 }
 
 func (b *simCell) violation(format string, args ...any) {
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -69,11 +69,7 @@
 
 // recallStarts requeues unsent starts that their worker no longer suits, the least urgent first.
 func (s *Sched) recallStarts(w *worker) {
-	all := slices.DeleteFunc(w.sortedTasks(), func(t *flow.Task) bool { return t.State != flow.Assigned })
-	slices.SortStableFunc(all, func(a, b *flow.Task) int {
-		return cmp.Or(s.queue(b.Job).Rank-s.queue(a.Job).Rank, cmp.Compare(b.Job.Number, a.Job.Number))
-	})
-	for _, t := range all {
+	for _, t := range s.unsentStarts(w) {
 		label := t.Spec().Label
 		switch {
 		case t.State != flow.Assigned:
@@ -86,6 +82,22 @@
 	}
 }
 
+// unsentStarts lists the tasks of workers whose starts are not sent yet, the least urgent first.
+func (s *Sched) unsentStarts(workers ...*worker) []*flow.Task {
+	var all []*flow.Task
+	for _, w := range workers {
+		for _, t := range w.sortedTasks() {
+			if t.State == flow.Assigned {
+				all = append(all, t)
+			}
+		}
+	}
+	slices.SortStableFunc(all, func(a, b *flow.Task) int {
+		return cmp.Or(s.queue(b.Job).Rank-s.queue(a.Job).Rank, cmp.Compare(b.Job.Number, a.Job.Number))
+	})
+	return all
+}
+
 // startDraining marks a worker as draining: nothing more starts there.
 func (s *Sched) startDraining(w *worker, left time.Duration) {
 	w.draining = true
