--- a/internal/sched/quota_test.go
+++ b/internal/sched/quota_test.go
@@ -189,7 +189,7 @@
 }
 
 // Guards against copies that a leader starts while the store is down and that its successor does
-// not count.
+// not count, because it cannot read the worker that has them.
 func TestCopiesOfAFormerLeaderStayWithinTheQuota(t *testing.T) {
 	b := newSimCell(t, 8)
 	b.copies = true
@@ -198,17 +198,39 @@
 	step := scan(40)
 	step.AllowCopies = true
 	step.EstimatedTime = 3 * time.Second
-	b.submit("s1", "scan", step)
 	b.storeDown = true
-	b.submit("s2", "scan", step)
+	b.submit("s1", "scan", step)
 	b.advance(300 * time.Millisecond)
 	require.Positive(t, b.running("small").CPU, "some start before they are stored")
+	for _, w := range b.workers {
+		w.silent = len(w.runs) > 0
+	}
 	b.storeDown = false
 	b.takeover()
 	b.advance(20 * time.Second)
 	require.Empty(t, b.violations)
 }
 
+// Guards against copies on a worker that has ended and that count for the quota until its leases
+// would have expired.
+func TestEndedWorkerFreesTheQuota(t *testing.T) {
+	b := newQuotaCell(t, 4)
+	b.copies = true
+	step := scan(4)
+	step.AllowCopies = true
+	step.EstimatedTime = 2 * time.Second
+	b.submit("s1", "scan", step)
+	b.advance(500 * time.Millisecond)
+	for _, w := range b.sortedWorkers() {
+		if len(w.runs) > 0 {
+			w.endIncarnation()
+		}
+	}
+	b.advance(6 * time.Second)
+	require.Equal(t, flow.Completed, b.state("s1"))
+	require.Empty(t, b.violations)
+}
+
 // Guards against a gang that waits forever while smaller work of its organisation takes what ends.
 func TestGangIsNotStarvedWithinItsQuota(t *testing.T) {
 	b := newQuotaCell(t, 4)
