store, entry: do not ask again for an answer that is arriving; 503 while the table may be old

A read without a complete answer after 0.45 s was repeated on a new connection and through three peers, all over the same link, and none arrived: the host was without a table for 11.4 s, long after the store served it again.

An answer that has begun to arrive now has 1.5 s before another route is tried, peers have as long for reads, the latency estimate ends with the first byte, and after a failed read only the newest record is read. While the table was not read for 2 s, an unknown route gets 503 with Retry-After and not 404. TestAnswerThatIsArrivingIsNotAskedForAgain fails before.

--- a/internal/entry/authorize.go
+++ b/internal/entry/authorize.go
@@ -13,9 +13,16 @@
 	"pollencroft/platform"
 )
 
-// refuseKeyAfter is the age up to which the table proves that a key is invalid. While the store
-// answers, the table is read every followReadWait.
-const refuseKeyAfter = followReadWait + 700*time.Millisecond
+// provenAbsentAge is the age up to which the table proves that there is no such key or route. While
+// the store answers, the table is read every followReadWait.
+const provenAbsentAge = followReadWait + 700*time.Millisecond
+
+// tableAge returns how long ago the store last told this host that its table is the newest.
+func (h *Host) tableAge() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.now().Sub(h.tableReadAt)
+}
 
 // organisationOf returns the organisation on whose behalf a request is made; empty for a public
 // route. If it is not known, it answers the request and returns false.
@@ -23,13 +30,10 @@
 	if route.Public {
 		return "", true
 	}
-	h.mu.Lock()
-	age := h.now().Sub(h.tableReadAt)
-	h.mu.Unlock()
-	organisation := ""
+	age, organisation := h.tableAge(), ""
 	key, err := access.ParseHeader(r.Header["Authorization"])
 	if err == nil {
-		limits := access.Limits{Refuse: refuseKeyAfter, Trust: time.Duration(cmp.Or(h.cfg.Times.Trust, defaultTrust))}
+		limits := access.Limits{Refuse: provenAbsentAge, Trust: time.Duration(cmp.Or(h.cfg.Times.Trust, defaultTrust))}
 		organisation, err = limits.Authorize(t.Callers, key, age, r.Method != http.MethodGet)
 	}
 	if err == nil {
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -51,7 +51,7 @@
 	}
 	route, id, ok := t.Find(r.Host, r.URL.Path)
 	if !ok {
-		h.refuse(w, http.StatusNotFound, "", "no such queue")
+		h.refuseUnknownQueue(w, t)
 		return
 	}
 	organisation, ok := h.organisationOf(w, r, t, route)
@@ -84,6 +84,17 @@
 	}
 }
 
+// refuseUnknownQueue answers a request for which the table has no route. A host that could not read
+// the table lately may lack a new one.
+func (h *Host) refuseUnknownQueue(w http.ResponseWriter, t *platform.Table) {
+	if age := h.tableAge(); age > provenAbsentAge {
+		h.log.Info("caller: table may be out of date.", "table", t.Version, "age", age)
+		h.refuse(w, http.StatusServiceUnavailable, "", "no such queue in a table that may be out of date")
+		return
+	}
+	h.refuse(w, http.StatusNotFound, "", "no such queue")
+}
+
 // maxPendingAge is how old a reported number of pending jobs may be.
 const maxPendingAge = 1800 * time.Millisecond
 
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -63,8 +63,8 @@
 	}
 }
 
-// followFrom reads a topic from an offset on. It returns if records were deleted, so that the
-// topic has to be read from the beginning.
+// followFrom reads a topic from an offset on. It returns if a read fails or if records were deleted,
+// so that the newest records have to be read.
 func (h *Host) followFrom(topic string, from int64, read func([]store.Record)) {
 	for h.ctx.Err() == nil {
 		began := h.now()
@@ -76,8 +76,9 @@
 		}
 		h.trackReadFailure(topic, from, err)
 		if err != nil {
+			// The newest record alone arrives sooner than all records since the last read.
 			sleep(h.ctx, followRetry)
-			continue
+			return
 		}
 		if len(a.Records) > 0 {
 			read(a.Records)
--- a/internal/store/bulk_test.go
+++ b/internal/store/bulk_test.go
@@ -1,6 +1,8 @@
 package store_test
 
 import (
+	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,3 +43,68 @@
 		require.True(t, store.NotDone(err))
 	}
 }
+
+// narrowLink answers each call at once, with an answer that takes a second to arrive if the link
+// carries no other one at the same time.
+type narrowLink struct {
+	mu     sync.Mutex
+	active int
+	calls  int
+}
+
+func (w *narrowLink) Do(ctx context.Context, c store.Call) (store.Answer, error) {
+	w.change(1)
+	defer w.change(-1)
+	if c.OnReply != nil {
+		c.OnReply()
+	}
+	const step = 10 * time.Millisecond
+	for left := float64(time.Second); left > 0; {
+		select {
+		case <-ctx.Done():
+			return store.Answer{}, &store.UnansweredError{Op: c.Op, Cause: ctx.Err()}
+		case <-time.After(step):
+			w.mu.Lock()
+			left -= float64(step) / float64(w.active)
+			w.mu.Unlock()
+		}
+	}
+	return store.Answer{End: 1}, nil
+}
+
+func (w *narrowLink) change(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.active += n
+	if n > 0 {
+		w.calls++
+	}
+}
+
+// linkPeers are peers whose answers arrive over this host's own link.
+type linkPeers struct{ link *narrowLink }
+
+func (p linkPeers) Peers() []string { return []string{"a", "b", "c"} }
+
+func (p linkPeers) Do(ctx context.Context, _ string, c store.Call) (store.Answer, error) {
+	return p.link.Do(ctx, c)
+}
+
+// Guards against a large table that never arrives over a slow link, because each read of it is
+// repeated on other routes before it is complete, over the same link.
+func TestAnswerThatIsArrivingIsNotAskedForAgain(t *testing.T) {
+	for name, c := range map[string]store.Call{"newest": {Op: store.Newest, Topic: "op"}, "waiting read": longRead} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				link := &narrowLink{}
+				r := store.NewRouted(link, linkPeers{link}, time.Now, func(store.Call, bool, error) {})
+				began := time.Now()
+				_, err := r.Do(background, c)
+				require.NoError(t, err)
+				require.Equal(t, 1, link.calls)
+				require.Less(t, time.Since(began), 1100*time.Millisecond)
+				require.Less(t, r.RecentLatency(), 100*time.Millisecond, "the size of an answer is no latency")
+			})
+		})
+	}
+}
--- a/internal/store/race.go
+++ b/internal/store/race.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
@@ -22,6 +23,34 @@
 	maxTries = 3
 )
 
+// arrivalTimeout is how long an answer may take to arrive completely. The same call on another route
+// would only take a part of the link's bandwidth from it.
+const arrivalTimeout = 1500 * time.Millisecond
+
+// arrival is when an answer last began to arrive; zero before. It is safe for concurrent use.
+type arrival struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func (a *arrival) begin(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.at = now
+}
+
+func (a *arrival) began() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.at
+}
+
+// inProgress reports whether an answer is arriving and is not overdue.
+func (a *arrival) inProgress(now time.Time) bool {
+	at := a.began()
+	return !at.IsZero() && now.Sub(at) < arrivalTimeout
+}
+
 // race makes one call on several routes: first the direct one, then through peers, each some time
 // after the previous one. It does not wait for one attempt to end before it starts the next.
 //
@@ -33,6 +62,8 @@
 	r       *Routed
 	call    Call
 	results chan result
+	// arrival is when an answer on the direct route last began to arrive.
+	arrival arrival
 	// pending counts the attempts without an outcome, tries the attempts on the direct route.
 	pending, tries int
 	// peers are those not asked yet.
@@ -74,12 +105,20 @@
 			w.askNextPeer(ctx)
 			next.Reset(w.r.peerDelay(w.call))
 		case <-next.C:
+			if w.arrival.inProgress(w.r.now()) {
+				next.Reset(w.r.peerDelay(w.call))
+				continue
+			}
 			if w.tries > 0 {
 				w.r.markSilent(w.call)
 			}
 			w.askNextPeer(ctx)
 			next.Reset(w.r.peerDelay(w.call))
 		case <-again.C:
+			if w.arrival.inProgress(w.r.now()) {
+				again.Reset(pause)
+				continue
+			}
 			if w.call.Op.isRead() {
 				w.tryDirect(ctx)
 			}
@@ -108,7 +147,9 @@
 		// is silent or slow.
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 		defer cancel()
-		a, err := w.r.callDirect(ctx, w.call)
+		call := w.call
+		call.OnReply = func() { w.arrival.begin(w.r.now()) }
+		a, err := w.r.callDirect(ctx, call)
 		w.results <- result{a, err}
 	}()
 	return true
--- a/internal/store/routed.go
+++ b/internal/store/routed.go
@@ -196,12 +196,31 @@
 // longPoll makes a read that waits for records. It returns false if there is no answer in time. A
 // read that fails at once is not made through a peer, since the caller soon repeats it.
 func (r *Routed) longPoll(ctx context.Context, c Call) (result, bool) {
-	ctx, cancel := context.WithTimeout(ctx, c.Wait+r.retryDelay())
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var arrives arrival
+	c.OnReply = func() { arrives.begin(r.now()) }
+	late := time.AfterFunc(c.Wait+r.retryDelay(), func() {
+		if at := arrives.began(); !at.IsZero() {
+			sleep(ctx, at.Add(arrivalTimeout).Sub(r.now()))
+		}
+		cancel(context.DeadlineExceeded)
+	})
+	defer late.Stop()
 	a, err := r.callDirect(ctx, c)
 	return result{a, err}, !IsUnavailable(err) || ctx.Err() == nil
 }
 
+// sleep waits for d, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // CombineErrors combines the failures of two attempts: only if both were refused is it certain
 // that nothing was done.
 func CombineErrors(a, b error) error {
@@ -248,7 +267,12 @@
 }
 
 func (r *Routed) callPeer(ctx context.Context, p string, c Call) (Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*r.directDelay(c)+directTimeout)
+	timeout := 2*r.directDelay(c) + directTimeout
+	if c.Op.isRead() && !c.Bulk {
+		// A peer sends its answer when it is complete, and the next peer is asked meanwhile.
+		timeout = max(timeout, arrivalTimeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	a, err := r.relay.Do(ctx, p, c)
 	r.recordPeer(p, err)
@@ -341,6 +365,13 @@
 		began, recovered := r.now(), r.recovery()
 		call := c
 		call.NewConn = r.isSilent(c)
+		var arrives arrival
+		call.OnReply = func() {
+			arrives.begin(r.now())
+			if c.OnReply != nil {
+				c.OnReply()
+			}
+		}
 		attempt, cancel := context.WithCancel(ctx)
 		done := make(chan result, 1)
 		go func() {
@@ -350,9 +381,9 @@
 		select {
 		case got := <-done:
 			cancel()
-			if !errors.Is(ctx.Err(), context.Canceled) {
+			if !errors.Is(context.Cause(ctx), context.Canceled) {
 				// Otherwise the caller gave up, which says nothing about the store.
-				r.recordDirect(c, began, got.err)
+				r.recordDirect(c, began, arrives.began(), got.err)
 			}
 			return got.answer, got.err
 		case <-recovered:
@@ -375,10 +406,14 @@
 	return r.target(c).silent
 }
 
-// recordDirect records the result of a direct call. The failure of a call that began before the
-// last answer is out of date and is ignored.
-func (r *Routed) recordDirect(c Call, began time.Time, err error) {
+// recordDirect records the result of a direct call whose answer began to arrive at that time, if
+// that is known. The failure of a call that began before the last answer is out of date and is
+// ignored.
+func (r *Routed) recordDirect(c Call, began, arrived time.Time, err error) {
 	now := r.now()
+	if arrived.IsZero() {
+		arrived = now
+	}
 	r.mu.Lock()
 	t := r.target(c)
 	if IsUnavailable(err) && t.lastAnswer.After(began) {
@@ -396,7 +431,7 @@
 		*t = target{lastAnswer: now}
 		r.lastAnswer, r.lastDirect = now, now
 		if c.Wait == 0 {
-			r.latency = max(time.Duration(latencyDecay*float64(r.latency)), now.Sub(began))
+			r.latency = max(time.Duration(latencyDecay*float64(r.latency)), arrived.Sub(began))
 		}
 	default:
 		t.suspect, t.silent = true, !NotDone(err)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -55,6 +55,9 @@
 	Topics     []string      `json:"topics,omitempty"`
 	TTL        time.Duration `json:"ttl,omitempty"`
 	Generation int64         `json:"generation,omitempty"`
+	// OnReply, if set, is called when the answer begins to arrive. A large answer takes long on a
+	// slow link although the store has answered in time.
+	OnReply func() `json:"-"`
 	// Bulk means that the answer may be large and is not urgent. A large answer on a slow link looks
 	// like silence, so such a call is made on one route after the other, not on several at once.
 	Bulk bool `json:"-"`
