latency, store: move response times, spread appends and read shares out of entry

No change of behaviour: internal/entry is to get smaller, not larger, with organisations; what knows only the store is beside it, and response times of workers are a package of their own.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -109,7 +109,7 @@
 }
 
 // stateParts lists the partitions of stateTopic. The first one decides who leads.
-func (h *Host) stateParts() []int { return partsFrom(0, h.cfg.Parts) }
+func (h *Host) stateParts() []int { return store.PartsFrom(0, h.cfg.Parts) }
 
 // fence stores the claim in all partitions of stateTopic. If a partition were read before it is
 // fenced, the previous leader could still store progress there afterwards, and a task would be
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -128,22 +128,6 @@
 // IsUncertain reports whether the leader cannot tell whether the job exists.
 func (h *Host) IsUncertain(id string) bool { return h.localState(id).Unsure }
 
-// ResponseTimes exposes the recorded response times of workers.
-type ResponseTimes struct{ *responseTimes }
-
-// NewResponseTimes returns an empty record of response times.
-func NewResponseTimes() ResponseTimes { return ResponseTimes{newResponseTimes()} }
-
-// Timeout returns how long to wait for a worker's answer.
-func (o ResponseTimes) Timeout(incarnation string, now time.Time) time.Duration {
-	return o.timeout(incarnation, now)
-}
-
-// Record records an answer.
-func (o ResponseTimes) Record(incarnation string, d time.Duration, now time.Time) {
-	o.record(incarnation, d, now)
-}
-
 // SetLeaderName makes the host follow another one as leader.
 func (h *Host) SetLeaderName(name string) {
 	h.mu.Lock()
@@ -416,20 +400,6 @@
 	return metrics.GetOrRegisterCounter(name, h.metrics).Count()
 }
 
-// ReadShare is the share of a host in the reads of the store for state queries.
-type ReadShare struct{ readShare }
-
-// NewReadShare returns the share of one host of a store with that bandwidth in MB/s.
-func NewReadShare(megabytes float64) *ReadShare { return &ReadShare{newReadShare(megabytes)} }
-
-// Wait returns how long the host waits for its next read.
-func (s *ReadShare) Wait(now time.Time, rank, hosts int) time.Duration {
-	return s.wait(now, rank, hosts)
-}
-
-// Record records a read.
-func (s *ReadShare) Record(now time.Time, bytes int) { s.record(now, bytes) }
-
 // HandoverBoundsAfter returns the lease bounds that the host would begin a term with after it was
 // told to succeed.
 func (h *Host) HandoverBoundsAfter(m peer.AnnounceSuccessor) map[string]time.Duration {
--- a/internal/entry/inbox.go
+++ b/internal/entry/inbox.go
@@ -82,7 +82,7 @@
 
 func newInbox(h *Host) *inbox {
 	own := int(xxhash.Sum64String(h.cfg.Name) % uint64(h.cfg.Parts))
-	return &inbox{h: h, parts: partsFrom(own, h.cfg.Parts), queue: make(chan appendRequest, maxQueuedRequests)}
+	return &inbox{h: h, parts: store.PartsFrom(own, h.cfg.Parts), queue: make(chan appendRequest, maxQueuedRequests)}
 }
 
 // append stores a record. If it returns a store.RefusedError, the record is certainly not stored
@@ -145,7 +145,7 @@
 	parts := slices.Clone(b.parts)
 	unsure := false
 	for {
-		first, _, got, err := spread(b.h.ctx, &b.h.wg, len(parts), b.h.appendTimeout(), func(i int) (store.Answer, error) {
+		first, _, got, err := store.Spread(b.h.ctx, &b.h.wg, len(parts), b.h.store.SpreadTimeout(), func(i int) (store.Answer, error) {
 			return b.h.store.Do(b.h.ctx, store.Call{Op: store.Append, Topic: jobsTopic, Part: parts[i], Keyed: true, Records: records})
 		})
 		if err == nil {
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pollencroft/internal/agent"
+	"pollencroft/internal/latency"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/sched"
 )
@@ -24,11 +25,11 @@
 type orders struct {
 	h     *Host
 	ctx   context.Context
-	times *responseTimes
+	times *latency.Times
 }
 
 func newOrders(h *Host, ctx context.Context) *orders {
-	return &orders{h: h, ctx: ctx, times: newResponseTimes()}
+	return &orders{h: h, ctx: ctx, times: latency.New()}
 }
 
 // Start asks a worker to start a run.
@@ -43,23 +44,23 @@
 
 // Pace limits the processor time of a run.
 func (o *orders) Pace(a sched.Pace) sched.Outcome {
-	ctx, cancel := context.WithTimeout(o.ctx, maxOrderTimeout)
+	ctx, cancel := context.WithTimeout(o.ctx, latency.MaxTimeout)
 	defer cancel()
 	return o.h.workers.Pace(ctx, a)
 }
 
 // Hold renews leases and reads a worker's lists.
 func (o *orders) Hold(a sched.Hold) sched.HoldReply {
-	return callWorker(o.times, o.h.now, a.To.Incarnation, a.Wait, func() sched.HoldReply {
-		ctx, cancel := context.WithTimeout(o.ctx, a.Wait+maxOrderTimeout)
+	return latency.Call(o.times, o.h.now, a.To.Incarnation, a.Wait, func() sched.HoldReply {
+		ctx, cancel := context.WithTimeout(o.ctx, a.Wait+latency.MaxTimeout)
 		defer cancel()
 		return o.h.workers.Hold(ctx, a)
 	}, func(r sched.HoldReply) bool { return r.Outcome != sched.Unanswered }, sched.HoldReply{Worker: a.To.Incarnation, Outcome: sched.Unanswered, Probe: a.Probe, AckedEnd: a.AckedEnd})
 }
 
 func (o *orders) send(to sched.Address, order func(ctx context.Context) sched.Outcome) sched.Outcome {
-	return callWorker(o.times, o.h.now, to.Incarnation, 0, func() sched.Outcome {
-		ctx, cancel := context.WithTimeout(o.ctx, maxOrderTimeout)
+	return latency.Call(o.times, o.h.now, to.Incarnation, 0, func() sched.Outcome {
+		ctx, cancel := context.WithTimeout(o.ctx, latency.MaxTimeout)
 		defer cancel()
 		return order(ctx)
 	}, func(got sched.Outcome) bool { return got != sched.Unanswered }, sched.Unanswered)
@@ -117,7 +118,7 @@
 func (t *term) newDispatcher() *agent.Dispatcher {
 	h := t.h
 	return agent.NewDispatcher(t.ctx, agent.Leader{
-		Name: h.cfg.Name, Power: h.cfg.Power, WorkersPerCore: cmp.Or(h.cfg.Agents.Workers, agent.DefaultWorkersPerCore), Timeout: maxOrderTimeout, Direct: t.sendDirectly, Apply: t.apply, Count: h.incCounter, Now: h.now, Log: h.log,
+		Name: h.cfg.Name, Power: h.cfg.Power, WorkersPerCore: cmp.Or(h.cfg.Agents.Workers, agent.DefaultWorkersPerCore), Timeout: latency.MaxTimeout, Direct: t.sendDirectly, Apply: t.apply, Count: h.incCounter, Now: h.now, Log: h.log,
 		Orders: func() peer.Orders { return peer.Orders{From: h.cfg.Name, Addr: h.cfg.Listen.Peer, Term: t.number} },
 		Ask:    func(ctx context.Context, name string, m peer.Orders) error { return h.peers.Ask(ctx, name, m, nil) },
 	}, &h.wg)
--- a/internal/entry/statecache.go
+++ b/internal/entry/statecache.go
@@ -48,7 +48,7 @@
 	// lastAcceptedRead is when jobsTopic was last read.
 	lastAcceptedRead time.Time
 	// stateShare and acceptedShare limit the reads of stateTopic and of jobsTopic.
-	stateShare, acceptedShare readShare
+	stateShare, acceptedShare store.ReadShare
 }
 
 type cachedState struct {
@@ -71,7 +71,7 @@
 }
 
 func newStateCache(h *Host) *stateCache {
-	return &stateCache{h: h, ended: map[string]cachedState{}, stateShare: newReadShare(h.cfg.ReadRate), acceptedShare: newReadShare(h.cfg.ReadRate)}
+	return &stateCache{h: h, ended: map[string]cachedState{}, stateShare: store.NewReadShare(h.cfg.ReadRate), acceptedShare: store.NewReadShare(h.cfg.ReadRate)}
 }
 
 // add stores a final state.
@@ -225,12 +225,12 @@
 
 // turn returns how long this host waits until it may read. A host that has just started learns from
 // the store how many others there are; after a power failure all of them have just started.
-func (s *stateCache) turn(share *readShare) time.Duration {
+func (s *stateCache) turn(share *store.ReadShare) time.Duration {
 	if !s.h.knowsHosts() {
 		s.h.readHosts()
 	}
 	rank, hosts := s.h.rank()
-	return share.wait(s.h.now(), rank, hosts)
+	return share.Wait(s.h.now(), rank, hosts)
 }
 
 // withoutFinalState lists, in order, the jobs of a read whose final state is not known yet.
@@ -292,7 +292,7 @@
 // comes across.
 func (s *stateCache) readProgress(ctx context.Context, ids []string) (map[string][]byte, error) {
 	newest, bytes := map[string][]byte{}, 0
-	defer func() { s.stateShare.record(s.h.now(), bytes) }()
+	defer func() { s.stateShare.Record(s.h.now(), bytes) }()
 	err := s.scan(ctx, stateTopic, s.h.stateParts(), ids, func(rec store.Record, asked bool) {
 		bytes += len(rec.Value)
 		if rec.Key == claimKey {
@@ -315,7 +315,7 @@
 		parts[i] = i
 	}
 	accepted, bytes := map[string]string{}, 0
-	defer func() { s.acceptedShare.record(s.h.now(), bytes) }()
+	defer func() { s.acceptedShare.Record(s.h.now(), bytes) }()
 	err := s.scan(ctx, jobsTopic, parts, ids, func(rec store.Record, asked bool) {
 		bytes += len(rec.Value)
 		if k := parseRequestKey(rec.Key); asked && !k.cancels {
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -276,7 +276,7 @@
 		records[i] = store.Record{Key: ch.Key, Value: ch.Value}
 	}
 	began := t.h.now()
-	err := t.journal.append(t.ctx, a.Number, records, t.h.appendTimeout())
+	err := t.journal.append(t.ctx, a.Number, records, t.h.store.SpreadTimeout())
 	t.h.observe("lead.append", t.h.now().Sub(began))
 	switch {
 	case err == nil:
--- a/internal/entry/responsetimes_test.go
+++ b/internal/latency/latency_test.go
@@ -1,4 +1,4 @@
-package entry_test
+package latency_test
 
 import (
 	"testing"
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"pollencroft/internal/entry"
+	"pollencroft/internal/latency"
 )
 
 // Workers answer in a millisecond or two, and one answer in twenty is lost. A lost answer is
@@ -15,7 +15,7 @@
 // take that for lost answers.
 func TestOrderTimeoutFollowsResponseTimes(t *testing.T) {
 	now := time.Unix(1000, 0)
-	o := entry.NewResponseTimes()
+	o := latency.New()
 	require.Equal(t, 120*time.Millisecond, o.Timeout("w", now))
 	o.Record("v", 2*time.Millisecond, now)
 	require.Equal(t, 120*time.Millisecond, o.Timeout("w", now))
@@ -31,7 +31,7 @@
 // runs that it starts would be stopped just as they begin.
 func TestSlowWorkerGetsALongerTimeout(t *testing.T) {
 	now := time.Unix(1000, 0)
-	o := entry.NewResponseTimes()
+	o := latency.New()
 	o.Record("slow", 300*time.Millisecond, now)
 	require.Equal(t, 500*time.Millisecond, o.Timeout("slow", now.Add(time.Minute)))
 	require.Equal(t, 120*time.Millisecond, o.Timeout("other", now))
--- a/internal/entry/readshare.go
+++ b/internal/store/readshare.go
@@ -1,4 +1,4 @@
-package entry
+package store
 
 import "time"
 
@@ -12,10 +12,10 @@
 	firstReadBytes = 2 << 20
 )
 
-// readShare limits how much a host reads to its share of the store's bandwidth. Without a leader
+// ReadShare limits how much a host reads to its share of the store's bandwidth. Without a leader
 // every host gets queries that only the store can answer. Each of them reads pages of hundreds of
 // kilobytes, and a hundred hosts that do so at once leave no bandwidth for the next leader.
-type readShare struct {
+type ReadShare struct {
 	// rate is the bandwidth for all hosts together in bytes a second.
 	rate float64
 	// last is when the last read ended, bytes how much the last successful one read.
@@ -23,16 +23,18 @@
 	bytes int
 }
 
-func newReadShare(megabytes float64) readShare {
+// NewReadShare returns the share of a host in the reads of a store with that bandwidth in MB/s; zero
+// means defaultReadRate.
+func NewReadShare(megabytes float64) ReadShare {
 	if megabytes <= 0 {
 		megabytes = defaultReadRate
 	}
-	return readShare{rate: queryReadShare * megabytes * 1e6}
+	return ReadShare{rate: queryReadShare * megabytes * 1e6}
 }
 
-// wait returns how long a host has to wait before it may read. The hosts read in turn: the first of
+// Wait returns how long a host has to wait before it may read. The hosts read in turn: the first of
 // them at once, each other one after those before it.
-func (s *readShare) wait(now time.Time, rank, hosts int) time.Duration {
+func (s *ReadShare) Wait(now time.Time, rank, hosts int) time.Duration {
 	bytes := s.bytes
 	if bytes == 0 {
 		bytes = firstReadBytes
@@ -45,8 +47,8 @@
 	return period - now.Sub(s.last)
 }
 
-// record records a read that has just ended.
-func (s *readShare) record(now time.Time, bytes int) {
+// Record records a read that has just ended.
+func (s *ReadShare) Record(now time.Time, bytes int) {
 	s.last = now
 	if bytes > 0 {
 		s.bytes = bytes
--- a/internal/entry/readshare_test.go
+++ b/internal/store/readshare_test.go
@@ -1,4 +1,4 @@
-package entry_test
+package store_test
 
 import (
 	"testing"
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"pollencroft/internal/entry"
+	"pollencroft/internal/store"
 )
 
 // readsWithin plays hosts that all have queries for d while no host leads, and returns the bytes
@@ -15,7 +15,7 @@
 	began := time.Unix(1_000, 0)
 	perSecond := make([]int, int(d/time.Second))
 	for rank := range hosts {
-		s := entry.NewReadShare(80)
+		s := store.NewReadShare(80)
 		for at := began; ; {
 			at = at.Add(max(s.Wait(at, rank, hosts), 500*time.Millisecond))
 			if at.Sub(began) >= d {
@@ -45,13 +45,14 @@
 // On a few hosts, queries that only the store can answer wait for less than their callers do.
 func TestFewHostsReadStatesAtOnce(t *testing.T) {
 	for rank := range 8 {
-		require.Less(t, entry.NewReadShare(80).Wait(time.Unix(1_000, 0), rank, 8), time.Second)
+		s := store.NewReadShare(80)
+		require.Less(t, s.Wait(time.Unix(1_000, 0), rank, 8), time.Second)
 	}
 }
 
 // Reads that fail count as well: a store that is overloaded must not be asked more often.
 func TestFailedReadsWaitForTheirTurn(t *testing.T) {
-	s, now := entry.NewReadShare(80), time.Unix(1_000, 0)
+	s, now := store.NewReadShare(80), time.Unix(1_000, 0)
 	s.Record(now, 0)
 	require.Greater(t, s.Wait(now, 0, 147), time.Second)
 }
--- a/internal/entry/spread.go
+++ b/internal/store/spread.go
@@ -1,11 +1,9 @@
-package entry
+package store
 
 import (
 	"context"
 	"sync"
 	"time"
-
-	"pollencroft/internal/store"
 )
 
 const (
@@ -20,9 +18,9 @@
 	spreadTimeoutFactor = 3
 )
 
-// partsFrom lists the partitions that a writer may use. They are far apart, and the writer's
+// PartsFrom lists the partitions that a writer may use. They are far apart, and the writer's
 // first partition comes first.
-func partsFrom(first, parts int) []int {
+func PartsFrom(first, parts int) []int {
 	n := min(spreadParts, parts)
 	all := make([]int, n)
 	for i := range all {
@@ -31,19 +29,19 @@
 	return all
 }
 
-// appendTimeout returns how long to wait for one partition before the next one is tried.
-func (h *Host) appendTimeout() time.Duration {
-	return max(spreadTimeout, spreadTimeoutFactor*h.store.RecentLatency())
+// SpreadTimeout returns how long an append waits for one partition before the next one is tried.
+func (r *Routed) SpreadTimeout() time.Duration {
+	return max(spreadTimeout, spreadTimeoutFactor*r.RecentLatency())
 }
 
-// spread makes the same append at one partition after the other until one succeeds. It moves on
+// Spread makes the same append at one partition after the other until one succeeds. It moves on
 // to the next partition at once after a refusal, and after timeout while there is no answer. It
 // returns the index of the first partition that stored it. It returns a refusal only if all
 // partitions refused. Any error other than a refusal or a missing answer ends the attempts.
 //
 // It is meant for appends that may be stored in several partitions, whose readers read all
 // partitions and recognise duplicates.
-func spread[T any](ctx context.Context, wg *sync.WaitGroup, n int, timeout time.Duration, try func(i int) (T, error)) (first, tried int, got T, err error) {
+func Spread[T any](ctx context.Context, wg *sync.WaitGroup, n int, timeout time.Duration, try func(i int) (T, error)) (first, tried int, got T, err error) {
 	type result struct {
 		i   int
 		got T
@@ -73,7 +71,7 @@
 		var r result
 		select {
 		case <-ctx.Done():
-			return 0, next, none, &store.UnansweredError{Op: store.Append, Cause: ctx.Err()}
+			return 0, next, none, &UnansweredError{Op: Append, Cause: ctx.Err()}
 		case <-late:
 			begin()
 			continue
@@ -83,10 +81,10 @@
 		if timer != nil {
 			timer.Stop()
 		}
-		if !store.IsUnavailable(r.err) {
+		if !IsUnavailable(r.err) {
 			return r.i, next, r.got, r.err
 		}
-		failed = store.CombineErrors(failed, r.err)
+		failed = CombineErrors(failed, r.err)
 		switch {
 		case next < n:
 			begin()
