--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -132,7 +132,7 @@
 	if s.now.Before(a.nextQuery) || p.knownFull(r.stage.Spec.Demand()) {
 		return
 	}
-	name := s.pickHostOnce(r.queue)
+	name := s.hosts.PickOnce(s.isLong(r.queue), s.now)
 	if name == "" {
 		return
 	}
@@ -147,6 +147,16 @@
 	s.earmark(r, a)
 }
 
+// isLong reports whether a queue is not among the most urgent ones, whose queries are short.
+func (s *Sched) isLong(q flow.Queue) bool {
+	for _, other := range s.queues {
+		if other.Rank < q.Rank {
+			return true
+		}
+	}
+	return false
+}
+
 // adviceFor returns the advice on a step and creates an empty one if there is none.
 func (s *Sched) adviceFor(st *flow.Stage) *advice {
 	a, ok := s.advice[st]
@@ -160,16 +170,8 @@
 // queryPolicy makes a host query the policy service about a step.
 func (s *Sched) queryPolicy(r readyStep, a *advice, name string, named []string) {
 	cost := r.queue.Advice.Cost(len(named))
-	h := s.hosts[name]
-	if h.busyUntil.Before(s.now) {
-		h.busyUntil = s.now
-	}
-	h.busyUntil = h.busyUntil.Add(cost)
-	h.longQuery = s.isLong(r.queue)
-	if !h.longQuery {
-		s.urgentUsage.add(cost, s.now)
-	}
-	a.queriedAt, a.host, a.queried, a.giveUpAt = s.now, name, named, h.busyUntil.Add(queryGrace)
+	answerBy := s.hosts.Assign(name, cost, s.isLong(r.queue), s.now)
+	a.queriedAt, a.host, a.queried, a.giveUpAt = s.now, name, named, answerBy.Add(queryGrace)
 	a.valid, a.queue = r.queue.Advice.Valid, r.queue.Name
 	step := r.stage.Tasks[0].Name.StepName()
 	s.queries[step] = r.stage
@@ -212,12 +214,10 @@
 		delete(s.queries, ev.Step)
 		s.recordReply(a, ev)
 	}
-	if h, ok := s.hosts[ev.Host]; ok {
-		if ev.Failed {
-			h.queryFailed(s.now)
-		} else {
-			h.backoff = 0
-		}
+	if ev.Failed {
+		s.hosts.Failed(ev.Host, s.now)
+	} else {
+		s.hosts.Answered(ev.Host)
 	}
 }
 
@@ -267,9 +267,7 @@
 		case s.now.After(a.giveUpAt):
 			delete(s.queries, step)
 			a.queriedAt = time.Time{}
-			if h, ok := s.hosts[a.host]; ok {
-				h.queryFailed(s.now)
-			}
+			s.hosts.Failed(a.host, s.now)
 			s.emit(Note{ID: step, What: "advice timed out", Detail: a.host})
 		}
 	}
--- a/internal/sched/candidates.go
+++ b/internal/sched/candidates.go
@@ -1,56 +1,10 @@
 package sched
 
 import (
-	"cmp"
-	"slices"
-
 	"pollencroft/internal/flow"
+	"pollencroft/internal/policy"
 )
 
-// candidate is a worker that may be named in a query.
-type candidate struct {
-	incarnation string
-	// tasks is how many tasks the worker has capacity for; known means that it was allowed before.
-	tasks int
-	known bool
-	cost  float64
-}
-
-func (c candidate) compare(o candidate) int {
-	switch {
-	case c.known && !o.known:
-		return -1
-	case !c.known && o.known:
-		return 1
-	default:
-		return cmp.Compare(c.cost, o.cost)
-	}
-}
-
-// bestCandidates keeps the best candidates in order, at most a given number. Of equal ones those that
-// were added first come first. A query names a few of a thousand workers, so sorting all of them
-// would be most of its cost.
-type bestCandidates struct {
-	all  []candidate
-	most int
-}
-
-func (b *bestCandidates) add(c candidate) {
-	if len(b.all) >= b.most && (b.most <= 0 || c.compare(b.all[len(b.all)-1]) >= 0) {
-		return
-	}
-	i, _ := slices.BinarySearchFunc(b.all, c, func(kept, c candidate) int {
-		if kept.compare(c) <= 0 {
-			return -1
-		}
-		return 1
-	})
-	if len(b.all) >= b.most {
-		b.all = b.all[:len(b.all)-1]
-	}
-	b.all = slices.Insert(b.all, i, c)
-}
-
 // workersToQuery lists the workers to name in a query for a step with n waiting tasks. First come
 // workers with free capacity that may be allowed, the best first, as many as the tasks need; then
 // others, as long as they add little to the cost of the query. The list is empty if nothing could
@@ -68,12 +22,12 @@
 		if enough(named) {
 			return named
 		}
-		named = append(named, c.incarnation)
+		named = append(named, c.Worker)
 		part := rate
-		if c.known {
+		if c.Known {
 			part = 1
 		}
-		want -= part * float64(c.tasks)
+		want -= part * float64(c.Tasks)
 	}
 	if enough(named) {
 		return named
@@ -83,7 +37,7 @@
 		left = min(left, more-len(named))
 	}
 	for _, c := range s.otherCandidates(r, a, p, left) {
-		named = append(named, c.incarnation)
+		named = append(named, c.Worker)
 	}
 	return named
 }
@@ -92,9 +46,9 @@
 // answer isn't known. most is how many tasks could start if all of them were allowed. In a full
 // cell most passes find none, for hundreds of steps, so the capacity is checked first and the more
 // expensive ordering is done only for workers that have it.
-func (s *Sched) candidatesWithCapacity(r readyStep, a *advice, p *pool) (all []candidate, most int) {
+func (s *Sched) candidatesWithCapacity(r readyStep, a *advice, p *pool) (all []policy.Candidate, most int) {
 	demand, some := r.stage.Spec.Demand(), false
-	best := bestCandidates{most: maxQueryWorkers}
+	best := policy.Best{Most: maxQueryWorkers}
 	for _, w := range p.open {
 		if !demand.Fits(w.available().Sub(w.earmarked)) {
 			continue
@@ -108,28 +62,28 @@
 		got, known := a.tickets[w.Incarnation]
 		if !known || !s.now.Before(got.until) {
 			// A worker with a valid ticket was not chosen for another reason.
-			best.add(candidate{incarnation: w.Incarnation, tasks: hold, known: known, cost: s.cost(r, w)})
+			best.Add(policy.Candidate{Worker: w.Incarnation, Tasks: hold, Known: known, Cost: s.cost(r, w)})
 		}
 	}
 	if !some {
 		p.unfit = append(p.unfit, demand)
 	}
-	return best.all, most
+	return best.All, most
 }
 
 // otherCandidates lists the n best workers that have no capacity for the step now and have not been
 // asked about yet.
-func (s *Sched) otherCandidates(r readyStep, a *advice, p *pool, n int) []candidate {
-	best := bestCandidates{most: n}
+func (s *Sched) otherCandidates(r readyStep, a *advice, p *pool, n int) []policy.Candidate {
+	best := policy.Best{Most: n}
 	demand := r.stage.Spec.Demand()
 	for _, w := range p.workers {
 		_, known := a.tickets[w.Incarnation]
 		if known || a.denied[w.Incarnation] || !demand.Fits(w.Size) || demand.Fits(w.available().Sub(w.earmarked)) || !s.suitsAny(r, w) {
 			continue
 		}
-		best.add(candidate{incarnation: w.Incarnation, cost: s.cost(r, w)})
+		best.Add(policy.Candidate{Worker: w.Incarnation, Cost: s.cost(r, w)})
 	}
-	return best.all
+	return best.All
 }
 
 // extraQueryWorkers returns how many workers a query may name without taking much longer.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -142,7 +142,7 @@
 func (s *Sched) placeInOrder(steps []readyStep, pools map[string]*pool, top int) {
 	top = min(top, steps[0].queue.Rank)
 	s.listOpenWorkers(pools, steps)
-	s.noFreeHost = [2]bool{}
+	s.hosts.BeginPass()
 	for _, r := range steps {
 		p, ok := pools[r.queue.Service]
 		if !ok {
--- a/internal/sched/prefetch.go
+++ b/internal/sched/prefetch.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"pollencroft/internal/policy"
+)
 
 // prefetchShare is the largest share of a service's workers that steps may need in total when their
 // tickets are prefetched, that is, queried before there is capacity for them. A ticket is valid for
@@ -27,7 +31,7 @@
 	if !a.queriedAt.IsZero() {
 		return
 	}
-	name := s.pickHost(r.queue, 1)
+	name := s.hosts.Pick(true, 1, s.now)
 	if name == "" {
 		return
 	}
@@ -45,7 +49,7 @@
 		// One worker that the step may start on is enough for now.
 		return nil
 	}
-	best := bestCandidates{most: min(max(s.extraQueryWorkers(r.queue.Advice), 1), maxQueryWorkers)}
+	best := policy.Best{Most: min(max(s.extraQueryWorkers(r.queue.Advice), 1), maxQueryWorkers)}
 	var most int64
 	for _, w := range p.workers {
 		got, known := a.tickets[w.Incarnation]
@@ -58,15 +62,15 @@
 		if a.denied[w.Incarnation] || !r.stage.Spec.Demand().Fits(w.Size) || !s.suitsAny(r, w) {
 			continue
 		}
-		best.add(candidate{incarnation: w.Incarnation, known: known, cost: s.cost(r, w)})
+		best.Add(policy.Candidate{Worker: w.Incarnation, Known: known, Cost: s.cost(r, w)})
 	}
 	if r.stage.Spec.Gang && most < int64(len(r.tasks)) {
 		// Even if all workers that may be allowed were empty, the gang could not start.
 		return nil
 	}
 	var named []string
-	for _, c := range best.all {
-		named = append(named, c.incarnation)
+	for _, c := range best.All {
+		named = append(named, c.Worker)
 	}
 	return named
 }
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -40,8 +40,6 @@
 	for _, r := range steps {
 		o := r.job.Spec.Organisation
 		switch {
-		case !s.usage.Limits(o):
-			placeable = append(placeable, r)
 		case !s.quotaAllows(r):
 			held = append(held, r)
 			waitsFor[o] = waitsFor[o] || s.holdsBack(o, r.stage.Spec.QuotaNeed())
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -64,7 +64,7 @@
 	if !s.enabled(ReserveForWide) || p.used.DominantShare(p.total) < reserveMinUse || p.reserved.DominantShare(p.total) > maxReservedShare {
 		return false
 	}
-	return s.hasTicket(r) || !s.policyAway()
+	return s.hasTicket(r) || !s.hosts.Away()
 }
 
 // gangWillFit reports whether all members of a gang will find capacity. Workers count that have
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -11,6 +11,7 @@
 
 	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
+	"pollencroft/internal/policy"
 	"pollencroft/internal/quota"
 )
 
@@ -31,14 +32,12 @@
 	// sortedCache holds the workers sorted by incarnation; it is valid until one is added or
 	// removed.
 	sortedCache []*worker
-	hosts       map[string]*host
+	hosts       *policy.Hosts
 	advice      map[*flow.Stage]*advice
 	// queries are the steps with a query in flight, by name.
 	queries    map[string]*flow.Stage
 	allowRates map[string]float64
-	// urgentUsage is how many hosts the queries of the most urgent queues keep busy.
-	urgentUsage usage
-	stops       map[runKey]*pendingStop
+	stops      map[runKey]*pendingStop
 	// suspects are tasks that crashed a worker, or may have.
 	suspects map[*flow.Task]bool
 	// outages are workers that stopped answering recently.
@@ -63,9 +62,6 @@
 	// their order.
 	nextBatch *batch
 	inFlight  []*batch
-	// noFreeHost means for the most urgent queues and for the others that no host can take a query
-	// in this pass.
-	noFreeHost [2]bool
 	// changed means for each kind of pass that something has changed since the last one.
 	changed [passKinds]bool
 	// lastPasses are the times of the last pass of each kind, passDurations how long these took.
@@ -105,7 +101,7 @@
 func New(limits Limits, term int64, jobs []*flow.Job) *Sched {
 	s := &Sched{
 		limits: limits, term: term, queues: map[string]flow.Queue{}, jobs: map[string]*flow.Job{}, openJobs: map[string]*flow.Job{},
-		workers: map[string]*worker{}, hosts: map[string]*host{}, advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
+		workers: map[string]*worker{}, hosts: policy.New(!slices.Contains(limits.Disabled, AdaptUrgentHosts)), advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
 		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, preemptions: map[*flow.Stage][]preemption{}, waits: map[*flow.Stage]*stepWait{}, earlyCancels: map[Cancel]time.Time{}, usage: quota.New(), wideHolds: map[string]time.Time{}, dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
 	}
 	for _, j := range jobs {
@@ -163,7 +159,7 @@
 	case Workers:
 		s.setWorkers(ev)
 	case Hosts:
-		s.setHosts(ev)
+		s.hosts.Set(ev.Names)
 	case Submit:
 		s.submit(ev.Spec)
 	case Cancel:
--- a/internal/sched/waits.go
+++ b/internal/sched/waits.go
@@ -102,10 +102,6 @@
 
 // waitReason returns what a step waits for in this pass.
 func (s *Sched) waitReason(r readyStep) WaitReason {
-	kind := 0
-	if s.isLong(r.queue) {
-		kind = 1
-	}
 	a, ok := s.advice[r.stage]
 	switch {
 	case !s.quotaAllows(r):
@@ -114,7 +110,7 @@
 		return WaitForCapacity
 	case ok && !a.queriedAt.IsZero():
 		return WaitForPolicy
-	case s.noFreeHost[kind]:
+	case s.hosts.NoneFree(s.isLong(r.queue)):
 		return WaitForHost
 	default:
 		return WaitForCapacity
