soak, test, docs: organisations with quotas in the soak, the fault matrix and the pages

The soak's callers use keys of two organisations, one with a quota of five tasks; the checker counts what each has running, as the workers see it. What operators see of keys, quotas and a table that is partly in force is in docs/operations/platform.md.

--- a/internal/standin/users/worker.go
+++ b/internal/standin/users/worker.go
@@ -26,6 +26,10 @@
 	runs map[string]int
 	// finished holds the tasks of which a run ended as done.
 	finished map[string]bool
+	// organisationOf returns the organisation of a task, limits how many tasks each may have
+	// running; nil means no limits.
+	organisationOf func(task string) string
+	limits         map[string]int
 }
 
 // NewInvariantChecker returns a checker that has recorded nothing yet.
@@ -33,6 +37,29 @@
 	return &InvariantChecker{at: map[string]string{}, done: map[string]bool{}, runs: map[string]int{}, finished: map[string]bool{}}
 }
 
+// LimitOrganisations makes it a violation if an organisation has more tasks running than its limit.
+func (o *InvariantChecker) LimitOrganisations(of func(task string) string, limits map[string]int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.organisationOf, o.limits = of, limits
+}
+
+// checkLimit records a violation if the start of a task exceeds its organisation's limit. mu is held.
+func (o *InvariantChecker) checkLimit(task string) {
+	if o.organisationOf == nil {
+		return
+	}
+	name, running := o.organisationOf(task), 0
+	for t := range o.at {
+		if o.organisationOf(t) == name {
+			running++
+		}
+	}
+	if most, ok := o.limits[name]; ok && running > most {
+		o.violations = append(o.violations, fmt.Sprintf("%s runs %d tasks of %d after the start of %s", name, running, most, task))
+	}
+}
+
 // Violations lists the violations.
 func (o *InvariantChecker) Violations() []string {
 	o.mu.Lock()
@@ -71,6 +98,7 @@
 	}
 	o.at[task] = worker
 	o.runs[task]++
+	o.checkLimit(task)
 }
 
 func (o *InvariantChecker) end(task string, done bool) {
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -65,6 +65,7 @@
 	}
 	req.Host = "jobs.example"
 	req.Header.Set("X-Deadline-Ms", "3000")
+	req.Header.Set("Authorization", "Bearer key-"+organisationOf(path))
 	resp, err := a.client.Do(req)
 	if err != nil {
 		return 0, ""
--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -33,7 +33,20 @@
 )
 
 const table = `{"version":1,"routes":[{"name":"scan","host":"jobs.example","pathPrefix":"/scan/","service":"pass","priority":0,
-"maxAttempts":3,"stretch":1.5,"targetLatencyMs":250}],"services":[{"name":"pass"}],"limits":{"maxBodyBytes":20000}}`
+"maxAttempts":3,"stretch":1.5,"targetLatencyMs":250,"public":false}],"services":[{"name":"pass"}],"limits":{"maxBodyBytes":20000},
+"tenants":[{"name":"small","apiKeys":["key-small"],"maxCount":{"cpu":2500}},{"name":"large","apiKeys":["key-large"]}]}`
+
+// smallTasks is how many tasks of 500 millicores the quota of the organisation small allows.
+const smallTasks = 5
+
+// organisationOf returns the organisation whose key the callers use for a job, by the last digit of
+// its id.
+func organisationOf(job string) string {
+	if strings.ContainsAny(job[len(job)-1:], "02468ace") {
+		return "small"
+	}
+	return "large"
+}
 
 var binary = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "pollencroft-soak")
@@ -93,6 +106,10 @@
 		t: t, dir: dir, log: users.NewLog(parts, time.Now), invariants: users.NewInvariantChecker(),
 		proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop()),
 	}
+	c.invariants.LimitOrganisations(func(task string) string {
+		id, _, _ := strings.Cut(task, ".")
+		return organisationOf(id)
+	}, map[string]int{"small": smallTasks})
 	c.log.Put("op", "config", []byte(table))
 	for range workers {
 		c.workers = append(c.workers, c.newWorker())
