--- a/internal/entry/authorize.go
+++ b/internal/entry/authorize.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"pollencroft/internal/access"
+	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
 	"pollencroft/internal/quota"
 	"pollencroft/platform"
@@ -79,11 +81,13 @@
 type QuotaError struct {
 	Organisation, Resource string
 	Step                   int
-	Version                int64
+	// Needed is what a task needs, or all members of a gang together.
+	Needed, Quota cell.Size
+	Version       int64
 }
 
 func (e *QuotaError) Error() string {
-	return "can never run: " + e.Resource + " of a step exceeds the quota of organisation " + e.Organisation
+	return fmt.Sprintf("can never run: step %d needs more %s than the quota of %s allows in table %d: %+v of %+v", e.Step, e.Resource, e.Organisation, e.Version, e.Needed, e.Quota)
 }
 
 // checkQuota returns a QuotaError if a task, or all members of a gang, need more than the
@@ -95,7 +99,7 @@
 	}
 	for i, st := range spec.Steps {
 		if resource := quota.Exceeded(q, st.QuotaNeed()); resource != "" {
-			return &QuotaError{Organisation: spec.Organisation, Resource: resource, Step: i, Version: t.Version}
+			return &QuotaError{Organisation: spec.Organisation, Resource: resource, Step: i, Needed: st.QuotaNeed(), Quota: q, Version: t.Version}
 		}
 	}
 	return nil
--- a/internal/sched/history_test.go
+++ b/internal/sched/history_test.go
@@ -64,19 +64,17 @@
 	r := rand.New(rand.NewPCG(seed, 0))
 	b := newSimCell(t, 3+r.IntN(7))
 	b.pickCrashingJobs(crashes, seed)
-	b.playHistory(r, crashes, sizes, nil)
+	b.playHistory(r, crashes, sizes, func() {})
 }
 
-// playHistory plays a history on a cell; see runHistory. beforeStep, if set, is called before each
-// step of the history.
+// playHistory plays a history on a cell; see runHistory. beforeStep is called before each step of the
+// history.
 func (b *simCell) playHistory(r, crashes, sizes *rand.Rand, beforeStep func()) {
 	t := b.t
 	jobs := map[string]bool{}
 	spare := 50
 	for i := range 40 + r.IntN(40) {
-		if beforeStep != nil {
-			beforeStep()
-		}
+		beforeStep()
 		switch n := r.IntN(20); {
 		case n < 6:
 			id := fmt.Sprintf("s%02d", i)
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -219,17 +219,18 @@
 		p.freeCPU -= need
 		left = left[1:]
 	}
-	left = append(left, skipped...)
-	if !s.quotaAllows(r) {
-		return
-	}
-	if len(left) > 0 && r.queue.Advice != nil && p.freeCPU-reservedCPU >= need {
-		s.maybeQuery(r, p, len(left))
+	if n := len(left) + len(skipped); n > 0 && s.quotaAllows(r) {
+		s.seekCapacity(r, p, n, reservedCPU)
 	}
-	if len(left) > 0 {
-		s.preempt(r, p, len(left))
-		s.reserveCapacity(r, p, len(left))
+}
+
+// seekCapacity looks for capacity for n tasks of a step that could not start.
+func (s *Sched) seekCapacity(r readyStep, p *pool, n int, reservedCPU int64) {
+	if r.queue.Advice != nil && p.freeCPU-reservedCPU >= r.stage.Spec.Demand().CPU {
+		s.maybeQuery(r, p, n)
 	}
+	s.preempt(r, p, n)
+	s.reserveCapacity(r, p, n)
 }
 
 // bestWorker returns the worker that suits a task best, or nil if none may run it.
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -70,6 +70,8 @@
 	// reported it.
 	predecessorLeaseEnd time.Time
 	health              health
+	// awaitsRead means that the worker waits for its turn to be read for the first time.
+	awaitsRead bool
 	// usage is what the organisations have running on all workers.
 	usage *quota.Usage
 	// speed is how fast its runs progress, relative to their estimates.
@@ -190,6 +192,7 @@
 	}
 	w.dead, w.judgeAt = true, s.now.Add(crashJudgeDelay)
 	w.dropUntracked()
+	delete(s.firstReads.inFlight, w)
 	s.recordOutage(w)
 	s.emit(Note{ID: incarnation, What: "worker has begun another incarnation", Worker: incarnation, Detail: w.describeRuns()})
 	for _, t := range w.sortedTasks() {
@@ -211,22 +214,16 @@
 
 // checkWorkers handles leases that have certainly expired, and keeps polling workers.
 func (s *Sched) checkWorkers() {
+	defer s.readWaiting()
 	for _, w := range s.sortedWorkers() {
 		incarnation := w.Incarnation
 		if w.draining && !w.dead {
 			s.evacuate(w)
 		}
-		if !w.dead && w.silent(s.now) {
-			s.copySilentTasks(w)
-		}
-		if !w.dead && s.leasesLapsed(w) {
-			s.emit(Note{ID: incarnation, What: "leases have lapsed", Worker: incarnation})
-			s.loseTasks(w)
-		}
-		if !w.dead && w.silent(s.now) && s.now.After(s.leaseBound(w)) {
-			w.releaseUntracked(nil, s.now)
-		}
-		if w.dead && !s.now.Before(w.judgeAt) {
+		switch {
+		case !w.dead:
+			s.checkLeases(w)
+		case !s.now.Before(w.judgeAt):
 			s.countLostRuns(w)
 		}
 		if w.listed || len(w.tasks) > 0 {
@@ -239,6 +236,7 @@
 			s.resolveForgotten(w)
 			w.dropUntracked()
 			delete(s.workers, incarnation)
+			delete(s.firstReads.inFlight, w)
 			s.workersChanged()
 		case len(w.lostRuns) > 0:
 			s.ensureHold(w)
@@ -246,6 +244,21 @@
 	}
 }
 
+// checkLeases copies the tasks of a silent worker that allow copies, and gives up what was on it once
+// all leases have certainly expired.
+func (s *Sched) checkLeases(w *worker) {
+	if w.silent(s.now) {
+		s.copySilentTasks(w)
+	}
+	if s.leasesLapsed(w) {
+		s.emit(Note{ID: w.Incarnation, What: "leases have lapsed", Worker: w.Incarnation})
+		s.loseTasks(w)
+	}
+	if w.silent(s.now) && s.now.After(s.leaseBound(w)) {
+		w.releaseUntracked(nil, s.now)
+	}
+}
+
 // canForget reports whether a worker that is not listed may be forgotten.
 func (s *Sched) canForget(w *worker) bool {
 	if w.dead {
