--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -15,38 +15,15 @@
 // followWorkers follows the worker entries in the store.
 func (t *term) followWorkers() {
 	for t.ctx.Err() == nil {
-		from, ok := t.listWorkers()
-		if ok {
-			t.followWorkersFrom(from)
-		}
-	}
-}
-
-// listWorkers reads the entries of all workers and returns the offset to read on from. A leader's
-// first list is applied page by page, because a store that all hosts read at once refuses some pages
-// of a long list, and work can start on the workers of the first one.
-func (t *term) listWorkers() (from int64, ok bool) {
-	var all []store.Record
-	first := len(t.workers) == 0
-	pages := store.NewPages(t.h.store, platform.ServersTopic, 0)
-	for pages.More() {
-		page, err := pages.Next(t.ctx)
-		switch {
-		case t.ctx.Err() != nil:
-			return 0, false
-		case err != nil:
+		all, from, err := store.ReadLatest(t.ctx, t.h.store, platform.ServersTopic, 0)
+		if err != nil {
 			sleep(t.ctx, followRetry)
-		case first:
-			t.applyWorkers(page)
-		default:
-			all = append(all, page...)
+			continue
 		}
-	}
-	if !first {
 		clear(t.workers)
 		t.applyWorkers(all)
+		t.followWorkersFrom(from)
 	}
-	return pages.End(), true
 }
 
 func (t *term) followWorkersFrom(from int64) {
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -13,9 +13,6 @@
 	if w.holding || w.dead || !w.Addr.IsValid() || s.now.Before(w.nextHold) || w.idle() {
 		return
 	}
-	if !s.mayRead(w) {
-		return
-	}
 	if w.fenced && w.lastEndRead > w.lastEndStored && s.now.Sub(w.lastHold) < unstoredHoldInterval {
 		// While a worker has ends that are not stored, it answers every hold at once. It is asked
 		// again once the append in flight is stored.
@@ -80,8 +77,6 @@
 		}
 	} else {
 		w.holding = false
-		delete(s.firstReads.inFlight, w)
-		defer s.readWaiting()
 	}
 	switch ev.Outcome {
 	case Accepted:
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -157,49 +157,20 @@
 // follows from there may see some records again.
 func ReadLatest(ctx context.Context, l Log, topic string, part int) ([]Record, int64, error) {
 	var all []Record
-	p := NewPages(l, topic, part)
-	for p.More() {
-		page, err := p.Next(ctx)
+	from := int64(-1)
+	after := ""
+	for {
+		a, err := l.Do(ctx, Call{Op: Newest, Topic: topic, Part: part, After: after})
 		if err != nil {
 			return nil, 0, err
 		}
-		all = append(all, page...)
-	}
-	return all, p.End(), nil
-}
-
-// Pages reads the newest record of each key of a partition, page by page. They are not a snapshot:
-// whoever reads on from End sees what has changed since the first page.
-type Pages struct {
-	log  Log
-	next Call
-	end  int64
-	over bool
-}
-
-// NewPages returns the pages of a partition, of which none has been read.
-func NewPages(l Log, topic string, part int) *Pages {
-	return &Pages{log: l, next: Call{Op: Newest, Topic: topic, Part: part}, end: -1}
-}
-
-// More reports whether there is another page.
-func (p *Pages) More() bool { return !p.over }
-
-// End returns the end of the partition before the first page was read; -1 if none was read.
-func (p *Pages) End() int64 { return p.end }
-
-// Next reads the next page. After an error the same page can be read again.
-func (p *Pages) Next(ctx context.Context) ([]Record, error) {
-	a, err := p.log.Do(ctx, p.next)
-	if err != nil {
-		return nil, err
-	}
-	if p.end < 0 {
-		p.end = a.End
-	}
-	p.over = !a.More || len(a.Records) == 0
-	if !p.over {
-		p.next.After = a.Records[len(a.Records)-1].Key
+		if from < 0 {
+			from = a.End
+		}
+		all = append(all, a.Records...)
+		if !a.More || len(a.Records) == 0 {
+			return all, from, nil
+		}
+		after = a.Records[len(a.Records)-1].Key
 	}
-	return a.Records, nil
 }
