--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -38,7 +38,6 @@
 	queries    map[string]*flow.Stage
 	allowRates map[string]float64
 	stops      map[runKey]*pendingStop
-	firstReads firstReads
 	// suspects are tasks that crashed a worker, or may have.
 	suspects map[*flow.Task]bool
 	// outages are workers that stopped answering recently.
@@ -103,7 +102,7 @@
 	s := &Sched{
 		limits: limits, term: term, queues: map[string]flow.Queue{}, jobs: map[string]*flow.Job{}, openJobs: map[string]*flow.Job{},
 		workers: map[string]*worker{}, hosts: policy.New(!slices.Contains(limits.Disabled, AdaptUrgentHosts)), advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
-		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, preemptions: map[*flow.Stage][]preemption{}, waits: map[*flow.Stage]*stepWait{}, earlyCancels: map[Cancel]time.Time{}, usage: quota.New(), firstReads: firstReads{inFlight: map[*worker]bool{}}, wideHolds: map[string]time.Time{}, dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
+		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, preemptions: map[*flow.Stage][]preemption{}, waits: map[*flow.Stage]*stepWait{}, earlyCancels: map[Cancel]time.Time{}, usage: quota.New(), wideHolds: map[string]time.Time{}, dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
 	}
 	for _, j := range jobs {
 		s.jobs[j.Spec.ID] = j
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -70,8 +70,6 @@
 	// reported it.
 	predecessorLeaseEnd time.Time
 	health              health
-	// awaitsRead means that the worker waits for its turn to be read for the first time.
-	awaitsRead bool
 	// usage is what the organisations have running on all workers.
 	usage *quota.Usage
 	// speed is how fast its runs progress, relative to their estimates.
@@ -192,7 +190,6 @@
 	}
 	w.dead, w.judgeAt = true, s.now.Add(crashJudgeDelay)
 	w.dropUntracked()
-	delete(s.firstReads.inFlight, w)
 	s.recordOutage(w)
 	s.emit(Note{ID: incarnation, What: "worker has begun another incarnation", Worker: incarnation, Detail: w.describeRuns()})
 	for _, t := range w.sortedTasks() {
@@ -214,7 +211,6 @@
 
 // checkWorkers handles leases that have certainly expired, and keeps polling workers.
 func (s *Sched) checkWorkers() {
-	defer s.readWaiting()
 	for _, w := range s.sortedWorkers() {
 		incarnation := w.Incarnation
 		if w.draining && !w.dead {
@@ -236,7 +232,6 @@
 			s.resolveForgotten(w)
 			w.dropUntracked()
 			delete(s.workers, incarnation)
-			delete(s.firstReads.inFlight, w)
 			s.workersChanged()
 		case len(w.lostRuns) > 0:
 			s.ensureHold(w)
