quota, sched: start nothing of an organisation before its quota is known

Until then no quota was known, and unknown was taken for unlimited. Now nothing of an organisation fits until quotas were set; public jobs go on. TestNothingOfAnOrganisationStartsBeforeItsQuotaIsKnown fails before.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -11,14 +11,15 @@
 // Usage is what organisations have running. Every run counts that may exist, whether it is known
 // to or not. It is not safe for concurrent use.
 type Usage struct {
+	// quotas are nil until they are known.
 	quotas map[string]cell.Size
 	// all is what an organisation has running, lasting the part of it that does not end by itself.
 	all, lasting map[string]cell.Size
 }
 
-// New returns a usage without runs and quotas.
+// New returns a usage without runs. Until quotas are set, no organisation may start anything.
 func New() *Usage {
-	return &Usage{quotas: map[string]cell.Size{}, all: map[string]cell.Size{}, lasting: map[string]cell.Size{}}
+	return &Usage{all: map[string]cell.Size{}, lasting: map[string]cell.Size{}}
 }
 
 // Run is what one run uses of its organisation's quota.
@@ -32,7 +33,10 @@
 
 // SetQuotas replaces the quotas, by organisation. A resource of which the quota is zero is not
 // limited; of one with a negative quota nothing may start.
-func (u *Usage) SetQuotas(all map[string]cell.Size) { u.quotas = maps.Clone(all) }
+func (u *Usage) SetQuotas(all map[string]cell.Size) {
+	u.quotas = map[string]cell.Size{}
+	maps.Copy(u.quotas, all)
+}
 
 // Add counts a run.
 func (u *Usage) Add(r Run) { u.change(r, 1) }
@@ -71,8 +75,11 @@
 }
 
 func (u *Usage) within(organisation string, size cell.Size) bool {
+	if organisation == "" {
+		return true
+	}
 	q, ok := u.quotas[organisation]
-	return organisation == "" || !ok || Exceeded(q, size) == ""
+	return u.quotas != nil && (!ok || Exceeded(q, size) == "")
 }
 
 // Exceeded names the first resource of which size is more than the quota, or returns "".
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -39,6 +39,8 @@
 func TestRunsCountForAQuotaThatComesLater(t *testing.T) {
 	u := quota.New()
 	u.Add(run("a", 6))
+	require.False(t, u.Fits("a", cell.Size{CPU: 1}), "the quota is not known yet")
+	require.True(t, u.Fits("", cell.Size{CPU: 1}))
 	u.SetQuotas(map[string]cell.Size{"a": {CPU: 5}})
 	require.False(t, u.Fits("a", cell.Size{CPU: 1}))
 	u.SetQuotas(nil)
--- a/internal/sched/quota_test.go
+++ b/internal/sched/quota_test.go
@@ -337,3 +337,21 @@
 	require.Equal(t, flow.Completed, b.state("s1"))
 	require.Empty(t, b.violations)
 }
+
+// Guards against a new leader that has not read the table yet and starts more than the quotas allow.
+func TestNothingOfAnOrganisationStartsBeforeItsQuotaIsKnown(t *testing.T) {
+	b := newSimCell(t, 4)
+	b.core = sched.New(sched.DefaultLimits, b.term, nil)
+	b.step(sched.Hosts{Names: []string{"h1"}})
+	b.list()
+	b.submit("public", "scan", scan(2))
+	b.organisation = "small"
+	b.submit("s1", "scan", scan(10))
+	b.advance(500 * time.Millisecond)
+	require.Zero(t, b.running("small").CPU)
+	require.Equal(t, int64(10_000), b.running("").CPU)
+	b.setQuotas(map[string]cell.Size{"small": {CPU: 20_000}})
+	b.advance(5 * time.Second)
+	require.Equal(t, flow.Completed, b.state("s1"))
+	require.Empty(t, b.violations)
+}
