--- a/internal/entry/organisations_test.go
+++ b/internal/entry/organisations_test.go
@@ -81,9 +81,10 @@
 func TestChangedKeysAreInForceOnAllHosts(t *testing.T) {
 	c := organisationsCluster(t, 3)
 	c.putOrganisations(3, "kn")
-	time.Sleep(500 * time.Millisecond)
 	for _, h := range c.hosts {
-		require.Equal(t, http.StatusUnauthorized, c.callAs(h, "ka", http.MethodPost, prefix+jobID(1), oneTask).code)
+		require.Eventually(t, func() bool {
+			return c.callAs(h, "ka", http.MethodPost, prefix+jobID(1), oneTask).code == http.StatusUnauthorized
+		}, tableDeadline, 20*time.Millisecond)
 		require.Equal(t, http.StatusOK, c.callAs(h, "kn", http.MethodGet, prefix, "").code)
 	}
 }
