cell: one copy of the comparison with a limit

internal/quota had a second form of internal/place's exceededPart, which took a negative limit more loosely for what needs none of the resource. Both use cell.Size.Exceeds now, by the rule that place had: a negative limit allows nothing.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -95,6 +95,21 @@
 	return s.CPU <= available.CPU && s.Mem <= available.Mem && s.Accel <= available.Accel
 }
 
+// Exceeds names the first component of s that exceeds its limit, or returns "". A limit of zero means
+// unlimited, a negative one allows nothing.
+func (s Size) Exceeds(limit Size) string {
+	switch {
+	case limit.CPU != 0 && s.CPU > limit.CPU:
+		return "cpu"
+	case limit.Mem != 0 && s.Mem > limit.Mem:
+		return "mem"
+	case limit.Accel != 0 && s.Accel > limit.Accel:
+		return "accel"
+	default:
+		return ""
+	}
+}
+
 // DominantShare returns the largest component of s relative to whole.
 func (s Size) DominantShare(whole Size) float64 {
 	return max(ratio(s.CPU, whole.CPU), ratio(s.Mem, whole.Mem), ratio(s.Accel, whole.Accel))
--- a/internal/entry/authorize.go
+++ b/internal/entry/authorize.go
@@ -11,7 +11,6 @@
 	"pollencroft/internal/access"
 	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
-	"pollencroft/internal/quota"
 	"pollencroft/platform"
 )
 
@@ -98,7 +97,7 @@
 		return nil
 	}
 	for i, st := range spec.Steps {
-		if resource := quota.Exceeded(q, st.QuotaNeed()); resource != "" {
+		if resource := st.QuotaNeed().Exceeds(q); resource != "" {
 			return &QuotaError{Organisation: spec.Organisation, Resource: resource, Step: i, Needed: st.QuotaNeed(), Quota: q, Version: t.Version}
 		}
 	}
--- a/internal/place/limits.go
+++ b/internal/place/limits.go
@@ -15,9 +15,9 @@
 	switch {
 	case e.MaxTasks != 0 && row.tasks+n > e.MaxTasks:
 		return RowTaskLimit
-	case exceededPart(row.size.Add(size), e.Limit) != "":
+	case row.size.Add(size).Exceeds(e.Limit) != "":
 		return RowSizeLimit
-	case e.QuotaTasks != 0 && team.tasks+n > e.QuotaTasks, exceededPart(team.size.Add(size), e.Quota) != "":
+	case e.QuotaTasks != 0 && team.tasks+n > e.QuotaTasks, team.size.Add(size).Exceeds(e.Quota) != "":
 		return TeamQuota
 	case e.Class == cell.Bulk && !p.keepsUrgentReserve(size), p.delaysOverdueBulk(e, size):
 		return ReservedForUrgent
@@ -44,21 +44,6 @@
 	return !p.keepsUrgentReserve(size.Add(old.Size))
 }
 
-// exceededPart names the first resource of size that exceeds its limit, or returns "". A limit of
-// zero means unlimited, a negative one allows nothing.
-func exceededPart(size, limit cell.Size) string {
-	switch {
-	case limit.CPU != 0 && size.CPU > limit.CPU:
-		return "cpu"
-	case limit.Mem != 0 && size.Mem > limit.Mem:
-		return "mem"
-	case limit.Accel != 0 && size.Accel > limit.Accel:
-		return "accel"
-	default:
-		return ""
-	}
-}
-
 // multiply returns n times size. Resources that overflow are set to maxPart, which fits nowhere.
 func multiply(size cell.Size, n int64) cell.Size {
 	return cell.Size{CPU: multiplyPart(size.CPU, n), Mem: multiplyPart(size.Mem, n), Accel: multiplyPart(size.Accel, n)}
@@ -105,7 +90,7 @@
 		name string
 		size cell.Size
 	}{{"the row's room", w.Limit}, {"the team's quota", w.Quota}} {
-		if part := exceededPart(total, l.size); part != "" {
+		if part := total.Exceeds(l.size); part != "" {
 			return infeasible(l.name, part, total, l.size)
 		}
 	}
@@ -136,7 +121,7 @@
 // lackingPart names the first resource of which even the largest worker has too little. If each
 // resource alone is available, no single worker has all of them together.
 func lackingPart(size, largest cell.Size) string {
-	if part := exceededPart(size, cell.Size{CPU: max(largest.CPU, 1), Mem: max(largest.Mem, 1)}); part != "" {
+	if part := size.Exceeds(cell.Size{CPU: max(largest.CPU, 1), Mem: max(largest.Mem, 1)}); part != "" {
 		return part
 	}
 	if size.Accel > largest.Accel {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -32,7 +32,7 @@
 }
 
 // SetQuotas replaces the quotas, by organisation. A resource of which the quota is zero is not
-// limited; of one with a negative quota nothing may start.
+// limited; an organisation with a negative one may start nothing.
 func (u *Usage) SetQuotas(all map[string]cell.Size) {
 	u.quotas = map[string]cell.Size{}
 	maps.Copy(u.quotas, all)
@@ -79,21 +79,7 @@
 		return true
 	}
 	q, ok := u.quotas[organisation]
-	return u.quotas != nil && (!ok || Exceeded(q, size) == "")
-}
-
-// Exceeded names the first resource of which size is more than the quota, or returns "".
-func Exceeded(quota, size cell.Size) string {
-	switch {
-	case quota.CPU != 0 && size.CPU > quota.CPU && size.CPU > 0:
-		return "cpu"
-	case quota.Mem != 0 && size.Mem > quota.Mem && size.Mem > 0:
-		return "mem"
-	case quota.Accel != 0 && size.Accel > quota.Accel && size.Accel > 0:
-		return "accel"
-	default:
-		return ""
-	}
+	return u.quotas != nil && (!ok || size.Exceeds(q) == "")
 }
 
 // Share returns the largest share of its quota that an organisation uses; zero without a quota.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -51,7 +51,7 @@
 	u := quota.New()
 	u.SetQuotas(map[string]cell.Size{"a": {CPU: -1}})
 	require.False(t, u.Fits("a", cell.Size{CPU: 1}))
-	require.Equal(t, "cpu", quota.Exceeded(cell.Size{CPU: -1}, cell.Size{CPU: 1}))
+	require.False(t, u.Fits("a", cell.Size{Mem: 1}))
 }
 
 func TestLastingRunsAreToldApart(t *testing.T) {
--- a/internal/sched/quota_test.go
+++ b/internal/sched/quota_test.go
@@ -10,7 +10,6 @@
 
 	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
-	"pollencroft/internal/quota"
 	"pollencroft/internal/sched"
 )
 
@@ -50,7 +49,7 @@
 		if b.copies {
 			q = q.Scale(1 + unstoredShare)
 		}
-		return !ok || quota.Exceeded(q, used) == ""
+		return !ok || used.Exceeds(q) == ""
 	}
 	ok := within(b.quotas)
 	for _, f := range b.formerQuotas {
