place, table, lead: one word for who shares a quota, organisation

What the product's own table called a team in its code, pages and messages is the organisation of the platform's table: one word for one thing. The field stays team in records, in the table and for callers, who have it.

--- a/internal/commands/table.go
+++ b/internal/commands/table.go
@@ -39,7 +39,7 @@
 	words := make([]string, maxArguments)
 	register(command{
 		name:    "table",
-		summary: "show the table; set ROW field=value…, drop ROW, dump FILE, load FILE, log, status, quotas, quota TEAM field=value…",
+		summary: "show the table; set ROW field=value…, drop ROW, dump FILE, load FILE, log, status, quotas, quota ORGANISATION field=value…",
 		flags: func(s *flaggy.Subcommand) {
 			o.flags(s, defaultOperatorAddress)
 			verb = ""
@@ -103,7 +103,7 @@
 	return o.printRows(lines, head, func(w io.Writer) {
 		for _, l := range lines {
 			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%t\t%s\t%d\n",
-				l.Name, l.Kind, l.Class, l.Team, l.Weight, formatLimit(l.Limits.Slots), formatLimit(l.Limits.Queue), formatLimit(l.Limits.Tasks),
+				l.Name, l.Kind, l.Class, l.Organisation, l.Weight, formatLimit(l.Limits.Slots), formatLimit(l.Limits.Queue), formatLimit(l.Limits.Tasks),
 				formatLimit(l.Limits.Capacity.CPU), formatLimit(l.Limits.Capacity.Mem), formatLimit(l.Limits.Capacity.Accel),
 				strings.Join(l.Domains, ","), l.Tries, l.Idempotent, l.Deadline, l.Version)
 		}
@@ -156,10 +156,10 @@
 	if err := o.getPage("/quotas", &all); err != nil {
 		return err
 	}
-	return o.printRows(all, "TEAM\tDOMAIN\tTASKS\tCPU\tMEM\tACCEL\tWAITS FOR\tVERSION", func(w io.Writer) {
+	return o.printRows(all, "ORGANISATION\tDOMAIN\tTASKS\tCPU\tMEM\tACCEL\tWAITS FOR\tVERSION", func(w io.Writer) {
 		for _, q := range all {
 			for d, s := range q.Shares {
-				_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\n", q.Team, d, formatLimit(s.Tasks), formatLimit(s.Capacity.CPU),
+				_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\n", q.Organisation, d, formatLimit(s.Tasks), formatLimit(s.Capacity.CPU),
 					formatLimit(s.Capacity.Mem), formatLimit(s.Capacity.Accel), strings.Join(q.Unconfirmed, ","), q.Version)
 			}
 		}
--- a/internal/commands/tableedit.go
+++ b/internal/commands/tableedit.go
@@ -20,7 +20,7 @@
 	return words[0], nil
 }
 
-// putPage sends an edit to the host. The first argument is the name of the row or team, which is
+// putPage sends an edit to the host. The first argument is the name of the row or organisation, which is
 // appended to page, and the others are its fields. what names the first argument in errors.
 func (o remote) putPage(page, what string, words []string) error {
 	name, err := firstArgument(words, what)
--- a/internal/entry/authorize.go
+++ b/internal/entry/authorize.go
@@ -68,7 +68,7 @@
 // caller does not act for.
 func (h *Host) ownedByOther(id, organisation string) bool {
 	if st, ok := h.states.final(id); ok {
-		return !access.Owns(organisation, st.organisation)
+		return !access.Owns(organisation, st.Organisation)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -230,10 +230,10 @@
 	}
 	st, known, err := h.statusOf(ctx, id)
 	if err == nil && known {
-		h.log.Info("caller: state reported.", "id", id, "state", st.state, "term", h.currentTerm(), "took", h.now().Sub(began))
+		h.log.Info("caller: state reported.", "id", id, "state", st.State, "term", h.currentTerm(), "took", h.now().Sub(began))
 	}
 	switch {
-	case err == nil && known && !access.Owns(organisation, st.organisation):
+	case err == nil && known && !access.Owns(organisation, st.Organisation):
 		h.refuse(w, http.StatusGone, id, "no such job")
 	case err == nil && !known && h.acceptedRecently(id):
 		// The leader does not know the job yet, so none of its tasks has started.
@@ -243,7 +243,7 @@
 	case !known:
 		h.refuse(w, http.StatusGone, id, "no such job")
 	default:
-		reply(w, http.StatusOK, platform.StateBody(st.state))
+		reply(w, http.StatusOK, platform.StateBody(st.State))
 	}
 }
 
@@ -253,12 +253,12 @@
 func (h *Host) cancelJob(ctx context.Context, w http.ResponseWriter, k requestKey) {
 	id := k.id
 	st, known, err := h.finalOrLeaderStatus(ctx, id)
-	gone := err == nil && (!known && !h.acceptedRecently(id) || known && !access.Owns(k.organisation, st.organisation))
+	gone := err == nil && (!known && !h.acceptedRecently(id) || known && !access.Owns(k.organisation, st.Organisation))
 	if gone || h.ownedByOther(id, k.organisation) {
 		h.refuse(w, http.StatusGone, id, "no such job")
 		return
 	}
-	if err == nil && known && st.state.Final() {
+	if err == nil && known && st.State.Final() {
 		reply(w, http.StatusOK, []byte("{}"))
 		return
 	}
--- a/internal/entry/messages.go
+++ b/internal/entry/messages.go
@@ -93,7 +93,7 @@
 		return peer.StateReply{}
 	}
 	if st, ok := h.states.final(id); ok {
-		return peer.StateReply{Lead: true, Known: true, State: string(st.state), Organisation: st.organisation}
+		return peer.StateReply{Lead: true, Known: true, State: string(st.State), Organisation: st.Organisation}
 	}
 	began := h.now()
 	st, known, sure := t.status(id)
@@ -101,7 +101,7 @@
 		h.incCounter("state.late")
 		h.log.Info("state: slow reply.", "id", id, "term", t.number, "waited", took)
 	}
-	return peer.StateReply{Lead: true, Known: known, Unsure: !sure, State: string(st.state), Organisation: st.organisation}
+	return peer.StateReply{Lead: true, Known: known, Unsure: !sure, State: string(st.State), Organisation: st.Organisation}
 }
 
 // UncertainError is returned if the leader does not know a job and has not recently read what was
@@ -138,7 +138,7 @@
 	byStatus, next := t.finalStatesFrom(m.Endings)
 	ended := make([]peer.EndedJobs, 0, len(byStatus))
 	for st, ids := range byStatus {
-		ended = append(ended, peer.EndedJobs{State: string(st.state), Organisation: st.organisation, IDs: ids})
+		ended = append(ended, peer.EndedJobs{State: string(st.State), Organisation: st.Organisation, IDs: ids})
 	}
 	return peer.SyncReply{
 		Ended: ended, Endings: next, Leading: true, Lead: true, Leaving: leaving, Served: true, Standby: h.chooseStandby(), Follows: follows,
--- a/internal/entry/statecache.go
+++ b/internal/entry/statecache.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"pollencroft/internal/finals"
 	"pollencroft/internal/flow"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/store"
@@ -52,7 +53,7 @@
 }
 
 type cachedState struct {
-	jobStatus
+	finals.Status
 	at time.Time
 }
 
@@ -64,7 +65,7 @@
 	waiting int
 	// found holds the states of the jobs that were found, unreadable the jobs whose record cannot
 	// be decoded. Any other job does not exist, unless err is set.
-	found      map[string]jobStatus
+	found      map[string]finals.Status
 	unreadable map[string]bool
 	// err is why jobs that were not found may exist nevertheless.
 	err error
@@ -75,8 +76,8 @@
 }
 
 // add stores a final state.
-func (s *stateCache) add(id string, st jobStatus) {
-	if !st.state.Final() {
+func (s *stateCache) add(id string, st finals.Status) {
+	if !st.State.Final() {
 		return
 	}
 	s.mu.Lock()
@@ -85,10 +86,10 @@
 }
 
 // addLocked is like add, but mu is held.
-func (s *stateCache) addLocked(id string, st jobStatus) {
+func (s *stateCache) addLocked(id string, st finals.Status) {
 	if _, ok := s.ended[id]; !ok && len(s.ended) < maxFinalStates {
 		// Thousands of jobs share the name of their organisation.
-		st.organisation = unique.Make(st.organisation).Value()
+		st.Organisation = unique.Make(st.Organisation).Value()
 		s.ended[id] = cachedState{st, s.h.now()}
 	}
 }
@@ -109,7 +110,7 @@
 	defer s.mu.Unlock()
 	for _, e := range r.Ended {
 		for _, id := range e.IDs {
-			s.addLocked(id, jobStatus{flow.State(e.State), e.Organisation})
+			s.addLocked(id, finals.Status{State: flow.State(e.State), Organisation: e.Organisation})
 		}
 	}
 	switch {
@@ -121,11 +122,11 @@
 }
 
 // final returns the status of a job that is known to have ended.
-func (s *stateCache) final(id string) (jobStatus, bool) {
+func (s *stateCache) final(id string) (finals.Status, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.ended[id]
-	return e.jobStatus, ok
+	return e.Status, ok
 }
 
 // drop removes final states after the time for which they have to be reported.
@@ -138,26 +139,26 @@
 // read returns a job's status as the store contains it after the call, or false if there is no
 // such job. While a part of the store cannot be read, it returns only states that the missing
 // part cannot change. A failed read is repeated once as long as the store answers this host.
-func (s *stateCache) read(ctx context.Context, id string) (jobStatus, bool, error) {
+func (s *stateCache) read(ctx context.Context, id string) (finals.Status, bool, error) {
 	for try := 1; ; try++ {
 		if !s.h.store.AnsweredWithin(storeFreshness) {
-			return jobStatus{}, false, &store.RefusedError{Op: store.Newest, Reason: "the store has not answered for a while"}
+			return finals.Status{}, false, &store.RefusedError{Op: store.Newest, Reason: "the store has not answered for a while"}
 		}
 		r := s.join(id)
 		select {
 		case <-r.done:
 		case <-ctx.Done():
 			s.leave(r)
-			return jobStatus{}, false, &store.UnansweredError{Op: store.Newest, Cause: ctx.Err()}
+			return finals.Status{}, false, &store.UnansweredError{Op: store.Newest, Cause: ctx.Err()}
 		}
 		st, ok := r.found[id]
 		switch {
 		case ok:
 			return st, true, nil
 		case r.unreadable[id]:
-			return jobStatus{}, false, &UnreadableStateError{ID: id}
+			return finals.Status{}, false, &UnreadableStateError{ID: id}
 		case try == maxStateReads || !store.IsUnavailable(r.err):
-			return jobStatus{}, false, r.err
+			return finals.Status{}, false, r.err
 		}
 	}
 }
@@ -172,7 +173,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.next == nil {
-		s.next = &stateRead{ids: map[string]bool{}, done: make(chan struct{}), found: map[string]jobStatus{}, unreadable: map[string]bool{}}
+		s.next = &stateRead{ids: map[string]bool{}, done: make(chan struct{}), found: map[string]finals.Status{}, unreadable: map[string]bool{}}
 	}
 	s.next.ids[id] = true
 	s.next.waiting++
@@ -240,7 +241,7 @@
 			r.found[id] = st
 		}
 	}
-	return slices.DeleteFunc(slices.Sorted(maps.Keys(r.ids)), func(id string) bool { return r.found[id].state != "" })
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(r.ids)), func(id string) bool { return r.found[id].State != "" })
 }
 
 // readAll looks for the jobs first in stateTopic, and for those that have no progress there in
@@ -260,7 +261,7 @@
 			s.h.log.Error("state: record cannot be decoded.", "id", id)
 			r.unreadable[id] = true
 		case sum.State.Final(), ok && err == nil && !s.mayBeForgotten(sum.Accepted):
-			r.found[id] = jobStatus{sum.State, sum.Organisation}
+			r.found[id] = finals.Status{State: sum.State, Organisation: sum.Organisation}
 		default:
 			unproved = append(unproved, id)
 		}
@@ -274,9 +275,9 @@
 	s.lastAcceptedRead = s.h.now()
 	accepted, err := s.readAccepted(ctx, unproved)
 	for id, organisation := range accepted {
-		r.found[id] = jobStatus{flow.Queued, organisation}
+		r.found[id] = finals.Status{State: flow.Queued, Organisation: organisation}
 		if sum, ok := flow.Summarize(progress[id]); ok {
-			r.found[id] = jobStatus{sum.State, sum.Organisation}
+			r.found[id] = finals.Status{State: sum.State, Organisation: sum.Organisation}
 		}
 	}
 	return err
@@ -302,7 +303,7 @@
 			newest[rec.Key] = flow.NewerRecord(newest[rec.Key], rec.Value)
 		}
 		if sum, ok := flow.Summarize(rec.Value); ok {
-			s.add(rec.Key, jobStatus{sum.State, sum.Organisation})
+			s.add(rec.Key, finals.Status{State: sum.State, Organisation: sum.Organisation})
 		}
 	})
 	return newest, err
--- a/internal/entry/statequery.go
+++ b/internal/entry/statequery.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"pollencroft/internal/finals"
 	"pollencroft/internal/flow"
 	"pollencroft/internal/peer"
 )
@@ -57,7 +58,7 @@
 }
 
 type stateAnswer struct {
-	status jobStatus
+	status finals.Status
 	known  bool
 	err    error
 	// stored reports whether the answer was read from the store.
@@ -65,7 +66,7 @@
 }
 
 // statusOf returns a job's status, or false if there is no such job.
-func (h *Host) statusOf(ctx context.Context, id string) (jobStatus, bool, error) {
+func (h *Host) statusOf(ctx context.Context, id string) (finals.Status, bool, error) {
 	if st, ok := h.states.final(id); ok {
 		return st, true, nil
 	}
@@ -176,7 +177,7 @@
 
 // finalOrLeaderStatus returns a job's status if this host knows that it has ended. Otherwise it
 // returns the status that the leader reports within askTimeout.
-func (h *Host) finalOrLeaderStatus(ctx context.Context, id string) (jobStatus, bool, error) {
+func (h *Host) finalOrLeaderStatus(ctx context.Context, id string) (finals.Status, bool, error) {
 	if st, ok := h.states.final(id); ok {
 		return st, true, nil
 	}
@@ -186,7 +187,7 @@
 }
 
 // askStatus asks the leader for a job's status.
-func (h *Host) askStatus(ctx context.Context, id string) (jobStatus, bool, error) {
+func (h *Host) askStatus(ctx context.Context, id string) (finals.Status, bool, error) {
 	h.mu.Lock()
 	leader, term, leading := h.leader, h.term, h.ownTerm != nil
 	h.mu.Unlock()
@@ -210,16 +211,16 @@
 }
 
 // parseStateReply interprets a leader's answer.
-func parseStateReply(id string, r peer.StateReply, err error) (jobStatus, bool, error) {
+func parseStateReply(id string, r peer.StateReply, err error) (finals.Status, bool, error) {
 	switch {
 	case err != nil:
-		return jobStatus{}, false, err
+		return finals.Status{}, false, err
 	case !r.Lead:
-		return jobStatus{}, false, &NoLeaderError{}
+		return finals.Status{}, false, &NoLeaderError{}
 	case r.Unsure:
-		return jobStatus{}, false, &UncertainError{ID: id}
+		return finals.Status{}, false, &UncertainError{ID: id}
 	default:
-		return jobStatus{flow.State(r.State), r.Organisation}, r.Known, nil
+		return finals.Status{State: flow.State(r.State), Organisation: r.Organisation}, r.Known, nil
 	}
 }
 
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -10,6 +10,7 @@
 
 	"pollencroft/internal/agent"
 	"pollencroft/internal/cell"
+	"pollencroft/internal/finals"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/sched"
 	"pollencroft/internal/store"
@@ -45,7 +46,7 @@
 	// workers are the workers in the store's list, by incarnation.
 	workers map[string]sched.Worker
 	// finalStates are the final states of the term's jobs.
-	finalStates finalStates
+	finalStates finals.Log
 	// unreadable are stored jobs that cannot be decoded. The scheduler core does not know them,
 	// but they exist.
 	unreadable map[string]bool
@@ -98,9 +99,9 @@
 			t.open++
 			continue
 		}
-		st := jobStatus{j.State, j.Spec.Organisation}
+		st := finals.Status{State: j.State, Organisation: j.Spec.Organisation}
 		h.states.add(j.Spec.ID, st)
-		t.finalStates.add(j.Spec.ID, st, began)
+		t.finalStates.Add(j.Spec.ID, st, began)
 	}
 	t.ctx, t.cancel = context.WithCancel(h.ctx)
 	t.orders, t.dispatcher = newOrders(h, t.ctx), t.newDispatcher()
@@ -252,21 +253,21 @@
 // noteEnded records a final state, for this host and for those that sync with it.
 func (t *term) noteEnded(a sched.JobEnded) {
 	t.h.log.Info("sched: ended.", "id", a.ID, "term", t.number, "detail", a.State)
-	st := jobStatus{a.State, a.Organisation}
+	st := finals.Status{State: a.State, Organisation: a.Organisation}
 	t.h.states.add(a.ID, st)
 	now := t.h.now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.finalStates.add(a.ID, st, now)
-	t.finalStates.drop(now.Add(-time.Duration(t.h.cfg.Times.Keep)))
+	t.finalStates.Add(a.ID, st, now)
+	t.finalStates.Drop(now.Add(-time.Duration(t.h.cfg.Times.Keep)))
 }
 
 // finalStatesFrom returns final states starting at sequence number n, and the number to continue
 // with.
-func (t *term) finalStatesFrom(n int) (map[jobStatus][]string, int) {
+func (t *term) finalStatesFrom(n int) (map[finals.Status][]string, int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.finalStates.from(n)
+	return t.finalStates.From(n)
 }
 
 // append stores changes under the term's fence.
@@ -338,11 +339,11 @@
 // status returns a job's status. It is sure that a job does not exist only if the term has read,
 // within maxPollAge, everything that was stored. Otherwise a caller could be told that an
 // accepted job does not exist.
-func (t *term) status(id string) (st jobStatus, known, sure bool) {
+func (t *term) status(id string) (st finals.Status, known, sure bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	st.state, known = t.core.State(id)
-	st.organisation = t.core.Organisation(id)
+	st.State, known = t.core.State(id)
+	st.Organisation = t.core.Organisation(id)
 	return st, known, known || !t.unreadable[id] && t.h.now().Sub(t.lastPoll) < maxPollAge
 }
 
--- a/internal/host/copy.go
+++ b/internal/host/copy.go
@@ -224,7 +224,7 @@
 			continue
 		}
 		if err := h.appendTable(body); err != nil {
-			h.log.Warn("table: cannot write the settled share.", "team", s.Team, "err", err)
+			h.log.Warn("table: cannot write the settled share.", "team", s.Organisation, "err", err)
 		}
 	}
 }
--- a/internal/host/edit.go
+++ b/internal/host/edit.go
@@ -31,7 +31,7 @@
 func (b operatorTable) Quotas() []table.Quota {
 	b.h.mu.Lock()
 	defer b.h.mu.Unlock()
-	return b.h.table.Teams()
+	return b.h.table.Organisations()
 }
 
 // History lists the latest edits with their verdicts.
--- a/internal/host/explain.go
+++ b/internal/host/explain.go
@@ -34,8 +34,8 @@
 	return peer.JobReply{Notes: h.leader.Explain(id)}
 }
 
-// rowShares returns what a row and its team may use in this failure domain.
-func (h *Host) rowShares(row table.Row) (own, team table.Share) {
+// rowShares returns what a row and its organisation may use in this failure domain.
+func (h *Host) rowShares(row table.Row) (own, organisation table.Share) {
 	open := table.Share{Capacity: cell.Size{CPU: table.NoLimit, Mem: table.NoLimit, Accel: table.NoLimit}, Tasks: table.NoLimit}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -46,9 +46,9 @@
 		}
 	}
 	own, _ = row.RowShare(h.cfg.Domain, domains)
-	team, ok := h.table.TeamShare(row.Team, h.cfg.Domain)
+	organisation, ok := h.table.OrganisationShare(row.Organisation, h.cfg.Domain)
 	if !ok {
-		team = open
+		organisation = open
 	}
-	return own, team
+	return own, organisation
 }
--- a/internal/host/jobs.go
+++ b/internal/host/jobs.go
@@ -66,7 +66,7 @@
 	return reply
 }
 
-// limitKey returns the key by which the tasks of a row are counted: its team if that has a
+// limitKey returns the key by which the tasks of a row are counted: its organisation if that has a
 // quota, or else the row if it has limits, or else nothing. Urgent rows are not counted and may
 // go to any leader: while a leader is being replaced, a limit that delays urgent work does more
 // harm than one that is exceeded.
@@ -75,11 +75,11 @@
 		return ""
 	}
 	h.mu.Lock()
-	_, quota := h.table.TeamShare(row.Team, h.cfg.Domain)
+	_, quota := h.table.OrganisationShare(row.Organisation, h.cfg.Domain)
 	h.mu.Unlock()
 	switch {
 	case quota:
-		return "team " + row.Team
+		return "organisation " + row.Organisation
 	case row.Limits.Tasks == 0 && row.Limits.Capacity == cell.Size{}:
 		return ""
 	default:
@@ -87,7 +87,7 @@
 	}
 }
 
-// limitRack returns the home rack of all jobs of a limited row or of a team with a quota, so
+// limitRack returns the home rack of all jobs of a limited row or of an organisation with a quota, so
 // that one leader counts them all. It is empty if the jobs may go to any rack.
 func (h *Host) limitRack(row table.Row) string {
 	key := h.limitKey(row)
--- a/internal/host/table.go
+++ b/internal/host/table.go
@@ -24,12 +24,12 @@
 	return h.table.Row(name)
 }
 
-// TeamShare returns what a team may currently use in this host's failure domain, or false for a
-// team without a quota.
-func (h *Host) TeamShare(team string) (table.Share, bool) {
+// OrganisationShare returns what an organisation may currently use in this host's failure domain, or false for a
+// organisation without a quota.
+func (h *Host) OrganisationShare(organisation string) (table.Share, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.table.TeamShare(team, h.cfg.Domain)
+	return h.table.OrganisationShare(organisation, h.cfg.Domain)
 }
 
 func (h *Host) countTable(name string) { metrics.GetOrRegisterCounter("table."+name, h.metrics).Inc(1) }
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -47,9 +47,9 @@
 	// precedence: the holder of the first usable one may start tasks of the key.
 	LimitKey func(row table.Row) string
 	Arbiters func(key string) []string
-	// Shares returns what a row and its team may use in this failure domain. If it is nil, the
+	// Shares returns what a row and its organisation may use in this failure domain. If it is nil, the
 	// limits of the row apply.
-	Shares func(row table.Row) (own, team table.Share)
+	Shares func(row table.Row) (own, organisation table.Share)
 	// Estimates correct declared sizes and run times.
 	Estimates *estimate.Estimates
 	// Count adds one to a metric. If it is nil, nothing is counted.
@@ -359,7 +359,7 @@
 	for _, t := range a.Tasks {
 		if t.State == "running" {
 			row, _ := l.Row(t.Row)
-			used = append(used, place.Used{Task: t.ID, Row: t.Row, Team: row.Team, Class: row.Urgency(), Size: foundTaskSize(t)})
+			used = append(used, place.Used{Task: t.ID, Row: t.Row, Organisation: row.Organisation, Class: row.Urgency(), Size: foundTaskSize(t)})
 		}
 	}
 	l.Count("lead.up")
--- a/internal/lead/limits.go
+++ b/internal/lead/limits.go
@@ -12,7 +12,7 @@
 )
 
 // CountedTask is a running task of a key. A key groups the tasks that are counted together: those
-// of a row with limits, or of all rows of a team with a quota.
+// of a row with limits, or of all rows of an organisation with a quota.
 type CountedTask struct {
 	Row  string    `json:"row"`
 	Size cell.Size `json:"size"`
@@ -148,7 +148,7 @@
 			if t.Row == row.Name {
 				r.MaxTasks, r.Limit = reduceLimit(r.MaxTasks, 1), reduceSize(r.Limit, t.Size)
 			}
-			if row.Team != "" && other.Team == row.Team {
+			if row.Organisation != "" && other.Organisation == row.Organisation {
 				r.QuotaTasks, r.Quota = reduceLimit(r.QuotaTasks, 1), reduceSize(r.Quota, t.Size)
 			}
 		}
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -102,7 +102,7 @@
 func (l *Leader) declaredWant(s job.Spec, tasks []string) place.Request {
 	row, _ := l.Row(s.Row)
 	return place.Request{
-		Job: s.ID, Row: s.Row, Team: row.Team, Class: s.Class, Size: s.Size, Tasks: tasks, Gang: s.Gang,
+		Job: s.ID, Row: s.Row, Organisation: row.Organisation, Class: s.Class, Size: s.Size, Tasks: tasks, Gang: s.Gang,
 		Spread: row.Kind == table.Service, RunTime: s.Time.Duration, Rule: l.tableRule(row),
 	}
 }
@@ -123,9 +123,9 @@
 func (l *Leader) tableRule(row table.Row) place.Rule {
 	r := place.Rule{Weight: row.Weight, Limit: row.Limits.Capacity, MaxTasks: row.Limits.Tasks}
 	if l.Shares != nil {
-		own, team := l.Shares(row)
+		own, organisation := l.Shares(row)
 		r.Limit, r.MaxTasks = placementLimit(own)
-		r.Quota, r.QuotaTasks = placementLimit(team)
+		r.Quota, r.QuotaTasks = placementLimit(organisation)
 	}
 	return r
 }
--- a/internal/measure/decide.go
+++ b/internal/measure/decide.go
@@ -27,8 +27,8 @@
 )
 
 const (
-	decideRows  = 40
-	decideTeams = 10
+	decideRows          = 40
+	decideOrganisations = 10
 )
 
 // Decide measures placement decisions in a full cell with a queue of waiting jobs. Each Turn ends
--- a/internal/operator/edits.go
+++ b/internal/operator/edits.go
@@ -67,9 +67,9 @@
 	Domains map[string]int64 `json:"domains"`
 }
 
-func (h *Handler) findTeam(team string) *table.Quota {
+func (h *Handler) findQuota(organisation string) *table.Quota {
 	for _, q := range h.Table.Quotas() {
-		if q.Team == team {
+		if q.Organisation == organisation {
 			return &q
 		}
 	}
@@ -85,7 +85,7 @@
 		return
 	}
 	e := table.QuotaEdit{
-		Team: chi.URLParam(r, "team"), Capacity: body.Room, Tasks: body.Tasks, Domains: body.Domains,
+		Organisation: chi.URLParam(r, "organisation"), Capacity: body.Room, Tasks: body.Tasks, Domains: body.Domains,
 		Author: r.Header.Get("Pollencroft-Who"),
 	}
 	var err error
@@ -93,7 +93,7 @@
 		fail(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	old := h.findTeam(e.Team)
+	old := h.findQuota(e.Organisation)
 	if old != nil {
 		e.Base = old.Version
 	}
@@ -107,20 +107,20 @@
 	}
 	var j table.Verdict
 	j, err = h.Table.EditQuota(r.Context(), e)
-	if answerUnlessAccepted(w, e.ID, j, err, func() any { return h.findTeam(e.Team) }) {
-		write(w, http.StatusOK, h.findTeam(e.Team))
+	if answerUnlessAccepted(w, e.ID, j, err, func() any { return h.findQuota(e.Organisation) }) {
+		write(w, http.StatusOK, h.findQuota(e.Organisation))
 	}
 }
 
 // confirmShare confirms a quota's smaller share on behalf of a failure domain that is
 // permanently gone, since no host there will report that it applies the share.
 func (h *Handler) confirmShare(w http.ResponseWriter, r *http.Request) {
-	q := h.findTeam(chi.URLParam(r, "team"))
+	q := h.findQuota(chi.URLParam(r, "organisation"))
 	if q == nil {
 		fail(w, http.StatusNotFound, "no such quota")
 		return
 	}
-	s := table.ShareConfirmation{Team: q.Team, Version: q.Version, Domain: chi.URLParam(r, "domain")}
+	s := table.ShareConfirmation{Organisation: q.Organisation, Version: q.Version, Domain: chi.URLParam(r, "domain")}
 	if err := h.Table.ConfirmShare(r.Context(), s); err != nil {
 		fail(w, http.StatusServiceUnavailable, fmt.Sprintf("may not be written: %s", err))
 		return
--- a/internal/place/allocation.go
+++ b/internal/place/allocation.go
@@ -48,10 +48,10 @@
 
 // allocation is the capacity that one running task holds on a worker.
 type allocation struct {
-	task, row, team string
-	class           cell.Class
-	worker          *worker
-	size            cell.Size
+	task, row, organisation string
+	class                   cell.Class
+	worker                  *worker
+	size                    cell.Size
 	// usage is the last measured usage of the task.
 	usage               cell.Size
 	started, plannedEnd time.Time
@@ -59,7 +59,7 @@
 	throttled           bool
 }
 
-// usage is the total allocation of a row, team or class.
+// usage is the total allocation of a row, organisation or class.
 type usage struct {
 	size  cell.Size
 	tasks int64
@@ -105,7 +105,7 @@
 		w.bulk = w.bulk.Add(size)
 	}
 	p.rowUsage[r.row] = p.rowUsage[r.row].add(size, n)
-	p.teamUsage[r.team] = p.teamUsage[r.team].add(size, n)
+	p.organisationUsage[r.organisation] = p.organisationUsage[r.organisation].add(size, n)
 	if r.class == cell.Urgent {
 		p.urgentUsage = p.urgentUsage.add(size, n)
 	}
--- a/internal/place/correction.go
+++ b/internal/place/correction.go
@@ -63,7 +63,7 @@
 	switch e.shape.blocked {
 	case NoCapacity, GangTooLarge:
 		return p.fitsNow(e, e.Declared, c)
-	case RowSizeLimit, TeamQuota, ReservedForUrgent:
+	case RowSizeLimit, OrganisationQuota, ReservedForUrgent:
 		return p.checkLimits(e, e.Declared) == Ready
 	default:
 		return false
--- a/internal/place/explain.go
+++ b/internal/place/explain.go
@@ -13,7 +13,7 @@
 	GangTooLarge:      "too few workers have room for all tasks at once",
 	RowTaskLimit:      "its row runs as many tasks as its limit allows",
 	RowSizeLimit:      "its row takes as much room as its limit allows",
-	TeamQuota:         "its team takes as much room as its quota allows",
+	OrganisationQuota: "its organisation takes as much room as its quota allows",
 	ReservedForUrgent: "what is free is kept back for urgent work",
 }
 
@@ -110,7 +110,7 @@
 	}
 	var all []Used
 	for _, r := range w.tasks {
-		all = append(all, Used{Task: r.task, Row: r.row, Team: r.team, Class: r.class, Size: r.size})
+		all = append(all, Used{Task: r.task, Row: r.row, Organisation: r.organisation, Class: r.class, Size: r.size})
 	}
 	return all
 }
--- a/internal/place/gang.go
+++ b/internal/place/gang.go
@@ -22,7 +22,7 @@
 			break
 		}
 		// Allocate provisionally, so that the next search sees the reduced capacity.
-		r := &allocation{task: e.Tasks[i], row: e.Row, team: e.Team, class: e.Class, size: e.Size}
+		r := &allocation{task: e.Tasks[i], row: e.Row, organisation: e.Organisation, class: e.Class, size: e.Size}
 		p.allocate(r, w)
 		chosen, allocations = append(chosen, w), append(allocations, r)
 	}
--- a/internal/place/limits.go
+++ b/internal/place/limits.go
@@ -11,14 +11,14 @@
 func (p *Placer) checkLimits(e *entry, one cell.Size) BlockReason {
 	n := e.tasksToPlace()
 	size := multiply(one, n)
-	row, team := p.rowUsage[e.Row], p.teamUsage[e.Team]
+	row, organisation := p.rowUsage[e.Row], p.organisationUsage[e.Organisation]
 	switch {
 	case e.MaxTasks != 0 && row.tasks+n > e.MaxTasks:
 		return RowTaskLimit
 	case row.size.Add(size).Exceeds(e.Limit) != "":
 		return RowSizeLimit
-	case e.QuotaTasks != 0 && team.tasks+n > e.QuotaTasks, team.size.Add(size).Exceeds(e.Quota) != "":
-		return TeamQuota
+	case e.QuotaTasks != 0 && organisation.tasks+n > e.QuotaTasks, organisation.size.Add(size).Exceeds(e.Quota) != "":
+		return OrganisationQuota
 	case e.Class == cell.Bulk && !p.keepsUrgentReserve(size), p.delaysOverdueBulk(e, size):
 		return ReservedForUrgent
 	default:
@@ -80,7 +80,7 @@
 	for _, l := range []struct {
 		name string
 		has  int64
-	}{{"the row's tasks at a time", w.MaxTasks}, {"the team's tasks at a time", w.QuotaTasks}} {
+	}{{"the row's tasks at a time", w.MaxTasks}, {"the organisation's tasks at a time", w.QuotaTasks}} {
 		if l.has != 0 && n > l.has {
 			return &InfeasibleError{Limit: l.name, Needed: n, Available: max(l.has, 0)}
 		}
@@ -89,7 +89,7 @@
 	for _, l := range []struct {
 		name string
 		size cell.Size
-	}{{"the row's room", w.Limit}, {"the team's quota", w.Quota}} {
+	}{{"the row's room", w.Limit}, {"the organisation's quota", w.Quota}} {
 		if part := total.Exceeds(l.size); part != "" {
 			return infeasible(l.name, part, total, l.size)
 		}
--- a/internal/place/messages.go
+++ b/internal/place/messages.go
@@ -19,11 +19,11 @@
 
 // Used is the allocation of a running task.
 type Used struct {
-	Task  string
-	Row   string
-	Team  string
-	Class cell.Class
-	Size  cell.Size
+	Task         string
+	Row          string
+	Organisation string
+	Class        cell.Class
+	Size         cell.Size
 	// Remaining is how long the task is expected to go on running. Zero means unknown.
 	Remaining time.Duration
 }
@@ -40,11 +40,11 @@
 // Request asks to place the tasks of one job. If Gang is set, either all of them are placed at once
 // or none.
 type Request struct {
-	Job   string
-	Row   string
-	Team  string
-	Class cell.Class
-	Size  cell.Size
+	Job          string
+	Row          string
+	Organisation string
+	Class        cell.Class
+	Size         cell.Size
 	// Declared is the size that the caller asked for, if Size was corrected. It is used if Size
 	// cannot be placed. Zero means that there was no correction.
 	Declared cell.Size
@@ -68,7 +68,7 @@
 	Rule
 }
 
-// Rule holds the current limits of a row and its team from the table.
+// Rule holds the current limits of a row and its organisation from the table.
 type Rule struct {
 	// Weight is the row's weight within its class.
 	Weight int64
@@ -78,7 +78,7 @@
 	// MaxTasks is how many of the row's tasks may run at a time. Zero and negative values mean the
 	// same as in Limit.
 	MaxTasks int64
-	// Quota and QuotaTasks limit the whole team. They are the same for all its rows.
+	// Quota and QuotaTasks limit the whole organisation. They are the same for all its rows.
 	Quota      cell.Size
 	QuotaTasks int64
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -1,5 +1,5 @@
 // Package place decides which worker runs which task. Urgent tasks go first and have a reserve of
-// free capacity. Within a class, teams and rows share the capacity by weight. Each task goes to the
+// free capacity. Within a class, organisations and rows share the capacity by weight. Each task goes to the
 // fullest worker that still has capacity for it. A blocked task is tried again when something
 // changed that it waits for, and now and then in any case.
 package place
@@ -39,21 +39,21 @@
 
 // Placer is the placement core of one host. It does no I/O.
 type Placer struct {
-	limits       Limits
-	now          time.Time
-	workers      map[string]*worker
-	index        index
-	preemptIndex index
-	total        cell.Size
-	free         cell.Size
-	allocations  map[string]*allocation
-	rowUsage     map[string]usage
-	teamUsage    map[string]usage
-	urgentUsage  usage
-	queue        queue
-	overdue      *entry
-	lastTick     time.Time
-	results      results
+	limits            Limits
+	now               time.Time
+	workers           map[string]*worker
+	index             index
+	preemptIndex      index
+	total             cell.Size
+	free              cell.Size
+	allocations       map[string]*allocation
+	rowUsage          map[string]usage
+	organisationUsage map[string]usage
+	urgentUsage       usage
+	queue             queue
+	overdue           *entry
+	lastTick          time.Time
+	results           results
 	// grownWorkers gained free capacity since blocked tasks were last tried. step counts the calls
 	// of Step.
 	grownWorkers []*worker
@@ -65,7 +65,7 @@
 func New(limits Limits) *Placer {
 	return &Placer{
 		limits: limits, workers: map[string]*worker{}, allocations: map[string]*allocation{}, rowUsage: map[string]usage{},
-		index: index{key: byFree}, preemptIndex: index{key: byFreeAfterPreemption}, teamUsage: map[string]usage{}, queue: newQueue(), results: newResults(),
+		index: index{key: byFree}, preemptIndex: index{key: byFreeAfterPreemption}, organisationUsage: map[string]usage{}, queue: newQueue(), results: newResults(),
 	}
 }
 
@@ -141,7 +141,7 @@
 	p.free = p.free.Add(w.free)
 	p.rescale(w)
 	for _, u := range ev.Used {
-		r := &allocation{task: u.Task, row: u.Row, team: u.Team, class: u.Class, size: u.Size, started: p.now}
+		r := &allocation{task: u.Task, row: u.Row, organisation: u.Organisation, class: u.Class, size: u.Size, started: p.now}
 		if u.Remaining > 0 {
 			r.plannedEnd = p.now.Add(u.Remaining)
 		}
@@ -217,8 +217,8 @@
 		switch s.blocked {
 		case RowTaskLimit, RowSizeLimit:
 			return s.lane.row == r.row
-		case TeamQuota:
-			return s.lane.team == r.team
+		case OrganisationQuota:
+			return s.lane.organisation == r.organisation
 		default:
 			return false
 		}
@@ -263,10 +263,10 @@
 	return p.queue.next(p.fairShare)
 }
 
-// fairShare returns the sort keys of lanes of one class: the team that uses the smallest share of
-// the total capacity goes first, and within a team the row that uses the least for its weight.
+// fairShare returns the sort keys of lanes of one class: the organisation that uses the smallest share of
+// the total capacity goes first, and within an organisation the row that uses the least for its weight.
 func (p *Placer) fairShare(l *lane) (float64, float64) {
-	return p.teamUsage[l.team].size.DominantShare(p.total), p.rowUsage[l.row].size.DominantShare(p.total) / float64(max(l.weight, 1))
+	return p.organisationUsage[l.organisation].size.DominantShare(p.total), p.rowUsage[l.row].size.DominantShare(p.total) / float64(max(l.weight, 1))
 }
 
 func (p *Placer) tryEntry(e *entry) {
@@ -291,7 +291,7 @@
 
 func (p *Placer) assign(e *entry, w *worker) {
 	task := p.queue.pop(e)
-	r := &allocation{task: task, row: e.Row, team: e.Team, class: e.Class, size: e.Size, started: p.now}
+	r := &allocation{task: task, row: e.Row, organisation: e.Organisation, class: e.Class, size: e.Size, started: p.now}
 	if e.RunTime > 0 {
 		r.plannedEnd = p.now.Add(e.RunTime)
 	}
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -17,13 +17,15 @@
 	GangTooLarge
 	RowTaskLimit
 	RowSizeLimit
-	TeamQuota
+	OrganisationQuota
 	ReservedForUrgent
 )
 
 // isLimit reports whether the reason is a limit set in the table. Reserving capacity does not help
 // against those.
-func (b BlockReason) isLimit() bool { return b == RowTaskLimit || b == RowSizeLimit || b == TeamQuota }
+func (b BlockReason) isLimit() bool {
+	return b == RowTaskLimit || b == RowSizeLimit || b == OrganisationQuota
+}
 
 // entry is one placement request with the tasks of a job that still wait.
 type entry struct {
@@ -72,17 +74,17 @@
 
 // lane holds the waiting entries of one row in one class.
 type lane struct {
-	class     cell.Class
-	row, team string
-	weight    int64
-	shapes    []*shape
+	class             cell.Class
+	row, organisation string
+	weight            int64
+	shapes            []*shape
 	// ready lists the shapes that have not been tried since the last change that concerns them.
 	ready []*shape
 }
 
 type laneKey struct {
-	class     cell.Class
-	row, team string
+	class             cell.Class
+	row, organisation string
 }
 
 type shapeKey struct {
@@ -109,10 +111,10 @@
 }
 
 func (q *queue) lane(w Request) *lane {
-	key := laneKey{class: w.Class, row: w.Row, team: w.Team}
+	key := laneKey{class: w.Class, row: w.Row, organisation: w.Organisation}
 	l, ok := q.lanes[key]
 	if !ok {
-		l = &lane{class: w.Class, row: w.Row, team: w.Team}
+		l = &lane{class: w.Class, row: w.Row, organisation: w.Organisation}
 		q.lanes[key] = l
 		q.order[w.Class] = append(q.order[w.Class], l)
 	}
@@ -133,7 +135,7 @@
 		}
 	}
 	l := q.lane(w)
-	key := shapeKey{laneKey: laneKey{class: w.Class, row: w.Row, team: w.Team}, size: w.Size, time: w.RunTime}
+	key := shapeKey{laneKey: laneKey{class: w.Class, row: w.Row, organisation: w.Organisation}, size: w.Size, time: w.RunTime}
 	// Entries that cannot be tried together with others get a shape of their own.
 	own := w.Gang || w.Spread || len(w.Avoid) > 0
 	s, ok := q.shapes[key]
@@ -242,8 +244,8 @@
 	q.turn = first + n
 }
 
-// usageFunc returns what a lane's team and row already use. Lanes of one class are sorted by it.
-type usageFunc func(*lane) (team, row float64)
+// usageFunc returns what a lane's organisation and row already use. Lanes of one class are sorted by it.
+type usageFunc func(*lane) (organisation, row float64)
 
 // next returns the first ready entry: by class, then by the usage of the lane, then by age.
 func (q *queue) next(of usageFunc) *entry { return q.firstInOrder(of, q.firstReady) }
@@ -268,15 +270,15 @@
 func (q *queue) firstInOrder(of usageFunc, in func(*lane) *entry) *entry {
 	for _, lanes := range q.order {
 		var first *entry
-		var firstTeam, firstRow float64
+		var firstOrganisation, firstRow float64
 		for _, l := range lanes {
 			e := in(l)
 			if e == nil {
 				continue
 			}
-			team, row := of(l)
-			if first == nil || team < firstTeam || team == firstTeam && (row < firstRow || row == firstRow && e.seq < first.seq) {
-				first, firstTeam, firstRow = e, team, row
+			organisation, row := of(l)
+			if first == nil || organisation < firstOrganisation || organisation == firstOrganisation && (row < firstRow || row == firstRow && e.seq < first.seq) {
+				first, firstOrganisation, firstRow = e, organisation, row
 			}
 		}
 		if first != nil {
@@ -302,7 +304,7 @@
 }
 
 func (q *queue) deleteShape(s *shape) {
-	key := shapeKey{laneKey: laneKey{class: s.lane.class, row: s.lane.row, team: s.lane.team}, size: s.size, time: s.time}
+	key := shapeKey{laneKey: laneKey{class: s.lane.class, row: s.lane.row, organisation: s.lane.organisation}, size: s.size, time: s.time}
 	if q.shapes[key] == s {
 		delete(q.shapes, key)
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -346,7 +346,7 @@
 	if w.speed < slowSpeed {
 		c += slowCost * (1 - w.speed)
 	}
-	return c + suspectCost*float64(w.health.failures)
+	return c + suspectCost*float64(w.health.Failures())
 }
 
 // runsTaskOf reports whether a task of the job is on the worker.
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -77,7 +77,7 @@
 	}
 	switch {
 	case e.How == EndDone:
-		w.health.reset()
+		w.health.Succeed()
 		w.measureSpeed(t, clock)
 		s.finishTask(t)
 	case e.How == EndFailed && t.State != flow.Stopping:
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -8,6 +8,7 @@
 
 	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
+	"pollencroft/internal/quarantine"
 	"pollencroft/internal/quota"
 )
 
@@ -69,7 +70,7 @@
 	// predecessorLeaseEnd is when the previous leader's leases have expired, if that leader
 	// reported it.
 	predecessorLeaseEnd time.Time
-	health              health
+	health              quarantine.Record
 	// usage is what the organisations have running on all workers.
 	usage *quota.Usage
 	// speed is how fast its runs progress, relative to their estimates.
--- a/internal/table/messages.go
+++ b/internal/table/messages.go
@@ -90,24 +90,24 @@
 	When   int64           `json:"when,omitempty"`
 }
 
-// QuotaEdit sets the quota of a team and the weights by which the failure domains share it.
+// QuotaEdit sets the quota of an organisation and the weights by which the failure domains share it.
 type QuotaEdit struct {
-	ID       string           `json:"id"`
-	Team     string           `json:"team"`
-	Base     int64            `json:"base"`
-	Capacity cell.Size        `json:"room"`
-	Tasks    int64            `json:"tasks"`
-	Domains  map[string]int64 `json:"domains"`
-	Author   string           `json:"who,omitempty"`
-	When     int64            `json:"when,omitempty"`
+	ID           string           `json:"id"`
+	Organisation string           `json:"team"`
+	Base         int64            `json:"base"`
+	Capacity     cell.Size        `json:"room"`
+	Tasks        int64            `json:"tasks"`
+	Domains      map[string]int64 `json:"domains"`
+	Author       string           `json:"who,omitempty"`
+	When         int64            `json:"when,omitempty"`
 }
 
 // ShareConfirmation reports that every host of a failure domain applies the domain's smaller share
 // of a quota, so that the other domains may use theirs. Version is the quota's version.
 type ShareConfirmation struct {
-	Team    string `json:"team"`
-	Version int64  `json:"version"`
-	Domain  string `json:"domain"`
+	Organisation string `json:"team"`
+	Version      int64  `json:"version"`
+	Domain       string `json:"domain"`
 }
 
 // HistoryEntry is one edit with its verdict, as operators see it in the log.
--- a/internal/table/quota.go
+++ b/internal/table/quota.go
@@ -19,20 +19,20 @@
 	Tasks    int64     `json:"tasks"`
 }
 
-// Quota is what a team may use in the whole cell, split into shares of the failure domains. Shares
+// Quota is what an organisation may use in the whole cell, split into shares of the failure domains. Shares
 // holds what each domain may use now, Target what the newest edit gives it, if that differs. A zero
 // part of Total means no limit. A domain whose share grows gets the rest only when every domain
 // whose share shrinks has confirmed its smaller share: a domain that is cut off has not read the
 // edit and still applies its old share, and both together would exceed the quota without anyone
 // noticing. Unconfirmed lists the domains that have not confirmed yet.
 type Quota struct {
-	Team        string           `json:"team"`
-	Version     int64            `json:"version"`
-	Total       Share            `json:"whole"`
-	Domains     map[string]int64 `json:"domains"`
-	Shares      map[string]Share `json:"shares"`
-	Target      map[string]Share `json:"wanted,omitempty"`
-	Unconfirmed []string         `json:"unread,omitempty"`
+	Organisation string           `json:"team"`
+	Version      int64            `json:"version"`
+	Total        Share            `json:"whole"`
+	Domains      map[string]int64 `json:"domains"`
+	Shares       map[string]Share `json:"shares"`
+	Target       map[string]Share `json:"wanted,omitempty"`
+	Unconfirmed  []string         `json:"unread,omitempty"`
 }
 
 // maxQuotaWeight bounds the weight of a domain, so that products stay in 64 bits for memory up to
@@ -41,8 +41,8 @@
 
 // Check returns a cell.ValueError if the edit is invalid whatever its base version.
 func (e QuotaEdit) Check() error {
-	if e.Team == "" {
-		return &cell.ValueError{Field: "team", Found: "empty", Allowed: "a team's name"}
+	if e.Organisation == "" {
+		return &cell.ValueError{Field: "team", Found: "empty", Allowed: "an organisation's name"}
 	}
 	if len(e.Domains) == 0 {
 		return &cell.ValueError{Field: "domains", Found: "empty", Allowed: "a weight for each failure domain"}
@@ -76,7 +76,7 @@
 		return old
 	}
 	j := Verdict{ID: e.ID, Accepted: true}
-	old := t.Quotas[e.Team]
+	old := t.Quotas[e.Organisation]
 	if old.Version != e.Base {
 		j = Verdict{ID: e.ID, Reason: fmt.Sprintf("quota is at version %d", old.Version)}
 	} else if err := e.Check(); err != nil {
@@ -84,14 +84,14 @@
 	}
 	t.recordVerdict(j)
 	if j.Accepted {
-		t.Quotas[e.Team] = old.next(e, offset)
+		t.Quotas[e.Organisation] = old.next(e, offset)
 	}
 	return j
 }
 
 func (q Quota) next(e QuotaEdit, offset int64) Quota {
 	n := Quota{
-		Team: e.Team, Version: offset, Total: Share{Capacity: e.Capacity, Tasks: e.Tasks}, Domains: e.Domains,
+		Organisation: e.Organisation, Version: offset, Total: Share{Capacity: e.Capacity, Tasks: e.Tasks}, Domains: e.Domains,
 		Target: splitShare(Share{Capacity: e.Capacity, Tasks: e.Tasks}, e.Domains), Shares: map[string]Share{},
 	}
 	unread := slices.Clone(q.Unconfirmed)
@@ -115,7 +115,7 @@
 // foldConfirmation records that a domain applies its smaller share. Only a confirmation of the
 // newest version counts: an older version may have left the domain a larger share.
 func (t *Table) foldConfirmation(s ShareConfirmation) {
-	q, ok := t.Quotas[s.Team]
+	q, ok := t.Quotas[s.Organisation]
 	if !ok || q.Version != s.Version || !slices.Contains(q.Unconfirmed, s.Domain) {
 		return
 	}
@@ -123,7 +123,7 @@
 	if len(q.Unconfirmed) == 0 {
 		q.Shares, q.Target, q.Unconfirmed = q.Target, nil, nil
 	}
-	t.Quotas[s.Team] = q
+	t.Quotas[s.Organisation] = q
 }
 
 func minShare(a, b Share) Share {
@@ -166,10 +166,10 @@
 	return parts
 }
 
-// TeamShare returns what a team may use in a failure domain now, and false for a team without a
+// OrganisationShare returns what an organisation may use in a failure domain now, and false for an organisation without a
 // quota.
-func (t *Table) TeamShare(team, domain string) (Share, bool) {
-	q, ok := t.Quotas[team]
+func (t *Table) OrganisationShare(organisation, domain string) (Share, bool) {
+	q, ok := t.Quotas[organisation]
 	return q.Shares[domain], ok
 }
 
@@ -191,11 +191,11 @@
 	return splitShare(Share{Capacity: r.Limits.Capacity, Tasks: r.Limits.Tasks}, weights)[domain], true
 }
 
-// Teams returns all quotas, sorted by team.
-func (t *Table) Teams() []Quota {
+// Organisations returns all quotas, sorted by organisation.
+func (t *Table) Organisations() []Quota {
 	all := make([]Quota, 0, len(t.Quotas))
-	for _, team := range slices.Sorted(maps.Keys(t.Quotas)) {
-		all = append(all, t.Quotas[team])
+	for _, organisation := range slices.Sorted(maps.Keys(t.Quotas)) {
+		all = append(all, t.Quotas[organisation])
 	}
 	return all
 }
@@ -203,9 +203,9 @@
 // UnconfirmedShares returns the confirmations that a failure domain still has to append.
 func (t *Table) UnconfirmedShares(domain string) []ShareConfirmation {
 	var all []ShareConfirmation
-	for _, q := range t.Teams() {
+	for _, q := range t.Organisations() {
 		if slices.Contains(q.Unconfirmed, domain) {
-			all = append(all, ShareConfirmation{Team: q.Team, Version: q.Version, Domain: domain})
+			all = append(all, ShareConfirmation{Organisation: q.Organisation, Version: q.Version, Domain: domain})
 		}
 	}
 	return all
--- a/internal/table/row.go
+++ b/internal/table/row.go
@@ -34,16 +34,16 @@
 
 // Row is one line of the operators' table: the weight and the limits of a workload.
 type Row struct {
-	Name       string        `json:"name"`
-	Kind       Kind          `json:"kind"`
-	Class      string        `json:"class"`
-	Team       string        `json:"team"`
-	Weight     int64         `json:"weight"`
-	Limits     Limits        `json:"limits"`
-	Domains    []string      `json:"domains,omitempty"`
-	Tries      int64         `json:"tries"`
-	Idempotent bool          `json:"idempotent"`
-	Deadline   cell.Duration `json:"deadline"`
+	Name         string        `json:"name"`
+	Kind         Kind          `json:"kind"`
+	Class        string        `json:"class"`
+	Organisation string        `json:"team"`
+	Weight       int64         `json:"weight"`
+	Limits       Limits        `json:"limits"`
+	Domains      []string      `json:"domains,omitempty"`
+	Tries        int64         `json:"tries"`
+	Idempotent   bool          `json:"idempotent"`
+	Deadline     cell.Duration `json:"deadline"`
 }
 
 // Defaults for a row that an operator creates without these fields.
@@ -62,7 +62,7 @@
 
 func newRow(name string) Row {
 	return Row{
-		Name: name, Kind: Service, Class: cell.Normal.String(), Team: "none",
+		Name: name, Kind: Service, Class: cell.Normal.String(), Organisation: "none",
 		Weight: DefaultWeight, Tries: DefaultTries, Deadline: cell.Duration{Duration: DefaultDeadline},
 	}
 }
