--- a/internal/entry/organisations_test.go
+++ b/internal/entry/organisations_test.go
@@ -90,7 +90,7 @@
 }
 
 // Guards against a host that cannot read the table and serves a key that was taken away, or tells
-// the caller that a key is invalid that may be new.
+// the caller that a key is invalid or a route missing that may be new.
 func TestHostWithoutTheTableVouchesForNoKey(t *testing.T) {
 	c := organisationsCluster(t, 2)
 	h := c.follower()
@@ -98,6 +98,9 @@
 	require.Eventually(t, func() bool {
 		return c.callAs(h, "new", http.MethodGet, prefix, "").code == http.StatusServiceUnavailable
 	}, waitTimeout, 50*time.Millisecond)
+	a := c.callAs(h, "", http.MethodGet, "/new/", "")
+	require.Equal(t, http.StatusServiceUnavailable, a.code, "a route that may be new")
+	require.NotEmpty(t, a.header.Get("Retry-After"))
 	c.log.Put("op", "config", fmt.Appendf(nil, organisationsTable, 3, `"kn"`))
 	require.Eventually(t, func() bool {
 		a := c.callAs(h, "ka", http.MethodPost, prefix+jobID(1), oneTask)
