sched, entry: log untracked runs and starts of steps that are kept apart

The log could not tell why a task starts beside others of its step: a run that is no longer tracked left no line of its own, a start did not say how many runs of the step its worker has, and nothing said that these are too many. What a run takes on its worker is now booked in one place, occupancy, for tracked and untracked runs alike; the runs of a step are counted there and logged. No decision changes: the tests of sched pass as before.

--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -3,28 +3,25 @@
 import (
 	"time"
 
-	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
-	"pollencroft/internal/quota"
 )
 
 // untrackedRun is a run that the scheduler no longer tracks but that may still be on its worker and
 // take capacity. It may begin as late as latestStart.
 type untrackedRun struct {
-	demand      cell.Size
-	quota       quota.Run
+	footprint
 	latestStart time.Time
 	// sizeUnknown means that the run's size is not known: it may fill the whole worker.
 	sizeUnknown bool
 }
 
-// untrack keeps the capacity of a run booked that is no longer tracked.
-func (w *worker) untrack(k runKey, demand cell.Size, q quota.Run, until time.Time) {
+// untrack keeps counting what a run takes that is no longer tracked.
+func (s *Sched) untrack(w *worker, k runKey, f footprint, until time.Time, why string) {
 	l, ok := w.untracked[k]
 	if !ok {
-		l.demand, l.quota = demand, q
-		w.used = w.used.Add(demand)
-		w.usage.Add(q)
+		l.footprint = f
+		s.emit(Note{ID: k.task.String(), What: "run untracked", Worker: w.Incarnation, Run: k.run, Detail: why})
+		s.noteExceeded(w, k.task, w.book(f))
 	}
 	if until.After(l.latestStart) {
 		l.latestStart = until
@@ -33,13 +30,20 @@
 }
 
 // untrackUnknownSize is like untrack for a run of unknown size.
-func (w *worker) untrackUnknownSize(k runKey, until time.Time) {
-	w.untrack(k, cell.Size{}, quota.Run{}, until)
+func (s *Sched) untrackUnknownSize(w *worker, k runKey, until time.Time, why string) {
+	s.untrack(w, k, footprint{}, until, why)
 	l := w.untracked[k]
 	l.sizeUnknown = true
 	w.untracked[k] = l
 }
 
+// noteExceeded logs that more runs of a task's step may be on a worker than the step allows.
+func (s *Sched) noteExceeded(w *worker, n flow.Name, exceeded bool) {
+	if exceeded {
+		s.emit(LimitExceeded{Worker: w.Incarnation, Task: n, Runs: w.describeRunsOf(stepOf(n))})
+	}
+}
+
 // latestStart returns the latest time at which a run whose start has been sent may begin.
 func (s *Sched) latestStart() time.Time { return s.now.Add(startTimeout + maxTransit) }
 
@@ -55,27 +59,27 @@
 	return first
 }
 
-// releaseUntracked frees the capacity of untracked runs that the worker no longer lists and that
-// can no longer begin.
-func (w *worker) releaseUntracked(listed map[flow.Name]int, now time.Time) {
-	for k, l := range w.untracked {
-		if listed[k.task] == k.run || now.Before(l.latestStart) {
-			continue
+// releaseUntracked releases untracked runs that the worker no longer lists and that can no longer
+// begin.
+func (s *Sched) releaseUntracked(w *worker, listed map[flow.Name]int, why string) {
+	for _, k := range sortedRuns(w.untracked) {
+		if listed[k.task] != k.run && !s.now.Before(w.untracked[k].latestStart) {
+			s.dropUntracked(w, k, why)
 		}
-		w.release(k, l)
 	}
 }
 
-func (w *worker) release(k runKey, l untrackedRun) {
-	w.used = w.used.Sub(l.demand)
-	w.usage.Remove(l.quota)
+// dropUntracked releases an untracked run that certainly is not on the worker any more.
+func (s *Sched) dropUntracked(w *worker, k runKey, why string) {
+	w.release(w.untracked[k].footprint)
 	delete(w.untracked, k)
+	s.emit(Note{ID: k.task.String(), What: "untracked run over", Worker: w.Incarnation, Run: k.run, Detail: why})
 }
 
-// dropUntracked releases all untracked runs of a worker on which nothing runs any more.
-func (w *worker) dropUntracked() {
-	for k, l := range w.untracked {
-		w.release(k, l)
+// dropAllUntracked releases all untracked runs of a worker on which nothing runs any more.
+func (s *Sched) dropAllUntracked(w *worker, why string) {
+	for _, k := range sortedRuns(w.untracked) {
+		s.dropUntracked(w, k, why)
 	}
 }
 
@@ -92,7 +96,7 @@
 	t.Worker, t.Run = w.Incarnation, l.Run
 	t.Transition(flow.Assign, s.now)
 	t.Transition(flow.Send, s.now)
-	w.add(t)
+	s.noteExceeded(w, t.Name, w.add(t))
 	s.confirm(t)
 	s.markDirty(j)
 	return true
@@ -136,7 +140,7 @@
 func (s *Sched) copyDone(t *flow.Task) {
 	if w, ok := s.workers[t.Worker]; ok && t.MayBeRunning() && t.State != flow.Assigned {
 		s.emit(Stop{To: w.Address, Term: s.term, Task: t.Name, Run: t.Run})
-		w.untrack(runKey{t.Name, t.Run}, t.Spec().Demand(), quotaRun(t.Job, t.Spec()), s.latestStart())
+		s.untrack(w, runKey{t.Name, t.Run}, footprintOf(t.Job, t.Name), s.latestStart(), "another copy is done")
 	}
 	s.taskDone(t)
 }
@@ -146,7 +150,7 @@
 func (s *Sched) copySilentTasks(w *worker) {
 	for _, t := range w.sortedTasks() {
 		if t.Spec().AllowCopies && !t.Spec().Gang && (t.State == flow.Running || t.State == flow.Starting) {
-			w.untrack(runKey{t.Name, t.Run}, t.Spec().Demand(), quotaRun(t.Job, t.Spec()), s.latestStart())
+			s.untrack(w, runKey{t.Name, t.Run}, footprintOf(t.Job, t.Name), s.latestStart(), "worker is silent, a copy may run")
 			s.markLost(t, w)
 			s.requeueTask(t, "worker is silent, a copy may run")
 		}
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -141,7 +141,7 @@
 		s.runMissing(t, ev.Sent)
 	}
 	s.checkSpeed(w, ev.Clock)
-	w.releaseUntracked(listed, s.now)
+	s.releaseUntracked(w, listed, "not listed")
 	s.adjustPace(w, ev.Running)
 }
 
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -272,6 +272,15 @@
 	State            flow.State
 }
 
+// LimitExceeded reports that more runs of a step may be on a worker than the step allows. Runs
+// names them.
+type LimitExceeded struct {
+	Worker string
+	// Task is the one whose run was found or started last.
+	Task flow.Name
+	Runs string
+}
+
 // Note describes a decision, for the log.
 type Note struct {
 	ID, What string
@@ -280,15 +289,16 @@
 	Detail   string
 }
 
-func (Append) action()      {}
-func (Hold) action()        {}
-func (Start) action()       {}
-func (Stop) action()        {}
-func (Pace) action()        {}
-func (QueryPolicy) action() {}
-func (Forget) action()      {}
-func (StepDown) action()    {}
-func (StepWaited) action()  {}
-func (JobStarted) action()  {}
-func (JobEnded) action()    {}
-func (Note) action()        {}
+func (Append) action()        {}
+func (Hold) action()          {}
+func (Start) action()         {}
+func (Stop) action()          {}
+func (Pace) action()          {}
+func (QueryPolicy) action()   {}
+func (Forget) action()        {}
+func (StepDown) action()      {}
+func (StepWaited) action()    {}
+func (JobStarted) action()    {}
+func (JobEnded) action()      {}
+func (LimitExceeded) action() {}
+func (Note) action()          {}
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -36,10 +36,9 @@
 	// The run is listed, so it has begun. Older lists may still be in transit.
 	until := s.now.Add(maxTransit)
 	if j, ok := s.jobs[l.Task.Job]; ok && l.Task.Step < len(j.Spec.Steps) {
-		st := j.Spec.Steps[l.Task.Step]
-		w.untrack(k, st.Demand(), quotaRun(j, st), until)
+		s.untrack(w, k, footprintOf(j, l.Task), until, "listed")
 	} else {
-		w.untrackUnknownSize(k, until)
+		s.untrackUnknownSize(w, k, until, "listed, job unknown")
 	}
 	s.emit(Note{ID: l.Task.String(), What: "untracked run", Worker: w.Incarnation, Run: l.Run})
 	s.emit(Stop{To: w.Address, Term: s.term, Task: l.Task, Run: l.Run})
--- a/internal/sched/start.go
+++ b/internal/sched/start.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"time"
 
 	"pollencroft/internal/flow"
@@ -18,7 +19,10 @@
 	if t.Job.Domain == "" {
 		t.Job.Domain = w.Domain
 	}
-	w.add(t)
+	s.noteExceeded(w, t.Name, w.add(t))
+	if st := t.Spec(); st.MaxPerWorker > 0 {
+		s.noteTask(t, "assigned", fmt.Sprintf("runs of the step there: %d of %d", w.steps[stepOf(t.Name)], st.MaxPerWorker))
+	}
 	s.markDirty(t.Job)
 	if t.CrashSuspicions() > 0 {
 		s.markSuspect(t)
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -25,8 +25,9 @@
 	tasks   map[flow.Name]*flow.Task
 	// jobs counts the tasks by job.
 	jobs map[*flow.Job]int
-	// used is the capacity that tasks use, bestEffortCPU the processors of best-effort tasks.
-	used          cell.Size
+	// occupancy is what all runs take that may be on the worker, bestEffortCPU the processors of its
+	// best-effort tasks.
+	occupancy
 	bestEffortCPU int64
 	// earmarked is the capacity that earlier steps with queries in flight are likely to use, in
 	// this pass.
@@ -71,28 +72,26 @@
 	// reported it.
 	predecessorLeaseEnd time.Time
 	health              quarantine.Record
-	// usage is what the organisations have running on all workers.
-	usage *quota.Usage
 	// speed is how fast its runs progress, relative to their estimates.
 	speed float64
 	pace  pacing
 }
 
 func newWorker(w Worker, u *quota.Usage) *worker {
-	return &worker{Worker: w, usage: u, tasks: map[flow.Name]*flow.Task{}, jobs: map[*flow.Job]int{}, pace: newPacing(), speed: 1, untracked: map[runKey]untrackedRun{}, lostRuns: map[flow.Name]lostRun{}}
+	return &worker{Worker: w, occupancy: newOccupancy(u), tasks: map[flow.Name]*flow.Task{}, jobs: map[*flow.Job]int{}, pace: newPacing(), speed: 1, untracked: map[runKey]untrackedRun{}, lostRuns: map[flow.Name]lostRun{}}
 }
 
-func (w *worker) add(t *flow.Task) {
+// add tracks a task on the worker, and reports whether more runs of its step are there than may be.
+func (w *worker) add(t *flow.Task) (exceeded bool) {
 	if _, ok := w.tasks[t.Name]; ok {
-		return
+		return false
 	}
 	w.tasks[t.Name] = t
-	w.usage.Add(quotaRun(t.Job, t.Spec()))
 	w.jobs[t.Job]++
-	w.used = w.used.Add(t.Spec().Demand())
 	if t.Spec().BestEffort {
 		w.bestEffortCPU += t.Spec().Size.CPU
 	}
+	return w.book(footprintOf(t.Job, t.Name))
 }
 
 func (w *worker) remove(t *flow.Task) {
@@ -100,11 +99,10 @@
 		return
 	}
 	delete(w.tasks, t.Name)
-	w.usage.Remove(quotaRun(t.Job, t.Spec()))
+	w.release(footprintOf(t.Job, t.Name))
 	if w.jobs[t.Job]--; w.jobs[t.Job] == 0 {
 		delete(w.jobs, t.Job)
 	}
-	w.used = w.used.Sub(t.Spec().Demand())
 	if t.Spec().BestEffort {
 		w.bestEffortCPU -= t.Spec().Size.CPU
 	}
@@ -190,7 +188,7 @@
 		return
 	}
 	w.dead, w.judgeAt = true, s.now.Add(crashJudgeDelay)
-	w.dropUntracked()
+	s.dropAllUntracked(w, "worker died")
 	s.recordOutage(w)
 	s.emit(Note{ID: incarnation, What: "worker has begun another incarnation", Worker: incarnation, Detail: w.describeRuns()})
 	for _, t := range w.sortedTasks() {
@@ -231,7 +229,7 @@
 		case s.canForget(w):
 			s.emit(Note{ID: incarnation, What: "worker forgotten", Worker: incarnation, Detail: w.describeEnd()})
 			s.resolveForgotten(w)
-			w.dropUntracked()
+			s.dropAllUntracked(w, "worker forgotten")
 			delete(s.workers, incarnation)
 			s.workersChanged()
 		case len(w.lostRuns) > 0:
@@ -251,7 +249,7 @@
 		s.loseTasks(w)
 	}
 	if w.silent(s.now) && s.now.After(s.leaseBound(w)) {
-		w.releaseUntracked(nil, s.now)
+		s.releaseUntracked(w, nil, "leases have lapsed")
 	}
 }
 
@@ -271,14 +269,26 @@
 const maxLoggedRuns = 12
 
 // describeRuns lists the runs that may be on the worker, for the log.
-func (w *worker) describeRuns() string {
+func (w *worker) describeRuns() string { return describe(w.allRuns()) }
+
+// describeRunsOf lists the runs of a step that may be on the worker, for the log.
+func (w *worker) describeRunsOf(step stepKey) string {
+	return describe(slices.DeleteFunc(w.allRuns(), func(k runKey) bool { return stepOf(k.task) != step }))
+}
+
+// allRuns lists the runs that may be on the worker, sorted.
+func (w *worker) allRuns() []runKey {
 	keys := sortedRuns(w.untracked)
 	for _, t := range w.sortedTasks() {
 		keys = append(keys, runKey{t.Name, t.Run})
 	}
 	slices.SortFunc(keys, compareRuns)
+	return slices.Compact(keys)
+}
+
+func describe(keys []runKey) string {
 	var all []string
-	for _, k := range slices.Compact(keys) {
+	for _, k := range keys {
 		all = append(all, k.task.String()+" run "+strconv.Itoa(k.run))
 	}
 	if more := len(all) - maxLoggedRuns; more > 0 {
