--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -247,7 +247,7 @@
 		t.noteEnded(a)
 	case sched.LimitExceeded:
 		t.h.incCounter("apart.exceeded")
-		t.h.log.Warn("sched: more runs of a step on a worker than it allows.", "id", a.Task.String(), "worker", a.Worker, "term", t.number, "detail", a.Runs)
+		t.h.log.Warn("sched: more runs of a step on a worker than it allows.", "id", a.Task.String(), "worker", a.Worker, "term", t.number, "limit", a.Limit, "detail", a.Runs)
 	case sched.Note:
 		t.h.log.Info("sched: "+a.What+".", "id", a.ID, "worker", a.Worker, "run", a.Run, "term", t.number, "detail", a.Detail)
 	}
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -40,7 +40,7 @@
 // noteExceeded logs that more runs of a task's step may be on a worker than the step allows.
 func (s *Sched) noteExceeded(w *worker, n flow.Name, exceeded bool) {
 	if exceeded {
-		s.emit(LimitExceeded{Worker: w.Incarnation, Task: n, Runs: w.describeRunsOf(stepOf(n))})
+		s.emit(LimitExceeded{Worker: w.Incarnation, Task: n, Runs: w.describeRunsOf(stepOf(n)), Limit: s.jobs[n.Job].Spec.Steps[n.Step].MaxPerWorker})
 	}
 }
 
@@ -138,21 +138,26 @@
 // copyDone ends a task when one of its copies is done. The first one counts; the other copy is
 // stopped.
 func (s *Sched) copyDone(t *flow.Task) {
-	if w, ok := s.workers[t.Worker]; ok && t.MayBeRunning() && t.State != flow.Assigned {
-		s.emit(Stop{To: w.Address, Term: s.term, Task: t.Name, Run: t.Run})
-		s.untrack(w, runKey{t.Name, t.Run}, footprintOf(t.Job, t.Name), s.latestStart(), "another copy is done")
-	}
+	w, ok := s.workers[t.Worker]
+	stop := ok && t.MayBeRunning() && t.State != flow.Assigned
+	k, f := runKey{t.Name, t.Run}, footprintOf(t.Job, t.Name)
 	s.taskDone(t)
+	if stop {
+		s.emit(Stop{To: w.Address, Term: s.term, Task: k.task, Run: k.run})
+		s.untrack(w, k, f, s.latestStart(), "another copy is done")
+	}
 }
 
 // copySilentTasks requeues tasks of a silent worker that allow copies, so that they start
 // elsewhere.
 func (s *Sched) copySilentTasks(w *worker) {
+	const why = "worker is silent, a copy may run"
 	for _, t := range w.sortedTasks() {
 		if t.Spec().AllowCopies && !t.Spec().Gang && (t.State == flow.Running || t.State == flow.Starting) {
-			s.untrack(w, runKey{t.Name, t.Run}, footprintOf(t.Job, t.Name), s.latestStart(), "worker is silent, a copy may run")
+			k, f := runKey{t.Name, t.Run}, footprintOf(t.Job, t.Name)
 			s.markLost(t, w)
-			s.requeueTask(t, "worker is silent, a copy may run")
+			s.requeueTask(t, why)
+			s.untrack(w, k, f, s.latestStart(), why)
 		}
 	}
 }
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -279,6 +279,8 @@
 	// Task is the one whose run was found or started last.
 	Task flow.Name
 	Runs string
+	// Limit is how many runs of the step may be there.
+	Limit int
 }
 
 // Note describes a decision, for the log.
