sched: failing tests of tasks that are not kept apart

Three orders, each with two tasks of a step on a worker that may have one: a worker returns while a copy of its run is elsewhere, a copy is done while the second one is still being stopped, and a new leader finds a run that the former one could not store.

--- /dev/null
+++ b/internal/sched/apart_test.go
@@ -0,0 +1,98 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/flow"
+)
+
+// apart returns a step of which at most one task may run on a worker, and whose tasks may have
+// copies.
+func apart(tasks int, work time.Duration) flow.Step {
+	st := scan(tasks)
+	st.AllowCopies, st.EstimatedTime, st.MaxPerWorker = true, work, 1
+	return st
+}
+
+// silenceOne submits a job of twelve tasks that are kept apart to a cell of four workers, and
+// silences one worker until the task there has a copy on one of three new workers. Six tasks still
+// wait.
+func silenceOne(t *testing.T, work time.Duration) (*simCell, *fakeWorker) {
+	b := newSimCell(t, 4)
+	b.copies = true
+	b.advance(100 * time.Millisecond)
+	b.submit("a", "scan", apart(12, work))
+	b.advance(300 * time.Millisecond)
+	w := b.sortedWorkers()[0]
+	require.Len(t, w.runs, 1)
+	w.silent = true
+	b.advance(3 * time.Second)
+	b.addWorkers("w7", "w8", "w9")
+	return b, w
+}
+
+// addWorkers adds workers to the cell and lets them get tasks.
+func (b *simCell) addWorkers(names ...string) {
+	for i, name := range names {
+		b.addWorker(name, 7+i)
+	}
+	b.list()
+	b.advance(time.Second)
+}
+
+// mostTogether returns how many runs of one step are on one worker at most, within a time.
+func (b *simCell) mostTogether(within time.Duration) int {
+	most := 0
+	for range within / time.Millisecond {
+		b.advance(time.Millisecond)
+		for _, w := range b.sortedWorkers() {
+			n := map[string]int{}
+			for name := range w.runs {
+				n[name.StepName()]++
+				most = max(most, n[name.StepName()])
+			}
+		}
+	}
+	return most
+}
+
+// Guards against a task that starts beside a run of its step that is still being stopped, on a
+// worker that returned while a copy of that run was on another one.
+func TestTasksStayApartOnAReturnedWorker(t *testing.T) {
+	b, w := silenceOne(t, 20*time.Second)
+	w.silent = false
+	require.Equal(t, 1, b.mostTogether(2*time.Second))
+	require.Equal(t, flow.Active, b.state("a"))
+}
+
+// Guards against a task that starts beside the second copy of another one, which is still being
+// stopped because the first copy is done.
+func TestTasksStayApartFromAnOvertakenCopy(t *testing.T) {
+	b, w := silenceOne(t, 4*time.Second)
+	w.silent = false
+	require.Equal(t, 1, b.mostTogether(2*time.Second))
+	b.advance(20 * time.Second)
+	require.Equal(t, flow.Completed, b.state("a"))
+}
+
+// Guards against a task that starts beside a run that a former leader started and could not store,
+// on a worker that the new leader reaches only after it has started that task elsewhere.
+func TestTasksStayApartFromARunOfAFormerLeader(t *testing.T) {
+	b := newSimCell(t, 4)
+	b.copies = true
+	b.advance(100 * time.Millisecond)
+	b.storeDown = true
+	b.submit("a", "scan", apart(12, 20*time.Second))
+	b.advance(300 * time.Millisecond)
+	w := b.sortedWorkers()[0]
+	require.Len(t, w.runs, 1)
+	w.silent, b.storeDown = true, false
+	b.takeover()
+	b.addWorkers("w7", "w8", "w9")
+	w.silent = false
+	require.Equal(t, 1, b.mostTogether(2*time.Second))
+	require.Equal(t, flow.Active, b.state("a"))
+}
