sched: count untracked runs for the limit of a step on one worker

Callers saw two tasks of a step on a worker that may have one, or more than N where N may be. Cause: suits, fitGang and the others counted the tasks that are tracked on the worker. A run that is not tracked any more and is still being stopped, or may still begin, counted for capacity and quotas only. Runs get there when a worker was silent and a copy was started, when the first of two copies is done, and when a new leader finds a run that the former one could not store.

The limit is now counted in occupancy, where every run is booked for capacity and quotas, so that a check cannot see fewer runs than the others.

--- a/internal/sched/candidates.go
+++ b/internal/sched/candidates.go
@@ -102,7 +102,7 @@
 	st := r.stage.Spec
 	n := min(int64(len(r.tasks)), st.Demand().FitCount(w.free()))
 	if st.MaxPerWorker > 0 {
-		n = min(n, int64(st.MaxPerWorker-w.tasksOf(r.stage)))
+		n = min(n, int64(st.MaxPerWorker-w.runsOf(r.stage)))
 	}
 	return int(max(n, 1))
 }
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -31,7 +31,7 @@
 
 // untrackUnknownSize is like untrack for a run of unknown size.
 func (s *Sched) untrackUnknownSize(w *worker, k runKey, until time.Time, why string) {
-	s.untrack(w, k, footprint{}, until, why)
+	s.untrack(w, k, footprint{step: stepOf(k.task)}, until, why)
 	l := w.untracked[k]
 	l.sizeUnknown = true
 	w.untracked[k] = l
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -78,7 +78,7 @@
 	placed := make([]*worker, 0, len(r.stage.Tasks))
 	for range r.stage.Tasks {
 		i := slices.IndexFunc(able, func(w *worker) bool {
-			return st.Demand().Fits(freeCapacity[w]) && (st.MaxPerWorker == 0 || w.tasksOf(r.stage)+count[w] < st.MaxPerWorker)
+			return st.Demand().Fits(freeCapacity[w]) && (st.MaxPerWorker == 0 || w.runsOf(r.stage)+count[w] < st.MaxPerWorker)
 		})
 		if i < 0 {
 			return nil
--- a/internal/sched/occupancy.go
+++ b/internal/sched/occupancy.go
@@ -30,7 +30,7 @@
 type occupancy struct {
 	// used is the capacity that the runs use.
 	used cell.Size
-	// steps counts the runs of steps that limit their tasks on one worker.
+	// steps counts the runs of each step.
 	steps map[stepKey]int
 	// usage is what the organisations have running on all workers.
 	usage *quota.Usage
@@ -44,20 +44,17 @@
 func (o *occupancy) book(f footprint) (exceeded bool) {
 	o.used = o.used.Add(f.spec.Demand())
 	o.usage.Add(f.quota)
-	if f.spec.MaxPerWorker == 0 {
-		return false
-	}
 	o.steps[f.step]++
-	return o.steps[f.step] > f.spec.MaxPerWorker
+	return f.spec.MaxPerWorker > 0 && o.steps[f.step] > f.spec.MaxPerWorker
 }
 
+// runsOf returns how many runs of a step may be on the worker.
+func (o *occupancy) runsOf(st *flow.Stage) int { return o.steps[stepOf(st.Tasks[0].Name)] }
+
 // release stops counting a run.
 func (o *occupancy) release(f footprint) {
 	o.used = o.used.Sub(f.spec.Demand())
 	o.usage.Remove(f.quota)
-	if f.spec.MaxPerWorker == 0 {
-		return
-	}
 	if o.steps[f.step]--; o.steps[f.step] == 0 {
 		delete(o.steps, f.step)
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -272,7 +272,7 @@
 		return false
 	case st.BestEffort && w.bestEffortCPU+st.Size.CPU > max(w.free().CPU, 0):
 		return false
-	case st.MaxPerWorker > 0 && w.tasksOf(r.stage) >= st.MaxPerWorker, !s.mayShare(t, w):
+	case st.MaxPerWorker > 0 && w.runsOf(r.stage) >= st.MaxPerWorker, !s.mayShare(t, w):
 		return false
 	}
 	return true
@@ -295,17 +295,6 @@
 	return i >= 0 && s.suits(r, r.tasks[i], w)
 }
 
-// tasksOf returns how many tasks of a step may be on the worker.
-func (w *worker) tasksOf(st *flow.Stage) int {
-	n := 0
-	for _, t := range w.tasks {
-		if t.Step == st {
-			n++
-		}
-	}
-	return n
-}
-
 // Weights for choosing between workers that suit a task, in shares of a worker's size.
 const (
 	// farCost makes a task prefer the rack of its data without waiting for it.
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -110,7 +110,7 @@
 	}
 	n := int(min(int64(len(r.tasks)), st.Demand().FitCount(left)))
 	if st.MaxPerWorker > 0 {
-		n = min(n, st.MaxPerWorker-w.tasksOf(r.stage))
+		n = min(n, st.MaxPerWorker-w.runsOf(r.stage))
 	}
 	return max(n, 0)
 }
--- a/internal/sched/trial.go
+++ b/internal/sched/trial.go
@@ -57,7 +57,7 @@
 		return true
 	case s.trialUnderway(t):
 		return false
-	case len(w.untracked) == 0 && len(w.tasks) == w.tasksOf(t.Step) && (t.Spec().Gang || len(w.tasks) == 0):
+	case len(w.untracked) == 0 && len(w.tasks) == w.runsOf(t.Step) && (t.Spec().Gang || len(w.tasks) == 0):
 		return true
 	default:
 		return w.crashSuspects == 0 && s.now.Sub(t.Since) > maxTrialWait
