sched: count an adopted run once

A run that is adopted again, because its worker returned before a copy was started, stayed booked as untracked as long as the worker listed it: it took its capacity and its share of the organisation's quota twice, and would now count twice for the limit of its step. Its worker stayed half empty until the run ended. TestAdoptedRunTakesItsCapacityOnce fails before.

--- a/internal/sched/apart_test.go
+++ b/internal/sched/apart_test.go
@@ -96,3 +96,22 @@
 	require.Equal(t, 1, b.mostTogether(2*time.Second))
 	require.Equal(t, flow.Active, b.state("a"))
 }
+
+// Guards against a worker that stays half empty because a run that was adopted again counts twice.
+func TestAdoptedRunTakesItsCapacityOnce(t *testing.T) {
+	b := newSimCell(t, 1)
+	b.copies = true
+	b.advance(100 * time.Millisecond)
+	wide := apart(1, 20*time.Second)
+	wide.Size.CPU = 30_000
+	b.submit("a", "scan", wide)
+	b.advance(300 * time.Millisecond)
+	w := b.sortedWorkers()[0]
+	w.silent = true
+	b.advance(2 * time.Second)
+	w.silent = false
+	b.advance(time.Second)
+	b.submit("b", "scan", wide)
+	b.advance(time.Second)
+	require.Len(t, w.runs, 2)
+}
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -37,6 +37,11 @@
 	w.untracked[k] = l
 }
 
+func (w *worker) isUntracked(k runKey) bool {
+	_, ok := w.untracked[k]
+	return ok
+}
+
 // noteExceeded logs that more runs of a task's step may be on a worker than the step allows.
 func (s *Sched) noteExceeded(w *worker, n flow.Name, exceeded bool) {
 	if exceeded {
@@ -93,6 +98,9 @@
 	if t == nil || !t.Spec().AllowCopies || t.State != flow.Waiting || l.Run < t.Run {
 		return false
 	}
+	if k := (runKey{l.Task, l.Run}); w.isUntracked(k) {
+		s.dropUntracked(w, k, "tracked again")
+	}
 	t.Worker, t.Run = w.Incarnation, l.Run
 	t.Transition(flow.Assign, s.now)
 	t.Transition(flow.Send, s.now)
