sched: free what an untracked run took once its end is listed

The capacity of a copied run stayed booked until the start could no longer begin, up to 4.5 s after the copy was decided, although the worker had listed the run's end. With the limit of a step counted there as well, the worker would also be passed over by the step. TestEndOfAnUntrackedRunFreesItsCapacity fails before.

--- a/internal/sched/apart_test.go
+++ b/internal/sched/apart_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -115,3 +116,28 @@
 	b.advance(time.Second)
 	require.Len(t, w.runs, 2)
 }
+
+// busyWorkers lists the workers that run something.
+func (b *simCell) busyWorkers() []*fakeWorker {
+	return slices.DeleteFunc(b.sortedWorkers(), func(w *fakeWorker) bool { return len(w.runs) == 0 })
+}
+
+// Guards against capacity that stays taken after the end of a run that is not tracked any more was
+// listed.
+func TestEndOfAnUntrackedRunFreesItsCapacity(t *testing.T) {
+	b := newSimCell(t, 2)
+	b.copies = true
+	b.advance(100 * time.Millisecond)
+	b.submit("a", "scan", apart(1, 1200*time.Millisecond))
+	b.advance(300 * time.Millisecond)
+	on := b.busyWorkers()
+	require.Len(t, on, 1)
+	on[0].silent = true
+	b.advance(1500 * time.Millisecond)
+	on[0].silent = false
+	b.advance(500 * time.Millisecond)
+	require.Equal(t, flow.Completed, b.state("a"))
+	b.submit("b", "scan", wholeWorker(2))
+	b.advance(300 * time.Millisecond)
+	require.Len(t, b.busyWorkers(), 2)
+}
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -124,6 +124,10 @@
 	}
 	w.lastEndAcked = max(w.lastEndAcked, ev.AckedEnd)
 	for _, e := range ev.Ended {
+		if k := (runKey{e.Task, e.Run}); w.isUntracked(k) {
+			// A run that has ended never begins again.
+			s.dropUntracked(w, k, "ended as "+e.How.String())
+		}
 		if e.Number > w.lastEndRead {
 			w.lastEndRead = e.Number
 			s.runEnded(w, e, ev.Clock)
