sched: count the processors of untracked best-effort runs

Best-effort tasks could be given processors on a returned worker that a run of their step, which is still being stopped, may use. It is the same cause as for the limit of a step: a count that saw only tracked runs. The processors of best-effort runs are booked in occupancy now. TestBestEffortTasksShareNoProcessorsOnAReturnedWorker fails before.

--- a/internal/sched/apart_test.go
+++ b/internal/sched/apart_test.go
@@ -18,14 +18,14 @@
 	return st
 }
 
-// silenceOne submits a job of twelve tasks that are kept apart to a cell of four workers, and
-// silences one worker until the task there has a copy on one of three new workers. Six tasks still
-// wait.
-func silenceOne(t *testing.T, work time.Duration) (*simCell, *fakeWorker) {
+// silenceOne submits a job of twelve tasks to a cell of four workers, each of which can have one of
+// them, and silences one worker until the task there has a copy on one of three new workers. Six
+// tasks still wait.
+func silenceOne(t *testing.T, st flow.Step) (*simCell, *fakeWorker) {
 	b := newSimCell(t, 4)
 	b.copies = true
 	b.advance(100 * time.Millisecond)
-	b.submit("a", "scan", apart(12, work))
+	b.submit("a", "scan", st)
 	b.advance(300 * time.Millisecond)
 	w := b.sortedWorkers()[0]
 	require.Len(t, w.runs, 1)
@@ -63,7 +63,7 @@
 // Guards against a task that starts beside a run of its step that is still being stopped, on a
 // worker that returned while a copy of that run was on another one.
 func TestTasksStayApartOnAReturnedWorker(t *testing.T) {
-	b, w := silenceOne(t, 20*time.Second)
+	b, w := silenceOne(t, apart(12, 20*time.Second))
 	w.silent = false
 	require.Equal(t, 1, b.mostTogether(2*time.Second))
 	require.Equal(t, flow.Active, b.state("a"))
@@ -72,7 +72,7 @@
 // Guards against a task that starts beside the second copy of another one, which is still being
 // stopped because the first copy is done.
 func TestTasksStayApartFromAnOvertakenCopy(t *testing.T) {
-	b, w := silenceOne(t, 4*time.Second)
+	b, w := silenceOne(t, apart(12, 4*time.Second))
 	w.silent = false
 	require.Equal(t, 1, b.mostTogether(2*time.Second))
 	b.advance(20 * time.Second)
@@ -98,6 +98,16 @@
 	require.Equal(t, flow.Active, b.state("a"))
 }
 
+// Guards against best-effort tasks that share processors with one that is still being stopped, on a
+// worker that returned while a copy of that one was on another worker.
+func TestBestEffortTasksShareNoProcessorsOnAReturnedWorker(t *testing.T) {
+	st := apart(12, 20*time.Second)
+	st.MaxPerWorker, st.BestEffort, st.Size.CPU = 0, true, 40_000
+	b, w := silenceOne(t, st)
+	w.silent = false
+	require.Equal(t, 1, b.mostTogether(2*time.Second))
+}
+
 // Guards against a worker that stays half empty because a run that was adopted again counts twice.
 func TestAdoptedRunTakesItsCapacityOnce(t *testing.T) {
 	b := newSimCell(t, 1)
--- a/internal/sched/occupancy.go
+++ b/internal/sched/occupancy.go
@@ -30,6 +30,8 @@
 type occupancy struct {
 	// used is the capacity that the runs use.
 	used cell.Size
+	// bestEffortCPU is the processors of best-effort runs, which are not part of used.
+	bestEffortCPU int64
 	// steps counts the runs of each step.
 	steps map[stepKey]int
 	// usage is what the organisations have running on all workers.
@@ -43,6 +45,9 @@
 // book counts a run, and reports whether more runs of its step are booked than may be there.
 func (o *occupancy) book(f footprint) (exceeded bool) {
 	o.used = o.used.Add(f.spec.Demand())
+	if f.spec.BestEffort {
+		o.bestEffortCPU += f.spec.Size.CPU
+	}
 	o.usage.Add(f.quota)
 	o.steps[f.step]++
 	return f.spec.MaxPerWorker > 0 && o.steps[f.step] > f.spec.MaxPerWorker
@@ -54,6 +59,9 @@
 // release stops counting a run.
 func (o *occupancy) release(f footprint) {
 	o.used = o.used.Sub(f.spec.Demand())
+	if f.spec.BestEffort {
+		o.bestEffortCPU -= f.spec.Size.CPU
+	}
 	o.usage.Remove(f.quota)
 	if o.steps[f.step]--; o.steps[f.step] == 0 {
 		delete(o.steps, f.step)
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -25,10 +25,8 @@
 	tasks   map[flow.Name]*flow.Task
 	// jobs counts the tasks by job.
 	jobs map[*flow.Job]int
-	// occupancy is what all runs take that may be on the worker, bestEffortCPU the processors of its
-	// best-effort tasks.
+	// occupancy is what all runs take that may be on the worker.
 	occupancy
-	bestEffortCPU int64
 	// earmarked is the capacity that earlier steps with queries in flight are likely to use, in
 	// this pass.
 	earmarked cell.Size
@@ -88,9 +86,6 @@
 	}
 	w.tasks[t.Name] = t
 	w.jobs[t.Job]++
-	if t.Spec().BestEffort {
-		w.bestEffortCPU += t.Spec().Size.CPU
-	}
 	return w.book(footprintOf(t.Job, t.Name))
 }
 
@@ -103,9 +98,6 @@
 	if w.jobs[t.Job]--; w.jobs[t.Job] == 0 {
 		delete(w.jobs, t.Job)
 	}
-	if t.Spec().BestEffort {
-		w.bestEffortCPU -= t.Spec().Size.CPU
-	}
 }
 
 // free is the unused capacity. Parts of it are negative while a worker is smaller than what runs
