sched: poll test with copies that take long to stop

The worker's copies now take a minute to stop, so that the state which the test is about lasts for all of the three seconds. The bounds are as before.

--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -234,11 +234,12 @@
 // replies.
 func TestWorkerWithOnlyStoppedCopiesIsPolledSlowly(t *testing.T) {
 	b, cut := newCellWithCopies(t, 4, 8, 3*time.Second, 1500*time.Millisecond)
-	cut.silent = false
+	cut.silent, cut.stalled, cut.stopTime = false, true, time.Minute
 	for b.state("a") != flow.Completed {
 		b.advance(10 * time.Millisecond)
 	}
 	b.advance(100 * time.Millisecond)
+	require.NotEmpty(t, cut.runs, "its copies are still being stopped")
 	b.holds = 0
 	const watched = 3 * time.Second
 	b.advance(watched)
