sched: end a gang with copies when any member is done

Callers saw a job running for good with nothing running: one member of a gang was done and the others waited, and a gang is placed only when all its members wait. Cause: the end of a run that is not tracked ended only the task that it named (copyEnded, copyDone), and the end of a tracked run only members of the same run number (finishTask), although members that a former leader started and could not store have none. A gang ends as done together, so one such end counts for all members; members that may still be at a worker are stopped and counted there until they are not.

--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -122,7 +122,7 @@
 	}
 	switch e.How {
 	case EndDone:
-		s.copyDone(t)
+		s.finishCopies(t)
 	case EndFailed:
 		s.copyFailed(w, t, e)
 	}
@@ -143,6 +143,19 @@
 	s.countFailure(t)
 }
 
+// finishCopies ends a task when one of its copies is done, and with it all members of a gang.
+func (s *Sched) finishCopies(t *flow.Task) {
+	if !t.Spec().Gang {
+		s.copyDone(t)
+		return
+	}
+	for _, m := range t.Step.Tasks {
+		if m.State != flow.Done {
+			s.copyDone(m)
+		}
+	}
+}
+
 // copyDone ends a task when one of its copies is done. The first one counts; the other copy is
 // stopped.
 func (s *Sched) copyDone(t *flow.Task) {
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -89,7 +89,8 @@
 	}
 }
 
-// finishTask ends a task as done. The members of a gang end as done together.
+// finishTask ends a task as done. The members of a gang end as done together; members whose run is
+// not known, or is another one, too.
 func (s *Sched) finishTask(t *flow.Task) {
 	if !t.Spec().Gang {
 		s.taskDone(t)
@@ -97,8 +98,12 @@
 	}
 	run := t.Run
 	for _, m := range t.Step.Tasks {
-		if m.Run == run && m.State != flow.Done {
+		switch {
+		case m.State == flow.Done:
+		case m.Run == run:
 			s.taskDone(m)
+		default:
+			s.copyDone(m)
 		}
 	}
 }
