sched: copy tasks whose start on a silent worker had no answer

Callers waited up to 8.2 s for a task whose copies may run elsewhere, if it was sent to a worker that had just fallen silent, while tasks that already ran there were copied after 0.7 s. Cause: a start without an answer puts its task into the state of a run that is being stopped, and copySilentTasks looked only at starting and running tasks.

Evidence: TestUnansweredStartOnASilentWorkerIsCopied has no start within 3.1 s before and one now. The run left behind stays counted as an untracked run and is stopped when the worker lists it; tasks of jobs that are over keep their stops.

--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -169,12 +169,21 @@
 	}
 }
 
+// mayCopy reports whether a copy of a task may start while its worker is silent. That a run is being
+// stopped is no reason against it: most of these had a start without an answer.
+func mayCopy(t *flow.Task) bool {
+	if !t.Spec().AllowCopies || t.Spec().Gang || t.Job.State.Final() {
+		return false
+	}
+	return t.State == flow.Starting || t.State == flow.Running || t.State == flow.Stopping
+}
+
 // copySilentTasks requeues tasks of a silent worker that allow copies, so that they start
 // elsewhere.
 func (s *Sched) copySilentTasks(w *worker) {
 	const why = "worker is silent, a copy may run"
 	for _, t := range w.sortedTasks() {
-		if t.Spec().AllowCopies && !t.Spec().Gang && (t.State == flow.Running || t.State == flow.Starting) {
+		if mayCopy(t) {
 			k, f := runKey{t.Name, t.Run}, footprintOf(t.Job, t.Name)
 			s.markLost(t, w)
 			s.requeueTask(t, why)
