--- a/internal/sched/copies_test.go
+++ b/internal/sched/copies_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/flow"
+	"pollencroft/internal/sched"
 )
 
 // Guards against a task that lets its leases run out on a silent worker, although copies of it may
@@ -20,3 +23,31 @@
 	b.advance(2 * time.Second)
 	require.Len(t, b.starts, 1)
 }
+
+// Guards against a run that is given up, and started once more, because its worker also lists an
+// older run of the same task, which is still being stopped.
+func TestOlderRunOfATaskDoesNotHideTheNewestOne(t *testing.T) {
+	b := newSimCell(t, 2)
+	b.copies = true
+	b.submit("a", "scan", bestOf(20*time.Second))
+	b.advance(300 * time.Millisecond)
+	n, w := flow.Name{Job: "a"}, b.busyWorkers()[0]
+	w.silent, w.stopTime = true, 900*time.Millisecond
+	b.advance(2 * time.Second)
+	require.Equal(t, 2, b.starts[n])
+	w.silent = false
+	b.failRuns(600*time.Millisecond, func(on string, _ flow.Name) bool { return on != w.info.Incarnation })
+	require.Equal(t, 3, w.runs[n].run)
+	b.step(sched.HoldReply{Worker: w.info.Incarnation, Probe: true, Sent: b.now, Received: b.now, Clock: b.now, Running: []sched.RunStatus{
+		{Task: n, Run: 3}, {Task: n, Run: 1},
+	}})
+	b.advance(500 * time.Millisecond)
+	require.Equal(t, 3, b.starts[n])
+}
+
+// bestOf returns a step of one task that may have copies.
+func bestOf(work time.Duration) flow.Step {
+	st := apart(1, work)
+	st.MaxPerWorker = 0
+	return st
+}
