sched: see all runs of a task that a worker lists

A copy may start on a worker that still stops an older run of the task. The worker's list was kept as one run a task, so the older run could hide the newer one: it was given up as no longer there, its capacity was freed and the task was started once more; an untracked run that was still listed could be released.

Evidence: TestOlderRunOfATaskDoesNotHideTheNewestOne, whose second start on the worker is the scheduler's own, has a fourth start before and none now. The list with both runs is made by the test: whether the platform's workers list two runs of a task is not known.

--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -66,9 +66,9 @@
 
 // releaseUntracked releases untracked runs that the worker no longer lists and that can no longer
 // begin.
-func (s *Sched) releaseUntracked(w *worker, listed map[flow.Name]int, why string) {
+func (s *Sched) releaseUntracked(w *worker, listed map[runKey]bool, why string) {
 	for _, k := range sortedRuns(w.untracked) {
-		if listed[k.task] != k.run && !s.now.Before(w.untracked[k].latestStart) {
+		if !listed[k] && !s.now.Before(w.untracked[k].latestStart) {
 			s.dropUntracked(w, k, why)
 		}
 	}
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -136,9 +136,10 @@
 	if w.lastEndRead > w.lastEndStored {
 		s.nextBatch.ackedEnds[w] = w.lastEndRead
 	}
-	listed := make(map[flow.Name]int, len(ev.Running))
+	// A worker may list several runs of one task.
+	listed := make(map[runKey]bool, len(ev.Running))
 	for _, l := range ev.Running {
-		listed[l.Task] = l.Run
+		listed[runKey{l.Task, l.Run}] = true
 		s.runListed(w, l, ev.Clock)
 	}
 	for _, t := range w.tasksNotListed(listed) {
@@ -151,10 +152,10 @@
 
 // tasksNotListed returns the worker's tasks whose run is not listed, sorted by name. Nearly always
 // there is none.
-func (w *worker) tasksNotListed(listed map[flow.Name]int) []*flow.Task {
+func (w *worker) tasksNotListed(listed map[runKey]bool) []*flow.Task {
 	var all []*flow.Task
 	for _, t := range w.tasks {
-		if listed[t.Name] != t.Run {
+		if !listed[runKey{t.Name, t.Run}] {
 			all = append(all, t)
 		}
 	}
