--- a/internal/lead/limits_test.go
+++ b/internal/lead/limits_test.go
@@ -16,6 +16,12 @@
 func limitedPair(t *testing.T, workers int) *pair {
 	t.Helper()
 	p := newPair(t, workers)
+	p.limitRow()
+	return p
+}
+
+// limitRow lets the row run one task at a time.
+func (p *pair) limitRow() {
 	for _, l := range p.hosts {
 		l.Row = func(name string) (table.Row, int64) {
 			return table.Row{Name: name, Class: "normal", Limits: table.Limits{Tasks: 1}}, 1
@@ -23,7 +29,6 @@
 		l.LimitKey = func(row table.Row) string { return map[string]string{"scan": "row scan"}[row.Name] }
 		l.Arbiters = func(string) []string { return []string{p.machines[0].Name} }
 	}
-	return p
 }
 
 // assign sets the workers that each host leads.
@@ -38,12 +43,17 @@
 	for end := p.now.Add(d); p.now.Before(end); {
 		p.run("ab", 500*time.Millisecond)
 		for _, name := range []string{"a", "b"} {
-			q := p.hosts[name].InventoryRequest()
-			p.hosts[name].HandleInventory(other(name), q, p.hosts[other(name)].Inventory(name, q))
+			p.askPeer(name)
 		}
 	}
 }
 
+// askPeer lets a host ask the other one for its inventory.
+func (p *pair) askPeer(name string) {
+	q := p.hosts[name].InventoryRequest()
+	p.hosts[name].HandleInventory(other(name), q, p.hosts[other(name)].Inventory(name, q))
+}
+
 // submitLimited submits a job of the limited row with one small task.
 func (p *pair) submitLimited(name, id string) {
 	p.Helper()
@@ -130,6 +140,16 @@
 	require.Equal(t, 2, p.runningTasks())
 }
 
+// countRow lets host a count the limited row: a task of the row runs and is cancelled.
+func (p *pair) countRow() {
+	p.Helper()
+	p.submitLimited("a", "zero")
+	p.runTogether(2 * time.Second)
+	_, err := p.hosts["a"].Cancel("d.r.zero")
+	require.NoError(p, err)
+	p.runTogether(2 * time.Second)
+}
+
 // Guards against an exceeded limit of a row when a start is decided and is sent only after another
 // host has acquired the row's arbiter.
 func TestStartOfALimitedRowExpiresWithItsArbitersLease(t *testing.T) {
@@ -137,11 +157,7 @@
 	p.setBothAlive()
 	p.fillFirstWorker()
 	p.assign(p.machines, nil)
-	p.submitLimited("a", "zero")
-	p.runTogether(2 * time.Second)
-	_, err := p.hosts["a"].Cancel("d.r.zero")
-	require.NoError(t, err)
-	p.runTogether(2 * time.Second)
+	p.countRow()
 	p.unreachable["a"] = p.machines[0].Name
 	p.run("a", 2*time.Second)
 	p.unreachable["a"] = ""
