lead: report no list of a worker while a counted start there has no answer

Callers could see two tasks of a row run where its limit allows one. When the arbiter of a row changes its holder, the next one counts what other hosts list on their workers. A host withheld a list from before its last answered start of such a row, and not one from before a start whose answer was still on its way; lists are up to 1.2 s old, and the answer takes up to 1 s.

Evidence: TestNextHolderCountsStartsWithoutAnAnswerYet forces the order, had two tasks of the row before and has one now; go test ./internal/lead passes. Starts without an answer end within the time of one exchange, so the next holder waits at most that much longer.

--- a/internal/lead/inventory.go
+++ b/internal/lead/inventory.go
@@ -74,7 +74,7 @@
 // that were dropped here and, if keys are requested, of counted rows. The peer would conclude that
 // a task missing from the list runs nowhere.
 func (l *Leader) mayReport(name string, r lease.Reading, q InventoryRequest) bool {
-	if len(q.Keys) > 0 && !r.Sent.After(l.lastLimitedStart[name]) {
+	if len(q.Keys) > 0 && (l.limitedStarts[name] > 0 || !r.Sent.After(l.lastLimitedStart[name])) {
 		l.stepLeases(lease.Poll{Worker: name, After: rereadDelay})
 		return false
 	}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -81,7 +81,9 @@
 	// tasks of counted keys on workers that other hosts hold.
 	counts           map[string]*keyCount
 	countedElsewhere map[string][]CountedTask
-	// lastLimitedStart holds, by worker, the time of the last answer to a start of a counted row.
+	// limitedStarts counts, by worker, the starts of counted rows that have no answer yet, and
+	// lastLimitedStart holds the time of the last answer to one.
+	limitedStarts    map[string]int
 	lastLimitedStart map[string]time.Time
 	// lastHeld holds, by worker, the time at which this host last gave it up.
 	lastHeld map[string]time.Time
@@ -136,7 +138,7 @@
 	}
 	return &Leader{
 		Deps: d, ctx: ctx, machines: map[string]Machine{}, toForget: map[string][]string{}, taskWorkers: map[string]string{},
-		counts: map[string]*keyCount{}, countedElsewhere: map[string][]CountedTask{}, lastLimitedStart: map[string]time.Time{}, untracked: map[string]untrackedRun{}, expectedHandovers: map[string]expectedHandover{}, lastHeld: map[string]time.Time{}, incarnations: map[string]*incarnation{}, appliedRules: map[string]place.Rule{}, epoch: 1,
+		counts: map[string]*keyCount{}, countedElsewhere: map[string][]CountedTask{}, limitedStarts: map[string]int{}, lastLimitedStart: map[string]time.Time{}, untracked: map[string]untrackedRun{}, expectedHandovers: map[string]expectedHandover{}, lastHeld: map[string]time.Time{}, incarnations: map[string]*incarnation{}, appliedRules: map[string]place.Rule{}, epoch: 1,
 	}
 }
 
--- a/internal/lead/start.go
+++ b/internal/lead/start.go
@@ -37,6 +37,9 @@
 	}
 	l.stepJobs(job.StartSent{Task: a.Task, Deadline: deadline})
 	l.stepLeases(lease.StartSent{Worker: a.Worker, Task: a.Task})
+	if arbiter != "" {
+		l.limitedStarts[a.Worker]++
+	}
 	if arbiter != "" && arbiter != a.Worker {
 		// The lease of the arbiter must not be released while the start is in flight either.
 		l.stepLeases(lease.StartSent{Worker: arbiter, Task: a.Task})
@@ -64,6 +67,7 @@
 	defer l.mu.Unlock()
 	var late *worker.LateError
 	if arbiter != "" {
+		l.limitedStarts[a.Worker]--
 		l.lastLimitedStart[a.Worker] = l.Clock()
 	}
 	if arbiter != "" && arbiter != a.Worker {
