sched: failing test of a start whose deadline was set by a clock that is slow

A worker that was idle for minutes and whose clock is slow accepts a start for longer than four seconds. Its run is given up before that, and the worker is filled twice.

--- a/internal/sched/copies_test.go
+++ b/internal/sched/copies_test.go
@@ -51,3 +51,28 @@
 	st.MaxPerWorker = 0
 	return st
 }
+
+// Guards against a worker that is filled twice because a start arrives there after its run was
+// given up: the start's deadline was set by a clock that had not been read for minutes, and that is
+// slow.
+func TestStartWithALateDeadlineKeepsItsCapacity(t *testing.T) {
+	b := newSimCell(t, 1)
+	b.copies = true
+	w := b.workers["w00"]
+	w.slowSince = b.now
+	b.advance(10 * time.Minute)
+	b.submit("a", "scan", bestOf(20*time.Second))
+	w.startDelay = 9 * time.Second
+	b.advance(100 * time.Millisecond)
+	w.silent = true
+	b.addWorkers("w7")
+	b.advance(time.Second)
+	require.Equal(t, 1, b.starts[flow.Name{Job: "a"}])
+	w.silent, w.startDelay = false, 0
+	whole := wholeWorker(1)
+	whole.EstimatedTime = 10 * time.Second
+	b.submit("b", "scan", whole)
+	b.advance(40 * time.Second)
+	require.Equal(t, flow.Completed, b.state("b"))
+	require.Empty(t, b.violations)
+}
--- a/internal/sched/fakeworker_test.go
+++ b/internal/sched/fakeworker_test.go
@@ -17,6 +17,8 @@
 	info sched.Worker
 	// A silent worker ignores all requests while its runs go on; a dead one has ended.
 	silent, dead bool
+	// slowSince is when the worker's clock began to be slow by 2%; zero if it is not.
+	slowSince time.Time
 	// slowdown is a factor on the duration of all runs. A stalled worker makes no progress; one
 	// with fails ends every run as failed.
 	slowdown   float64
@@ -90,6 +92,25 @@
 	step  flow.Step
 }
 
+// maxClockDelay is how much longer a slow clock takes for the same time.
+const maxClockDelay = 1 / 0.98
+
+// clock returns the worker's time.
+func (w *fakeWorker) clock() time.Time {
+	if w.slowSince.IsZero() {
+		return w.b.now
+	}
+	return w.slowSince.Add(time.Duration(float64(w.b.now.Sub(w.slowSince)) / maxClockDelay))
+}
+
+// untilClock returns how long it takes until the worker's clock shows a time.
+func (w *fakeWorker) untilClock(at time.Time) time.Duration {
+	if w.slowSince.IsZero() {
+		return at.Sub(w.b.now)
+	}
+	return time.Duration(float64(at.Sub(w.clock())) * maxClockDelay)
+}
+
 func (w *fakeWorker) used() cell.Size {
 	var sum cell.Size
 	for _, r := range w.runs {
@@ -140,7 +161,7 @@
 	switch {
 	case a.Term < w.fence:
 		return sched.Fenced
-	case w.b.now.After(a.Deadline):
+	case w.clock().After(a.Deadline):
 		return sched.Rejected
 	case w.tombstones[a.Task] >= a.Run:
 		return sched.Rejected
@@ -252,7 +273,7 @@
 // lapseLater ends all runs once the lease has expired.
 func (w *fakeWorker) lapseLater() {
 	at := w.deadline
-	w.b.after(at.Sub(w.b.now)+time.Millisecond, func() {
+	w.b.after(w.untilClock(at)+time.Millisecond, func() {
 		if w.deadline != at || w.dead {
 			return
 		}
@@ -357,7 +378,7 @@
 		w.unanswered(term, ev)
 		return
 	}
-	ev.Clock = w.b.now
+	ev.Clock = w.clock()
 	for _, n := range slices.SortedFunc(maps.Keys(w.runs), func(x, y flow.Name) int { return strings.Compare(x.String(), y.String()) }) {
 		r := w.runs[n]
 		l := sched.RunStatus{Task: n, Run: r.run, Percent: 100}
