sched: keep the capacity of a start until its worker can't accept it any more

A worker could be filled twice. A start carries a deadline by the worker's clock, worked out from the last reading of that clock. Idle workers are not read, so with a clock that is 2% slow the deadline is 12 s too late after ten minutes, and the run of a start that was given up on a silent worker was released after 4.5 s although the start could still arrive and begin.

Such a run is released by a list whose own clock has passed the deadline of the last start that was sent there, or with the leases; on a worker that was read lately that is no later than before.

--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -7,10 +7,11 @@
 )
 
 // untrackedRun is a run that the scheduler no longer tracks but that may still be on its worker and
-// take capacity. It may begin as late as latestStart.
+// take capacity. It may begin as late as latestStart, or until the worker's clock shows deadline if
+// that is later: deadlines are set by the clock as it was read last, which may be long ago.
 type untrackedRun struct {
 	footprint
-	latestStart time.Time
+	latestStart, deadline time.Time
 	// sizeUnknown means that the run's size is not known: it may fill the whole worker.
 	sizeUnknown bool
 }
@@ -29,6 +30,14 @@
 	w.untracked[k] = l
 }
 
+// untrackStart is like untrack for a run whose start has been sent and may still arrive.
+func (s *Sched) untrackStart(w *worker, k runKey, f footprint, why string) {
+	s.untrack(w, k, f, s.latestStart(), why)
+	l := w.untracked[k]
+	l.deadline = w.startDeadline
+	w.untracked[k] = l
+}
+
 // untrackUnknownSize is like untrack for a run of unknown size.
 func (s *Sched) untrackUnknownSize(w *worker, k runKey, until time.Time, why string) {
 	s.untrack(w, k, footprint{step: stepOf(k.task)}, until, why)
@@ -65,10 +74,10 @@
 }
 
 // releaseUntracked releases untracked runs that the worker no longer lists and that can no longer
-// begin.
-func (s *Sched) releaseUntracked(w *worker, listed map[runKey]bool, why string) {
+// begin. clock is the worker's time as of the list.
+func (s *Sched) releaseUntracked(w *worker, listed map[runKey]bool, clock time.Time, why string) {
 	for _, k := range sortedRuns(w.untracked) {
-		if !listed[k] && !s.now.Before(w.untracked[k].latestStart) {
+		if l := w.untracked[k]; !listed[k] && !s.now.Before(l.latestStart) && !clock.Before(l.deadline) {
 			s.dropUntracked(w, k, why)
 		}
 	}
@@ -165,7 +174,7 @@
 	s.taskDone(t)
 	if stop {
 		s.emit(Stop{To: w.Address, Term: s.term, Task: k.task, Run: k.run})
-		s.untrack(w, k, f, s.latestStart(), "another copy is done")
+		s.untrackStart(w, k, f, "another copy is done")
 	}
 }
 
@@ -187,7 +196,7 @@
 			k, f := runKey{t.Name, t.Run}, footprintOf(t.Job, t.Name)
 			s.markLost(t, w)
 			s.requeueTask(t, why)
-			s.untrack(w, k, f, s.latestStart(), why)
+			s.untrackStart(w, k, f, why)
 		}
 	}
 }
--- a/internal/sched/start.go
+++ b/internal/sched/start.go
@@ -53,6 +53,9 @@
 	t.Transition(flow.Send, s.now)
 	deadline := w.clockAt(s.now).Add(startTimeout)
 	w.extendDeadline(deadline)
+	if deadline.After(w.startDeadline) {
+		w.startDeadline = deadline
+	}
 	s.emit(Start{
 		To: w.Address, Term: s.term, Task: t.Name, Run: t.Run, Text: t.Job.Spec.Text, Checkpoint: t.Checkpoint, Ticket: ticket, Deadline: deadline,
 	})
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -44,9 +44,10 @@
 	// lastEndRead is the last end that was read, lastEndStored the last one that is stored, and
 	// lastEndAcked the last one that the worker knows to be stored.
 	lastEndRead, lastEndStored, lastEndAcked int64
-	// clock is the worker's time as of readAt. No lease lasts beyond leaseDeadline.
-	clock, readAt time.Time
-	leaseDeadline time.Time
+	// clock is the worker's time as of readAt. No lease lasts beyond leaseDeadline, and no start is
+	// accepted after startDeadline.
+	clock, readAt                time.Time
+	leaseDeadline, startDeadline time.Time
 	// fenced means that the worker was read under this term: nothing that a previous leader sent
 	// can begin there any more.
 	fenced bool
@@ -241,7 +242,7 @@
 		s.loseTasks(w)
 	}
 	if w.silent(s.now) && s.now.After(s.leaseBound(w)) {
-		s.releaseUntracked(w, nil, "leases have lapsed")
+		s.releaseUntracked(w, nil, w.leaseDeadline, "leases have lapsed")
 	}
 }
 
