--- a/internal/standin/users/log.go
+++ b/internal/standin/users/log.go
@@ -133,6 +133,19 @@
 	l.part(topic, 0).add([]store.Record{{Key: key, Value: value}})
 }
 
+// Fence makes some partitions of a topic refuse the appends of all terms so far, as if a host had
+// claimed them. It takes effect before any later call.
+func (l *Log) Fence(topic string, parts ...int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	epoch := int64(len(l.part(topic, 0).records)) + 1
+	for _, n := range parts {
+		p := l.part(topic, n)
+		p.epoch, p.seq = epoch, -1
+		clear(p.answers)
+	}
+}
+
 // For returns a client of the log for one host. The host's faults apply to its calls.
 func (l *Log) For(host string) store.Log { return view{l, host} }
 
