sched, entry: use the ends that the previous leader could not store

Callers saw jobs whose next step began ten seconds late or not at all after a failure domain with the leader was cut off. Cause: a leader that is cut off reads ends from the workers in its domain, can't store them and forgets them with its term. If such a worker leaves before the cut heals, the next leader can't read the end, waits until the leases have certainly expired, and starts the task again although it is done.

A host keeps the ends that its last term could not store, and reports them in the answer to the question that a new leader asks it anyway, whether it still leads. The new leader handles them as if it had read them from the worker. That is safe whenever it arrives: a worker begins a run only once, runs are numbered anew for each start, and an end concerns only that run on that worker, so it can't be taken for another one. Nothing is acknowledged to the worker for it. Leases are bounded as before.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -79,6 +79,8 @@
 	agentsAt time.Time
 	// ownTerm is the term in which this host leads; nil if it does not lead.
 	ownTerm *term
+	// unstoredEnds are the ends that this host read in its last term and could not store.
+	unstoredEnds []sched.WorkerEnd
 	// leaderSince is when this host learned of the leader. unansweredSince is when it sent the
 	// leader the first request since the leader's last reply. lastLateReply is when a reply
 	// arrived after its timeout, lastSync when one arrived in time. lastDelegation is when this
--- a/internal/entry/messages.go
+++ b/internal/entry/messages.go
@@ -126,7 +126,11 @@
 	h.mu.Unlock()
 	served := h.store.AnsweredWithin(leaderFreshness)
 	if t == nil || !served {
-		return peer.SyncReply{Leading: t != nil, Claiming: claiming, Leaving: leaving, Served: served, Successor: successor, Follows: follows}
+		r := peer.SyncReply{Leading: t != nil, Claiming: claiming, Leaving: leaving, Served: served, Successor: successor, Follows: follows}
+		if t == nil && m.Succeeds {
+			r.UnstoredEnds = h.encodeUnstoredEnds()
+		}
+		return r
 	}
 	if m.HostList == list {
 		hosts = nil
--- a/internal/entry/succession.go
+++ b/internal/entry/succession.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"pollencroft/internal/cell"
+	"pollencroft/internal/flow"
 	"pollencroft/internal/peer"
+	"pollencroft/internal/sched"
 )
 
 const (
@@ -45,6 +47,34 @@
 	h.wg.Go(func() { h.claim("the lead leaves") })
 }
 
+// maxReportedEnds limits the ends in one reply, so that it arrives within askTimeout on a narrow link
+// as well. The next leader does without the others.
+const maxReportedEnds = 1000
+
+// encodeUnstoredEnds returns the ends that this host read in its last term and could not store. Their
+// workers may have left; the next leader would wait until their leases have expired, and run tasks
+// again that are done.
+func (h *Host) encodeUnstoredEnds() []peer.WorkerEnd {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var all []peer.WorkerEnd
+	for _, e := range h.unstoredEnds[:min(len(h.unstoredEnds), maxReportedEnds)] {
+		all = append(all, peer.WorkerEnd{Worker: e.Worker, EndedRun: peer.EndedRun{Number: e.Number, Task: e.Task.String(), Run: e.Run, How: int(e.How), Checkpoint: e.Checkpoint}})
+	}
+	return all
+}
+
+// decodeUnstoredEnds returns the ends that the previous leader reported.
+func decodeUnstoredEnds(all []peer.WorkerEnd) sched.PreviousEnds {
+	var ev sched.PreviousEnds
+	for _, e := range all {
+		if task, ok := flow.ParseName(e.Task); ok {
+			ev.All = append(ev.All, sched.WorkerEnd{Worker: e.Worker, RunEnd: sched.RunEnd{Number: e.Number, Task: task, Run: e.Run, How: sched.Ending(e.How), Checkpoint: e.Checkpoint}})
+		}
+	}
+	return ev
+}
+
 // stepDown ends the host's membership in the candidate group and hands leadership over to another
 // host. All hosts are told which one, because the candidate group may name a different host, and
 // two hosts that claim concurrently at a slow store cost each other seconds.
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -114,12 +114,15 @@
 	h.mu.Lock()
 	h.ownTerm = t
 	table := h.table
+	unstored := h.unstoredEnds
 	names := slices.Sorted(maps.Keys(h.hosts))
 	h.mu.Unlock()
 	if table != nil {
 		t.step(queuesOf(table))
 	}
 	t.step(sched.Hosts{Names: names})
+	// The host may have led before.
+	t.step(sched.PreviousEnds{All: unstored})
 	for _, spec := range r.notStarted {
 		t.step(sched.Submit{Spec: spec})
 	}
@@ -137,7 +140,7 @@
 }
 
 // awaitPreviousLeader waits until the previous leader certainly holds no leases: it has answered
-// that it does not lead, or it was this host.
+// that it does not lead, or it was this host. The answer contains the ends that it could not store.
 func (t *term) awaitPreviousLeader() {
 	t.h.mu.Lock()
 	previous := t.h.previousLeader
@@ -148,9 +151,12 @@
 	for over.LeaseBounds == nil && previous != "" && previous != t.h.cfg.Name {
 		ctx, cancel := context.WithTimeout(t.ctx, askTimeout)
 		var r peer.SyncReply
-		err := t.h.peers.Ask(ctx, previous, t.h.syncMessage(), &r)
+		m := t.h.syncMessage()
+		m.Succeeds = true
+		err := t.h.peers.Ask(ctx, previous, m, &r)
 		cancel()
 		if err == nil && !r.Leading {
+			t.step(decodeUnstoredEnds(r.UnstoredEnds))
 			break
 		}
 		if !sleep(t.ctx, syncInterval) {
@@ -176,6 +182,7 @@
 	t.mu.Lock()
 	over := t.ended
 	t.ended = true
+	unstored := t.core.UnstoredEnds()
 	t.mu.Unlock()
 	if over {
 		return
@@ -183,7 +190,7 @@
 	t.cancel()
 	t.h.mu.Lock()
 	if t.h.ownTerm == t {
-		t.h.ownTerm = nil
+		t.h.ownTerm, t.h.unstoredEnds = nil, unstored
 	}
 	if t.h.leader == t.h.cfg.Name {
 		t.h.leader = ""
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -230,6 +230,8 @@
 	Endings int
 	// HostList identifies the list of hosts that the sender has; empty if it has none.
 	HostList string `json:",omitempty"`
+	// Succeeds means that the sender has begun to lead after the receiver.
+	Succeeds bool `json:",omitempty"`
 }
 
 // SyncReply is what every host reports to callers: how many jobs of each queue wait, which jobs
@@ -263,6 +265,9 @@
 	// Ended lists jobs that have ended. Endings is the number from which to read on.
 	Ended   []EndedJobs `json:"Ends,omitempty"`
 	Endings int         `json:",omitempty"`
+	// UnstoredEnds are for the host that succeeds this one: ends of runs that this host read when it
+	// led and could not store.
+	UnstoredEnds []WorkerEnd `json:",omitempty"`
 }
 
 // EndedJobs are jobs of one organisation that have ended in the same state.
--- a/internal/peer/orders.go
+++ b/internal/peer/orders.go
@@ -70,6 +70,12 @@
 	Metric     int64  `json:"m,omitempty"`
 }
 
+// WorkerEnd is a run that a worker listed as ended to a previous leader.
+type WorkerEnd struct {
+	Worker string `json:"w"`
+	EndedRun
+}
+
 // EndedRun is a run that a worker lists as ended.
 type EndedRun struct {
 	Number     int64  `json:"n"`
--- a/internal/sched/history_test.go
+++ b/internal/sched/history_test.go
@@ -94,7 +94,10 @@
 				break
 			}
 		case n < 12:
+			ends := b.core.UnstoredEnds()
 			b.takeover()
+			// Whichever host leads by then hears of these ends.
+			b.after(time.Duration(i%7)*time.Second, func() { b.step(sched.PreviousEnds{All: ends}) })
 			if r.IntN(2) == 0 {
 				b.step(sched.PredecessorStopped{Since: b.now})
 			}
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -164,6 +164,15 @@
 	LeaseBounds map[string]time.Duration
 }
 
+// PreviousEnds reports ends of runs that a previous leader has read and could not store.
+type PreviousEnds struct{ All []WorkerEnd }
+
+// WorkerEnd is an end that a worker listed.
+type WorkerEnd struct {
+	Worker string
+	RunEnd
+}
+
 // Tick only lets time pass.
 type Tick struct{}
 
@@ -178,6 +187,7 @@
 func (StopReply) event()          {}
 func (PolicyReply) event()        {}
 func (PredecessorStopped) event() {}
+func (PreviousEnds) event()       {}
 func (Tick) event()               {}
 
 // Action is something that the scheduler core asks its caller to do.
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -71,6 +71,7 @@
 		s.copyEnded(w, e)
 		return
 	}
+	s.nextBatch.ends = append(s.nextBatch.ends, WorkerEnd{w.Incarnation, e})
 	if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
 	}
@@ -89,6 +90,45 @@
 	}
 }
 
+// UnstoredEnds returns the ends that are not known to be stored. If their workers have left, the next
+// leader can learn of them only from this one.
+func (s *Sched) UnstoredEnds() []WorkerEnd {
+	var all []WorkerEnd
+	for _, b := range s.inFlight {
+		all = append(all, b.ends...)
+	}
+	return append(all, s.nextBatch.ends...)
+}
+
+// applyPreviousEnds handles ends that a previous leader has read. A worker begins a run only once, so
+// a run that has ended stays ended, whoever has read it, and however late that is reported.
+func (s *Sched) applyPreviousEnds(ev PreviousEnds) {
+	for _, e := range ev.All {
+		t := s.task(runKey{e.Task, e.Run})
+		if t == nil {
+			// The task has a newer run, or its job is gone.
+			continue
+		}
+		there := t.Worker == e.Worker && t.MayBeRunning()
+		if there {
+			s.emit(Note{ID: e.Task.String(), What: "end read by the previous leader", Worker: e.Worker, Run: e.Run, Detail: e.How.String()})
+			if e.Checkpoint != "" {
+				t.Checkpoint = e.Checkpoint
+			}
+		}
+		switch {
+		case e.How == EndDone && (there || t.State == flow.Waiting):
+			// A waiting task was taken for lapsed although its run was done.
+			s.finishTask(t)
+		case !there:
+		case e.How == EndFailed:
+			s.taskFailed(t)
+		default:
+			s.requeueTask(t, "ended as "+e.How.String())
+		}
+	}
+}
+
 // finishTask ends a task as done. The members of a gang end as done together.
 func (s *Sched) finishTask(t *flow.Task) {
 	if !t.Spec().Gang {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -83,6 +83,8 @@
 	starts    []runKey
 	states    map[*flow.Job]flow.State
 	ackedEnds map[*worker]int64
+	// ends are the ends of tracked runs among them.
+	ends []WorkerEnd
 	// unstoredSizes is what organisations have started before it is stored, with the append.
 	unstoredSizes map[string]cell.Size
 }
@@ -176,6 +178,8 @@
 		s.policyReplied(ev)
 	case PredecessorStopped:
 		s.predecessorStopped(ev)
+	case PreviousEnds:
+		s.applyPreviousEnds(ev)
 	case Tick:
 		s.tick()
 	}
