sched: failing test of runs left behind under a former leader

A job's record names the newest run of each task. Runs that were copied off a silent worker count for capacity, limits and quotas until it is certain that they are over, but a new leader does not know of them before it has read that worker. It starts nothing there until then, so capacity and the limit of a step hold; the quota of an organisation does not. Not mended: counting a run for each worker in Task.Lost would hold back an organisation at its quota for the rest of the leases, also where the worker is dead.

--- a/internal/sched/copies_test.go
+++ b/internal/sched/copies_test.go
@@ -76,3 +76,21 @@
 	require.Equal(t, flow.Completed, b.state("b"))
 	require.Empty(t, b.violations)
 }
+
+// Guards against an exceeded quota after a change of the leader: the next one does not count runs
+// that were left behind on a silent worker when copies of them started elsewhere.
+func TestQuotaCountsRunsLeftBehindUnderAFormerLeader(t *testing.T) {
+	b := newQuotaCell(t, 1)
+	b.copies = true
+	two := bestOf(30 * time.Second)
+	two.Tasks = 2
+	b.submit("a", "scan", two)
+	b.advance(300 * time.Millisecond)
+	b.workers["w00"].silent = true
+	b.addWorkers("w7")
+	b.advance(time.Second)
+	require.Equal(t, int64(20_000), b.running("small").CPU)
+	b.takeover()
+	b.submit("b", "scan", two)
+	require.LessOrEqual(t, b.maxRunning("small", 3*time.Second), int64(21_000))
+}
