--- a/internal/sched/fakeworker_test.go
+++ b/internal/sched/fakeworker_test.go
@@ -119,6 +119,17 @@
 	return sum
 }
 
+// runsOf counts the runs of a step.
+func (w *fakeWorker) runsOf(step string) int {
+	n := 0
+	for name := range w.runs {
+		if name.StepName() == step {
+			n++
+		}
+	}
+	return n
+}
+
 func (w *fakeWorker) spec(n flow.Name) flow.Step { return w.b.specs[n.Job].Steps[n.Step] }
 
 func (w *fakeWorker) reply(term int64, ev sched.Event) {
@@ -185,6 +196,9 @@
 		w.b.violation("%s is overfilled: %+v used of %+v", w.info.Incarnation, used, size)
 	}
 	w.b.checkQuota(a.Task, sent)
+	if n := w.runsOf(a.Task.StepName()); st.MaxPerWorker > 0 && n > st.MaxPerWorker {
+		w.b.violation("%s has %d tasks of %s, more than %d", w.info.Incarnation, n, a.Task.StepName(), st.MaxPerWorker)
+	}
 	w.lapseLater()
 	if w.b.crashesWorker != nil && w.b.crashesWorker(a.Task) {
 		w.b.after(crashDelay, func() { w.crashUnder(a.Task, r) })
--- a/internal/sched/simcell_test.go
+++ b/internal/sched/simcell_test.go
@@ -76,7 +76,9 @@
 	quotas       map[string]cell.Size
 	formerQuotas []formerQuotas
 	organisation string
-	violations   []string
+	// vary changes the steps of the jobs submitted next; nil leaves them as they are.
+	vary       func(*flow.Step)
+	violations []string
 	// done are tasks that ended as done and whose end was acknowledged.
 	done map[flow.Name]bool
 	// starts counts starts by task.
@@ -329,6 +331,11 @@
 			spec.Steps[i].After = []int{i - 1}
 		}
 	}
+	for i := range steps {
+		if b.vary != nil {
+			b.vary(&spec.Steps[i])
+		}
+	}
 	require.NoError(b.t, spec.Check())
 	b.specs[id] = spec
 	b.step(sched.Submit{Spec: spec})
