sched: release an untracked run by proof, and stop one that never began

In the other direction, a run was released by any list without it that was read late enough, also by one that had been requested before the run began.

An untracked run now has the proof that a tracked one has: a list that was requested after the worker listed the run, or after it answered a stop of it. Runs that are neither listed nor proven gone are stopped again with each list until the worker answers. The deadline by the worker's clock stays as the last resort.

--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -6,44 +6,57 @@
 	"pollencroft/internal/flow"
 )
 
-// untrackedRun is a run that the scheduler no longer tracks but that may still be on its worker and
-// take capacity. It may begin as late as latestStart, or until the worker's clock shows deadline if
-// that is later: deadlines are set by the clock as it was read last, which may be long ago.
+// untrackedRun is a run that the scheduler no longer tracks but that may still be on its worker, or
+// begin there.
 type untrackedRun struct {
 	footprint
+	// provenFrom is when the worker listed the run or answered a stop of it: lists that were requested
+	// from then on show whether it is there. Zero means that it may still begin.
+	provenFrom time.Time
+	// latestStart and the worker's time deadline are when the run can't begin any more, if its start
+	// has been sent. Deadlines are set by the clock as it was read last, which may be long ago.
 	latestStart, deadline time.Time
+	// stopping means that a stop has no answer yet.
+	stopping bool
 	// sizeUnknown means that the run's size is not known: it may fill the whole worker.
 	sizeUnknown bool
 }
 
-// untrack keeps counting what a run takes that is no longer tracked.
-func (s *Sched) untrack(w *worker, k runKey, f footprint, until time.Time, why string) {
+// mayBegin reports whether the run may still begin, or may have begun, after a list without it that
+// was requested at the time sent and made at the worker's time clock.
+func (l untrackedRun) mayBegin(now, sent, clock time.Time) bool {
+	if !l.provenFrom.IsZero() && !sent.Before(l.provenFrom) {
+		return false
+	}
+	return l.latestStart.IsZero() || now.Before(l.latestStart) || clock.Before(l.deadline)
+}
+
+// untrack keeps counting what a run takes that is no longer tracked. update sets what is known about
+// it now.
+func (s *Sched) untrack(w *worker, k runKey, f footprint, why string, update func(*untrackedRun)) {
 	l, ok := w.untracked[k]
 	if !ok {
 		l.footprint = f
 		s.emit(Note{ID: k.task.String(), What: "run untracked", Worker: w.Incarnation, Run: k.run, Detail: why})
 		s.noteExceeded(w, k.task, w.book(f))
 	}
-	if until.After(l.latestStart) {
-		l.latestStart = until
-	}
+	update(&l)
 	w.untracked[k] = l
 }
 
-// untrackStart is like untrack for a run whose start has been sent and may still arrive.
+// untrackStart untracks a run whose start has been sent and may still arrive.
 func (s *Sched) untrackStart(w *worker, k runKey, f footprint, why string) {
-	s.untrack(w, k, f, s.latestStart(), why)
-	l := w.untracked[k]
-	l.deadline = w.startDeadline
-	w.untracked[k] = l
+	s.untrack(w, k, f, why, func(l *untrackedRun) {
+		l.latestStart, l.deadline = s.latestStart(), w.startDeadline
+	})
 }
 
-// untrackUnknownSize is like untrack for a run of unknown size.
-func (s *Sched) untrackUnknownSize(w *worker, k runKey, until time.Time, why string) {
-	s.untrack(w, k, footprint{step: stepOf(k.task)}, until, why)
-	l := w.untracked[k]
-	l.sizeUnknown = true
-	w.untracked[k] = l
+// untrackListed untracks a run that the worker lists. If its size is not known, it may fill the whole
+// worker.
+func (s *Sched) untrackListed(w *worker, k runKey, f footprint, sizeKnown bool) {
+	s.untrack(w, k, f, "listed", func(l *untrackedRun) {
+		l.provenFrom, l.sizeUnknown = s.now, !sizeKnown
+	})
 }
 
 func (w *worker) isUntracked(k runKey) bool {
@@ -61,28 +74,50 @@
 // latestStart returns the latest time at which a run whose start has been sent may begin.
 func (s *Sched) latestStart() time.Time { return s.now.Add(startTimeout + maxTransit) }
 
-// firstUntrackedEnd returns the earliest time at which one of the untracked runs can no longer
-// begin.
+// firstUntrackedEnd returns the earliest time at which an untracked run can no longer begin, or zero
+// if none may.
 func (w *worker) firstUntrackedEnd() time.Time {
 	var first time.Time
 	for _, l := range w.untracked {
-		if first.IsZero() || l.latestStart.Before(first) {
-			first = l.latestStart
+		if !l.latestStart.IsZero() {
+			first = earliest(first, l.latestStart)
 		}
 	}
 	return first
 }
 
-// releaseUntracked releases untracked runs that the worker no longer lists and that can no longer
-// begin. clock is the worker's time as of the list.
-func (s *Sched) releaseUntracked(w *worker, listed map[runKey]bool, clock time.Time, why string) {
+// releaseUntracked releases untracked runs that certainly are not on the worker and can't begin there,
+// and stops those that the worker does not list but that may still begin. Until their deadlines it
+// could not be used for what they would take.
+func (s *Sched) releaseUntracked(w *worker, listed map[runKey]bool, sent, clock time.Time) {
 	for _, k := range sortedRuns(w.untracked) {
-		if l := w.untracked[k]; !listed[k] && !s.now.Before(l.latestStart) && !clock.Before(l.deadline) {
-			s.dropUntracked(w, k, why)
+		switch l := w.untracked[k]; {
+		case listed[k]:
+		case !l.mayBegin(s.now, sent, clock):
+			s.dropUntracked(w, k, "not listed")
+		case l.provenFrom.IsZero() && !l.stopping:
+			l.stopping = true
+			w.untracked[k] = l
+			s.emit(Stop{To: w.Address, Term: s.term, Task: k.task, Run: k.run})
 		}
 	}
 }
 
+// untrackedStopReplied notes the answer to the stop of an untracked run. Without one, the run is
+// stopped again when the worker lists its runs next.
+func (s *Sched) untrackedStopReplied(w *worker, k runKey, o Outcome) {
+	l, ok := w.untracked[k]
+	if !ok || !l.stopping {
+		return
+	}
+	l.stopping = false
+	if o == Accepted {
+		l.provenFrom = s.now
+		s.probe(w)
+	}
+	w.untracked[k] = l
+}
+
 // dropUntracked releases an untracked run that certainly is not on the worker any more.
 func (s *Sched) dropUntracked(w *worker, k runKey, why string) {
 	w.release(w.untracked[k].footprint)
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -146,7 +146,7 @@
 		s.runMissing(t, ev.Sent)
 	}
 	s.checkSpeed(w, ev.Clock)
-	s.releaseUntracked(w, listed, ev.Clock, "not listed")
+	s.releaseUntracked(w, listed, ev.Sent, ev.Clock)
 	s.adjustPace(w, ev.Running)
 }
 
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -29,16 +29,14 @@
 	s.checkProgress(w, t, l, clock)
 }
 
-// stopUntracked stops a run that no record names. It can only be a run that was given up as lapsed
-// because of a wrong clock; it must not continue unnoticed.
+// stopUntracked stops a run that no record names: a copy was started elsewhere, a former leader could
+// not store it, or it was given up as lapsed because of a wrong clock. It must not continue unnoticed.
 func (s *Sched) stopUntracked(w *worker, l RunStatus) {
 	k := runKey{l.Task, l.Run}
-	// The run is listed, so it has begun. Older lists may still be in transit.
-	until := s.now.Add(maxTransit)
 	if j, ok := s.jobs[l.Task.Job]; ok && l.Task.Step < len(j.Spec.Steps) {
-		s.untrack(w, k, footprintOf(j, l.Task), until, "listed")
+		s.untrackListed(w, k, footprintOf(j, l.Task), true)
 	} else {
-		s.untrackUnknownSize(w, k, until, "listed, job unknown")
+		s.untrackListed(w, k, footprint{step: stepOf(l.Task)}, false)
 	}
 	s.emit(Note{ID: l.Task.String(), What: "untracked run", Worker: w.Incarnation, Run: l.Run})
 	s.emit(Stop{To: w.Address, Term: s.term, Task: l.Task, Run: l.Run})
--- a/internal/sched/stop.go
+++ b/internal/sched/stop.go
@@ -51,6 +51,9 @@
 
 func (s *Sched) stopReplied(ev StopReply) {
 	k := runKey{ev.Task, ev.Run}
+	if w, ok := s.workers[ev.Worker]; ok {
+		s.untrackedStopReplied(w, k, ev.Outcome)
+	}
 	st, ok := s.stops[k]
 	if !ok || st.worker != ev.Worker {
 		return
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -242,7 +242,7 @@
 		s.loseTasks(w)
 	}
 	if w.silent(s.now) && s.now.After(s.leaseBound(w)) {
-		s.releaseUntracked(w, nil, w.leaseDeadline, "leases have lapsed")
+		s.dropAllUntracked(w, "leases have lapsed")
 	}
 }
 
