sched: ignore unknown runs in a list that is older than a newer one's ends

A list that was requested before an end was read, and arrives after it, named the ended run as running: the run was adopted again, its task waited for the next list instead of starting on a free worker, and the log told of too many runs of a step. Unknown runs in such a list are passed over; the list before it had them. TestListFromBeforeAnEndDoesNotBringTheRunBack, from the review, fails before.

--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -123,13 +123,15 @@
 		w.extendDeadline(ev.Clock.Add(s.limits.Lease))
 	}
 	w.lastEndAcked = max(w.lastEndAcked, ev.AckedEnd)
+	// A list may arrive after a newer one, with runs whose ends were read since.
+	outdated := ev.Sent.Before(w.endReadAt)
 	for _, e := range ev.Ended {
 		if k := (runKey{e.Task, e.Run}); w.isUntracked(k) {
 			// A run that has ended never begins again.
 			s.dropUntracked(w, k, "ended as "+e.How.String())
 		}
 		if e.Number > w.lastEndRead {
-			w.lastEndRead = e.Number
+			w.lastEndRead, w.endReadAt = e.Number, s.now
 			s.runEnded(w, e, ev.Clock)
 		}
 	}
@@ -140,7 +142,9 @@
 	listed := make(map[runKey]bool, len(ev.Running))
 	for _, l := range ev.Running {
 		listed[runKey{l.Task, l.Run}] = true
-		s.runListed(w, l, ev.Clock)
+		if !outdated || w.knows(runKey{l.Task, l.Run}) {
+			s.runListed(w, l, ev.Clock)
+		}
 	}
 	for _, t := range w.tasksNotListed(listed) {
 		s.runMissing(t, ev.Sent)
--- a/internal/sched/untracked_test.go
+++ b/internal/sched/untracked_test.go
@@ -172,3 +172,35 @@
 		}
 	}
 }
+
+// Guards against a false report of too many runs, and a task that waits for a run that has ended,
+// because a list arrives after a newer one that names the end of the run.
+func TestListFromBeforeAnEndDoesNotBringTheRunBack(t *testing.T) {
+	b := newSimCell(t, 1)
+	b.copies = true
+	b.advance(100 * time.Millisecond)
+	b.submit("a", "scan", apart(2, 20*time.Second))
+	b.advance(300 * time.Millisecond)
+	w := b.sortedWorkers()[0]
+	name := flow.Name{Job: "a"}
+	require.Contains(t, w.runs, name)
+	old := sched.HoldReply{
+		Worker: "w00", Probe: true, Sent: b.now.Add(-time.Millisecond), Received: b.now, Clock: b.now,
+		Running: []sched.RunStatus{{Task: name, Run: w.runs[name].run, Percent: 1}},
+	}
+	w.end(name, w.runs[name], sched.EndFailed)
+	b.advance(60 * time.Millisecond)
+	require.Len(t, w.runs, 1, "the other task of the step")
+	require.NotContains(t, w.runs, name)
+	for _, a := range b.core.Step(b.now, old) {
+		_, exceeded := a.(sched.LimitExceeded)
+		if exceeded {
+			t.Errorf("reported: %+v", a)
+		}
+		b.execute(b.term, a)
+	}
+	b.addWorker("w7", 7)
+	b.list()
+	b.advance(100 * time.Millisecond)
+	require.Contains(t, b.workers["w7"].runs, name, "the task starts on a free worker at once")
+}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -44,6 +44,8 @@
 	// lastEndRead is the last end that was read, lastEndStored the last one that is stored, and
 	// lastEndAcked the last one that the worker knows to be stored.
 	lastEndRead, lastEndStored, lastEndAcked int64
+	// endReadAt is when an end was last read.
+	endReadAt time.Time
 	// clock is the worker's time as of readAt. No lease lasts beyond leaseDeadline, and no start is
 	// accepted after startDeadline.
 	clock, readAt                time.Time
@@ -101,6 +103,12 @@
 	}
 }
 
+// knows reports whether a run is booked on the worker.
+func (w *worker) knows(k runKey) bool {
+	t, ok := w.tasks[k.task]
+	return ok && t.Run == k.run || w.isUntracked(k)
+}
+
 // free is the unused capacity. Parts of it are negative while a worker is smaller than what runs
 // there.
 func (w *worker) free() cell.Size {
