--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -38,7 +38,9 @@
 	if !ok {
 		l.footprint = f
 		s.emit(Note{ID: k.task.String(), What: "run untracked", Worker: w.Incarnation, Run: k.run, Detail: why})
-		s.noteExceeded(w, k.task, w.book(f))
+		if w.book(f) {
+			s.noteExceeded(w, k.task)
+		}
 	}
 	update(&l)
 	w.untracked[k] = l
@@ -64,11 +66,9 @@
 	return ok
 }
 
-// noteExceeded logs that more runs of a task's step may be on a worker than the step allows.
-func (s *Sched) noteExceeded(w *worker, n flow.Name, exceeded bool) {
-	if exceeded {
-		s.emit(LimitExceeded{Worker: w.Incarnation, Task: n, Runs: w.describeRunsOf(stepOf(n)), Limit: s.jobs[n.Job].Spec.Steps[n.Step].MaxPerWorker})
-	}
+// noteExceeded reports that more runs of a task's step may be on a worker than the step allows.
+func (s *Sched) noteExceeded(w *worker, n flow.Name) {
+	s.emit(LimitExceeded{Worker: w.Incarnation, Task: n, Runs: w.describeRunsOf(stepOf(n)), Limit: s.jobs[n.Job].Spec.Steps[n.Step].MaxPerWorker})
 }
 
 // latestStart returns the latest time at which a run whose start has been sent may begin.
@@ -148,7 +148,7 @@
 	t.Worker, t.Run = w.Incarnation, l.Run
 	t.Transition(flow.Assign, s.now)
 	t.Transition(flow.Send, s.now)
-	s.noteExceeded(w, t.Name, w.add(t))
+	s.track(w, t)
 	s.confirm(t)
 	s.markDirty(j)
 	return true
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -38,7 +38,6 @@
 	} else {
 		s.untrackListed(w, k, footprint{step: stepOf(l.Task)}, false)
 	}
-	s.emit(Note{ID: l.Task.String(), What: "untracked run", Worker: w.Incarnation, Run: l.Run})
 	s.emit(Stop{To: w.Address, Term: s.term, Task: l.Task, Run: l.Run})
 }
 
--- a/internal/sched/start.go
+++ b/internal/sched/start.go
@@ -19,7 +19,7 @@
 	if t.Job.Domain == "" {
 		t.Job.Domain = w.Domain
 	}
-	s.noteExceeded(w, t.Name, w.add(t))
+	s.track(w, t)
 	if st := t.Spec(); st.MaxPerWorker > 0 {
 		s.noteTask(t, "assigned", fmt.Sprintf("runs of the step there: %d of %d", w.steps[stepOf(t.Name)], st.MaxPerWorker))
 	}
@@ -34,6 +34,13 @@
 	s.nextBatch.starts = append(s.nextBatch.starts, runKey{t.Name, run})
 }
 
+// track adds a task to its worker.
+func (s *Sched) track(w *worker, t *flow.Task) {
+	if w.add(t) {
+		s.noteExceeded(w, t.Name)
+	}
+}
+
 // sendStart sends the start of an assigned run.
 func (s *Sched) sendStart(k runKey) {
 	t := s.task(k)
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -32,8 +32,8 @@
 	earmarked cell.Size
 	// reserved is the capacity that is held free for wide tasks of earlier steps, in this pass.
 	reserved cell.Size
-	// untracked holds runs that are no longer tracked and may still be on the worker; they use
-	// capacity until they certainly are not there any more.
+	// untracked holds runs that are no longer tracked and may still be on the worker. What they take
+	// is booked until they certainly are not there any more.
 	untracked map[runKey]untrackedRun
 	// lostRuns holds runs that were lost when the worker stopped answering.
 	lostRuns map[flow.Name]lostRun
