sched: keep a run of unknown size unknown once its job is known

 let the worker be filled beside such a run: it was booked without a size, and taken for known when its job arrived. Found on reading; TestRunOfUnknownSizeFillsItsWorkerOnceItsJobIsKnown fails before.

--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -57,7 +57,7 @@
 // worker.
 func (s *Sched) untrackListed(w *worker, k runKey, f footprint, sizeKnown bool) {
 	s.untrack(w, k, f, "listed", func(l *untrackedRun) {
-		l.provenFrom, l.sizeUnknown = s.now, !sizeKnown
+		l.provenFrom, l.sizeUnknown = s.now, l.sizeUnknown || !sizeKnown
 	})
 }
 
--- a/internal/sched/untracked_test.go
+++ b/internal/sched/untracked_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -204,3 +205,23 @@
 	b.advance(100 * time.Millisecond)
 	require.Contains(t, b.workers["w7"].runs, name, "the task starts on a free worker at once")
 }
+
+// Guards against a worker that is overfilled because the job of a run of unknown size becomes known:
+// the run was booked without its size.
+func TestRunOfUnknownSizeFillsItsWorkerOnceItsJobIsKnown(t *testing.T) {
+	b := newSimCell(t, 1)
+	w := b.sortedWorkers()[0]
+	w.stopTime = time.Minute
+	st := scan(1)
+	st.Size.CPU = 40_000
+	name := flow.Name{Job: "unknown"}
+	w.runs[name] = &fakeRun{run: 2, began: b.now, ends: b.now.Add(time.Hour), step: st}
+	b.submit("first", "scan", scan(1))
+	b.advance(time.Second)
+	b.submit("unknown", "scan", st)
+	b.advance(time.Second)
+	b.submit("a", "scan", st)
+	b.advance(2 * time.Second)
+	require.Equal(t, []flow.Name{name}, slices.Collect(maps.Keys(w.runs)))
+	require.Empty(t, b.violations)
+}
