sched: play random histories with steps that are kept apart

No random history drew steps with a limit on one worker, or checked it, so starts beside a run that was still being stopped were not found.

The fake worker now records a violation if a start brings the runs of its step above the limit, those that are being stopped included, or if no entry of the worker since the start was sent has the step's label and the queue's service. Copies excuse only what the step allows, no longer everything in the cell: the other steps of a cell with copies are checked for a second run like all others, and a start after a cancellation is one with copies, too. A gang of which a member never began ends alone, as on a worker of the platform.

Gangs have no copies in them yet.

--- a/internal/sched/fakeworker_test.go
+++ b/internal/sched/fakeworker_test.go
@@ -35,16 +35,16 @@
 	waitingHolds []func()
 	// replaced means that another incarnation has begun at the worker's address.
 	replaced bool
-	// formerSizes are the worker's earlier sizes.
-	formerSizes []formerSize
+	// formerEntries are the worker's earlier entries.
+	formerEntries []formerEntry
 	// repliesToLose is how many replies that list an end are lost.
 	repliesToLose int
 }
 
-// formerSize is a size that a worker had until another one was listed, by sequence number of the
+// formerEntry is an entry that a worker had until another one was listed, by sequence number of the
 // simulation's events.
-type formerSize struct {
-	size  cell.Size
+type formerEntry struct {
+	sched.Worker
 	until int
 }
 
@@ -56,14 +56,37 @@
 
 // setSize changes the worker's size; the change takes effect with the next list.
 func (w *fakeWorker) setSize(size cell.Size) {
-	w.formerSizes = append(w.formerSizes, formerSize{w.info.Size, w.b.seq})
+	w.keepFormer()
 	w.info.Size = size
 }
 
+// setService changes the worker's service and labels, and lists it.
+func (w *fakeWorker) setService(service string, labels ...string) {
+	w.keepFormer()
+	w.info.Service, w.info.Labels = service, labels
+	w.b.list()
+}
+
+// keepFormer remembers the worker's entry before a change, for starts that are in transit.
+func (w *fakeWorker) keepFormer() {
+	w.formerEntries = append(w.formerEntries, formerEntry{w.info, w.b.seq})
+}
+
+// entriesSince lists the worker's entry and the earlier ones on which a start sent then may be based.
+func (w *fakeWorker) entriesSince(sent int) []sched.Worker {
+	all := []sched.Worker{w.info}
+	for _, f := range w.formerEntries {
+		if f.until > sent {
+			all = append(all, f.Worker)
+		}
+	}
+	return all
+}
+
 // originalSize returns the size that the worker had at first.
 func (w *fakeWorker) originalSize() cell.Size {
-	if len(w.formerSizes) > 0 {
-		return w.formerSizes[0].size
+	if len(w.formerEntries) > 0 {
+		return w.formerEntries[0].Size
 	}
 	return w.info.Size
 }
@@ -71,11 +94,9 @@
 // maxSizeSince returns the largest listed amount of each resource since then: requests in transit
 // may still fill a worker that has shrunk meanwhile.
 func (w *fakeWorker) maxSizeSince(sent int) cell.Size {
-	most := w.info.Size
-	for _, f := range w.formerSizes {
-		if f.until > sent {
-			most = cell.Size{CPU: max(most.CPU, f.size.CPU), Mem: max(most.Mem, f.size.Mem), Accel: max(most.Accel, f.size.Accel)}
-		}
+	var most cell.Size
+	for _, e := range w.entriesSince(sent) {
+		most = cell.Size{CPU: max(most.CPU, e.Size.CPU), Mem: max(most.Mem, e.Size.Mem), Accel: max(most.Accel, e.Size.Accel)}
 	}
 	return most
 }
@@ -150,6 +171,7 @@
 		return sched.Accepted
 	}
 	w.b.checkStart(w, a)
+	w.checkStep(a.Task, sent)
 	w.b.starts[a.Task]++
 	if w.b.crashed[a.Task] >= 3 {
 		w.b.lateStarts[a.Task]++
@@ -157,6 +179,7 @@
 	st := w.spec(a.Task)
 	r := &fakeRun{run: a.Run, began: w.b.now, ends: w.b.now.Add(time.Duration(float64(st.EstimatedTime) * w.slowdown)), step: st}
 	w.runs[a.Task] = r
+	w.b.recordMember(a.Task, a.Run)
 	if a.Deadline.After(w.deadline) {
 		w.deadline = a.Deadline
 	}
@@ -174,14 +197,50 @@
 	return sched.Accepted
 }
 
+// checkStep records a violation if a start exceeds the limit of its step on one worker, whether the
+// other runs are being stopped or not, or if no entry of the worker since it was sent suits the step.
+func (w *fakeWorker) checkStep(n flow.Name, sent int) {
+	st := w.spec(n)
+	if runs := w.runsOfStep(n) + 1; st.MaxPerWorker > 0 && runs > st.MaxPerWorker {
+		w.b.violation("%s starts on %s, which then has %d runs of the step and may have %d", n, w.info.Incarnation, runs, st.MaxPerWorker)
+	}
+	service := w.b.serviceOf(n)
+	suits := func(e sched.Worker) bool {
+		return e.Service == service && (st.Label == "" || slices.Contains(e.Labels, st.Label))
+	}
+	if !slices.ContainsFunc(w.entriesSince(sent), suits) {
+		w.b.violation("%s needs service %q and label %q and starts on %s: %+v", n, service, st.Label, w.info.Incarnation, w.info)
+	}
+}
+
+// runsOfStep returns how many runs of a task's step are on the worker.
+func (w *fakeWorker) runsOfStep(n flow.Name) int {
+	runs := 0
+	for m := range w.runs {
+		if m.StepName() == n.StepName() {
+			runs++
+		}
+	}
+	return runs
+}
+
+// serviceOf returns the service of the queue of a task's job.
+func (b *simCell) serviceOf(n flow.Name) string {
+	q := b.specs[n.Job].Queue
+	if i := slices.IndexFunc(b.queues, func(row flow.Queue) bool { return row.Name == q.Name }); i >= 0 {
+		q = b.queues[i]
+	}
+	return q.Service
+}
+
 // checkStart records a violation if a start must not happen.
 func (b *simCell) checkStart(w *fakeWorker, a sched.Start) {
-	if b.copies {
-		return
-	}
 	if at, ok := b.cancelledAt[a.Task.Job]; ok && b.now.Sub(at) > 2*networkDelay+w.startDelay {
 		b.violation("%s starts %s after the cancellation of its job", a.Task, b.now.Sub(at))
 	}
+	if b.copies && w.spec(a.Task).AllowCopies {
+		return
+	}
 	if b.done[a.Task] {
 		b.violation("%s starts after its end as done was acknowledged", a.Task)
 	}
@@ -207,7 +266,23 @@
 	w.b.finishGang(n, r, how)
 }
 
-// finishGang ends all members of a gang's run together, once the slowest is done.
+// gangRun is a run of a gang: the name of its step and the number of the run.
+type gangRun struct {
+	step string
+	run  int
+}
+
+// recordMember records that a member of a gang's run has begun.
+func (b *simCell) recordMember(n flow.Name, run int) {
+	k := gangRun{n.StepName(), run}
+	if b.gangs[k] == nil {
+		b.gangs[k] = map[int]bool{}
+	}
+	b.gangs[k][n.Index] = true
+}
+
+// finishGang ends all members of a gang's run together, once the slowest is done. They end alone if
+// not all of them have begun.
 func (b *simCell) finishGang(n flow.Name, r *fakeRun, how sched.Ending) {
 	type member struct {
 		w *fakeWorker
@@ -228,6 +303,9 @@
 		}
 	}
 	slices.SortFunc(all, func(x, y member) int { return x.n.Index - y.n.Index })
+	if len(b.gangs[gangRun{n.StepName(), r.run}]) < r.step.Tasks {
+		how = sched.EndAlone
+	}
 	for _, m := range all {
 		m.w.end(m.n, m.r, how)
 	}
--- a/internal/sched/history_test.go
+++ b/internal/sched/history_test.go
@@ -30,7 +30,8 @@
 // down; jobs are cancelled. No task may run twice at the same time or after its end was
 // acknowledged, no worker may be overfilled, and once all faults have ended every job must end.
 // Each seed is played again with workers that shrink and grow meanwhile, and with organisations
-// whose quotas change: none may have more running than its quota allows.
+// whose quotas change: none may have more running than its quota allows. Some seeds are played again
+// with steps that are kept apart: no worker may have more runs of a step than the step allows.
 func TestRandomHistories(t *testing.T) {
 	seeds := failedSeeds
 	for i := range *histories {
@@ -41,6 +42,9 @@
 		t.Run(fmt.Sprintf("%d_sizes", seed), func(t *testing.T) { runHistory(t, seed, nil, sizeRand(seed)) })
 		t.Run(fmt.Sprintf("%d_quotas", seed), func(t *testing.T) { runQuotaHistory(t, seed) })
 	}
+	for _, seed := range apartSeeds(3) {
+		t.Run(fmt.Sprintf("%d_apart", seed), func(t *testing.T) { runApartHistory(t, seed) })
+	}
 }
 
 // Guards against a third start after the third crash, regardless of what each leader knew.
@@ -70,7 +74,12 @@
 // playHistory plays a history on a cell; see runHistory. beforeStep is called before each step of the
 // history.
 func (b *simCell) playHistory(r, crashes, sizes *rand.Rand, beforeStep func()) {
-	t := b.t
+	jobs := b.playFaults(r, crashes, sizes, beforeStep)
+	b.endHistory(jobs, crashes)
+}
+
+// playFaults submits the jobs of a history, and returns them, while faults come and go.
+func (b *simCell) playFaults(r, crashes, sizes *rand.Rand, beforeStep func()) map[string]bool {
 	jobs := map[string]bool{}
 	spare := 50
 	for i := range 40 + r.IntN(40) {
@@ -114,6 +123,12 @@
 		b.advance(time.Duration(r.IntN(700)) * time.Millisecond)
 		b.resizeRandomWorkers(sizes)
 	}
+	return jobs
+}
+
+// endHistory ends all faults and checks that the jobs end.
+func (b *simCell) endHistory(jobs map[string]bool, crashes *rand.Rand) {
+	t := b.t
 	b.clearFaults()
 	b.advance(90 * time.Second)
 	maps.DeleteFunc(jobs, func(id string, _ bool) bool { return b.state(id).Final() })
@@ -202,14 +217,14 @@
 	}
 }
 
-// clearFaults ends all faults that can end.
+// clearFaults ends all faults that can end, and after a while the runs that slow workers still have.
 func (b *simCell) clearFaults() {
 	b.storeDown, b.storeTime = false, nil
 	for _, w := range b.sortedWorkers() {
 		w.setSize(w.originalSize())
 		w.silent, w.fails, w.stalled, w.slowdown, w.startDelay = false, false, false, 1, 0
 		for n, run := range w.runs {
-			if !w.dead {
+			if !w.dead && !run.step.LongRunning {
 				b.after(10*time.Second, func() {
 					if w.runs[n] == run {
 						w.end(n, run, sched.EndDone)
--- a/internal/sched/randomcells_test.go
+++ b/internal/sched/randomcells_test.go
@@ -136,13 +136,37 @@
 		if step.Gang {
 			need = step.Demand().Scale(float64(step.Tasks))
 		}
-		advised := d.specs[id].Queue.Advice == nil || d.allows(id+".0.0", w.info.Incarnation)
-		hasCapacity = hasCapacity || advised && need.Fits(free)
+		hasCapacity = hasCapacity || d.advised(id, w) && need.Fits(free)
+	}
+	if step.Gang && step.MaxPerWorker > 0 {
+		hasCapacity = d.fitsApart(id)
 	}
 	o := d.specs[id].Organisation
 	return hasCapacity && used.DominantShare(whole) < 0.5 && d.running(o).DominantShare(d.quotas[o]) < 0.5
 }
 
+// fitsApart reports whether a gang that is kept apart fits on the workers that its job may use.
+func (d *randomCell) fitsApart(id string) bool {
+	step, slots := d.specs[id].Steps[0], int64(0)
+	for _, w := range d.sortedWorkers() {
+		if !w.dead && !w.info.Draining && d.advised(id, w) {
+			slots += min(step.Demand().FitCount(w.info.Size.Sub(w.used())), int64(step.MaxPerWorker))
+		}
+	}
+	return slots >= int64(step.Tasks)
+}
+
+// advised reports whether the policy service allows a worker for the step of a job in each round.
+func (d *randomCell) advised(id string, w *fakeWorker) bool {
+	spec := d.specs[id]
+	for round := range max(spec.Repeat.Count, 1) {
+		if spec.Queue.Advice != nil && !d.allows(flow.Name{Job: id, Round: round}.StepName(), w.info.Incarnation) {
+			return false
+		}
+	}
+	return true
+}
+
 // failedQuotaSeeds are seeds of random cells with quotas that failed before. 1296: an organisation's
 // jobs waited for more than three seconds for a gang that needed most of its quota.
 var failedQuotaSeeds = []uint64{1296}
@@ -156,33 +180,43 @@
 // overlapping faults. No task may run twice at the same time or after its end was acknowledged, and
 // no worker may be overfilled. Once all faults have ended, no job that could run may wait in an
 // idle cell, and every job must end. Each seed is played again with workers that shrink and grow
-// meanwhile, and with organisations whose quotas change.
+// meanwhile, and with organisations whose quotas change, some also with steps that are kept apart.
 func TestRandomCells(t *testing.T) {
 	seeds := slices.Clone(failedCellSeeds)
 	for i := range *histories {
 		seeds = append(seeds, *firstSeed+uint64(i))
 	}
 	for _, seed := range failedQuotaSeeds {
-		t.Run(fmt.Sprintf("%d_quotas", seed), func(t *testing.T) { runRandomCell(t, seed, nil, quotaRand(seed)) })
+		t.Run(fmt.Sprintf("%d_quotas", seed), func(t *testing.T) { runRandomCell(t, seed, nil, quotaRand(seed), nil) })
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomCell(t, seed, nil, nil) })
-		t.Run(fmt.Sprintf("%d_sizes", seed), func(t *testing.T) { runRandomCell(t, seed, sizeRand(seed), nil) })
-		t.Run(fmt.Sprintf("%d_quotas", seed), func(t *testing.T) { runRandomCell(t, seed, nil, quotaRand(seed)) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomCell(t, seed, nil, nil, nil) })
+		t.Run(fmt.Sprintf("%d_sizes", seed), func(t *testing.T) { runRandomCell(t, seed, sizeRand(seed), nil, nil) })
+		t.Run(fmt.Sprintf("%d_quotas", seed), func(t *testing.T) { runRandomCell(t, seed, nil, quotaRand(seed), nil) })
+	}
+	for _, seed := range apartSeeds(6) {
+		t.Run(fmt.Sprintf("%d_apart", seed), func(t *testing.T) { runRandomCell(t, seed, nil, nil, apartRand(seed)) })
 	}
 }
 
-// runRandomCell plays the cell of a seed. sizes is the random source for size changes and quotas that
-// for organisations and their quotas; nil means none.
-func runRandomCell(t *testing.T, seed uint64, sizes, quotas *rand.Rand) {
+// runRandomCell plays the cell of a seed. sizes is the random source for size changes, quotas that for
+// organisations and their quotas, and apart that for steps that are kept apart; nil means none.
+func runRandomCell(t *testing.T, seed uint64, sizes, quotas, apart *rand.Rand) {
 	r := rand.New(rand.NewPCG(seed, 1))
 	d := newRandomCell(t, r)
+	var a *apartPlay
+	if apart != nil {
+		a = newApartPlay(d.simCell, apart)
+	}
 	spare := 50
 	for range 60 + r.IntN(60) {
 		if quotas != nil {
 			// Three of the widest tasks fit, which is the widest gang.
 			d.drawOrganisation(quotas, d.size.Scale(3))
 		}
+		if a != nil {
+			a.step()
+		}
 		switch n := r.IntN(20); {
 		case n < 12:
 			d.submitRandom(r)
@@ -204,6 +238,11 @@
 		d.resizeRandomWorkers(sizes)
 	}
 	d.clearFaults()
+	if a != nil {
+		a.restoreEntries()
+		a.cancelLasting()
+		d.jobs = append(d.jobs, a.jobs...)
+	}
 	d.advance(recoveryTime)
 	d.checkNotIdle(3 * time.Minute)
 	require.Empty(t, d.violations)
--- a/internal/sched/simcell_test.go
+++ b/internal/sched/simcell_test.go
@@ -41,7 +41,7 @@
 	storeDown bool
 	// storeTime is how long the store takes for an append; nil is 3 ms.
 	storeTime func() time.Duration
-	// copies means that several runs of one task may exist at the same time.
+	// copies means that several runs of one task may exist at the same time, if its step allows it.
 	copies bool
 	// allows reports which workers may run a step; nil allows all.
 	allows func(step, worker string) bool
@@ -76,11 +76,16 @@
 	quotas       map[string]cell.Size
 	formerQuotas []formerQuotas
 	organisation string
-	violations   []string
+	// alter changes the jobs that are submitted; nil means none.
+	alter func(*flow.Spec)
+	// labels are the labels of workers added next.
+	labels     []string
+	violations []string
 	// done are tasks that ended as done and whose end was acknowledged.
 	done map[flow.Name]bool
-	// starts counts starts by task.
+	// starts counts starts by task, gangs holds the members that have begun in each run of a gang.
 	starts map[flow.Name]int
+	gangs  map[gangRun]map[int]bool
 	// crashesWorker reports which tasks crash the workers that start them. crashed counts the
 	// incarnations that ended that way by task, lateStarts the starts after the third crash, and
 	// endedIncarnations all incarnations that ended.
@@ -103,7 +108,7 @@
 func newSimCell(t *testing.T, workers int) *simCell {
 	b := &simCell{
 		t: t, now: time.Unix(1_000_000, 0), term: 1, workers: map[string]*fakeWorker{}, stored: map[string][]byte{},
-		specs: map[string]flow.Spec{}, done: map[flow.Name]bool{}, cancelledAt: map[string]time.Time{}, starts: map[flow.Name]int{},
+		specs: map[string]flow.Spec{}, done: map[flow.Name]bool{}, cancelledAt: map[string]time.Time{}, starts: map[flow.Name]int{}, gangs: map[gangRun]map[int]bool{},
 		crashed: map[flow.Name]int{}, lateStarts: map[flow.Name]int{},
 		queues: []flow.Queue{{Name: "scan", Service: "pass", Rank: 0, Attempts: 3}, {Name: "print", Service: "pass", Rank: 2, Attempts: 4}},
 	}
@@ -122,7 +127,7 @@
 func (b *simCell) addWorker(incarnation string, i int) *fakeWorker {
 	w := &fakeWorker{b: b, slowdown: 1, runs: map[flow.Name]*fakeRun{}, tombstones: map[flow.Name]int{}, info: sched.Worker{
 		Address: sched.Address{Incarnation: incarnation, Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)},
-		Service: "pass", Domain: fmt.Sprintf("d%d", i%3), Rack: fmt.Sprintf("r%d", i%3), Size: cell.Size{CPU: 64_000, Mem: 256 << 30},
+		Service: "pass", Domain: fmt.Sprintf("d%d", i%3), Rack: fmt.Sprintf("r%d", i%3), Labels: b.labels, Size: cell.Size{CPU: 64_000, Mem: 256 << 30},
 	}}
 	b.workers[incarnation] = w
 	return w
@@ -329,6 +334,9 @@
 			spec.Steps[i].After = []int{i - 1}
 		}
 	}
+	if b.alter != nil {
+		b.alter(&spec)
+	}
 	require.NoError(b.t, spec.Check())
 	b.specs[id] = spec
 	b.step(sched.Submit{Spec: spec})
