sched: force two orders of runs that are not tracked

Random histories did not fail without the former runs in fitGang's count, nor with copySilentTasks not keeping what a run takes: a silent worker's list brings it back before anything starts there. A test forces each order: a gang is placed beside a run of its step that a former leader could not store, and copies would exceed the quota. Each fails with its place taken out.

--- a/internal/sched/apart_test.go
+++ b/internal/sched/apart_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pollencroft/internal/flow"
+	"pollencroft/internal/sched"
 )
 
 // apart returns a step of which at most one task may run on a worker, and whose tasks may have
@@ -141,3 +142,51 @@
 	b.advance(300 * time.Millisecond)
 	require.Len(t, b.busyWorkers(), 2)
 }
+
+// workerWithRuns returns the worker that has that many runs; there must be one.
+func (b *simCell) workerWithRuns(runs int) *fakeWorker {
+	all := b.busyWorkers()
+	i := slices.IndexFunc(all, func(w *fakeWorker) bool { return len(w.runs) == runs })
+	require.GreaterOrEqual(b.t, i, 0, "a worker has %d runs", runs)
+	return all[i]
+}
+
+// Guards against a gang of which more members start on a worker than may, because a run that a former
+// leader started and could not store is still being stopped there.
+func TestGangStaysApartFromARunOfAFormerLeader(t *testing.T) {
+	b := newSimCell(t, 4)
+	b.copies = true
+	b.advance(100 * time.Millisecond)
+	b.storeDown = true
+	gang := gangOf(apart(3, 20*time.Second))
+	gang.MaxPerWorker = 2
+	b.submit("a", "scan", gang)
+	b.advance(300 * time.Millisecond)
+	former := b.workerWithRuns(1)
+	for _, w := range b.busyWorkers() {
+		w.silent = true
+	}
+	b.storeDown = false
+	b.takeover()
+	b.advance(2 * time.Second)
+	require.Len(t, b.busyWorkers(), 4)
+	former.silent, former.stopTime = false, 3*time.Second
+	b.addWorker("w9", 9).info.Size.CPU = 20_000
+	for _, name := range []string{"w00", "w01", "w02", "w03"} {
+		w := b.workers[name]
+		w.info.Draining, w.info.Remaining = w != former && !w.silent, 10*time.Second
+	}
+	b.list()
+	b.advance(200 * time.Millisecond)
+	for _, w := range b.busyWorkers() {
+		for n, r := range w.runs {
+			if w.info.Draining && n.Index == 0 {
+				w.end(n, r, sched.EndFailed)
+			}
+		}
+	}
+	b.advance(time.Second)
+	require.Len(t, b.workers["w9"].runs, 2)
+	require.Len(t, former.runs, 2, "one of them is being stopped")
+	require.Empty(t, b.violations)
+}
--- a/internal/sched/quota_test.go
+++ b/internal/sched/quota_test.go
@@ -210,6 +210,24 @@
 	require.Empty(t, b.violations)
 }
 
+// Guards against copies that start above the quota while the first runs are on silent workers.
+func TestCopiesOfSilentRunsStayWithinTheQuota(t *testing.T) {
+	b := newQuotaCell(t, 8)
+	b.copies = true
+	b.advance(100 * time.Millisecond)
+	step := scan(4)
+	step.AllowCopies, step.EstimatedTime = true, 5*time.Second
+	b.submit("s1", "scan", step)
+	b.advance(300 * time.Millisecond)
+	require.Equal(t, int64(20_000), b.running("small").CPU)
+	for _, w := range b.busyWorkers() {
+		w.silent = true
+	}
+	b.advance(3 * time.Second)
+	require.Equal(t, int64(20_000), b.running("small").CPU)
+	require.Empty(t, b.violations)
+}
+
 // Guards against copies on a worker that has ended and that count for the quota until its leases
 // would have expired.
 func TestEndedWorkerFreesTheQuota(t *testing.T) {
