--- a/internal/sched/copies_randomhistories_test.go
+++ b/internal/sched/copies_randomhistories_test.go
@@ -16,7 +16,11 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			r, own := rand.New(rand.NewPCG(seed, 0)), rand.New(rand.NewPCG(seed, 4))
 			b := newSimCell(t, 3+r.IntN(7))
-			b.copies, b.vary = true, func(st *flow.Step) { varyStep(own, st) }
+			b.copies, b.alter = true, func(spec *flow.Spec) {
+				for i := range spec.Steps {
+					varyStep(own, &spec.Steps[i])
+				}
+			}
 			b.playHistory(r, nil, sizeRand(seed), func() {})
 		})
 	}
