sched: count a run that is done although its leases had lapsed

Callers waited for a task to run once more whose run was done: its worker had been silent until the leases had certainly lapsed, the task was waiting, sent or being stopped elsewhere when the worker returned, and the end that it listed was passed over unless the step allows copies. The end was acknowledged all the same.

The end now counts whatever the task does meanwhile; a newer run is stopped, as that of a copy is.

TestEndThatIsReadAfterALapseCounts has two starts before and one now.

--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -154,20 +154,21 @@
 	return true
 }
 
-// copyEnded handles the end of a copy other than the tracked one.
+// copyEnded handles the end of a run other than the tracked one. A run that is done counts, also if its
+// leases had lapsed and the task waits again or has a newer run.
 func (s *Sched) copyEnded(w *worker, e RunEnd) {
 	j, ok := s.jobs[e.Task.Job]
 	if !ok || j.State.Final() {
 		return
 	}
 	t := j.Task(e.Task)
-	if t == nil || !t.Spec().AllowCopies || t.State == flow.Done {
+	if t == nil || t.State == flow.Done {
 		return
 	}
-	switch e.How {
-	case EndDone:
+	switch st := t.Spec(); {
+	case e.How == EndDone && !st.LongRunning:
 		s.finishCopies(t)
-	case EndFailed:
+	case e.How == EndFailed && st.AllowCopies:
 		s.copyFailed(w, t, e)
 	}
 }
--- a/internal/sched/untracked_test.go
+++ b/internal/sched/untracked_test.go
@@ -225,3 +225,22 @@
 	require.Equal(t, []flow.Name{name}, slices.Collect(maps.Keys(w.runs)))
 	require.Empty(t, b.violations)
 }
+
+// Guards against a task that runs again although its end as done is read while it waits: its worker
+// was silent until the leases had lapsed, and there was no other worker.
+func TestEndThatIsReadAfterALapseCounts(t *testing.T) {
+	b := newSimCell(t, 1)
+	b.advance(100 * time.Millisecond)
+	b.submit("a", "scan", scan(1))
+	b.advance(300 * time.Millisecond)
+	w := b.sortedWorkers()[0]
+	require.Len(t, w.runs, 1)
+	w.silent = true
+	b.advance(20 * time.Second)
+	require.Empty(t, w.runs)
+	w.silent = false
+	b.advance(5 * time.Second)
+	require.Equal(t, flow.Completed, b.state("a"))
+	require.Empty(t, b.violations)
+	require.Equal(t, 1, b.starts[flow.Name{Job: "a"}])
+}
