soak: submit tasks that are kept apart and check the limit

The soak neither drew steps with antiAffinity, allowDuplicates, gang or requires nor checked them, so it could not see that a run that is no longer tracked and is still being stopped did not count for the limit of its step on a worker.

Callers now submit such jobs beside the others, the first digit of the id is the kind. Workers differ in labels, are cut off in short overlapping series and take up to 520 ms to stop. Each start is checked: runs of its step on the worker, those being stopped included, and the label. Only steps that allow copies may have two runs of a task or run one again after its end; each copy counts for the limit and for the quota. Gang members end together in the stand-in, as the scheduler expects. Regression seeds play with the jobs, faults and labels they had.

A worker is silent until its leases have lapsed, its run had ended as done meanwhile; that end is read while the task waits or its next run is being stopped, is not counted, and the task starts again.

--- a/internal/standin/users/worker.go
+++ b/internal/standin/users/worker.go
@@ -1,6 +1,7 @@
 package users
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -15,13 +16,14 @@
 )
 
 // InvariantChecker checks the invariants of task execution on all workers and records violations: a task
-// never runs twice at the same time, and does not start again after its end was acknowledged.
+// never runs twice at the same time, and does not start again after its end was acknowledged, unless its
+// step allows copies; a worker has the label and not more runs of a step than the step allows.
 type InvariantChecker struct {
 	mu         sync.Mutex
 	violations []string
-	// at holds the worker on which each task runs, done the tasks whose successful end the host
-	// has acknowledged, runs the number of starts of each task.
-	at   map[string]string
+	// at holds the workers on which each task runs, one for each run, done the tasks whose
+	// successful end the host has acknowledged, runs the number of starts of each task.
+	at   map[string][]string
 	done map[string]bool
 	runs map[string]int
 	// finished holds the tasks of which a run ended as done.
@@ -30,11 +32,17 @@
 	// running; nil means no limits.
 	organisationOf func(task string) string
 	limits         map[string]int
+	stepOf         func(task string) Step
+	// due holds the members of gangs that have done their work, by the function that ends each.
+	due map[gangRun]map[string]func()
 }
 
 // NewInvariantChecker returns a checker that has recorded nothing yet.
 func NewInvariantChecker() *InvariantChecker {
-	return &InvariantChecker{at: map[string]string{}, done: map[string]bool{}, runs: map[string]int{}, finished: map[string]bool{}}
+	return &InvariantChecker{
+		at: map[string][]string{}, done: map[string]bool{}, runs: map[string]int{}, finished: map[string]bool{},
+		stepOf: func(string) Step { return Step{} }, due: map[gangRun]map[string]func(){},
+	}
 }
 
 // LimitOrganisations makes it a violation if an organisation has more tasks running than its limit.
@@ -50,9 +58,9 @@
 		return
 	}
 	name, running := o.organisationOf(task), 0
-	for t := range o.at {
+	for t, at := range o.at {
 		if o.organisationOf(t) == name {
-			running++
+			running += len(at)
 		}
 	}
 	if most, ok := o.limits[name]; ok && running > most {
@@ -90,23 +98,31 @@
 func (o *InvariantChecker) begin(task, worker string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if at, ok := o.at[task]; ok {
-		o.violations = append(o.violations, fmt.Sprintf("task %s was started on %s while it was running on %s", task, worker, at))
+	st := o.stepOf(task)
+	if at := o.at[task]; len(at) > 0 && !st.AllowCopies {
+		o.violations = append(o.violations, fmt.Sprintf("task %s was started on %s while it was running on %s", task, worker, at[0]))
 	}
-	if o.done[task] {
+	if o.done[task] && !st.AllowCopies {
 		o.violations = append(o.violations, fmt.Sprintf("task %s was started on %s after its end was acknowledged", task, worker))
 	}
-	o.at[task] = worker
+	o.at[task] = append(o.at[task], worker)
 	o.runs[task]++
 	o.checkLimit(task)
+	o.checkApart(task, worker, st.MaxPerWorker)
 }
 
-func (o *InvariantChecker) end(task string, done bool) {
+func (o *InvariantChecker) end(k runKey, worker string, done bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	delete(o.at, task)
+	if i := slices.Index(o.at[k.task], worker); i >= 0 {
+		o.at[k.task] = slices.Delete(o.at[k.task], i, i+1)
+	}
+	if len(o.at[k.task]) == 0 {
+		delete(o.at, k.task)
+	}
+	delete(o.due[gangRun{stepName(k.task), k.run}], k.task)
 	if done {
-		o.finished[task] = true
+		o.finished[k.task] = true
 	}
 }
 
@@ -116,9 +132,14 @@
 	o.done[task] = true
 }
 
-type run struct {
-	number int
-	timer  *time.Timer
+// runKey identifies one run of a task.
+type runKey struct {
+	task string
+	run  int
+}
+
+func compareRuns(a, b runKey) int {
+	return cmp.Or(cmp.Compare(a.task, b.task), cmp.Compare(a.run, b.run))
 }
 
 type ended struct {
@@ -128,7 +149,8 @@
 	how  string
 }
 
-// Worker simulates one worker on the loopback interface. Every task runs for the duration work.
+// Worker simulates one worker on the loopback interface. A task runs for the duration work unless its
+// step says otherwise.
 type Worker struct {
 	ID      string
 	checker *InvariantChecker
@@ -136,9 +158,13 @@
 	work    time.Duration
 	began   time.Time
 
-	mu        sync.Mutex
-	fence     int64
-	runs      map[string]*run
+	mu     sync.Mutex
+	fence  int64
+	labels []string
+	// stopTime is how long a run takes to stop.
+	stopTime time.Duration
+	// runs holds the timer of each run that ends it as done.
+	runs      map[runKey]*time.Timer
 	endedRuns map[string]int
 	ends      []ended
 	number    int64
@@ -164,7 +190,10 @@
 
 // NewWorker starts a worker whose tasks each run for the duration work.
 func NewWorker(id string, work time.Duration, o *InvariantChecker) *Worker {
-	w := &Worker{ID: id, checker: o, work: work, began: time.Now(), runs: map[string]*run{}, endedRuns: map[string]int{}, changed: make(chan struct{}), cpu: wholeCPU}
+	w := &Worker{
+		ID: id, checker: o, work: work, began: time.Now(), labels: []string{"a", "r1-1"}, stopTime: 20 * time.Millisecond,
+		runs: map[runKey]*time.Timer{}, endedRuns: map[string]int{}, changed: make(chan struct{}), cpu: wholeCPU,
+	}
 	r := chi.NewRouter()
 	r.Post("/pollencroft/run-start", w.order(w.start))
 	r.Post("/pollencroft/run-stop", w.order(w.stop))
@@ -176,9 +205,9 @@
 // Close stops the worker and all its tasks.
 func (w *Worker) Close() {
 	w.mu.Lock()
-	for task, r := range w.runs {
-		r.timer.Stop()
-		w.checker.end(task, false)
+	for k, timer := range w.runs {
+		timer.Stop()
+		w.checker.end(k, w.ID, false)
 	}
 	clear(w.runs)
 	w.mu.Unlock()
@@ -186,6 +215,20 @@
 	w.server.Close()
 }
 
+// SetLabels changes the labels that the worker's next entry announces.
+func (w *Worker) SetLabels(labels ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.labels = labels
+}
+
+// SetStopTime changes how long runs take to stop.
+func (w *Worker) SetStopTime(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopTime = d
+}
+
 // DropOrders leaves the next n orders without an answer. They are still carried out if done is set.
 func (w *Worker) DropOrders(n int, done bool) {
 	w.mu.Lock()
@@ -226,11 +269,11 @@
 // EntryAt returns the same record as Entry with another address.
 func (w *Worker) EntryAt(addr, service, zone string) []byte {
 	w.mu.Lock()
-	cpu := w.cpu
+	cpu, labels := w.cpu, w.labels
 	w.mu.Unlock()
 	b, _ := json.Marshal(map[string]any{
 		"service": service, "address": addr, "zone": zone, "state": "ready",
-		"capacity": map[string]int64{"cpu": cpu, "memMb": 262_144}, "labels": []string{"a", "r1-1"}, "seq": 1,
+		"capacity": map[string]int64{"cpu": cpu, "memMb": 262_144}, "labels": labels, "seq": 1,
 	})
 	return b
 }
@@ -282,13 +325,16 @@
 		return http.StatusConflict, "old"
 	}
 	w.fence = o.FencingToken
-	if r, ok := w.runs[o.Task]; ok && r.number == o.Run {
+	k := runKey{o.Task, o.Run}
+	if w.runs[k] != nil {
 		return http.StatusOK, ""
 	}
 	w.checker.begin(o.Task, w.ID)
-	r := &run{number: o.Run}
-	r.timer = time.AfterFunc(w.work, func() { w.finish(o.Task, r, "done") })
-	w.runs[o.Task] = r
+	st := w.checker.step(o.Task)
+	if st.Label != "" && !slices.Contains(w.labels, st.Label) {
+		w.checker.addViolation("task %s was started on %s, which does not have the label %s", o.Task, w.ID, st.Label)
+	}
+	w.runs[k] = time.AfterFunc(cmp.Or(st.Work, w.work), func() { w.workDone(k, st.GangSize) })
 	if used := int64(len(w.runs)) * TaskCPU; used > w.bound() {
 		w.checker.addViolation("task %s was started on %s, which has %d milli-CPU, and raised its use to %d", o.Task, w.ID, w.cpu, used)
 	}
@@ -303,28 +349,41 @@
 	}
 	w.fence = o.FencingToken
 	w.endedRuns[o.Task] = max(w.endedRuns[o.Task], o.Run)
-	if r, ok := w.runs[o.Task]; ok && r.number == o.Run {
-		r.timer.Stop()
-		time.AfterFunc(20*time.Millisecond, func() { w.finish(o.Task, r, "stopped") })
+	k := runKey{o.Task, o.Run}
+	if timer := w.runs[k]; timer != nil {
+		timer.Stop()
+		time.AfterFunc(w.stopTime, func() { w.finish(k, "stopped") })
 	}
 	return http.StatusOK, ""
 }
 
-func (w *Worker) finish(task string, r *run, how string) {
+// workDone ends a run as done, a member of a gang together with the others.
+func (w *Worker) workDone(k runKey, gangSize int) {
+	end := func() { w.finish(k, "done") }
+	if gangSize == 0 {
+		end()
+		return
+	}
+	for _, f := range w.checker.memberDue(k, gangSize, end) {
+		f()
+	}
+}
+
+func (w *Worker) finish(k runKey, how string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.runs[task] == r {
-		w.end(task, r, how)
+	if w.runs[k] != nil {
+		w.end(k, how)
 	}
 }
 
 // end removes a run from the worker and adds its end to the list of ends. The caller holds mu.
-func (w *Worker) end(task string, r *run, how string) {
-	delete(w.runs, task)
-	w.checker.end(task, how == "done")
-	w.endedRuns[task] = max(w.endedRuns[task], r.number)
+func (w *Worker) end(k runKey, how string) {
+	delete(w.runs, k)
+	w.checker.end(k, w.ID, how == "done")
+	w.endedRuns[k.task] = max(w.endedRuns[k.task], k.run)
 	w.number++
-	w.ends = append(w.ends, ended{w.number, task, r.number, how})
+	w.ends = append(w.ends, ended{w.number, k.task, k.run, how})
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -348,9 +407,9 @@
 	if time.Now().Before(w.deadline) {
 		return
 	}
-	for _, task := range slices.Sorted(maps.Keys(w.runs)) {
-		w.runs[task].timer.Stop()
-		w.end(task, w.runs[task], "lapsed")
+	for _, k := range slices.SortedFunc(maps.Keys(w.runs), compareRuns) {
+		w.runs[k].Stop()
+		w.end(k, "lapsed")
 	}
 }
 
@@ -389,8 +448,8 @@
 func (w *Worker) list(rw http.ResponseWriter) {
 	w.mu.Lock()
 	running, ends := [][]any{}, [][]any{}
-	for _, task := range slices.Sorted(maps.Keys(w.runs)) {
-		running = append(running, []any{task, w.runs[task].number, "", 100, 0})
+	for _, k := range slices.SortedFunc(maps.Keys(w.runs), compareRuns) {
+		running = append(running, []any{k.task, k.run, "", 100, 0})
 	}
 	for _, e := range w.ends {
 		ends = append(ends, []any{e.n, e.task, e.run, e.how, ""})
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -12,7 +12,6 @@
 )
 
 const (
-	body = `{"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"estimateMs":400},{"count":3,"cpu":500,"memMb":256,"estimateMs":400,"after":[0]}]}`
 	// visible is how long a job may be unknown to a host after its confirmation.
 	visible = 3 * time.Second
 	// callerTimeout is how long a caller waits for an answer.
@@ -57,7 +56,7 @@
 	defer cancel()
 	var text io.Reader
 	if method == http.MethodPost {
-		text = strings.NewReader(body)
+		text = strings.NewReader(bodyOf(strings.TrimPrefix(path, "/scan/")))
 	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.caller.Listen+path, text)
 	if err != nil {
@@ -82,8 +81,8 @@
 }
 
 // submit submits one job to each host of tries in turn until one accepts it, as a caller that retries.
-func (a *callers) submit(n int, tries []*host) {
-	j := &job{id: fmt.Sprintf("%016x", n), refused: true}
+func (a *callers) submit(id string, tries []*host) {
+	j := &job{id: id, refused: true}
 	a.mu.Lock()
 	a.jobs = append(a.jobs, j)
 	a.mu.Unlock()
@@ -141,8 +140,8 @@
 
 // finished checks that all tasks of a job that is reported as completed have finished.
 func (a *callers) finished(id string) {
-	for step, n := range []int{4, 3} {
-		for i := range n {
+	for step, s := range stepsOf(id) {
+		for i := range s.Count {
 			if task := fmt.Sprintf("%s.0.%d.%d", id, step, i); !a.c.invariants.Finished(task) {
 				a.violation("job %s is reported as completed before task %s finished", id, task)
 			}
@@ -187,7 +186,7 @@
 		}
 		first, second := a.c.hosts[r.IntN(hosts)], a.c.hosts[r.IntN(hosts)]
 		asked, cancels, which := a.c.hosts[r.IntN(hosts)], r.IntN(12) == 0, r.IntN(20)
-		wg.Go(func() { a.submit(n, []*host{first, second}) })
+		wg.Go(func() { a.submit(jobID(0, n), []*host{first, second}) })
 		all := a.list()
 		if len(all) <= which {
 			continue
--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -26,8 +26,10 @@
 const (
 	hosts   = 4
 	workers = 6
-	// taskTime is how long each task runs: long enough that faults occur while it runs.
+	// taskTime is how long most tasks run: long enough that faults occur while they run.
 	taskTime = 400 * time.Millisecond
+	// longTaskTime is long enough that a task still runs when its worker returns from a silence.
+	longTaskTime = 2 * time.Second
 	// parts is the number of partitions of a topic.
 	parts = 16
 )
@@ -73,7 +75,9 @@
 	mu           sync.Mutex
 	workers      []*worker
 	incarnations int
-	busy         sync.WaitGroup
+	// keepsApart reports whether callers also submit jobs whose tasks are kept apart.
+	keepsApart bool
+	busy       sync.WaitGroup
 }
 
 // host holds the process of one host and the proxies on its connections.
@@ -96,23 +100,25 @@
 	zone  string
 }
 
-// newCell starts a cell. With agents, the leader sends its orders through the other hosts.
-func newCell(t *testing.T, agents bool) *cell {
+// newCell starts a cell. With agents, the leader sends its orders through the other hosts. The workers
+// of a cell that keeps tasks apart differ in their labels.
+func newCell(t *testing.T, agents, keepsApart bool) *cell {
 	path, err := binary()
 	require.NoError(t, err)
 	dir, err := os.MkdirTemp("", "pollencroft-soak-logs")
 	require.NoError(t, err)
 	c := &cell{
-		t: t, dir: dir, log: users.NewLog(parts, time.Now), invariants: users.NewInvariantChecker(),
+		t: t, dir: dir, keepsApart: keepsApart, log: users.NewLog(parts, time.Now), invariants: users.NewInvariantChecker(),
 		proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop()),
 	}
 	c.invariants.LimitOrganisations(func(task string) string {
 		id, _, _ := strings.Cut(task, ".")
 		return organisationOf(id)
 	}, map[string]int{"small": smallTasks})
+	c.invariants.DescribeSteps(stepOf)
 	c.log.Put("op", "config", []byte(table))
-	for range workers {
-		c.workers = append(c.workers, c.newWorker())
+	for i := range workers {
+		c.workers = append(c.workers, c.newWorker(i))
 	}
 	for i := range hosts {
 		c.hosts = append(c.hosts, c.newHost(fmt.Sprintf("h%d", i), fmt.Sprintf("zone%d", i%3), agents))
@@ -144,11 +150,14 @@
 	return p
 }
 
-// newWorker starts a new incarnation of a worker and adds it to the list of servers.
-func (c *cell) newWorker() *worker {
+// newWorker starts a new incarnation of worker i and adds it to the list of servers.
+func (c *cell) newWorker(i int) *worker {
 	c.incarnations++
 	w := users.NewWorker(fmt.Sprintf("w%d", c.incarnations), taskTime, c.invariants)
 	c.t.Cleanup(w.Close)
+	if c.keepsApart && i%3 == 0 {
+		w.SetLabels(rareLabel, "r1-1")
+	}
 	p := c.proxy("worker "+w.ID, w.Address())
 	n := &worker{w, p, fmt.Sprintf("zone%d", c.incarnations%3)}
 	c.listWorker(n)
@@ -180,7 +189,7 @@
 	old := c.workers[i]
 	old.Close()
 	c.log.Put("servers", old.ID, nil)
-	c.workers[i] = c.newWorker()
+	c.workers[i] = c.newWorker(i)
 }
 
 func (c *cell) worker(i int) *worker {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -206,6 +206,28 @@
 	}
 }
 
+// cutWorkers cuts off several workers in short series that overlap until ctx ends, so that workers
+// return whose tasks have copies elsewhere. Workers take long to stop those. Like resizeSome it runs
+// at the same time as the faults.
+func (c *cell) cutWorkers(ctx context.Context, r *rand.Rand) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Duration(300+r.IntN(1500)) * time.Millisecond):
+		}
+		for _, i := range r.Perm(workers)[:2+r.IntN(3)] {
+			w, way, stop := c.worker(i), stream(r), time.Duration(20+r.IntN(500))*time.Millisecond
+			pause, d := time.Duration(r.IntN(700))*time.Millisecond, time.Duration(800+r.IntN(2200))*time.Millisecond
+			w.SetStopTime(stop)
+			c.busy.Go(func() {
+				time.Sleep(pause)
+				c.toxic(w.proxy, "timeout", way, `"timeout":0`, d)()
+			})
+		}
+	}
+}
+
 // endFaults ends the remaining faults: the store works, no host is paused and workers have full capacity.
 func (c *cell) endFaults() {
 	c.log.Break("", users.None)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -43,7 +43,8 @@
 // Random faults hit the hosts, their connections to the store and the workers, several at
 // once, while callers keep submitting jobs. The callers detect a job that is lost, reported
 // as completed too early, run although it was refused, or unknown after it was confirmed.
-// The workers detect a task that has already been given to the same or another worker.
+// The workers detect a task that has already been given to the same or another worker, one that
+// is not kept apart from others of its step, and one on a worker without the label that it requires.
 func TestPromisesHoldOutside(t *testing.T) {
 	all := regressionSeeds
 	for i := range *seeds {
@@ -62,8 +63,10 @@
 }
 
 func play(t *testing.T, seed uint64) {
-	// Every second fresh seed plays with orders that go through other hosts.
-	c := newCell(t, seed%2 == 0 && !slices.Contains(regressionSeeds, seed))
+	// Regression seeds play as they did when they failed. Every second fresh seed plays with orders
+	// that go through other hosts.
+	fresh := !slices.Contains(regressionSeeds, seed)
+	c := newCell(t, fresh && seed%2 == 0, fresh)
 	a := newCallers(c)
 	ctx, stop := context.WithTimeout(context.Background(), *faultsFor)
 	defer stop()
@@ -72,8 +75,10 @@
 		defer close(done)
 		a.run(ctx, rand.New(rand.NewPCG(seed, 1)))
 	}()
-	if !slices.Contains(regressionSeeds, seed) {
+	if fresh {
 		c.busy.Go(func() { c.resizeSome(ctx, rand.New(rand.NewPCG(seed, 3))) })
+		c.busy.Go(func() { c.cutWorkers(ctx, rand.New(rand.NewPCG(seed, 4))) })
+		c.busy.Go(func() { a.runApart(ctx, rand.New(rand.NewPCG(seed, 5))) })
 	}
 	faultLog := c.disturb(ctx, rand.New(rand.NewPCG(seed, 2)))
 	c.busy.Wait()
