soak: end members of a gang that lack the others as alone

Traced by the members' states in a scratch copy: a new leader inherits a part of a gang that its predecessor had begun to stop, the workers list these members as running, and the others wait. On the platform such members end as alone after gangTimeoutMs and the gang starts again; the stand-in, which has gangs since, let them wait for good. It ends them now.

--- a/internal/standin/users/steps.go
+++ b/internal/standin/users/steps.go
@@ -59,12 +59,33 @@
 	}
 }
 
+// gangTimeout is how long a member of a gang waits for the others before it ends as alone.
+const gangTimeout = 3 * time.Second
+
 // gangRun identifies one run of a gang.
 type gangRun struct {
 	step string
 	run  int
 }
 
+// membersPresent returns how many members of a gang's run are on workers.
+func (o *InvariantChecker) membersPresent(k runKey) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.present[gangRun{stepName(k.task), k.run}])
+}
+
+// memberBegan notes that a member of a gang is on a worker.
+func (o *InvariantChecker) memberBegan(k runKey) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	g := gangRun{stepName(k.task), k.run}
+	if o.present[g] == nil {
+		o.present[g] = map[string]bool{}
+	}
+	o.present[g][k.task] = true
+}
+
 // memberDue notes that a member of a gang has done its work. It returns the functions that end the
 // members once all of them have, because they end together.
 func (o *InvariantChecker) memberDue(k runKey, size int, end func()) []func() {
--- a/internal/standin/users/steps_test.go
+++ b/internal/standin/users/steps_test.go
@@ -1,6 +1,7 @@
 package users
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -106,3 +107,21 @@
 	due("a.0.0.0")
 	require.ElementsMatch(t, []string{"a.0.0.0", "a.0.0.1"}, ended)
 }
+
+func TestGangMemberWithoutTheOthersEndsAlone(t *testing.T) {
+	for members, ends := range map[int]int{1: 1, 2: 0} {
+		o := NewInvariantChecker()
+		o.DescribeSteps(func(string) Step { return Step{GangSize: 2} })
+		w := NewWorker("w1", time.Hour, o)
+		defer w.Close()
+		w.mu.Lock()
+		for i := range members {
+			w.start(order{Task: fmt.Sprintf("a.0.0.%d", i), Run: 1, DeadlineMs: time.Hour.Milliseconds() * 2})
+		}
+		w.mu.Unlock()
+		w.endIfAlone(runKey{"a.0.0.0", 1}, 2)
+		w.mu.Lock()
+		require.Len(t, w.ends, ends)
+		w.mu.Unlock()
+	}
+}
--- a/internal/standin/users/worker.go
+++ b/internal/standin/users/worker.go
@@ -35,13 +35,15 @@
 	stepOf         func(task string) Step
 	// due holds the members of gangs that have done their work, by the function that ends each.
 	due map[gangRun]map[string]func()
+	// present holds the members of gangs that are on workers.
+	present map[gangRun]map[string]bool
 }
 
 // NewInvariantChecker returns a checker that has recorded nothing yet.
 func NewInvariantChecker() *InvariantChecker {
 	return &InvariantChecker{
 		at: map[string][]string{}, done: map[string]bool{}, runs: map[string]int{}, finished: map[string]bool{},
-		stepOf: func(string) Step { return Step{} }, due: map[gangRun]map[string]func(){},
+		stepOf: func(string) Step { return Step{} }, due: map[gangRun]map[string]func(){}, present: map[gangRun]map[string]bool{},
 	}
 }
 
@@ -120,7 +122,9 @@
 	if len(o.at[k.task]) == 0 {
 		delete(o.at, k.task)
 	}
-	delete(o.due[gangRun{stepName(k.task), k.run}], k.task)
+	g := gangRun{stepName(k.task), k.run}
+	delete(o.due[g], k.task)
+	delete(o.present[g], k.task)
 	if done {
 		o.finished[k.task] = true
 	}
@@ -335,6 +339,10 @@
 		w.checker.addViolation("task %s was started on %s, which does not have the label %s", o.Task, w.ID, st.Label)
 	}
 	w.runs[k] = time.AfterFunc(cmp.Or(st.Work, w.work), func() { w.workDone(k, st.GangSize) })
+	if st.GangSize > 0 {
+		w.checker.memberBegan(k)
+		time.AfterFunc(gangTimeout, func() { w.endIfAlone(k, st.GangSize) })
+	}
 	if used := int64(len(w.runs)) * TaskCPU; used > w.bound() {
 		w.checker.addViolation("task %s was started on %s, which has %d milli-CPU, and raised its use to %d", o.Task, w.ID, w.cpu, used)
 	}
@@ -369,6 +377,14 @@
 	}
 }
 
+// endIfAlone ends a member of a gang that is without one of the others. A leader that has inherited
+// a part of a gang learns from it that the gang has to start again.
+func (w *Worker) endIfAlone(k runKey, gangSize int) {
+	if w.checker.membersPresent(k) < gangSize {
+		w.finish(k, "alone")
+	}
+}
+
 func (w *Worker) finish(k runKey, how string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
