sched: place tasks by the measured speeds of workers

Change: internal/speed compares the runs of each step with each other and learns a factor for each kind of workers and for each worker. Urgent tasks prefer fast workers, long-running ones slow workers.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -81,6 +81,8 @@
 	ownTerm *term
 	// unstoredEnds are the ends that this host read in its last term and could not store.
 	unstoredEnds []sched.WorkerEnd
+	// kindSpeeds is what the last leader had learned of the kinds of workers.
+	kindSpeeds map[string]float64
 	// leaderSince is when this host learned of the leader. unansweredSince is when it sent the
 	// leader the first request since the leader's last reply. lastLateReply is when a reply
 	// arrived after its timeout, lastSync when one arrived in time. lastDelegation is when this
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -216,6 +216,9 @@
 	h.mu.Lock()
 	h.pending, h.pendingAt = r.Pending, h.now()
 	h.lastSync, h.strongPower, h.standby = h.now(), r.EnoughPower, r.Standby
+	if len(r.Speeds) > 0 {
+		h.kindSpeeds = r.Speeds
+	}
 	h.agents, h.agentsAt = nil, h.now()
 	for _, a := range r.Agents {
 		h.agents = append(h.agents, agent.Host(a))
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"pollencroft/internal/agent"
 	"pollencroft/internal/cell"
 	"pollencroft/internal/finals"
@@ -114,7 +116,7 @@
 	h.mu.Lock()
 	h.ownTerm = t
 	table := h.table
-	unstored := h.unstoredEnds
+	unstored, speeds := h.unstoredEnds, h.kindSpeeds
 	names := slices.Sorted(maps.Keys(h.hosts))
 	h.mu.Unlock()
 	if table != nil {
@@ -123,6 +125,7 @@
 	t.step(sched.Hosts{Names: names})
 	// The host may have led before.
 	t.step(sched.PreviousEnds{All: unstored})
+	t.step(sched.KnownSpeeds{Kinds: speeds})
 	for _, spec := range r.notStarted {
 		t.step(sched.Submit{Spec: spec})
 	}
@@ -182,7 +185,7 @@
 	t.mu.Lock()
 	over := t.ended
 	t.ended = true
-	unstored := t.core.UnstoredEnds()
+	unstored, speeds := t.core.UnstoredEnds(), t.core.KindFactors()
 	t.mu.Unlock()
 	if over {
 		return
@@ -190,7 +193,7 @@
 	t.cancel()
 	t.h.mu.Lock()
 	if t.h.ownTerm == t {
-		t.h.ownTerm, t.h.unstoredEnds = nil, unstored
+		t.h.ownTerm, t.h.unstoredEnds, t.h.kindSpeeds = nil, unstored, speeds
 	}
 	if t.h.leader == t.h.cfg.Name {
 		t.h.leader = ""
@@ -252,6 +255,9 @@
 		t.h.observe(fmt.Sprintf("job.start.rank%d", a.Rank), a.After)
 	case sched.JobEnded:
 		t.noteEnded(a)
+	case sched.KindSpeed:
+		metrics.GetOrRegisterGaugeFloat64("speed.kind."+a.Kind, t.h.metrics).Update(a.Factor)
+		t.h.log.Info("sched: kind of workers measured.", "kind", a.Kind, "factor", a.Factor, "term", t.number)
 	case sched.LimitExceeded:
 		t.h.incCounter("apart.exceeded")
 		t.h.log.Warn("sched: more runs of a step on a worker than it allows.", "id", a.Task.String(), "worker", a.Worker, "term", t.number, "limit", a.Limit, "detail", a.Runs)
@@ -357,6 +363,13 @@
 	return st, known, known || !t.unreadable[id] && t.h.now().Sub(t.lastPoll) < maxPollAge
 }
 
+// kindFactors returns what the term has learned of the kinds of workers.
+func (t *term) kindFactors() map[string]float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.KindFactors()
+}
+
 // pending returns the number of jobs of which no task has started, by queue, as of at most
 // pendingInterval ago: every host asks for it, and counting checks each open job.
 func (t *term) pending() map[string]int {
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -262,6 +262,8 @@
 	// Agents are the hosts that send the leader's orders to workers, so that its successor knows
 	// them.
 	Agents []AgentHost `json:",omitempty"`
+	// Speeds says how many times as long runs take on each kind of workers as on the fastest kind.
+	Speeds map[string]float64 `json:",omitempty"`
 	// Ended lists jobs that have ended. Endings is the number from which to read on.
 	Ended   []EndedJobs `json:"Ends,omitempty"`
 	Endings int         `json:",omitempty"`
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -86,6 +86,7 @@
 			delete(s.advice, st)
 			delete(s.preemptions, st)
 			delete(s.waits, st)
+			s.speeds.ForgetStep(st.Tasks[0].Name.StepName())
 		}
 	}
 	clear(j.Rounds)
--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -25,11 +25,13 @@
 	// PassUrgentFirst places the most urgent steps by themselves while a pass over all steps has to
 	// wait for its share of time.
 	PassUrgentFirst Mechanism = "urgent-passes"
+	// PreferBySpeed places tasks by the measured speeds of workers and their kinds.
+	PreferBySpeed Mechanism = "prefer-by-speed"
 )
 
 // Mechanisms lists all mechanisms.
 func Mechanisms() []Mechanism {
-	return []Mechanism{AdaptUrgentHosts, QueryMoreWorkers, PrefetchTickets, ReserveForWide, PreemptBulk, OnTimeFirst, LimitPassTime, PassUrgentFirst}
+	return []Mechanism{AdaptUrgentHosts, QueryMoreWorkers, PrefetchTickets, ReserveForWide, PreemptBulk, OnTimeFirst, LimitPassTime, PassUrgentFirst, PreferBySpeed}
 }
 
 // enabled reports whether a mechanism is in use.
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -173,6 +173,9 @@
 	RunEnd
 }
 
+// KnownSpeeds reports the factors of kinds of workers that a previous leader has learned.
+type KnownSpeeds struct{ Kinds map[string]float64 }
+
 // Tick only lets time pass.
 type Tick struct{}
 
@@ -188,6 +191,7 @@
 func (PolicyReply) event()        {}
 func (PredecessorStopped) event() {}
 func (PreviousEnds) event()       {}
+func (KnownSpeeds) event()        {}
 func (Tick) event()               {}
 
 // Action is something that the scheduler core asks its caller to do.
@@ -282,6 +286,12 @@
 	State            flow.State
 }
 
+// KindSpeed reports how many times as long runs take on a kind of workers as on the fastest kind.
+type KindSpeed struct {
+	Kind   string
+	Factor float64
+}
+
 // LimitExceeded reports that more runs of a step may be on a worker than the step allows. Runs
 // names them.
 type LimitExceeded struct {
@@ -312,5 +322,6 @@
 func (StepWaited) action()    {}
 func (JobStarted) action()    {}
 func (JobEnded) action()      {}
+func (KindSpeed) action()     {}
 func (LimitExceeded) action() {}
 func (Note) action()          {}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -216,6 +216,7 @@
 			break
 		}
 		s.assign(left[0], w, left[0].Run+1)
+		s.noteSlowPlacement(r, left[0], w)
 		p.freeCPU -= need
 		left = left[1:]
 	}
@@ -335,6 +336,7 @@
 	if w.speed < slowSpeed {
 		c += slowCost * (1 - w.speed)
 	}
+	c += s.speedCost(r, w)
 	return c + suspectCost*float64(w.health.Failures())
 }
 
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -76,6 +76,7 @@
 	case e.How == EndDone:
 		w.health.Succeed()
 		w.measureSpeed(t, clock)
+		s.recordSpeed(t, w)
 		s.finishTask(t)
 	case e.How == EndFailed && t.State != flow.Stopping:
 		s.recordRunFailure(w, t)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -13,6 +13,7 @@
 	"pollencroft/internal/flow"
 	"pollencroft/internal/policy"
 	"pollencroft/internal/quota"
+	"pollencroft/internal/speed"
 )
 
 // Sched is the scheduler of one term. It is not safe for concurrent use.
@@ -72,6 +73,9 @@
 	// lastAppend is the time of the last append.
 	lastAppend time.Time
 	lastSweep  time.Time
+	// speeds is how long runs take on each worker, reportedSpeeds what was last reported of its kinds.
+	speeds         *speed.Model
+	reportedSpeeds map[string]float64
 }
 
 // batch is what may happen once an append is stored. Runs may start and states may be published at
@@ -105,6 +109,7 @@
 		limits: limits, term: term, queues: map[string]flow.Queue{}, jobs: map[string]*flow.Job{}, openJobs: map[string]*flow.Job{},
 		workers: map[string]*worker{}, hosts: policy.New(!slices.Contains(limits.Disabled, AdaptUrgentHosts)), advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
 		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, preemptions: map[*flow.Stage][]preemption{}, waits: map[*flow.Stage]*stepWait{}, earlyCancels: map[Cancel]time.Time{}, usage: quota.New(), wideHolds: map[string]time.Time{}, dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
+		speeds: speed.New(nil), reportedSpeeds: map[string]float64{},
 	}
 	for _, j := range jobs {
 		s.jobs[j.Spec.ID] = j
@@ -178,6 +183,8 @@
 		s.policyReplied(ev)
 	case PredecessorStopped:
 		s.predecessorStopped(ev)
+	case KnownSpeeds:
+		s.speeds.Adopt(ev.Kinds)
 	case PreviousEnds:
 		s.applyPreviousEnds(ev)
 	case Tick:
--- /dev/null
+++ b/internal/sched/speeds.go
@@ -0,0 +1,86 @@
+package sched
+
+import (
+	"fmt"
+	"math"
+
+	"pollencroft/internal/flow"
+	"pollencroft/internal/speed"
+)
+
+// Weights for the time that a task takes on a worker beyond the time on the fastest kind, as a
+// multiple of the latter. They compare with the other placement costs, in shares of a worker's size.
+const (
+	// urgentSpeedCost makes urgent tasks end early: a job ends with its last task, so one task on a
+	// worker that takes twice as long doubles the time of its step. It outweighs everything but the
+	// rack of the data.
+	urgentSpeedCost = 3
+	// bulkSpeedCost prefers fast workers as long as other costs are equal.
+	bulkSpeedCost = 0.5
+	// longRunningSpeedGain puts tasks that never end on slow workers, up to maxLongRunningGain: speed
+	// is of no use to them, and they would occupy fast ones for good.
+	longRunningSpeedGain = 1.5
+	maxLongRunningGain   = 1.5
+	// reportedChange is by how much the factor of a kind must change to be reported again.
+	reportedChange = 0.15
+	// slowPlacement is the factor from which a placement of an urgent task is logged.
+	slowPlacement = 1.3
+)
+
+// kind returns the label of a worker that names its kind; empty if there is none.
+func (w *Worker) kind() string {
+	for _, l := range w.Labels {
+		if l != w.Rack {
+			return l
+		}
+	}
+	return ""
+}
+
+// speedFactor returns how many times as long runs take on a worker as on the fastest kind.
+func (s *Sched) speedFactor(w *worker) float64 {
+	if !s.enabled(PreferBySpeed) {
+		return 1
+	}
+	return s.speeds.Factor(w.Incarnation, w.kind())
+}
+
+// speedCost returns the part of a task's placement cost that depends on the worker's speed.
+func (s *Sched) speedCost(r readyStep, w *worker) float64 {
+	extra := s.speedFactor(w) - 1
+	switch {
+	case r.stage.Spec.LongRunning:
+		return -min(longRunningSpeedGain*extra, maxLongRunningGain)
+	case s.isLong(r.queue):
+		return bulkSpeedCost * extra
+	default:
+		return urgentSpeedCost * extra
+	}
+}
+
+// recordSpeed compares a run that ended as done with others of its step. Runs that went on from a
+// checkpoint, wait for other members of a gang or share the processor say nothing about the worker.
+func (s *Sched) recordSpeed(t *flow.Task, w *worker) {
+	st := t.Spec()
+	if t.State != flow.Running || st.Gang || st.BestEffort || st.LongRunning || t.Checkpoint != "" || !s.enabled(PreferBySpeed) {
+		return
+	}
+	kind := w.kind()
+	s.speeds.Record(t.Name.StepName(), speed.Run{Worker: w.Incarnation, Kind: kind, Took: s.now.Sub(t.Since)})
+	f := s.speeds.KindFactor(kind)
+	if last, ok := s.reportedSpeeds[kind]; (ok || f != 1) && math.Abs(f-last) > reportedChange*max(last, 1) {
+		s.reportedSpeeds[kind] = f
+		s.emit(KindSpeed{Kind: kind, Factor: f})
+	}
+}
+
+// noteSlowPlacement notes that an urgent task goes to a slow worker, because no faster one that it
+// may use has capacity.
+func (s *Sched) noteSlowPlacement(r readyStep, t *flow.Task, w *worker) {
+	if f := s.speedFactor(w); f >= slowPlacement && !r.stage.Spec.LongRunning && !s.isLong(r.queue) {
+		s.emit(Note{ID: t.Name.String(), What: "placed on a slow worker", Worker: w.Incarnation, Run: t.Run, Detail: fmt.Sprintf("takes %.1f times as long, kind %s", f, w.kind())})
+	}
+}
+
+// KindFactors returns the factors of the kinds of workers, for the host that leads next.
+func (s *Sched) KindFactors() map[string]float64 { return s.speeds.Kinds() }
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -189,6 +189,7 @@
 		return
 	}
 	w.dead, w.judgeAt = true, s.now.Add(crashJudgeDelay)
+	s.speeds.ForgetWorker(incarnation)
 	s.dropAllUntracked(w, "worker died")
 	s.recordOutage(w)
 	s.emit(Note{ID: incarnation, What: "worker has begun another incarnation", Worker: incarnation, Detail: w.describeRuns()})
@@ -231,6 +232,7 @@
 			s.emit(Note{ID: incarnation, What: "worker forgotten", Worker: incarnation, Detail: w.describeEnd()})
 			s.resolveForgotten(w)
 			s.dropAllUntracked(w, "worker forgotten")
+			s.speeds.ForgetWorker(incarnation)
 			delete(s.workers, incarnation)
 			s.workersChanged()
 		case len(w.lostRuns) > 0:
--- /dev/null
+++ b/internal/speed/speed.go
@@ -0,0 +1,187 @@
+// Package speed learns how long runs take on each worker relative to others, by kind of worker and
+// by worker within its kind.
+//
+// Declared times are often far off, so runs are compared only with other runs of the same step,
+// whose tasks are alike. What a kind of worker has in common is learned from all its workers, within
+// seconds of the first jobs; what is particular to one worker needs several of its own runs.
+package speed
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// minRuns is how many runs of a step must have ended before they are compared. The median of
+	// fewer is often a slow run itself.
+	minRuns = 5
+	// maxRuns bounds the runs that are kept for one step.
+	maxRuns = 64
+	// minTook is the shortest run that is compared: for shorter ones the delay of the worker's reply
+	// dominates.
+	minTook = 20 * time.Millisecond
+	// kindWindow and workerWindow are over how many runs the estimates average.
+	kindWindow   = 50
+	workerWindow = 4
+	// kindTrust is how many runs of a kind, and of the workers that it is compared with, are needed
+	// before its factor is used.
+	kindTrust = 5
+	// workerTrust is after how many runs the factor of a worker counts for half.
+	workerTrust = 3
+	// maxDeviation bounds, as a logarithm, what one run can contribute: a few runs in a hundred take
+	// several times as long on any worker.
+	maxDeviation = 1
+)
+
+// Run is a run that ended as done.
+type Run struct {
+	// Worker is the incarnation on which it ran, Kind the kind of that worker.
+	Worker, Kind string
+	Took         time.Duration
+}
+
+// estimate is the average logarithm of a factor over the last runs.
+type estimate struct {
+	log  float64
+	runs int
+}
+
+func (e *estimate) add(value float64, window int) {
+	e.runs++
+	deviation := max(min(value-e.log, maxDeviation), -maxDeviation)
+	e.log += deviation / float64(min(e.runs, window))
+}
+
+// Model holds the factors of kinds and workers. It is not safe for concurrent use.
+type Model struct {
+	kinds   map[string]*estimate
+	workers map[string]*estimate
+	steps   map[string][]Run
+}
+
+// New returns a model that starts with the given factors of kinds, which a previous leader may have
+// learned.
+func New(kinds map[string]float64) *Model {
+	m := &Model{kinds: map[string]*estimate{}, workers: map[string]*estimate{}, steps: map[string][]Run{}}
+	m.Adopt(kinds)
+	return m
+}
+
+// Adopt takes over the factors of kinds that the model knows nothing about. A few runs of its own
+// outweigh them.
+func (m *Model) Adopt(kinds map[string]float64) {
+	for kind, f := range kinds {
+		if _, ok := m.kinds[kind]; !ok && f > 0 && !math.IsInf(f, 0) && !math.IsNaN(f) {
+			m.kinds[kind] = &estimate{log: math.Log(f), runs: kindTrust}
+		}
+	}
+}
+
+// Record compares a run with the earlier ones of its step.
+func (m *Model) Record(step string, r Run) {
+	all := m.steps[step]
+	if r.Took < minTook || len(all) >= maxRuns {
+		return
+	}
+	all = append(all, r)
+	m.steps[step] = all
+	if len(all) < minRuns {
+		return
+	}
+	level := m.level(all)
+	if len(all) > minRuns {
+		all = all[len(all)-1:]
+	}
+	for _, r := range all {
+		m.compare(r, level)
+	}
+}
+
+// level returns the median logarithm of the time that the runs would have taken on a worker with
+// factor 1.
+func (m *Model) level(all []Run) float64 {
+	logs := make([]float64, len(all))
+	for i, r := range all {
+		logs[i] = math.Log(r.Took.Seconds()) - m.kindLog(r.Kind) - m.workerLog(r.Worker)
+	}
+	slices.Sort(logs)
+	return logs[len(logs)/2]
+}
+
+func (m *Model) compare(r Run, level float64) {
+	relative := math.Log(r.Took.Seconds()) - level
+	kind, ok := m.kinds[r.Kind]
+	if !ok {
+		kind = &estimate{}
+		m.kinds[r.Kind] = kind
+	}
+	kind.add(relative, kindWindow)
+	w, ok := m.workers[r.Worker]
+	if !ok {
+		w = &estimate{}
+		m.workers[r.Worker] = w
+	}
+	w.add(relative-kind.log, workerWindow)
+}
+
+func (m *Model) kindLog(kind string) float64 {
+	if e, ok := m.kinds[kind]; ok {
+		return e.log
+	}
+	return 0
+}
+
+// workerLog returns the logarithm of a worker's factor within its kind. It counts for little until
+// the worker has had several runs.
+func (m *Model) workerLog(worker string) float64 {
+	e, ok := m.workers[worker]
+	if !ok {
+		return 0
+	}
+	return e.log * float64(e.runs) / float64(e.runs+workerTrust)
+}
+
+// fastest returns the smallest logarithm of a kind that has enough runs.
+func (m *Model) fastest() float64 {
+	least := math.Inf(1)
+	for _, e := range m.kinds {
+		if e.runs >= kindTrust {
+			least = min(least, e.log)
+		}
+	}
+	return least
+}
+
+// KindFactor returns how many times as long runs take on workers of a kind as on the fastest kind.
+// It is 1 while nothing is known.
+func (m *Model) KindFactor(kind string) float64 {
+	e, ok := m.kinds[kind]
+	if !ok || e.runs < kindTrust {
+		return 1
+	}
+	return math.Exp(e.log - m.fastest())
+}
+
+// Factor returns how many times as long runs take on a worker as on the fastest kind of workers. A
+// worker without runs of its own has the factor of its kind.
+func (m *Model) Factor(worker, kind string) float64 {
+	return m.KindFactor(kind) * math.Exp(m.workerLog(worker))
+}
+
+// Kinds returns the factors of all kinds with enough runs, for the hosts of which one leads next.
+func (m *Model) Kinds() map[string]float64 {
+	all := make(map[string]float64, len(m.kinds))
+	for kind, e := range m.kinds {
+		if e.runs >= kindTrust {
+			all[kind] = m.KindFactor(kind)
+		}
+	}
+	return all
+}
+
+// ForgetStep drops the runs of a step that is over.
+func (m *Model) ForgetStep(step string) { delete(m.steps, step) }
+
+// ForgetWorker drops what is known of an incarnation that has ended.
+func (m *Model) ForgetWorker(worker string) { delete(m.workers, worker) }
