rate: mark the jobs that an organisation sends beyond its weight

Cause: when not all jobs can be on time, the placement has to know who exceeds its share. Change: the table's weight (jobs per second) reaches the core with the Queues event; token buckets mark each job at its acceptance (flow.Job.BeyondRate). A successor makes the marks again from the acceptance times with the first table of its term; the stored record is unchanged. A weight that is not a number of jobs per second is a problem of the table and limits nothing. Without weights nothing is marked.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -145,7 +145,7 @@
 const maxLoggedProblems = 5
 
 func queuesOf(t *platform.Table) sched.Queues {
-	ev := sched.Queues{Version: t.Version, Quotas: t.Quotas}
+	ev := sched.Queues{Version: t.Version, Quotas: t.Quotas, Weights: t.Weights}
 	for _, r := range t.Routes {
 		ev.All = append(ev.All, r.Queue)
 	}
--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -176,6 +176,8 @@
 	Accepted        time.Time
 	// Number orders jobs by acceptance.
 	Number int64
+	// BeyondRate means that the organisation sent the job beyond its rate.
+	BeyondRate bool
 	// Domain is the failure domain in which the job's tasks are placed as long as it has
 	// capacity. It is empty until a task has run.
 	Domain string
--- /dev/null
+++ b/internal/rate/rate.go
@@ -0,0 +1,88 @@
+// Package rate decides which jobs an organisation sends beyond its rate.
+package rate
+
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// burstTime is how many seconds' worth of its rate an organisation may send at once after a
+	// pause. Hosts accept jobs during a change of leader, and the next leader receives them all at
+	// the same time; shorter bursts would mark jobs that were sent within the rate.
+	burstTime = 4 * time.Second
+	// minBurst is the same in jobs for low rates: jobs that arrive at random at a tenth of a job
+	// per second often come in pairs.
+	minBurst = 4
+)
+
+// Meter is a token bucket for each organisation that has a rate. A job within the rate takes a
+// token, and a job beyond it takes none. It is not safe for concurrent use.
+type Meter struct {
+	// rates holds jobs per second by organisation.
+	rates   map[string]float64
+	buckets map[string]bucket
+}
+
+// bucket is the number of tokens as of a time.
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+// New returns a meter without rates.
+func New() *Meter { return &Meter{rates: map[string]float64{}, buckets: map[string]bucket{}} }
+
+// SetRates replaces the rates, by organisation in jobs per second. Organisations without a rate, or
+// with one that is not positive, are not limited. Tokens that have accrued stay.
+func (m *Meter) SetRates(now time.Time, rates map[string]float64) {
+	for o := range m.buckets {
+		m.buckets[o] = m.refilled(now, o)
+	}
+	clear(m.rates)
+	maps.Copy(m.rates, rates)
+	maps.DeleteFunc(m.rates, func(_ string, r float64) bool { return !(r > 0) })
+	maps.DeleteFunc(m.buckets, func(o string, _ bucket) bool { return m.rates[o] == 0 })
+}
+
+// Limited reports whether any organisation has a rate.
+func (m *Meter) Limited() bool { return len(m.rates) > 0 }
+
+// Rate returns an organisation's rate in jobs per second; zero if it has none.
+func (m *Meter) Rate(organisation string) float64 { return m.rates[organisation] }
+
+// Tokens returns how many jobs the organisation may send now within its rate.
+func (m *Meter) Tokens(now time.Time, organisation string) float64 {
+	return m.refilled(now, organisation).tokens
+}
+
+// Beyond counts a job that is accepted at now and reports whether it is beyond the organisation's
+// rate.
+func (m *Meter) Beyond(now time.Time, organisation string) bool {
+	if m.rates[organisation] == 0 {
+		return false
+	}
+	b := m.refilled(now, organisation)
+	beyond := b.tokens < 1
+	if !beyond {
+		b.tokens--
+	}
+	m.buckets[organisation] = b
+	return beyond
+}
+
+// refilled returns the bucket of an organisation that has a rate as of now. The clocks of two
+// leaders differ, so now may be before the bucket's time; the bucket then stays as it is.
+func (m *Meter) refilled(now time.Time, organisation string) bucket {
+	r := m.rates[organisation]
+	burst := max(r*burstTime.Seconds(), minBurst)
+	b, ok := m.buckets[organisation]
+	if !ok {
+		return bucket{tokens: burst, at: now}
+	}
+	if since := now.Sub(b.at); since > 0 {
+		b = bucket{tokens: b.tokens + r*since.Seconds(), at: now}
+	}
+	b.tokens = min(b.tokens, burst)
+	return b
+}
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -14,6 +14,7 @@
 	}
 	s.lastNumber++
 	j := flow.New(spec, s.lastNumber, s.now)
+	s.markRate(j)
 	s.jobs[spec.ID], s.openJobs[spec.ID] = j, j
 	j.BeginRounds(s.now)
 	s.markDirty(j)
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -77,11 +77,13 @@
 // Event is an input of the scheduler core.
 type Event interface{ event() }
 
-// Queues replaces the table's queues and the quotas of the organisations.
+// Queues replaces the table's queues, and the quotas and weights of the organisations. A weight is a
+// rate in jobs per second.
 type Queues struct {
 	Version int64
 	All     []flow.Queue
 	Quotas  map[string]cell.Size
+	Weights map[string]float64
 }
 
 // Workers replaces the list of workers.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -13,6 +13,7 @@
 	"pollencroft/internal/flow"
 	"pollencroft/internal/policy"
 	"pollencroft/internal/quota"
+	"pollencroft/internal/rate"
 )
 
 // Sched is the scheduler of one term. It is not safe for concurrent use.
@@ -50,6 +51,10 @@
 	earlyCancels map[Cancel]time.Time
 	// usage is what the organisations have running.
 	usage *quota.Usage
+	// rates mark the jobs that organisations send beyond their rates. ratesKnown means that the
+	// table has been received in this term.
+	rates      *rate.Meter
+	ratesKnown bool
 	// wideHolds is when the steps of an organisation last began to wait for a wide gang.
 	wideHolds map[string]time.Time
 	// dirty are jobs whose changes are not in an append yet.
@@ -104,7 +109,7 @@
 	s := &Sched{
 		limits: limits, term: term, queues: map[string]flow.Queue{}, jobs: map[string]*flow.Job{}, openJobs: map[string]*flow.Job{},
 		workers: map[string]*worker{}, hosts: policy.New(!slices.Contains(limits.Disabled, AdaptUrgentHosts)), advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
-		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, preemptions: map[*flow.Stage][]preemption{}, waits: map[*flow.Stage]*stepWait{}, earlyCancels: map[Cancel]time.Time{}, usage: quota.New(), wideHolds: map[string]time.Time{}, dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
+		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, preemptions: map[*flow.Stage][]preemption{}, waits: map[*flow.Stage]*stepWait{}, earlyCancels: map[Cancel]time.Time{}, usage: quota.New(), rates: rate.New(), wideHolds: map[string]time.Time{}, dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
 	}
 	for _, j := range jobs {
 		s.jobs[j.Spec.ID] = j
@@ -206,6 +211,7 @@
 		s.queues[q.Name] = q
 	}
 	s.usage.SetQuotas(ev.Quotas)
+	s.setRates(ev.Weights)
 	s.recallAboveQuota()
 }
 
--- a/internal/sched/simcell_test.go
+++ b/internal/sched/simcell_test.go
@@ -73,8 +73,10 @@
 	// coreTime is the real time spent in the core.
 	coreTime time.Duration
 	queues   []flow.Queue
-	// quotas are the organisations' quotas, organisation that of the jobs submitted next.
+	// quotas and weights are those of the organisations, organisation is that of the jobs submitted
+	// next.
 	quotas       map[string]cell.Size
+	weights      map[string]float64
 	formerQuotas []formerQuotas
 	organisation string
 	// alter changes the jobs that are submitted; nil means none.
@@ -363,7 +365,7 @@
 		jobs = append(jobs, j)
 	}
 	b.core = sched.New(sched.DefaultLimits, b.term, jobs)
-	b.step(sched.Queues{Version: 1, All: b.queues, Quotas: b.quotas})
+	b.step(sched.Queues{Version: 1, All: b.queues, Quotas: b.quotas, Weights: b.weights})
 	b.step(sched.Hosts{Names: []string{"h1", "h2", "h3", "h4"}})
 	for _, s := range fresh {
 		b.step(sched.Submit{Spec: s})
