admission: ask callers to return later the longer the store is unavailable

Cause: with Retry-After 1 a caller is rejected four times within an outage of 4.2 s and has given up before the store is back. All other rejections keep 1 s, as does a host that the store answers. The log line of a rejection has it.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"pollencroft/internal/access"
+	"pollencroft/internal/admission"
 	"pollencroft/internal/flow"
 	"pollencroft/internal/store"
 	"pollencroft/platform"
@@ -26,9 +27,6 @@
 	replyMargin = 150 * time.Millisecond
 	// defaultMaxBody limits the request body until the table sets a limit.
 	defaultMaxBody = 256 << 10
-	// retryAfterSeconds is when a refused caller may retry. A store outage lasts for seconds, and
-	// one second is the shortest time that the header can express.
-	retryAfterSeconds = "1"
 )
 
 func (h *Host) callerHandler() http.Handler {
@@ -138,11 +136,37 @@
 
 // refuse answers with the reason and, if a retry makes sense, with Retry-After.
 func (h *Host) refuse(w http.ResponseWriter, code int, id, reason string) {
-	h.incCounter("caller.refused." + strconv.Itoa(code))
-	h.log.Info("caller: refused.", "id", id, "code", code, "reason", reason)
+	after := time.Duration(0)
 	if code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests {
-		w.Header().Set("Retry-After", retryAfterSeconds)
+		after = admission.MinRetry
+	}
+	h.refuseFor(w, code, id, reason, after)
+}
+
+// refuseUnstored answers a request that was not stored.
+func (h *Host) refuseUnstored(w http.ResponseWriter, id string, err error) {
+	h.refuseFor(w, http.StatusServiceUnavailable, id, "not stored: "+err.Error(), admission.OutageRetry(h.storeSilence(), id))
+}
+
+// storeSilence returns for how long the store has not answered this host; zero if it never has.
+func (h *Host) storeSilence() time.Duration {
+	last := h.store.LastAnswer()
+	if last.IsZero() {
+		return 0
+	}
+	return h.now().Sub(last)
+}
+
+// refuseFor answers with the reason and when to retry; zero means that a retry makes no sense.
+func (h *Host) refuseFor(w http.ResponseWriter, code int, id, reason string, after time.Duration, attrs ...any) {
+	h.incCounter("caller.refused." + strconv.Itoa(code))
+	line := []any{"id", id, "code", code, "reason", reason}
+	if after > 0 {
+		seconds := strconv.Itoa(int(after.Seconds()))
+		w.Header().Set("Retry-After", seconds)
+		line = append(line, "retry-after", seconds)
 	}
+	h.log.Info("caller: refused.", append(line, attrs...)...)
 	b, err := json.Marshal(map[string]string{"error": reason})
 	if err != nil {
 		h.log.Error("caller: reason cannot be encoded.", "err", err)
@@ -190,7 +214,7 @@
 		h.log.Info("caller: accepted.", "id", id, "queue", q.Name, "organisation", k.organisation)
 		reply(w, http.StatusOK, []byte("{}"))
 	case store.NotDone(err):
-		h.refuse(w, http.StatusServiceUnavailable, id, "not stored: "+err.Error())
+		h.refuseUnstored(w, id, err)
 	default:
 		h.refuse(w, http.StatusGatewayTimeout, id, "not known whether it is stored")
 	}
@@ -268,7 +292,7 @@
 		h.log.Info("caller: cancelled.", "id", id)
 		reply(w, http.StatusOK, []byte("{}"))
 	case store.NotDone(err):
-		h.refuse(w, http.StatusServiceUnavailable, id, "not stored: "+err.Error())
+		h.refuseUnstored(w, id, err)
 	default:
 		h.refuse(w, http.StatusGatewayTimeout, id, "not known whether it is stored")
 	}
