drain: make the drain measurement of the queue a package

Cause: the leader of the users' platform is to measure how fast its backlogs are worked off, too. Change: internal/drain.Meter is internal/queue's measurement, with the window as a field. Result: go test ./internal/queue ./internal/drain passes; no decision of the queue changes.

--- a/internal/queue/dispatch.go
+++ b/internal/queue/dispatch.go
@@ -102,6 +102,6 @@
 	c.virtualTime = r.usage
 	r.usage += r.cost()
 	c.reindex(r)
-	r.drain.countSend(now)
-	c.drain.countSend(now)
+	r.drain.Count(now)
+	c.drain.Count(now)
 }
--- a/internal/queue/drain.go
+++ b/internal/queue/drain.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pollencroft/internal/cell"
+	"pollencroft/internal/drain"
 )
 
 // drainWindow is how long sends are counted before the count updates the measured rate.
@@ -15,42 +16,7 @@
 // maxRetryAfter bounds how long a caller is asked to wait before it retries.
 const maxRetryAfter = time.Minute
 
-// drain measures how fast a backlog is worked off.
-type drain struct {
-	began    time.Time
-	sent     int
-	measured time.Duration
-}
-
-// restart starts a new count. This also happens when a backlog begins, so that idle time does
-// not count as slow progress.
-func (d *drain) restart(now time.Time) { d.began, d.sent = now, 0 }
-
-func (d *drain) countSend(now time.Time) {
-	d.sent++
-	took := now.Sub(d.began)
-	if took < drainWindow {
-		return
-	}
-	per := took / time.Duration(d.sent)
-	if d.measured > 0 {
-		per = (d.measured + per) / 2
-	}
-	d.measured = per
-	d.restart(now)
-}
-
-// interval returns the average time between two sends, or zero if it is unknown. If the queue
-// has stalled, the time since the count began is taken into account, but only after a whole
-// window: multiplied by the length of a long queue, a single random gap would cause requests
-// to be refused that can be served in time.
-func (d *drain) interval(now time.Time) time.Duration {
-	stalled := now.Sub(d.began)
-	if stalled < drainWindow {
-		return d.measured
-	}
-	return max(d.measured, stalled/time.Duration(d.sent+1))
-}
+func newDrain() drain.Meter { return drain.Meter{Window: drainWindow} }
 
 // lateMargin is the factor by which the estimated time must exceed the time left before a
 // request is refused because of the estimate: bulk requests are refused as soon as it exceeds
@@ -60,14 +26,14 @@
 // estimateWait returns how long a request of a row is expected to wait if ahead other
 // requests of the row go before it. It returns zero if nothing has been measured.
 func (q *Queue) estimateWait(now time.Time, r *row, ahead int) time.Duration {
-	if per := r.drain.interval(now); per > 0 && len(r.waiting.items) > 0 {
+	if per := r.drain.Interval(now); per > 0 && len(r.waiting.items) > 0 {
 		return per * time.Duration(ahead)
 	}
 	c := q.classes[r.Class]
 	if c.waiting == 0 {
 		return 0
 	}
-	return c.drain.interval(now) * time.Duration(ahead+c.waiting-len(r.waiting.items))
+	return c.drain.Interval(now) * time.Duration(ahead+c.waiting-len(r.waiting.items))
 }
 
 // wouldMissDeadline reports whether a request with ahead other requests before it cannot be
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -140,7 +140,7 @@
 	from.blocked.drop(r)
 	from.waiting -= n
 	if into.waiting == 0 {
-		into.drain.restart(now)
+		into.drain.Restart(now)
 	}
 	into.waiting += n
 	r.usage = into.virtualTime
@@ -151,13 +151,13 @@
 	r := req.row
 	c := q.classes[r.Class]
 	if len(r.waiting.items) == 0 {
-		r.drain.restart(now)
+		r.drain.Restart(now)
 		if r.busy == 0 {
 			r.usage = max(r.usage, c.virtualTime)
 		}
 	}
 	if c.waiting == 0 {
-		c.drain.restart(now)
+		c.drain.Restart(now)
 	}
 	c.waiting++
 	req.since = now
--- a/internal/queue/row.go
+++ b/internal/queue/row.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pollencroft/internal/cell"
+	"pollencroft/internal/drain"
 )
 
 // bucketWidth is the resolution at which waiting requests are counted by deadline.
@@ -36,12 +37,12 @@
 	// rejectedBy holds the peers that have had no slot for the row since they last announced
 	// their load.
 	rejectedBy map[string]bool
-	drain      drain
+	drain      drain.Meter
 }
 
 func newRow(of Row) *row {
 	return &row{
-		Row: of, waiting: newIndexedHeap(earlier), order: list.New(), dueCounts: map[int64]int{}, rejectedBy: map[string]bool{},
+		Row: of, waiting: newIndexedHeap(earlier), order: list.New(), dueCounts: map[int64]int{}, rejectedBy: map[string]bool{}, drain: newDrain(),
 	}
 }
 
@@ -108,13 +109,13 @@
 	// from there: if it could use up at once what it left unused, its burst would hold up
 	// every other row of the class.
 	virtualTime float64
-	drain       drain
+	drain       drain.Meter
 }
 
 func newClasses() map[cell.Class]*class {
 	all := map[cell.Class]*class{}
 	for _, c := range cell.Classes {
-		all[c] = &class{ready: newIndexedHeap(lessUsage), blocked: newIndexedHeap(lessUsage)}
+		all[c] = &class{ready: newIndexedHeap(lessUsage), blocked: newIndexedHeap(lessUsage), drain: newDrain()}
 	}
 	return all
 }
