estimate: expect run times by a regression per queue

Cause: run times divided by declared ones have the deciles 0.34 to 4.03 and 0.58 to 2.41 in two deployments. The placement engine corrects them by a histogram of ratios, which is wrong where declared times say little about run times; the platform's scheduler trusts the declared time. Change: estimate.Times keeps for each queue a regression of the logarithm of the run time on that of the declared one, with exponential forgetting, a slope between 0 and 1, clipped residuals and a spread. Estimates.Time and RecordTime use it in place of the histogram.

--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -28,8 +28,8 @@
 	// sizeQuantile and Margin leave capacity for the row's largest tasks and for growth that
 	// is not reported yet, since reports lag.
 	sizeQuantile = 99.5
-	// timeQuantile is the percentage of a row's tasks that end within the expected time.
-	timeQuantile = 90
+	// timeQuantile is the share of a row's tasks that end within the expected time.
+	timeQuantile = 0.9
 	// steadyReports is after how many reports without growth a task is assumed to have reached
 	// its full size. Tasks that were measured while they still grew would make the estimate
 	// for the next tasks of their row too small.
@@ -63,7 +63,7 @@
 	return float64(max(q.current.ValueAtQuantile(quantile), q.previous.ValueAtQuantile(quantile))) / scale
 }
 
-type row struct{ cpu, mem, time *quantiles }
+type row struct{ cpu, mem *quantiles }
 
 type task struct {
 	row      string
@@ -81,15 +81,18 @@
 type Estimates struct {
 	rows  map[string]*row
 	tasks map[string]*task
+	times *Times
 }
 
 // New returns estimates without measurements.
-func New() *Estimates { return &Estimates{rows: map[string]*row{}, tasks: map[string]*task{}} }
+func New() *Estimates {
+	return &Estimates{rows: map[string]*row{}, tasks: map[string]*task{}, times: NewTimes(minSamples)}
+}
 
 func (e *Estimates) row(name string) *row {
 	r, ok := e.rows[name]
 	if !ok {
-		r = &row{cpu: newQuantiles(), mem: newQuantiles(), time: newQuantiles()}
+		r = &row{cpu: newQuantiles(), mem: newQuantiles()}
 		e.rows[name] = r
 	}
 	return r
@@ -109,13 +112,18 @@
 
 func scaled(v int64, by float64) int64 { return max(int64(float64(v)*by), min(v, 1)) }
 
-// Time returns the time within which a task of a row is expected to end.
+// Time returns the time within which a task of a row is expected to end. A task without a declared
+// time has no expected one: it may run forever.
 func (e *Estimates) Time(name string, declared time.Duration) time.Duration {
-	r, ok := e.rows[name]
-	if !ok || r.time.count() < minSamples {
+	d := e.times.Expect(name, declared)
+	switch {
+	case declared <= 0:
+		return 0
+	case !d.Measured:
 		return declared * unmeasuredFactor
+	default:
+		return d.Quantile(timeQuantile)
 	}
-	return time.Duration(float64(declared) * r.time.quantile(timeQuantile))
 }
 
 // RecordUse records a report of the resources that a running task uses, and returns the
@@ -175,5 +183,5 @@
 
 // RecordTime records how long a task of a row really ran.
 func (e *Estimates) RecordTime(name string, declared, ran time.Duration) {
-	e.row(name).time.add(ran.Seconds(), declared.Seconds())
+	e.times.Record(name, declared, ran)
 }
