sched: expect run times as measured

Jobs that can be on time count as late, and the other way round. Change: the core records each run that ends as done (of steps that are no gangs, best-effort or long-running, and not of runs that resumed or that a former leader started) and expects run times by queue and step. The objective counts a query to the policy service for each step of the chain. Switch learn-times; a queue with fewer than 100 runs decides as before.

--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -252,6 +252,8 @@
 		t.h.observe(fmt.Sprintf("job.start.rank%d", a.Rank), a.After)
 	case sched.JobEnded:
 		t.noteEnded(a)
+	case sched.QueueTimes:
+		t.h.observeTimes(a, t.number)
 	case sched.LimitExceeded:
 		t.h.incCounter("apart.exceeded")
 		t.h.log.Warn("sched: more runs of a step on a worker than it allows.", "id", a.Task.String(), "worker", a.Worker, "term", t.number, "limit", a.Limit, "detail", a.Runs)
--- a/internal/estimate/times.go
+++ b/internal/estimate/times.go
@@ -104,6 +104,12 @@
 // Runs returns how many runs have been recorded.
 func (q *QueueTimes) Runs() int { return q.declared.runs + q.undeclared.runs }
 
+// Ratio returns the median of run times relative to declared ones, around the queue's usual declared
+// time.
+func (q *QueueTimes) Ratio() float64 {
+	return math.Exp(q.declared.published.meanY - q.declared.published.meanX)
+}
+
 // Slope returns the exponent of the declared time in the expected run time: 0 if declared times say
 // nothing about run times, 1 if run times are proportional to them.
 func (q *QueueTimes) Slope() float64 {
--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -67,6 +67,10 @@
 	Checkpoint string
 	// Since is when the task entered its current state.
 	Since time.Time
+	// MeasuredFrom is when the leader learned that the current run had begun. It is zero if the run
+	// does not show how long the task takes: a former leader started it, so that its beginning is
+	// not known, or it resumed from a checkpoint.
+	MeasuredFrom time.Time
 	// avoided lists the workers that the task avoids, and may contain expired ones.
 	avoided []avoidance
 	// Percent is the progress reported last. ProgressSeen is when progress was first reported
@@ -88,6 +92,12 @@
 	if err != nil {
 		return false
 	}
+	switch {
+	case ev == Assign:
+		t.MeasuredFrom = time.Time{}
+	case ev == Confirm && t.State == Starting && t.Checkpoint == "":
+		t.MeasuredFrom = now
+	}
 	t.setState(next)
 	t.Since = now
 	return true
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -150,6 +150,7 @@
 	t.Transition(flow.Send, s.now)
 	s.track(w, t)
 	s.confirm(t)
+	t.MeasuredFrom = time.Time{}
 	s.markDirty(j)
 	return true
 }
--- a/internal/sched/deadline.go
+++ b/internal/sched/deadline.go
@@ -44,9 +44,9 @@
 	if !s.enabled(OnTimeFirst) || st.Spec.LongRunning {
 		return onTime
 	}
-	objective := j.Objective(q)
+	objective := s.objective(j, q)
 	waited := s.waitTime(j, r)
-	ends := waited + j.RemainingTime(st)
+	ends := waited + s.remainingTime(j, st, q)
 	switch {
 	case objective <= 0, ends <= objective:
 		return onTime
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -89,6 +89,7 @@
 		}
 	}
 	clear(j.Rounds)
+	delete(s.times.jobs, j)
 	delete(s.openJobs, j.Spec.ID)
 	s.markDirty(j)
 }
--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -25,11 +25,13 @@
 	// PassUrgentFirst places the most urgent steps by themselves while a pass over all steps has to
 	// wait for its share of time.
 	PassUrgentFirst Mechanism = "urgent-passes"
+	// LearnTimes expects run times by those of runs that have ended, instead of as declared.
+	LearnTimes Mechanism = "learn-times"
 )
 
 // Mechanisms lists all mechanisms.
 func Mechanisms() []Mechanism {
-	return []Mechanism{AdaptUrgentHosts, QueryMoreWorkers, PrefetchTickets, ReserveForWide, PreemptBulk, OnTimeFirst, LimitPassTime, PassUrgentFirst}
+	return []Mechanism{AdaptUrgentHosts, QueryMoreWorkers, PrefetchTickets, ReserveForWide, PreemptBulk, OnTimeFirst, LimitPassTime, PassUrgentFirst, LearnTimes}
 }
 
 // enabled reports whether a mechanism is in use.
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -293,6 +293,15 @@
 	Limit int
 }
 
+// QueueTimes reports how long the runs of a queue take, after a material change: their median relative
+// to the declared time, its exponent in the expected time, the spread of the logarithm, and the
+// number of runs.
+type QueueTimes struct {
+	Queue                string
+	Ratio, Slope, Spread float64
+	Runs                 int
+}
+
 // Note describes a decision, for the log.
 type Note struct {
 	ID, What string
@@ -301,6 +310,7 @@
 	Detail   string
 }
 
+func (QueueTimes) action()    {}
 func (Append) action()        {}
 func (Hold) action()          {}
 func (Start) action()         {}
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -113,5 +113,5 @@
 	if !ok {
 		return false
 	}
-	return s.waitTime(t.Job, round)+preemptionCost+t.Job.RemainingTime(t.Step) <= t.Job.Objective(q)
+	return s.waitTime(t.Job, round)+preemptionCost+s.remainingTime(t.Job, t.Step, q) <= s.objective(t.Job, q)
 }
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -129,7 +129,7 @@
 	var ends []end
 	for _, t := range w.sortedTasks() {
 		if !t.Spec().LongRunning {
-			ends = append(ends, end{t.Since.Add(t.Spec().EstimatedTime), t.Spec().Demand()})
+			ends = append(ends, end{s.expectedEnd(w, t), t.Spec().Demand()})
 		}
 	}
 	slices.SortStableFunc(ends, func(a, b end) int { return a.at.Compare(b.at) })
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -76,6 +76,7 @@
 	case e.How == EndDone:
 		w.health.Succeed()
 		w.measureSpeed(t, clock)
+		s.recordRunTime(w, t)
 		s.finishTask(t)
 	case e.How == EndFailed && t.State != flow.Stopping:
 		s.recordRunFailure(w, t)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -72,6 +72,7 @@
 	// lastAppend is the time of the last append.
 	lastAppend time.Time
 	lastSweep  time.Time
+	times      *runTimes
 }
 
 // batch is what may happen once an append is stored. Runs may start and states may be published at
@@ -104,7 +105,7 @@
 	s := &Sched{
 		limits: limits, term: term, queues: map[string]flow.Queue{}, jobs: map[string]*flow.Job{}, openJobs: map[string]*flow.Job{},
 		workers: map[string]*worker{}, hosts: policy.New(!slices.Contains(limits.Disabled, AdaptUrgentHosts)), advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
-		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, preemptions: map[*flow.Stage][]preemption{}, waits: map[*flow.Stage]*stepWait{}, earlyCancels: map[Cancel]time.Time{}, usage: quota.New(), wideHolds: map[string]time.Time{}, dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
+		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, preemptions: map[*flow.Stage][]preemption{}, waits: map[*flow.Stage]*stepWait{}, earlyCancels: map[Cancel]time.Time{}, usage: quota.New(), wideHolds: map[string]time.Time{}, dirty: map[string]*flow.Job{}, nextBatch: newBatch(), times: newRunTimes(),
 	}
 	for _, j := range jobs {
 		s.jobs[j.Spec.ID] = j
--- a/internal/sched/speed.go
+++ b/internal/sched/speed.go
@@ -56,7 +56,7 @@
 	if t.State != flow.Running || st.BestEffort || l.Percent >= 100 || w.draining {
 		return
 	}
-	still := max(stallMin, time.Duration(stallShare*float64(st.EstimatedTime)))
+	still := max(stallMin, time.Duration(stallShare*float64(s.judgedTime(t))))
 	if clock.Sub(t.ProgressChanged) > still {
 		s.recordRunFailure(w, t)
 		t.Avoid(w.Incarnation, s.now)
@@ -75,7 +75,7 @@
 	jobs := map[string]bool{}
 	judged, worst := 0, 1.0
 	for _, t := range w.sortedTasks() {
-		rate, ok := speedOf(t, clock)
+		rate, ok := speedOf(t, s.judgedTime(t), clock)
 		if !ok {
 			continue
 		}
@@ -100,18 +100,18 @@
 	}
 }
 
-// speedOf returns how fast a run progresses relative to its estimate, or false if it cannot be
-// judged yet.
-func speedOf(t *flow.Task, clock time.Time) (float64, bool) {
+// speedOf returns how fast a run progresses relative to an estimate, or false if it cannot be judged
+// yet.
+func speedOf(t *flow.Task, estimate time.Duration, clock time.Time) (float64, bool) {
 	st := t.Spec()
 	took := clock.Sub(t.ProgressSeen)
-	if t.State != flow.Running || t.ProgressSeen.IsZero() || st.LongRunning || st.Gang || st.BestEffort || st.EstimatedTime <= 0 || t.Percent >= 100 {
+	if t.State != flow.Running || t.ProgressSeen.IsZero() || st.LongRunning || st.Gang || st.BestEffort || estimate <= 0 || t.Percent >= 100 {
 		return 0, false
 	}
-	if took < max(slowMin, time.Duration(slowMinShare*float64(st.EstimatedTime))) {
+	if took < max(slowMin, time.Duration(slowMinShare*float64(estimate))) {
 		return 0, false
 	}
-	return float64(t.Percent) / 100 * float64(st.EstimatedTime) / float64(took), true
+	return float64(t.Percent) / 100 * float64(estimate) / float64(took), true
 }
 
 // measureSpeed updates the worker's speed from a run that ended as done.
