--- a/internal/sched/export_test.go
+++ b/internal/sched/export_test.go
@@ -1,6 +1,31 @@
 package sched
 
-import "pollencroft/internal/flow"
+import (
+	"time"
+
+	"pollencroft/internal/flow"
+)
 
 // JobForTest returns a job with all that the core knows of it.
 func (s *Sched) JobForTest(id string) *flow.Job { return s.jobs[id] }
+
+// TimesForTest returns a job's objective, the expected time from the start of its first step to its
+// end, and the expected end of the first task.
+func (s *Sched) TimesForTest(id string) (objective, remaining time.Duration, firstEnd time.Time) {
+	j := s.jobs[id]
+	q, st := s.queue(j), j.Rounds[0].Stages[0]
+	return s.objective(j, q), s.remainingTime(j, st, q), s.expectedEnd(s.workers[st.Tasks[0].Worker], st.Tasks[0])
+}
+
+// ClassesForTest reports for each step that waits whether it counts as on time.
+func (s *Sched) ClassesForTest(report func(j *flow.Job, st *flow.Stage, counted bool)) {
+	for _, j := range s.sortedOpenJobs() {
+		for _, r := range j.Rounds {
+			for _, st := range r.Stages {
+				if st.AnyWaiting() && r.Ready(st) {
+					report(j, st, s.deadlineClassOf(j, r, st, s.queue(j)) == onTime)
+				}
+			}
+		}
+	}
+}
--- a/internal/sched/waits.go
+++ b/internal/sched/waits.go
@@ -92,7 +92,8 @@
 	}
 	if total := w.times.Total(); total >= w.nextNote {
 		w.nextNote = 2 * total
-		detail := w.times.String()
+		left, objective := s.remainingTime(r.job, r.stage, r.queue), s.objective(r.job, r.queue)
+		detail := fmt.Sprintf("%s; needs %s from here, objective %s", w.times, left.Round(time.Millisecond), objective.Round(time.Millisecond))
 		if reason == WaitForQuota {
 			detail += "; " + s.usage.Describe(r.job.Spec.Organisation)
 		}
