--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -258,6 +258,8 @@
 	case sched.KindSpeed:
 		metrics.GetOrRegisterGaugeFloat64("speed.kind."+a.Kind, t.h.metrics).Update(a.Factor)
 		t.h.log.Info("sched: kind of workers measured.", "kind", a.Kind, "factor", a.Factor, "term", t.number)
+	case sched.QueueTimes:
+		t.h.observeTimes(a, t.number)
 	case sched.LimitExceeded:
 		t.h.incCounter("apart.exceeded")
 		t.h.log.Warn("sched: more runs of a step on a worker than it allows.", "id", a.Task.String(), "worker", a.Worker, "term", t.number, "limit", a.Limit, "detail", a.Runs)
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -91,6 +91,7 @@
 		}
 	}
 	clear(j.Rounds)
+	delete(s.times.jobs, j)
 	delete(s.openJobs, j.Spec.ID)
 	s.markDirty(j)
 }
@@ -138,6 +139,7 @@
 		return
 	}
 	if t.Step.Finished() {
+		s.compareSpeeds(t.Step)
 		delete(s.advice, t.Step)
 	}
 	s.closeIfOver(t.Job)
--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -27,11 +27,13 @@
 	PassUrgentFirst Mechanism = "urgent-passes"
 	// PreferBySpeed places tasks by the measured speeds of workers and their kinds.
 	PreferBySpeed Mechanism = "prefer-by-speed"
+	// LearnTimes expects run times by those of runs that have ended, instead of as declared.
+	LearnTimes Mechanism = "learn-times"
 )
 
 // Mechanisms lists all mechanisms.
 func Mechanisms() []Mechanism {
-	return []Mechanism{AdaptUrgentHosts, QueryMoreWorkers, PrefetchTickets, ReserveForWide, PreemptBulk, OnTimeFirst, LimitPassTime, PassUrgentFirst, PreferBySpeed}
+	return []Mechanism{AdaptUrgentHosts, QueryMoreWorkers, PrefetchTickets, ReserveForWide, PreemptBulk, OnTimeFirst, LimitPassTime, PassUrgentFirst, PreferBySpeed, LearnTimes}
 }
 
 // enabled reports whether a mechanism is in use.
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -77,6 +77,7 @@
 		w.health.Succeed()
 		w.measureSpeed(t, clock)
 		s.recordSpeed(t, w)
+		s.recordRunTime(w, t)
 		s.finishTask(t)
 	case e.How == EndFailed && t.State != flow.Stopping:
 		s.recordRunFailure(w, t)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -81,6 +81,7 @@
 	// speeds is how long runs take on each worker, reportedSpeeds what was last reported of its kinds.
 	speeds         *speed.Model
 	reportedSpeeds map[string]float64
+	times          *runTimes
 }
 
 // batch is what may happen once an append is stored. Runs may start and states may be published at
@@ -118,7 +119,7 @@
 		preemptions: map[*flow.Stage][]preemption{}, earlyCancels: map[Cancel]time.Time{},
 		usage: quota.New(), rates: rate.New(), wideHolds: map[string]time.Time{},
 		dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
-		speeds: speed.New(nil), reportedSpeeds: map[string]float64{},
+		speeds: speed.New(nil), reportedSpeeds: map[string]float64{}, times: newRunTimes(),
 	}
 	for _, j := range jobs {
 		s.jobs[j.Spec.ID] = j
--- a/internal/sched/speeds.go
+++ b/internal/sched/speeds.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 
 	"pollencroft/internal/flow"
 	"pollencroft/internal/speed"
@@ -58,15 +60,32 @@
 	}
 }
 
-// recordSpeed compares a run that ended as done with others of its step. Runs that went on from a
-// checkpoint, wait for other members of a gang or share the processor say nothing about the worker.
+// kindFactor returns how many times as long runs take on workers of the same kind as on the fastest
+// kind.
+func (s *Sched) kindFactor(w *worker) float64 {
+	if !s.enabled(PreferBySpeed) {
+		return 1
+	}
+	return s.speeds.KindFactor(w.kind())
+}
+
+// recordSpeed compares a run that ended as done with others of its step.
 func (s *Sched) recordSpeed(t *flow.Task, w *worker) {
-	st := t.Spec()
-	if t.State != flow.Running || st.Gang || st.BestEffort || st.LongRunning || t.Checkpoint != "" || !s.enabled(PreferBySpeed) {
+	if !recorded(t.Spec()) || t.MeasuredFrom.IsZero() || w.backSince.Equal(s.now) || !s.enabled(PreferBySpeed) {
 		return
 	}
-	kind := w.kind()
-	s.speeds.Record(t.Name.StepName(), speed.Run{Worker: w.Incarnation, Kind: kind, Took: s.now.Sub(t.Since)})
+	s.speeds.Record(t.Name.StepName(), speed.Run{Worker: w.Incarnation, Kind: w.kind(), Took: s.now.Sub(t.MeasuredFrom)})
+}
+
+// compareSpeeds compares the runs of a step that is done.
+func (s *Sched) compareSpeeds(st *flow.Stage) {
+	s.speeds.Complete(st.Tasks[0].Name.StepName())
+	for _, kind := range slices.Sorted(maps.Keys(s.speeds.Kinds())) {
+		s.reportSpeed(kind)
+	}
+}
+
+func (s *Sched) reportSpeed(kind string) {
 	f := s.speeds.KindFactor(kind)
 	if last, ok := s.reportedSpeeds[kind]; (ok || f != 1) && math.Abs(f-last) > reportedChange*max(last, 1) {
 		s.reportedSpeeds[kind] = f
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// minRuns is how many runs of a step must have ended before they are compared. The median of
-	// fewer is often a slow run itself.
+	// minRuns is how many runs a step must have to be compared. The median of fewer is often a slow
+	// run itself.
 	minRuns = 5
 	// maxRuns bounds the runs that are kept for one step.
 	maxRuns = 64
@@ -78,51 +78,65 @@
 	}
 }
 
-// Record compares a run with the earlier ones of its step.
+// Record keeps a run until its step is complete.
 func (m *Model) Record(step string, r Run) {
-	all := m.steps[step]
-	if r.Took < minTook || len(all) >= maxRuns {
-		return
+	if r.Took >= minTook && len(m.steps[step]) < maxRuns {
+		m.steps[step] = append(m.steps[step], r)
 	}
-	all = append(all, r)
-	m.steps[step] = all
+}
+
+// Complete compares the runs of a step that is done. Before that, the runs that have ended are the
+// short ones, and each later one would look slow.
+func (m *Model) Complete(step string) {
+	all := m.steps[step]
+	delete(m.steps, step)
 	if len(all) < minRuns {
 		return
 	}
 	level := m.level(all)
-	if len(all) > minRuns {
-		all = all[len(all)-1:]
+	// A step on one kind only says nothing about the kind, and its noise would add up.
+	if slices.ContainsFunc(all, func(r Run) bool { return r.Kind != all[0].Kind }) {
+		for _, r := range all {
+			m.compareKind(r, level)
+		}
 	}
 	for _, r := range all {
-		m.compare(r, level)
+		m.compareWorker(r, level)
 	}
 }
 
-// level returns the median logarithm of the time that the runs would have taken on a worker with
-// factor 1.
+// level returns the median logarithm of the time that the runs would have taken on a kind of workers
+// with factor 1. Each worker counts once, since many of the runs may have been on the same slow one.
 func (m *Model) level(all []Run) float64 {
-	logs := make([]float64, len(all))
-	for i, r := range all {
-		logs[i] = math.Log(r.Took.Seconds()) - m.kindLog(r.Kind) - m.workerLog(r.Worker)
+	sums, runs := map[string]float64{}, map[string]int{}
+	for _, r := range all {
+		sums[r.Worker] += math.Log(r.Took.Seconds()) - m.kindLog(r.Kind)
+		runs[r.Worker]++
+	}
+	logs := make([]float64, 0, len(sums))
+	for w, sum := range sums {
+		logs = append(logs, sum/float64(runs[w]))
 	}
 	slices.Sort(logs)
-	return logs[len(logs)/2]
+	return logs[(len(logs)-1)/2]
 }
 
-func (m *Model) compare(r Run, level float64) {
-	relative := math.Log(r.Took.Seconds()) - level
-	kind, ok := m.kinds[r.Kind]
+func (m *Model) compareKind(r Run, level float64) {
+	e, ok := m.kinds[r.Kind]
 	if !ok {
-		kind = &estimate{}
-		m.kinds[r.Kind] = kind
+		e = &estimate{}
+		m.kinds[r.Kind] = e
 	}
-	kind.add(relative, kindWindow)
-	w, ok := m.workers[r.Worker]
+	e.add(math.Log(r.Took.Seconds())-level, kindWindow)
+}
+
+func (m *Model) compareWorker(r Run, level float64) {
+	e, ok := m.workers[r.Worker]
 	if !ok {
-		w = &estimate{}
-		m.workers[r.Worker] = w
+		e = &estimate{}
+		m.workers[r.Worker] = e
 	}
-	w.add(relative-kind.log, workerWindow)
+	e.add(math.Log(r.Took.Seconds())-level-m.kindLog(r.Kind), workerWindow)
 }
 
 func (m *Model) kindLog(kind string) float64 {
@@ -180,7 +194,7 @@
 	return all
 }
 
-// ForgetStep drops the runs of a step that is over.
+// ForgetStep drops the runs of a step that will not be done.
 func (m *Model) ForgetStep(step string) { delete(m.steps, step) }
 
 // ForgetWorker drops what is known of an incarnation that has ended.
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -32,7 +32,7 @@
 			}
 			m.Record(fmt.Sprint(i), speed.Run{Worker: fmt.Sprint("w", n), Kind: kind, Took: took})
 		}
-		m.ForgetStep(fmt.Sprint(i))
+		m.Complete(fmt.Sprint(i))
 	}
 }
 
@@ -60,6 +60,33 @@
 	}
 }
 
+// Guards against estimates that drift while nearly all steps run on one kind of workers, as they do
+// once tasks prefer it.
+func TestFactorsStayWhileKindsRarelyMix(t *testing.T) {
+	for seed := range uint64(10) {
+		m, r := speed.New(map[string]float64{"a": 1, "b": 2}), rand.New(rand.NewPCG(seed, 4))
+		for step := range 2000 {
+			work, mixed, kind := 0.2+3*r.Float64(), step%20 == 0, "a"
+			if step%5 == 1 {
+				kind = "b"
+			}
+			for i := range 10 {
+				k, factor := kind, 1.0
+				if mixed && i < 2 {
+					k = "b"
+				}
+				if k == "b" {
+					factor = 2
+				}
+				took := time.Duration(work * factor * (0.85 + 0.3*r.Float64()) * float64(time.Second))
+				m.Record(fmt.Sprint(step), speed.Run{Worker: fmt.Sprint(k, r.IntN(30)), Kind: k, Took: took})
+			}
+			m.Complete(fmt.Sprint(step))
+		}
+		require.InDelta(t, 2, m.KindFactor("b"), 0.3, "seed %d", seed)
+	}
+}
+
 // Guards against a successor that knows nothing of the kinds until jobs have ended under it.
 func TestNextLeaderStartsWithReportedKinds(t *testing.T) {
 	m := speed.New(nil)
@@ -80,6 +107,8 @@
 	for range 50 {
 		m.Record("t", speed.Run{Worker: "v", Kind: "b", Took: time.Millisecond})
 	}
+	m.Complete("s")
+	m.Complete("t")
 	require.InDelta(t, 1, m.Factor("w", "a"), 1e-9)
 	require.InDelta(t, 1, m.Factor("v", "b"), 1e-9)
 	require.Empty(t, m.Kinds())
@@ -95,6 +124,7 @@
 			}
 			m.Record(fmt.Sprint(step), r)
 		}
+		m.Complete(fmt.Sprint(step))
 	}
 	fmt.Printf("old %.1f, new %.1f\n", m.KindFactor("old"), m.KindFactor("new"))
 	// Output: old 1.5, new 1.0
