sched: select the jobs that are to be on time while not all can be

Cause: in a full cell of organisations, waiting jobs that could still be on time started in the order of acceptance, each when it had no time to spare, and its second step came behind all that was still on time. Change: internal/overload tests, by the latest ends and the remaining work of all jobs of a rank, which of them fit into the capacity and into their organisation's quota; the newest are left out, those beyond their organisation's rate first, jobs that have begun last. In use where organisations have weights; select-on-time switches it off.

--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -255,6 +255,8 @@
 		t.h.observe(fmt.Sprintf("job.start.rank%d", a.Rank), a.After)
 	case sched.JobEnded:
 		t.noteEnded(a)
+	case sched.Selected:
+		t.h.observeSelection(a)
 	case sched.KindSpeed:
 		metrics.GetOrRegisterGaugeFloat64("speed.kind."+a.Kind, t.h.metrics).Update(a.Factor)
 		t.h.log.Info("sched: kind of workers measured.", "kind", a.Kind, "factor", a.Factor, "term", t.number)
--- a/internal/entry/times.go
+++ b/internal/entry/times.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"math"
 
 	"github.com/rcrowley/go-metrics"
@@ -16,3 +17,11 @@
 	metrics.GetOrRegisterGaugeFloat64("times."+a.Queue+".spread", h.metrics).Update(a.Spread)
 	h.log.Info("sched: run times of a queue.", "queue", a.Queue, "term", term, "ratio", round(a.Ratio), "exponent", round(a.Slope), "spread", round(a.Spread), "runs", a.Runs)
 }
+
+// observeSelection updates the gauges of the jobs that are to be on time and of those that will be late.
+func (h *Host) observeSelection(a sched.Selected) {
+	prefix := fmt.Sprintf("select.rank%d.", a.Rank)
+	metrics.GetOrRegisterGauge(prefix+"ontime", h.metrics).Update(int64(a.OnTime))
+	metrics.GetOrRegisterGauge(prefix+"late", h.metrics).Update(int64(a.Late))
+	metrics.GetOrRegisterGauge(prefix+"hopeless", h.metrics).Update(int64(a.Hopeless))
+}
--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -142,6 +142,9 @@
 	avoidsUntil time.Time
 }
 
+// Waiting returns how many tasks are waiting.
+func (s *Stage) Waiting() int { return s.waiting }
+
 // Finished reports whether all tasks are done.
 func (s *Stage) Finished() bool { return s.Done == len(s.Tasks) }
 
--- a/internal/sched/deadline.go
+++ b/internal/sched/deadline.go
@@ -7,6 +7,7 @@
 
 	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
+	"pollencroft/internal/overload"
 )
 
 // deadlineClass orders steps of equal rank by their chance to meet their deadline.
@@ -26,7 +27,7 @@
 const (
 	// lateFactor is the multiple of its objective after which a job's expected end counts as
 	// hopeless.
-	lateFactor = 3
+	lateFactor = overload.LateFactor
 	// starvedFactor is the multiple of its objective after which a waiting job counts as starved,
 	// and starvedShare the share of a service's workers that starved jobs may take before others. A
 	// cell should have one eighth to spare at its design load, so newer work that is on time stays
--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -27,13 +27,15 @@
 	PassUrgentFirst Mechanism = "urgent-passes"
 	// PreferBySpeed places tasks by the measured speeds of workers and their kinds.
 	PreferBySpeed Mechanism = "prefer-by-speed"
+	// SelectOnTime chooses the jobs that are to be on time while not all can be.
+	SelectOnTime Mechanism = "select-on-time"
 	// LearnTimes expects run times by those of runs that have ended, instead of as declared.
 	LearnTimes Mechanism = "learn-times"
 )
 
 // Mechanisms lists all mechanisms.
 func Mechanisms() []Mechanism {
-	return []Mechanism{AdaptUrgentHosts, QueryMoreWorkers, PrefetchTickets, ReserveForWide, PreemptBulk, OnTimeFirst, LimitPassTime, PassUrgentFirst, PreferBySpeed, LearnTimes}
+	return []Mechanism{AdaptUrgentHosts, QueryMoreWorkers, PrefetchTickets, ReserveForWide, PreemptBulk, OnTimeFirst, LimitPassTime, PassUrgentFirst, PreferBySpeed, SelectOnTime, LearnTimes}
 }
 
 // enabled reports whether a mechanism is in use.
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -288,6 +288,10 @@
 	State            flow.State
 }
 
+// Selected reports how many jobs of a rank are to be on time, how many will be late, and how many are so
+// late that their callers have most likely stopped waiting.
+type Selected struct{ Rank, OnTime, Late, Hopeless int }
+
 // KindSpeed reports how many times as long runs take on a kind of workers as on the fastest kind.
 type KindSpeed struct {
 	Kind   string
@@ -334,6 +338,7 @@
 func (StepWaited) action()    {}
 func (JobStarted) action()    {}
 func (JobEnded) action()      {}
+func (Selected) action()      {}
 func (KindSpeed) action()     {}
 func (LimitExceeded) action() {}
 func (Note) action()          {}
--- /dev/null
+++ b/internal/sched/overload.go
@@ -0,0 +1,255 @@
+package sched
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"pollencroft/internal/flow"
+	"pollencroft/internal/overload"
+)
+
+const (
+	// selectInterval is the minimum time between two selections. Between them, new steps are
+	// classified by themselves.
+	selectInterval = 40 * time.Millisecond
+	// usableShare is the share of the workers' processors that jobs can be expected to use: the rest
+	// is reserved for urgent tasks or too small for a task.
+	usableShare = 0.92
+	// urgentUseWindow is the time over which the use by more urgent queues is averaged.
+	urgentUseWindow = time.Second
+	// selectionNoteInterval is the minimum time between two notes of a selection.
+	selectionNoteInterval = time.Second
+)
+
+// prospect is what a selection decided about a round of a job.
+type prospect struct {
+	class deadlineClass
+	// begun means that a part of it has run or is running, due is when it has to end in its class.
+	begun bool
+	due   time.Time
+}
+
+// compareProspects orders rounds of the same class: those first whose earlier steps would have run in
+// vain, then by the time at which they have to end.
+func compareProspects(a, b prospect) int {
+	switch {
+	case a.begun && !b.begun:
+		return -1
+	case b.begun && !a.begun:
+		return 1
+	default:
+		return a.due.Compare(b.due)
+	}
+}
+
+// selection decides which jobs are to be on time. It holds nothing that must survive a change of
+// leader: the next leader selects again from the jobs that it takes over.
+type selection struct {
+	at        time.Time
+	prospects map[*flow.Round]prospect
+	// urgentUse is the processors that the jobs of each rank use, averaged over urgentUseWindow.
+	urgentUse map[poolRank]float64
+	// notedAt is when a selection was last noted.
+	notedAt time.Time
+}
+
+func newSelection() selection {
+	return selection{prospects: map[*flow.Round]prospect{}, urgentUse: map[poolRank]float64{}}
+}
+
+// poolRank is the queues of one rank on the workers of one service.
+type poolRank struct {
+	service string
+	rank    int
+}
+
+func (a poolRank) compare(b poolRank) int {
+	return cmp.Or(cmp.Compare(a.service, b.service), a.rank-b.rank)
+}
+
+// use is what jobs use of some capacity.
+type use struct {
+	// lasting is the processors of long-running tasks, running those of other tasks by rank, and
+	// seconds these times the length of a task.
+	lasting          float64
+	running, seconds map[int]float64
+}
+
+func newUse() *use { return &use{running: map[int]float64{}, seconds: map[int]float64{}} }
+
+// capacity returns what jobs of a rank can use of a number of processors.
+func (u *use) capacity(total float64, rank int) overload.Capacity {
+	c := overload.Capacity{Total: total - u.lasting}
+	seconds := 0.0
+	for r, cpu := range u.running {
+		if r > rank {
+			c.Occupied += cpu
+			seconds += u.seconds[r]
+		}
+	}
+	if c.Occupied > 0 {
+		c.OccupiedFor = time.Duration(seconds / c.Occupied * float64(time.Second))
+	}
+	return c
+}
+
+// selects reports whether jobs are selected: organisations have weights, their shares when there is
+// not enough for all.
+func (s *Sched) selects() bool { return s.enabled(SelectOnTime) && s.rates.Limited() }
+
+// selectJobs decides which jobs are to be on time, unless it did so a moment ago.
+func (s *Sched) selectJobs(pools map[string]*pool) {
+	sel := &s.selection
+	passed := s.now.Sub(sel.at)
+	if !s.selects() || passed < selectInterval {
+		return
+	}
+	sel.at = s.now
+	clear(sel.prospects)
+	byRank, byService, byOrganisation := s.collectJobs()
+	keys := make([]poolRank, 0, len(byRank))
+	for k := range byRank {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, poolRank.compare)
+	moreUrgent := map[string]float64{}
+	for _, k := range keys {
+		p, ok := pools[k.service]
+		if !ok {
+			continue
+		}
+		c := byService[k.service].capacity(usableShare*s.effectiveCPU(p), k.rank)
+		c.Total -= moreUrgent[k.service]
+		s.selectRank(k, byRank[k], c, s.quotaCapacities(byOrganisation, k.rank))
+		sel.urgentUse[k] += min(passed.Seconds()/urgentUseWindow.Seconds(), 1) * (byService[k.service].running[k.rank] - sel.urgentUse[k])
+		moreUrgent[k.service] += sel.urgentUse[k]
+	}
+}
+
+// effectiveCPU returns the processors of a pool as the fastest kind would need them for the same work.
+func (s *Sched) effectiveCPU(p *pool) float64 {
+	sum := 0.0
+	for _, w := range p.workers {
+		sum += float64(w.Size.CPU) / s.kindFactor(w)
+	}
+	return sum
+}
+
+func (s *Sched) quotaCapacities(byOrganisation map[string]*use, rank int) map[string]overload.Capacity {
+	all := map[string]overload.Capacity{}
+	for name, u := range byOrganisation {
+		if q := s.usage.Quota(name); q.CPU > 0 {
+			all[name] = u.capacity(float64(q.CPU), rank)
+		}
+	}
+	return all
+}
+
+// roundJob is a round of a job under selection.
+type roundJob struct {
+	overload.Job
+	round *flow.Round
+}
+
+// collectJobs lists the rounds that have not ended, by service and rank, and what services and
+// organisations use.
+func (s *Sched) collectJobs() (byRank map[poolRank][]roundJob, byService, byOrganisation map[string]*use) {
+	byRank, byService, byOrganisation = map[poolRank][]roundJob{}, map[string]*use{}, map[string]*use{}
+	for _, j := range s.sortedOpenJobs() {
+		q := s.queue(j)
+		uses := []*use{getUse(byService, q.Service), getUse(byOrganisation, j.Spec.Organisation)}
+		for _, r := range j.Rounds {
+			x, lasts := s.roundJob(j, r, q, uses)
+			if !lasts && !j.State.Final() {
+				k := poolRank{q.Service, q.Rank}
+				byRank[k] = append(byRank[k], x)
+			}
+		}
+	}
+	return byRank, byService, byOrganisation
+}
+
+func getUse(all map[string]*use, name string) *use {
+	u, ok := all[name]
+	if !ok {
+		u = newUse()
+		all[name] = u
+	}
+	return u
+}
+
+// roundJob returns what is left of a round, and adds what it uses now.
+func (s *Sched) roundJob(j *flow.Job, r *flow.Round, q flow.Queue, uses []*use) (x roundJob, lasts bool) {
+	x = roundJob{round: r, Job: overload.Job{
+		Number: j.Number, Organisation: j.Spec.Organisation, BeyondRate: j.BeyondRate,
+		Waited: s.waitTime(j, r), Objective: s.objective(j, q),
+	}}
+	for _, st := range r.Stages {
+		waiting := st.Waiting()
+		active := len(st.Tasks) - st.Done - waiting
+		cpu := float64(st.Spec.Demand().CPU)
+		lasts = lasts || st.Spec.LongRunning
+		x.Begun = x.Begun || st.Done > 0 || active > 0
+		if st.Spec.LongRunning {
+			for _, u := range uses {
+				u.lasting += cpu * float64(active)
+			}
+			continue
+		}
+		each := s.taskTime(j, st, q)
+		for _, u := range uses {
+			u.running[q.Rank] += cpu * float64(active)
+			u.seconds[q.Rank] += cpu * float64(active) * each.Seconds()
+		}
+		// A task that runs is half done on average.
+		x.Work += cpu * each.Seconds() * (float64(waiting) + float64(active)/2)
+		if !st.Finished() && r.Ready(st) {
+			left := s.remainingTime(j, st, q)
+			if waiting == 0 {
+				left -= each / 2
+			}
+			x.Left = max(x.Left, left)
+		}
+	}
+	return x, lasts
+}
+
+// selectRank selects among the jobs of one rank and service.
+func (s *Sched) selectRank(k poolRank, all []roundJob, c overload.Capacity, quotas map[string]overload.Capacity) {
+	jobs := make([]overload.Job, len(all))
+	for i, x := range all {
+		jobs[i] = x.Job
+	}
+	var counts [overload.Hopeless + 1]int
+	for i, class := range overload.Select(jobs, c, quotas) {
+		j := jobs[i]
+		counts[class]++
+		allowed := j.Objective
+		if class != overload.OnTime {
+			allowed *= overload.LateFactor
+		}
+		s.selection.prospects[all[i].round] = prospect{class: deadlineClass(class), begun: j.Begun, due: s.now.Add(allowed - j.Waited)}
+	}
+	if counts[overload.Late]+counts[overload.Hopeless] > 0 && s.now.Sub(s.selection.notedAt) >= selectionNoteInterval {
+		s.selection.notedAt = s.now
+		s.emit(Note{What: "not all jobs can be on time", Detail: fmt.Sprintf("rank %d of %s: %d on time, %d late, %d hopeless, %.0f processors",
+			k.rank, k.service, counts[overload.OnTime], counts[overload.Late], counts[overload.Hopeless], math.Max(c.Total, 0)/1000)})
+	}
+	s.emit(Selected{Rank: k.rank, OnTime: counts[overload.OnTime], Late: counts[overload.Late], Hopeless: counts[overload.Hopeless]})
+}
+
+// applySelection replaces the class of a step by what the last selection decided. Jobs that arrived
+// after it and starved ones keep theirs.
+func (s *Sched) applySelection(r *readyStep) {
+	if r.stage.Spec.LongRunning || r.class == starved || !s.selects() {
+		return
+	}
+	if p, ok := s.selection.prospects[r.round]; ok {
+		r.class, r.prospect = p.class, p
+		return
+	}
+	r.prospect.due = s.now.Add(s.objective(r.job, r.queue) - s.waitTime(r.job, r.round))
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -22,6 +22,8 @@
 	tasks []*flow.Task
 	// class is the deadline class of the step.
 	class deadlineClass
+	// prospect is what the last selection decided about the round, if jobs are selected.
+	prospect prospect
 }
 
 // waitingSteps lists the steps up to a rank that may run, the most urgent first.
@@ -43,6 +45,10 @@
 			}
 		}
 	}
+	s.selectJobs(pools)
+	for i := range all {
+		s.applySelection(&all[i])
+	}
 	s.promoteStarved(all, pools)
 	slices.SortFunc(all, func(a, b readyStep) int {
 		switch {
@@ -50,6 +56,8 @@
 			return a.queue.Rank - b.queue.Rank
 		case a.class != b.class:
 			return int(a.class - b.class)
+		case compareProspects(a.prospect, b.prospect) != 0:
+			return compareProspects(a.prospect, b.prospect)
 		case a.job.Number != b.job.Number:
 			return int(a.job.Number - b.job.Number)
 		case a.round.Index != b.round.Index:
--- a/internal/sched/runtimes.go
+++ b/internal/sched/runtimes.go
@@ -193,6 +193,14 @@
 	return left
 }
 
+// taskTime returns the expected time of a task of a step on the fastest kind of workers.
+func (s *Sched) taskTime(j *flow.Job, st *flow.Stage, q flow.Queue) time.Duration {
+	if t := s.measuredTimes(j, q); t != nil {
+		return t.tasks[st.Index].Median
+	}
+	return st.Spec.EstimatedTime
+}
+
 // expectedTime returns how long a task is expected to take, or false if its queue is not measured.
 func (s *Sched) expectedTime(t *flow.Task) (estimate.Distribution, bool) {
 	j := s.measuredTimes(t.Job, s.queue(t.Job))
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -81,7 +81,9 @@
 	// speeds is how long runs take on each worker, reportedSpeeds what was last reported of its kinds.
 	speeds         *speed.Model
 	reportedSpeeds map[string]float64
-	times          *runTimes
+	// selection is which jobs are to be on time.
+	selection selection
+	times     *runTimes
 }
 
 // batch is what may happen once an append is stored. Runs may start and states may be published at
@@ -120,6 +122,7 @@
 		usage: quota.New(), rates: rate.New(), wideHolds: map[string]time.Time{},
 		dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
 		speeds: speed.New(nil), reportedSpeeds: map[string]float64{}, times: newRunTimes(),
+		selection: newSelection(),
 	}
 	for _, j := range jobs {
 		s.jobs[j.Spec.ID] = j
