sched: order selected jobs by their latest start, measure the usable capacity

Cause: selected jobs went by their latest end, so a long job started too late beside a short one, and what an organisation sent beyond its rate went before what others were owed. The capacity was assumed to be 0.92 of the processors, of which a cell of wide tasks can use less. Change: order by latest start, beyond the rate last; the share in use while jobs wait is measured.

--- a/internal/sched/overload.go
+++ b/internal/sched/overload.go
@@ -15,9 +15,11 @@
 	// selectInterval is the minimum time between two selections. Between them, new steps are
 	// classified by themselves.
 	selectInterval = 40 * time.Millisecond
-	// usableShare is the share of the workers' processors that jobs can be expected to use: the rest
-	// is reserved for urgent tasks or too small for a task.
-	usableShare = 0.92
+	// initialUsableShare is the share of the workers' processors that jobs are expected to use until it
+	// is measured: the rest is reserved for urgent tasks, too small for a task, or waits for tickets.
+	// usableWindow is the time over which the measurement is averaged.
+	initialUsableShare = 0.92
+	usableWindow       = 5 * time.Second
 	// urgentUseWindow is the time over which the use by more urgent queues is averaged.
 	urgentUseWindow = time.Second
 	// selectionNoteInterval is the minimum time between two notes of a selection.
@@ -27,24 +29,32 @@
 // prospect is what a selection decided about a round of a job.
 type prospect struct {
 	class deadlineClass
-	// begun means that a part of it has run or is running, due is when it has to end in its class.
-	begun bool
-	due   time.Time
+	// begun means that a part of it has run or is running, beyond that its organisation sent it beyond
+	// its rate. latestStart is when the next step has to start for it to end in time for its class.
+	begun, beyond bool
+	latestStart   time.Time
 }
 
-// compareProspects orders rounds of the same class: those first whose earlier steps would have run in
-// vain, then by the time at which they have to end.
+// compareProspects orders rounds of the same class: first those whose earlier steps would have run in
+// vain, last those that organisations sent beyond their rates, and each by its latest start.
 func compareProspects(a, b prospect) int {
 	switch {
-	case a.begun && !b.begun:
-		return -1
-	case b.begun && !a.begun:
-		return 1
+	case a.begun != b.begun:
+		return boolOrder(b.begun) - boolOrder(a.begun)
+	case a.beyond != b.beyond:
+		return boolOrder(a.beyond) - boolOrder(b.beyond)
 	default:
-		return a.due.Compare(b.due)
+		return a.latestStart.Compare(b.latestStart)
 	}
 }
 
+func boolOrder(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // selection decides which jobs are to be on time. It holds nothing that must survive a change of
 // leader: the next leader selects again from the jobs that it takes over.
 type selection struct {
@@ -52,12 +62,19 @@
 	prospects map[*flow.Round]prospect
 	// urgentUse is the processors that the jobs of each rank use, averaged over urgentUseWindow.
 	urgentUse map[poolRank]float64
+	// usableShare is the measured share of the processors of each service that are in use while jobs
+	// wait, and short that not all jobs could be on time in the last selection.
+	usableShare map[string]float64
+	short       map[string]bool
 	// notedAt is when a selection was last noted.
 	notedAt time.Time
 }
 
 func newSelection() selection {
-	return selection{prospects: map[*flow.Round]prospect{}, urgentUse: map[poolRank]float64{}}
+	return selection{
+		prospects: map[*flow.Round]prospect{}, urgentUse: map[poolRank]float64{},
+		usableShare: map[string]float64{}, short: map[string]bool{},
+	}
 }
 
 // poolRank is the queues of one rank on the workers of one service.
@@ -109,6 +126,10 @@
 	}
 	sel.at = s.now
 	clear(sel.prospects)
+	for service, p := range pools {
+		sel.measureUse(service, p, passed)
+	}
+	clear(sel.short)
 	byRank, byService, byOrganisation := s.collectJobs()
 	keys := make([]poolRank, 0, len(byRank))
 	for k := range byRank {
@@ -121,7 +142,7 @@
 		if !ok {
 			continue
 		}
-		c := byService[k.service].capacity(usableShare*s.effectiveCPU(p), k.rank)
+		c := byService[k.service].capacity(sel.usableShare[k.service]*s.effectiveCPU(p), k.rank)
 		c.Total -= moreUrgent[k.service]
 		s.selectRank(k, byRank[k], c, s.quotaCapacities(byOrganisation, k.rank))
 		sel.urgentUse[k] += min(passed.Seconds()/urgentUseWindow.Seconds(), 1) * (byService[k.service].running[k.rank] - sel.urgentUse[k])
@@ -129,6 +150,19 @@
 	}
 }
 
+// measureUse measures the share of a service's processors that is in use while jobs wait.
+func (sel *selection) measureUse(service string, p *pool, passed time.Duration) {
+	share, ok := sel.usableShare[service]
+	if !ok {
+		share = initialUsableShare
+	}
+	if sel.short[service] && p.totalCPU > 0 {
+		used := min(float64(p.used.CPU)/float64(p.totalCPU), 1)
+		share += min(passed.Seconds()/usableWindow.Seconds(), 1) * (used - share)
+	}
+	sel.usableShare[service] = share
+}
+
 // effectiveCPU returns the processors of a pool as the fastest kind would need them for the same work.
 func (s *Sched) effectiveCPU(p *pool) float64 {
 	sum := 0.0
@@ -231,9 +265,13 @@
 		if class != overload.OnTime {
 			allowed *= overload.LateFactor
 		}
-		s.selection.prospects[all[i].round] = prospect{class: deadlineClass(class), begun: j.Begun, due: s.now.Add(allowed - j.Waited)}
+		s.selection.prospects[all[i].round] = prospect{
+			class: deadlineClass(class), begun: j.Begun, beyond: j.BeyondRate, latestStart: s.now.Add(allowed - j.Waited - j.Left),
+		}
 	}
-	if counts[overload.Late]+counts[overload.Hopeless] > 0 && s.now.Sub(s.selection.notedAt) >= selectionNoteInterval {
+	short := counts[overload.Late]+counts[overload.Hopeless] > 0
+	s.selection.short[k.service] = s.selection.short[k.service] || short
+	if short && s.now.Sub(s.selection.notedAt) >= selectionNoteInterval {
 		s.selection.notedAt = s.now
 		s.emit(Note{What: "not all jobs can be on time", Detail: fmt.Sprintf("rank %d of %s: %d on time, %d late, %d hopeless, %.0f processors",
 			k.rank, k.service, counts[overload.OnTime], counts[overload.Late], counts[overload.Hopeless], math.Max(c.Total, 0)/1000)})
@@ -251,5 +289,6 @@
 		r.class, r.prospect = p.class, p
 		return
 	}
-	r.prospect.due = s.now.Add(s.objective(r.job, r.queue) - s.waitTime(r.job, r.round))
+	left := s.objective(r.job, r.queue) - s.waitTime(r.job, r.round) - s.remainingTime(r.job, r.stage, r.queue)
+	r.prospect = prospect{class: r.class, beyond: r.job.BeyondRate, latestStart: s.now.Add(left)}
 }
