admission: reject jobs beyond an organisation's rate that cannot end in time

Cause: in a shortage, jobs that certainly end too late are stored, wait, and their callers learn nothing until they give up. Change: the leader counts what waits by queue and by queue and organisation, measures how fast its tasks start (internal/drain), and reports in each sync reply the organisations that have sent more than their rate, whose queue or quota has nothing free, and the expected wait of their next job. Retry-After is when what waits is worked off or too late itself, spread by job ID. Counters caller.rejected.overload and caller.rejected.store; off = ["reject-late"] switches it off. Without weights in the table nothing is measured or sent.

--- /dev/null
+++ b/internal/entry/admission.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollencroft/internal/admission"
+	"pollencroft/internal/cell"
+	"pollencroft/internal/flow"
+	"pollencroft/internal/peer"
+)
+
+// snapshotInterval is how old the snapshot of the load may be that the leader reports: counting what
+// waits checks each open job, and every host asks for it once a second.
+const snapshotInterval = 500 * time.Millisecond
+
+// load returns the load because of which hosts may reject jobs; nil if no organisation has a rate.
+func (t *term) load() *admission.Snapshot {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.h.now()
+	if now.Sub(t.snapshotAt) >= snapshotInterval {
+		t.snapshot, t.snapshotAt = t.core.Load(now), now
+		if t.snapshot != nil {
+			t.h.observeLoad(t.snapshot)
+		}
+	}
+	if t.snapshot == nil {
+		return nil
+	}
+	s := *t.snapshot
+	s.Age = cell.Duration{Duration: now.Sub(t.snapshotAt)}
+	return &s
+}
+
+// observeLoad updates the histograms of expected waits, which are kept by rank like those of steps.
+func (h *Host) observeLoad(s *admission.Snapshot) {
+	for _, q := range s.Queues {
+		h.observe(fmt.Sprintf("queue.expected.rank%d", q.Rank), q.Wait)
+	}
+}
+
+// noteLoad keeps the leader's load from the reply to a sync that was sent at the given time. mu is
+// held.
+func (h *Host) noteLoad(r peer.SyncReply, sent time.Time) {
+	h.load = admission.View{Snapshot: r.Load}
+	if r.Load != nil {
+		h.load.At = sent.Add(-r.Load.Age.Duration)
+	}
+}
+
+// checkLoad returns an admission.OverloadError if a job certainly cannot end in time, and is
+// certainly not there yet: an earlier request for it may have been stored without an answer, and the
+// job may have run. While the store does not answer, callers are rejected for that reason, and return
+// by the age of the outage.
+func (h *Host) checkLoad(ctx context.Context, spec flow.Spec) error {
+	if h.acceptedRecently(spec.ID) || !h.store.AnsweredWithin(storeFreshness) {
+		return nil
+	}
+	err := h.loadView().Check(h.now(), spec)
+	if err == nil {
+		return nil
+	}
+	if _, known, failed := h.finalOrLeaderStatus(ctx, spec.ID); known || failed != nil {
+		return nil
+	}
+	return err
+}
+
+// loadView returns the newest load that this host knows of.
+func (h *Host) loadView() admission.View {
+	h.mu.Lock()
+	view, t := h.load, h.ownTerm
+	view.Term, view.Hosts = h.term, len(h.hosts)
+	h.mu.Unlock()
+	if t == nil {
+		return view
+	}
+	if view.Snapshot, view.Term = t.load(), t.number; view.Snapshot != nil {
+		view.At = h.now().Add(-view.Age.Duration)
+	}
+	return view
+}
+
+// refuseOverload answers a request for a job that checkLoad rejected. Nothing of it was stored.
+func (h *Host) refuseOverload(w http.ResponseWriter, id string, err error) {
+	var over *admission.OverloadError
+	if !errors.As(err, &over) {
+		h.refuse(w, http.StatusTooManyRequests, id, err.Error())
+		return
+	}
+	h.incCounter("caller.rejected.overload")
+	h.refuseFor(w, http.StatusTooManyRequests, id, err.Error(), over.RetryAfter,
+		"queue", over.Queue, "organisation", over.Organisation, "expected", over.Expected, "age", over.Age, "term", over.Term)
+}
+
+// refuseUnstored answers a request that was not stored.
+func (h *Host) refuseUnstored(w http.ResponseWriter, k requestKey, queue string, err error) {
+	h.incCounter("caller.rejected.store")
+	age := h.storeSilence()
+	h.refuseFor(w, http.StatusServiceUnavailable, k.id, "not stored: "+err.Error(), admission.OutageRetry(age, k.id),
+		"queue", queue, "organisation", k.organisation, "outage", age)
+}
+
+// storeSilence returns for how long the store has not answered this host; zero if it never has.
+func (h *Host) storeSilence() time.Duration {
+	last := h.store.LastAnswer()
+	if last.IsZero() {
+		return 0
+	}
+	return h.now().Sub(last)
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -76,7 +76,7 @@
 	case r.Method == http.MethodGet:
 		h.serveState(ctx, w, id, organisation)
 	case r.Method == http.MethodDelete:
-		h.cancelJob(ctx, w, requestKey{id: id, organisation: organisation, cancels: true})
+		h.cancelJob(ctx, w, q.Name, requestKey{id: id, organisation: organisation, cancels: true})
 	default:
 		h.refuse(w, http.StatusMethodNotAllowed, id, r.Method)
 	}
@@ -143,20 +143,6 @@
 	h.refuseFor(w, code, id, reason, after)
 }
 
-// refuseUnstored answers a request that was not stored.
-func (h *Host) refuseUnstored(w http.ResponseWriter, id string, err error) {
-	h.refuseFor(w, http.StatusServiceUnavailable, id, "not stored: "+err.Error(), admission.OutageRetry(h.storeSilence(), id))
-}
-
-// storeSilence returns for how long the store has not answered this host; zero if it never has.
-func (h *Host) storeSilence() time.Duration {
-	last := h.store.LastAnswer()
-	if last.IsZero() {
-		return 0
-	}
-	return h.now().Sub(last)
-}
-
 // refuseFor answers with the reason and when to retry; zero means that a retry makes no sense.
 func (h *Host) refuseFor(w http.ResponseWriter, code int, id, reason string, after time.Duration, attrs ...any) {
 	h.incCounter("caller.refused." + strconv.Itoa(code))
@@ -200,6 +186,10 @@
 		h.refuse(w, http.StatusUnprocessableEntity, id, err.Error())
 		return
 	}
+	if err := h.checkLoad(ctx, spec); err != nil {
+		h.refuseOverload(w, id, err)
+		return
+	}
 	b, err := json.Marshal(spec)
 	if err != nil {
 		h.refuse(w, http.StatusBadRequest, id, err.Error())
@@ -214,7 +204,7 @@
 		h.log.Info("caller: accepted.", "id", id, "queue", q.Name, "organisation", k.organisation)
 		reply(w, http.StatusOK, []byte("{}"))
 	case store.NotDone(err):
-		h.refuseUnstored(w, id, err)
+		h.refuseUnstored(w, k, q.Name, err)
 	default:
 		h.refuse(w, http.StatusGatewayTimeout, id, "not known whether it is stored")
 	}
@@ -274,7 +264,7 @@
 // cancelJob stores the cancellation of a job. While no leader answers, the cancellation is stored
 // without a check whether the job exists: cancelling an unknown job only means that it never
 // starts. The leader ignores the cancellation of another organisation's job.
-func (h *Host) cancelJob(ctx context.Context, w http.ResponseWriter, k requestKey) {
+func (h *Host) cancelJob(ctx context.Context, w http.ResponseWriter, queue string, k requestKey) {
 	id := k.id
 	st, known, err := h.finalOrLeaderStatus(ctx, id)
 	gone := err == nil && (!known && !h.acceptedRecently(id) || known && !access.Owns(k.organisation, st.Organisation))
@@ -292,7 +282,7 @@
 		h.log.Info("caller: cancelled.", "id", id)
 		reply(w, http.StatusOK, []byte("{}"))
 	case store.NotDone(err):
-		h.refuseUnstored(w, id, err)
+		h.refuseUnstored(w, k, queue, err)
 	default:
 		h.refuse(w, http.StatusGatewayTimeout, id, "not known whether it is stored")
 	}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -20,6 +20,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"pollencroft/internal/admission"
 	"pollencroft/internal/agent"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/sched"
@@ -73,6 +74,8 @@
 	// pending is the number of waiting jobs by queue, as last reported by the leader.
 	pending   map[string]int
 	pendingAt time.Time
+	// load is the load of the queues, as last reported by the leader.
+	load admission.View
 	// agents are the hosts that send the leader's orders to workers, as last reported by it at
 	// agentsAt.
 	agents   []agent.Host
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -207,6 +207,7 @@
 }
 
 func (h *Host) syncWithLeader(leader string) {
+	sent := h.now()
 	r, err := h.requestSync(leader, askTimeout)
 	if err != nil || !r.Lead {
 		h.log.Warn("lead: does not answer.", "host", leader, "err", err)
@@ -215,6 +216,7 @@
 	}
 	h.mu.Lock()
 	h.pending, h.pendingAt = r.Pending, h.now()
+	h.noteLoad(r, sent)
 	h.lastSync, h.strongPower, h.standby = h.now(), r.EnoughPower, r.Standby
 	h.agents, h.agentsAt = nil, h.now()
 	for _, a := range r.Agents {
--- a/internal/entry/messages.go
+++ b/internal/entry/messages.go
@@ -146,7 +146,7 @@
 	}
 	return peer.SyncReply{
 		Ended: ended, Endings: next, Leading: true, Lead: true, Leaving: leaving, Served: true, Standby: h.chooseStandby(), Follows: follows,
-		EnoughPower: enough, Term: t.number, Pending: pending, Hosts: hosts, HostList: list, Agents: t.agentHosts(),
+		EnoughPower: enough, Term: t.number, Pending: pending, Load: t.load(), Hosts: hosts, HostList: list, Agents: t.agentHosts(),
 	}
 }
 
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"pollencroft/internal/admission"
 	"pollencroft/internal/agent"
 	"pollencroft/internal/cell"
 	"pollencroft/internal/finals"
@@ -53,6 +54,9 @@
 	// pendingCounts are the counts that pending returned last, as of pendingAt.
 	pendingCounts map[string]int
 	pendingAt     time.Time
+	// snapshot is the load that was reported last, made at snapshotAt.
+	snapshot   *admission.Snapshot
+	snapshotAt time.Time
 	// maxTickDelay is the longest delay of a tick since it was last logged.
 	maxTickDelay time.Duration
 }
--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -135,6 +135,9 @@
 // Finished reports whether all tasks are done.
 func (s *Stage) Finished() bool { return s.Done == len(s.Tasks) }
 
+// Waiting counts the tasks that are waiting.
+func (s *Stage) Waiting() int { return s.waiting }
+
 // AnyWaiting reports whether a task is waiting.
 func (s *Stage) AnyWaiting() bool { return s.waiting > 0 }
 
--- a/internal/flow/objective.go
+++ b/internal/flow/objective.go
@@ -18,6 +18,9 @@
 	return after
 }
 
+// ChainTime returns the estimated time of the job's longest chain of steps.
+func (s Spec) ChainTime() time.Duration { return slices.Max(s.chainTimes()) }
+
 // RemainingTime returns the estimated time from the start of a step to the end of the job.
 func (j *Job) RemainingTime(st *Stage) time.Duration {
 	return j.remainingTimes()[st.Index]
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"pollencroft/internal/admission"
 	"pollencroft/internal/call"
 	"pollencroft/internal/cell"
 	"pollencroft/internal/job"
@@ -255,6 +256,8 @@
 	EnoughPower float64 `json:"Enough"`
 	Term        int64
 	Pending     map[string]int
+	// Load is what hosts reject jobs by; nil if no organisation has a rate.
+	Load *admission.Snapshot `json:",omitempty"`
 	// Hosts holds the addresses of all hosts, and HostList identifies that list. Hosts is left out
 	// if the sender of the question has the same list.
 	Hosts    map[string]string `json:",omitempty"`
--- a/internal/rate/rate.go
+++ b/internal/rate/rate.go
@@ -17,17 +17,19 @@
 )
 
 // Meter is a token bucket for each organisation that has a rate. A job within the rate takes a
-// token, and a job beyond it takes none. It is not safe for concurrent use.
+// token, and a job beyond it takes none, so that an organisation that sends too much still has its
+// rate. The balance is what is left if jobs beyond the rate count too. It is not safe for concurrent
+// use.
 type Meter struct {
 	// rates holds jobs per second by organisation.
 	rates   map[string]float64
 	buckets map[string]bucket
 }
 
-// bucket is the number of tokens as of a time.
+// bucket is the number of tokens and the balance as of a time.
 type bucket struct {
-	tokens float64
-	at     time.Time
+	tokens, balance float64
+	at              time.Time
 }
 
 // New returns a meter without rates.
@@ -51,9 +53,11 @@
 // Rate returns an organisation's rate in jobs per second; zero if it has none.
 func (m *Meter) Rate(organisation string) float64 { return m.rates[organisation] }
 
-// Tokens returns how many jobs the organisation may send now within its rate.
-func (m *Meter) Tokens(now time.Time, organisation string) float64 {
-	return m.refilled(now, organisation).tokens
+// Balance returns how many jobs the organisation may send now until it has sent as many as its rate
+// allows, all accepted jobs included. It is negative if it has sent more, down to the size of a
+// burst: what it sent longer ago is forgotten.
+func (m *Meter) Balance(now time.Time, organisation string) float64 {
+	return m.refilled(now, organisation).balance
 }
 
 // Beyond counts a job that is accepted at now and reports whether it is beyond the organisation's
@@ -67,6 +71,7 @@
 	if !beyond {
 		b.tokens--
 	}
+	b.balance = max(b.balance-1, -m.burst(organisation))
 	m.buckets[organisation] = b
 	return beyond
 }
@@ -74,15 +79,20 @@
 // refilled returns the bucket of an organisation that has a rate as of now. The clocks of two
 // leaders differ, so now may be before the bucket's time; the bucket then stays as it is.
 func (m *Meter) refilled(now time.Time, organisation string) bucket {
-	r := m.rates[organisation]
-	burst := max(r*burstTime.Seconds(), minBurst)
+	burst := m.burst(organisation)
 	b, ok := m.buckets[organisation]
 	if !ok {
-		return bucket{tokens: burst, at: now}
+		return bucket{tokens: burst, balance: burst, at: now}
 	}
 	if since := now.Sub(b.at); since > 0 {
-		b = bucket{tokens: b.tokens + r*since.Seconds(), at: now}
+		earned := m.rates[organisation] * since.Seconds()
+		b = bucket{tokens: b.tokens + earned, balance: b.balance + earned, at: now}
 	}
-	b.tokens = min(b.tokens, burst)
+	b.tokens, b.balance = min(b.tokens, burst), min(b.balance, burst)
 	return b
 }
+
+// burst returns how many jobs an organisation may send at once.
+func (m *Meter) burst(organisation string) float64 {
+	return max(m.rates[organisation]*burstTime.Seconds(), minBurst)
+}
--- a/internal/rate/rate_test.go
+++ b/internal/rate/rate_test.go
@@ -44,7 +44,7 @@
 	require.True(t, m.Beyond(start.Add(900*time.Millisecond), "a"))
 	require.False(t, m.Beyond(start.Add(1100*time.Millisecond), "a"))
 	m.SetRates(start.Add(time.Hour), map[string]float64{"a": 1})
-	require.InDelta(t, 4, m.Tokens(start.Add(time.Hour), "a"), 0)
+	require.InDelta(t, 4, m.Balance(start.Add(time.Hour), "a"), 0)
 	m.SetRates(start.Add(time.Hour), nil)
 	require.False(t, m.Limited())
 	require.Zero(t, sent(m, start.Add(time.Hour), "a", 100, 0))
@@ -58,3 +58,15 @@
 	require.True(t, m.Beyond(start.Add(-10*time.Second), "a"))
 	require.True(t, m.Beyond(start.Add(500*time.Millisecond), "a"))
 }
+
+// Guards against a balance that allows a burst to go on, and against one that keeps an organisation
+// from sending for longer than its burst is worth.
+func TestBalanceCountsJobsBeyondTheRate(t *testing.T) {
+	m := rate.New()
+	m.SetRates(start, map[string]float64{"a": 2})
+	sent(m, start, "a", 10, 0)
+	require.InDelta(t, -2, m.Balance(start, "a"), 0)
+	require.InDelta(t, 2, m.Balance(start.Add(2*time.Second), "a"), 1e-9)
+	sent(m, start.Add(2*time.Second), "a", 1000, 0)
+	require.InDelta(t, -8, m.Balance(start.Add(2*time.Second), "a"), 0)
+}
--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -25,11 +25,13 @@
 	// PassUrgentFirst places the most urgent steps by themselves while a pass over all steps has to
 	// wait for its share of time.
 	PassUrgentFirst Mechanism = "urgent-passes"
+	// ReportLoad reports the loads because of which hosts reject jobs beyond an organisation's rate.
+	ReportLoad Mechanism = "reject-late"
 )
 
 // Mechanisms lists all mechanisms.
 func Mechanisms() []Mechanism {
-	return []Mechanism{AdaptUrgentHosts, QueryMoreWorkers, PrefetchTickets, ReserveForWide, PreemptBulk, OnTimeFirst, LimitPassTime, PassUrgentFirst}
+	return []Mechanism{AdaptUrgentHosts, QueryMoreWorkers, PrefetchTickets, ReserveForWide, PreemptBulk, OnTimeFirst, LimitPassTime, PassUrgentFirst, ReportLoad}
 }
 
 // enabled reports whether a mechanism is in use.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -55,6 +55,9 @@
 	// table has been received in this term.
 	rates      *rate.Meter
 	ratesKnown bool
+	// backlogs are the waiting tasks that are measured, loadAt is when they were counted last.
+	backlogs map[backlogKey]*backlog
+	loadAt   time.Time
 	// wideHolds is when the steps of an organisation last began to wait for a wide gang.
 	wideHolds map[string]time.Time
 	// dirty are jobs whose changes are not in an append yet.
@@ -109,7 +112,7 @@
 	s := &Sched{
 		limits: limits, term: term, queues: map[string]flow.Queue{}, jobs: map[string]*flow.Job{}, openJobs: map[string]*flow.Job{},
 		workers: map[string]*worker{}, hosts: policy.New(!slices.Contains(limits.Disabled, AdaptUrgentHosts)), advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
-		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, preemptions: map[*flow.Stage][]preemption{}, waits: map[*flow.Stage]*stepWait{}, earlyCancels: map[Cancel]time.Time{}, usage: quota.New(), rates: rate.New(), wideHolds: map[string]time.Time{}, dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
+		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, preemptions: map[*flow.Stage][]preemption{}, waits: map[*flow.Stage]*stepWait{}, earlyCancels: map[Cancel]time.Time{}, usage: quota.New(), rates: rate.New(), backlogs: map[backlogKey]*backlog{}, wideHolds: map[string]time.Time{}, dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
 	}
 	for _, j := range jobs {
 		s.jobs[j.Spec.ID] = j
--- a/internal/sched/start.go
+++ b/internal/sched/start.go
@@ -20,6 +20,7 @@
 		t.Job.Domain = w.Domain
 	}
 	s.track(w, t)
+	s.countDrained(t.Job)
 	if st := t.Spec(); st.MaxPerWorker > 0 {
 		s.noteTask(t, "assigned", fmt.Sprintf("runs of the step there: %d of %d", w.steps[stepOf(t.Name)], st.MaxPerWorker))
 	}
