--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"testing"
@@ -53,6 +54,16 @@
 
 const tenTasks = `{"spec":"text","steps":[{"count":10,"cpu":500,"memMb":256,"estimateMs":200}]}`
 
+// weightsCluster starts three hosts with that table.
+func weightsCluster(t *testing.T) *cluster {
+	c := newCluster(t, 3, 3, 200*time.Millisecond)
+	c.log.Put("op", "config", fmt.Appendf(nil, weightsTable, 2))
+	for _, h := range c.hosts {
+		require.Eventually(t, func() bool { return c.callAs(h, "", http.MethodGet, prefix, "").code == http.StatusUnauthorized }, waitTimeout, 10*time.Millisecond)
+	}
+	return c
+}
+
 // flood submits jobs of an organisation at the hosts in turn until one is rejected, and returns its
 // number.
 func (c *cluster) flood(key string) (response, int) {
@@ -76,11 +87,7 @@
 // that runs, against a rejection of a job that has run, and against a Retry-After by the load while the
 // store is unavailable.
 func TestBurstOfAnOrganisationIsRejected(t *testing.T) {
-	c := newCluster(t, 3, 3, 200*time.Millisecond)
-	c.log.Put("op", "config", fmt.Appendf(nil, weightsTable, 2))
-	for _, h := range c.hosts {
-		require.Eventually(t, func() bool { return c.callAs(h, "", http.MethodGet, prefix, "").code == http.StatusUnauthorized }, waitTimeout, 10*time.Millisecond)
-	}
+	c := weightsCluster(t)
 	a, n := c.flood("ka")
 	require.Equal(t, http.StatusTooManyRequests, a.code, a.body)
 	seconds, err := strconv.Atoi(a.header.Get("Retry-After"))
@@ -107,3 +114,16 @@
 	}, waitTimeout, 50*time.Millisecond, "the load is older than the outage")
 	require.Empty(t, c.checker.Violations())
 }
+
+// Hosts are cut off from the leader during a burst, or learn of another one. Guards against a
+// rejection because of a load that may have changed.
+func TestHostWithoutTheLeadersLoadRejectsNothing(t *testing.T) {
+	c := weightsCluster(t)
+	c.flood("ka")
+	h := c.follower()
+	h.LearnLeader("other", netip.AddrPortFrom(netip.IPv4Unspecified(), 1), 1<<40)
+	for i := range 5 {
+		a := c.callAs(h, "ka", http.MethodPost, prefix+jobID(30_000+i), tenTasks)
+		require.Equal(t, http.StatusOK, a.code, a.body)
+	}
+}
