sched: report a lower bound of the expected wait

Cause: a bulk backlog whose tasks end together was reported with up to 1.7 times its true wait, more than the margin of a rejection. Change: the mean rate counts from the first start to the last one, without the time before and after.

--- a/internal/sched/backlog.go
+++ b/internal/sched/backlog.go
@@ -31,9 +31,10 @@
 
 // backlog counts the waiting tasks that may start, and measures how fast they do.
 type backlog struct {
-	since   time.Time
-	drain   drain.Meter
-	started int
+	// since is when the backlog was first counted, first and last are when tasks of it started.
+	since, first, last time.Time
+	drain              drain.Meter
+	started            int
 	// jobs and tasks are the counts of the last snapshot, need is the least that a task needs in
 	// each resource.
 	jobs, tasks int
@@ -47,7 +48,10 @@
 	}
 	for _, organisation := range [...]string{"", j.Spec.Organisation} {
 		if b, ok := s.backlogs[backlogKey{j.Spec.Queue.Name, organisation}]; ok {
-			b.started++
+			if b.started == 0 {
+				b.first = s.now
+			}
+			b.started, b.last = b.started+1, s.now
 			b.drain.Count(s.now)
 		}
 		if j.Spec.Organisation == "" {
@@ -173,14 +177,13 @@
 }
 
 // expectedWait returns how long the next job is expected to wait, or false if that is not known yet.
-// It is the shorter of the waits by the recent rate and by that since the backlog began: tasks that
-// end together make the recent rate of a small backlog uneven.
+// It is the shorter of the waits by the recent rate and by that from the first start to the last one:
+// tasks that end together make the recent rate of a small backlog uneven.
 func (b *backlog) expectedWait(now time.Time) (time.Duration, bool) {
-	measured := now.Sub(b.since)
-	if measured < minMeasured || b.started == 0 {
+	if now.Sub(b.since) < minMeasured || b.started < 2 {
 		return 0, false
 	}
-	per := measured / time.Duration(b.started)
+	per := b.last.Sub(b.first) / time.Duration(b.started-1)
 	if recent := b.drain.Interval(now); recent > 0 {
 		per = min(per, recent)
 	}
--- a/internal/sched/backlog_test.go
+++ b/internal/sched/backlog_test.go
@@ -94,3 +94,29 @@
 	b.step(sched.Tick{})
 	require.Empty(t, b.violations)
 }
+
+// One organisation sends bulk at three times what the cell can run, and its tasks start twenty at a
+// time, six seconds apart. Guards against an expected wait that is longer than the true one, by which
+// jobs would be rejected that could end in time.
+func TestExpectedWaitIsALowerBound(t *testing.T) {
+	b := newSimCell(t, 4)
+	b.quotas = map[string]cell.Size{"small": {}}
+	b.queues[1].Stretch, b.queues[1].Slack = 2.2, 1200*time.Millisecond
+	b.setWeights(map[string]float64{"small": 0.1})
+	b.organisation = "small"
+	reports := 0
+	for n := range 120 {
+		b.submit(fmt.Sprintf("b%04d", n), "print", bulk(5))
+		for _, l := range b.core.Load(b.now).Loads {
+			reports++
+			wait := float64(l.Tasks) * 6 / 20
+			require.LessOrEqual(t, l.Wait.Seconds(), 1.1*wait)
+			if n >= 40 {
+				require.GreaterOrEqual(t, l.Wait.Seconds(), 0.6*wait)
+			}
+		}
+		b.advance(500 * time.Millisecond)
+	}
+	require.Greater(t, reports, 80)
+	require.Empty(t, b.violations)
+}
