--- a/internal/flow/objective.go
+++ b/internal/flow/objective.go
@@ -24,6 +24,9 @@
 	return time.Duration(q.Stretch*float64(longestChain)) + q.Slack
 }
 
+// ChainTime returns the declared time of the job's longest chain of steps.
+func (s Spec) ChainTime() time.Duration { return slices.Max(s.ChainTimes(s.declaredTimes())) }
+
 // RemainingTime returns the declared time from the start of a step to the end of the job.
 func (j *Job) RemainingTime(st *Stage) time.Duration {
 	return j.remainingTimes()[st.Index]
@@ -35,11 +38,15 @@
 
 func (j *Job) remainingTimes() []time.Duration {
 	if j.chainTimes == nil {
-		declared := make([]time.Duration, len(j.Spec.Steps))
-		for i, st := range j.Spec.Steps {
-			declared[i] = st.EstimatedTime
-		}
-		j.chainTimes = j.Spec.ChainTimes(declared)
+		j.chainTimes = j.Spec.ChainTimes(j.Spec.declaredTimes())
 	}
 	return j.chainTimes
 }
+
+func (s Spec) declaredTimes() []time.Duration {
+	declared := make([]time.Duration, len(s.Steps))
+	for i, st := range s.Steps {
+		declared[i] = st.EstimatedTime
+	}
+	return declared
+}
--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -31,11 +31,13 @@
 	SelectOnTime Mechanism = "select-on-time"
 	// LearnTimes expects run times by those of runs that have ended, instead of as declared.
 	LearnTimes Mechanism = "learn-times"
+	// ReportLoad reports the loads because of which hosts reject jobs beyond an organisation's rate.
+	ReportLoad Mechanism = "reject-late"
 )
 
 // Mechanisms lists all mechanisms.
 func Mechanisms() []Mechanism {
-	return []Mechanism{AdaptUrgentHosts, QueryMoreWorkers, PrefetchTickets, ReserveForWide, PreemptBulk, OnTimeFirst, LimitPassTime, PassUrgentFirst, PreferBySpeed, SelectOnTime, LearnTimes}
+	return []Mechanism{AdaptUrgentHosts, QueryMoreWorkers, PrefetchTickets, ReserveForWide, PreemptBulk, OnTimeFirst, LimitPassTime, PassUrgentFirst, PreferBySpeed, SelectOnTime, LearnTimes, ReportLoad}
 }
 
 // enabled reports whether a mechanism is in use.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -56,6 +56,9 @@
 	// table has been received in this term.
 	rates      *rate.Meter
 	ratesKnown bool
+	// backlogs are the waiting tasks that are measured, loadAt is when they were counted last.
+	backlogs map[backlogKey]*backlog
+	loadAt   time.Time
 	// wideHolds is when the steps of an organisation last began to wait for a wide gang.
 	wideHolds map[string]time.Time
 	// dirty are jobs whose changes are not in an append yet.
@@ -119,7 +122,7 @@
 		advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
 		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, waits: map[*flow.Stage]*stepWait{},
 		preemptions: map[*flow.Stage][]preemption{}, earlyCancels: map[Cancel]time.Time{},
-		usage: quota.New(), rates: rate.New(), wideHolds: map[string]time.Time{},
+		usage: quota.New(), rates: rate.New(), backlogs: map[backlogKey]*backlog{}, wideHolds: map[string]time.Time{},
 		dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
 		speeds: speed.New(nil), reportedSpeeds: map[string]float64{}, times: newRunTimes(),
 		selection: newSelection(),
