flow: test that only whole runs are measured

Cause: a run that resumed, or that a former leader started, is shorter than its task as far as the leader sees, and would make expected times too short. Change: a test of Task.MeasuredFrom. Result: go test ./internal/flow passes; the test fails without either condition of MeasuredFrom.

--- a/internal/flow/objective_test.go
+++ b/internal/flow/objective_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/chart"
 	"pollencroft/internal/flow"
 )
 
@@ -24,3 +28,29 @@
 	// 6s
 	// 1s
 }
+
+// A run that resumed from a checkpoint, or that a former leader started, is shorter than the task as
+// far as this leader sees. Measured as if it were whole, it would make expected times too short.
+func TestOnlyWholeRunsAreMeasured(t *testing.T) {
+	at := time.Unix(1000, 0)
+	j := flow.New(flow.Spec{ID: "j", Steps: []flow.Step{{Tasks: 1}}}, 1, at)
+	run := j.BeginRounds(at)[0].Stages[0].Tasks[0]
+	start := func() {
+		run.Worker, run.Run = "w", run.Run+1
+		for _, ev := range []chart.Event{flow.Assign, flow.Send, flow.Confirm} {
+			require.True(t, run.Transition(ev, at))
+		}
+	}
+	start()
+	require.Equal(t, at, run.MeasuredFrom)
+	b := j.Record(flow.Version{})
+	require.True(t, run.Transition(flow.Gone, at))
+	run.Checkpoint = "c"
+	start()
+	require.Zero(t, run.MeasuredFrom)
+	later, err := flow.Restore(j.Spec, b, at)
+	require.NoError(t, err)
+	inherited := later.Task(run.Name)
+	require.True(t, inherited.Transition(flow.Confirm, at))
+	require.Zero(t, inherited.MeasuredFrom)
+}
