logs: name the messages of omitted lines, count dropped ones

Cause: "log: lines were left out." gave one number for all messages, did not count lines that the writer dropped, and was never written for the last seconds of a process. Sums over log lines could not tell which of them were cut.

Change: the line has the messages with their counts, the dropped lines and since when. A process writes it when it ends, too. Replay follows the limit of one message through written lines. The lines of an entry host have hostname and domain.

Measured: go test ./internal/logs ./internal/commands passes.

--- a/internal/commands/entry.go
+++ b/internal/commands/entry.go
@@ -1,6 +1,7 @@
 package commands
 
 import (
+	"context"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -42,6 +43,14 @@
 	logFlushTimeout = 200 * time.Millisecond
 )
 
+// flushOmissions logs how many lines were left out since the last report.
+func flushOmissions(log *slog.Logger) {
+	if h, ok := log.Handler().(*logs.Handler); ok {
+		// A failure to write the log cannot be reported anywhere.
+		_ = h.Flush(context.Background())
+	}
+}
+
 func runEntry(file string) error {
 	if file == "" {
 		file = os.Getenv(settingsVariable)
@@ -60,7 +69,11 @@
 	if err := level.UnmarshalText([]byte(cfg.Log)); err != nil {
 		level = slog.LevelInfo
 	}
-	log := slog.New(logs.NewHandler(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}), time.Now))
+	handler := logs.NewHandler(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}), time.Now)
+	handler.CountDropped(w)
+	// pollencroft report tells hosts and failure domains apart by these attributes.
+	log := slog.New(handler).With("hostname", cfg.Name, "domain", cfg.Domain)
+	defer flushOmissions(log)
 	h, err := entry.New(cfg, log, time.Now)
 	if err != nil {
 		return err
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -19,10 +19,17 @@
 	// writes a line in about 10 µs, so all messages together use less than a hundredth of the core.
 	linesPerSecond = 40
 	burst          = 120
+	// replayMargin is the number of tokens below which a replay assumes that the bucket was empty.
+	// The time of a line is taken before its tokens are counted; a process that does not run for
+	// 100 ms in between moves the count by four tokens.
+	replayMargin = 6
 	// reportInterval is how often the number of suppressed lines is logged.
 	reportInterval = 10 * time.Second
 )
 
+// OmissionMessage is the message of the line that reports lines that were left out.
+const OmissionMessage = "log: lines were left out."
+
 // Writer writes lines in the background, so that its callers never wait.
 type Writer struct {
 	lines   chan []byte
@@ -76,11 +83,25 @@
 }
 
 type limiter struct {
-	now        func() time.Time
-	mu         sync.Mutex
-	buckets    map[string]*bucket
-	suppressed int64
+	now     func() time.Time
+	mu      sync.Mutex
+	buckets map[string]*bucket
+	// suppressed counts the suppressed lines by message since lastReport.
+	suppressed map[string]int64
 	lastReport time.Time
+	// omitted counts the suppressed lines since the start.
+	omitted int64
+	// dropped returns how many lines the writer has dropped so far, reportedDropped how many of
+	// them were reported.
+	dropped         func() int64
+	reportedDropped int64
+}
+
+// omission is what was left out from since until now.
+type omission struct {
+	since      time.Time
+	suppressed map[string]int64
+	dropped    int64
 }
 
 type bucket struct {
@@ -90,18 +111,28 @@
 
 // NewHandler returns a handler that passes lines within their rate limit to h.
 func NewHandler(h slog.Handler, now func() time.Time) *Handler {
-	return &Handler{Handler: h, limiter: &limiter{now: now, buckets: map[string]*bucket{}, lastReport: now()}}
+	return &Handler{Handler: h, limiter: &limiter{now: now, buckets: map[string]*bucket{}, suppressed: map[string]int64{}, lastReport: now(), dropped: func() int64 { return 0 }}}
+}
+
+// Omitted returns how many lines were left out so far.
+func (h *Handler) Omitted() int64 {
+	h.limiter.mu.Lock()
+	defer h.limiter.mu.Unlock()
+	return h.limiter.omitted + h.limiter.dropped()
+}
+
+// CountDropped makes the handler also report the lines that w drops.
+func (h *Handler) CountDropped(w *Writer) {
+	h.limiter.mu.Lock()
+	defer h.limiter.mu.Unlock()
+	h.limiter.dropped = w.Dropped
 }
 
 // Handle passes the line on, or counts it as suppressed.
 func (h *Handler) Handle(ctx context.Context, r slog.Record) error {
 	pass, left := h.limiter.allow(r)
-	if left > 0 {
-		more := slog.NewRecord(r.Time, slog.LevelWarn, "log: lines were left out.", 0)
-		more.AddAttrs(slog.Int64("lines", left))
-		if err := h.Handler.Handle(ctx, more); err != nil {
-			return err
-		}
+	if err := h.report(ctx, r.Time, left); err != nil {
+		return err
 	}
 	if !pass {
 		return nil
@@ -109,6 +140,29 @@
 	return h.Handler.Handle(ctx, r)
 }
 
+// Flush reports what was left out since the last report. A process calls it before it ends, because
+// the lines that it left out last would otherwise never be reported.
+func (h *Handler) Flush(ctx context.Context) error {
+	h.limiter.mu.Lock()
+	now := h.limiter.now()
+	left := h.limiter.takeOmission(now)
+	h.limiter.mu.Unlock()
+	return h.report(ctx, now, left)
+}
+
+func (h *Handler) report(ctx context.Context, at time.Time, left omission) error {
+	lines := left.dropped
+	for _, n := range left.suppressed {
+		lines += n
+	}
+	if lines == 0 {
+		return nil
+	}
+	r := slog.NewRecord(at, slog.LevelWarn, OmissionMessage, 0)
+	r.AddAttrs(slog.Int64("lines", lines), slog.Time("since", left.since), slog.Any("by", left.suppressed), slog.Int64("dropped", left.dropped))
+	return h.Handler.Handle(ctx, r)
+}
+
 // WithAttrs returns a handler with more attributes that shares the rate limits.
 func (h *Handler) WithAttrs(attrs []slog.Attr) slog.Handler {
 	return &Handler{Handler: h.Handler.WithAttrs(attrs), limiter: h.limiter}
@@ -119,7 +173,7 @@
 	return &Handler{Handler: h.Handler.WithGroup(name), limiter: h.limiter}
 }
 
-func (s *limiter) allow(r slog.Record) (bool, int64) {
+func (s *limiter) allow(r slog.Record) (bool, omission) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -128,18 +182,49 @@
 		b = &bucket{tokens: burst, at: now}
 		s.buckets[r.Message] = b
 	}
-	b.tokens = min(b.tokens+linesPerSecond*now.Sub(b.at).Seconds(), burst)
-	b.at = now
+	b.refill(now)
 	pass := r.Level >= slog.LevelWarn || b.tokens >= 1
 	if pass {
 		b.tokens--
 	} else {
-		s.suppressed++
+		s.suppressed[r.Message]++
+		s.omitted++
+	}
+	if now.Sub(s.lastReport) < reportInterval {
+		return pass, omission{}
+	}
+	return pass, s.takeOmission(now)
+}
+
+// takeOmission returns what was left out since the last report, and begins to count anew.
+func (s *limiter) takeOmission(now time.Time) omission {
+	dropped := s.dropped()
+	left := omission{since: s.lastReport, suppressed: s.suppressed, dropped: dropped - s.reportedDropped}
+	s.suppressed, s.reportedDropped, s.lastReport = map[string]int64{}, dropped, now
+	return left
+}
+
+func (b *bucket) refill(now time.Time) {
+	b.tokens = min(b.tokens+linesPerSecond*now.Sub(b.at).Seconds(), burst)
+	b.at = now
+}
+
+// Replay follows the rate limit of one message through the lines that a host has written, in order
+// to find out after which of them the limit may have suppressed others.
+type Replay struct{ bucket }
+
+// ReplaySpan is the time after a line within which the limit suppresses others if it does at all.
+const ReplaySpan = replayMargin * time.Second / linesPerSecond
+
+// Next follows a line that was written at the given time. It reports whether the limit may have
+// suppressed others within ReplaySpan after it.
+func (p *Replay) Next(at time.Time) bool {
+	if p.at.IsZero() {
+		p.bucket = bucket{tokens: burst, at: at}
 	}
-	if s.suppressed == 0 || now.Sub(s.lastReport) < reportInterval {
-		return pass, 0
+	if at.After(p.at) {
+		p.refill(at)
 	}
-	left := s.suppressed
-	s.suppressed, s.lastReport = 0, now
-	return pass, left
+	p.tokens--
+	return p.tokens < replayMargin
 }
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -54,3 +54,30 @@
 	require.Equal(t, 2, strings.Count(text, "msg=other"))
 	require.Contains(t, text, "lines were left out")
 }
+
+// Guards against reports of what was left out that do not say which lines, that lack lines dropped
+// for a slow reader, or that a process takes with it when it ends.
+func TestOmissionsAreReportedByMessage(t *testing.T) {
+	now := time.Unix(0, 0).UTC()
+	var buf bytes.Buffer
+	h := logs.NewHandler(slog.NewJSONHandler(&buf, nil), func() time.Time { return now })
+	r, out := io.Pipe()
+	w := logs.NewWriter(out)
+	h.CountDropped(w)
+	log := slog.New(h)
+	for range 130 {
+		log.Info("flood")
+	}
+	for w.Dropped() == 0 {
+		_, err := w.Write([]byte("line\n"))
+		require.NoError(t, err)
+	}
+	require.NoError(t, h.Flush(t.Context()))
+	require.Contains(t, buf.String(), `"lines":11,"since":"1970-01-01T00:00:00Z","by":{"flood":10},"dropped":1}`)
+	require.Equal(t, int64(11), h.Omitted())
+	buf.Reset()
+	require.NoError(t, h.Flush(t.Context()))
+	require.Empty(t, buf.String())
+	require.NoError(t, r.Close())
+	w.Close(time.Minute)
+}
