sched, entry: log whose jobs were queued, late and stopped, and a load summary

Cause: the lines about queued, ended, waiting and stopped work and about rejections named the id only. What waited, and for what, was in histograms of the leader alone.

Change: these lines have queue and organisation; "sched: ended." also how long the job took, its objective and its waits by reason. The leader writes "sched: load." once a second while jobs are open. Counters job.ended.STATE, job.late.rankN, run.stopped, log.omitted and gauges load.*.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -59,6 +59,7 @@
 		return
 	}
 	q := route.Queue
+	w = &requestWriter{ResponseWriter: w, method: r.Method, queue: q.Name, organisation: organisation}
 	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
 	defer cancel()
 	began := h.now()
@@ -139,10 +140,10 @@
 // refuse answers with the reason and, if a retry makes sense, with Retry-After.
 func (h *Host) refuse(w http.ResponseWriter, code int, id, reason string) {
 	h.incCounter("caller.refused." + strconv.Itoa(code))
-	h.log.Info("caller: refused.", "id", id, "code", code, "reason", reason)
 	if code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests {
 		w.Header().Set("Retry-After", retryAfterSeconds)
 	}
+	h.log.Info("caller: refused.", append([]any{"id", id, "code", code, "reason", reason}, requestAttrs(w)...)...)
 	b, err := json.Marshal(map[string]string{"error": reason})
 	if err != nil {
 		h.log.Error("caller: reason cannot be encoded.", "err", err)
@@ -310,6 +311,7 @@
 	r := chi.NewRouter()
 	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain")
+		h.countOmittedLines()
 		metrics.WriteOnce(h.metrics, w)
 	})
 	return r
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -113,6 +113,8 @@
 	peersSeen map[string]hostInfo
 	// wasReady is the last readiness reported to the load balancer.
 	wasReady bool
+	// loadGauges are the gauges of the load that this host reports while it leads.
+	loadGauges loadGauges
 	// failedSince holds the topics whose last read failed, with the time of the first failure.
 	failedSince map[string]time.Time
 }
@@ -138,6 +140,7 @@
 	h.lastSync = now()
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.store = store.NewRouted(platform.NewStore(platform.New(), cfg.Store), relay{h}, now, h.storeChanged)
+	h.loadGauges.registry = h.metrics
 	h.inbox = newInbox(h)
 	h.states = newStateCache(h)
 	h.agent = agent.New(h.ctx, newOrders(h, h.ctx), h.sendResults, log, &h.wg)
@@ -178,7 +181,7 @@
 
 // Start opens the listeners and starts to follow the platform's topics.
 func (h *Host) Start() error {
-	h.log.Info("entry: starting.", "host", h.cfg.Name, "life", h.incarnation(), "domain", h.cfg.Domain)
+	h.log.Info("entry: starting.", "host", h.cfg.Name, "life", h.incarnation())
 	var lc net.ListenConfig
 	open := func(addr netip.AddrPort) (net.Listener, error) {
 		ln, err := lc.Listen(h.ctx, "tcp", addr.String())
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -196,6 +196,7 @@
 		t.h.leader = ""
 	}
 	t.h.mu.Unlock()
+	t.h.loadGauges.clear()
 	t.h.log.Info("lead: term ends.", "term", t.number, "why", why)
 }
 
@@ -250,19 +251,23 @@
 		t.h.observeWait(a)
 	case sched.JobStarted:
 		t.h.observe(fmt.Sprintf("job.start.rank%d", a.Rank), a.After)
+	case sched.JobQueued:
+		t.h.log.Info("sched: queued.", "id", a.ID, "term", t.number, "detail", a.Queue, "queue", a.Queue, "organisation", a.Organisation, "rank", a.Rank)
 	case sched.JobEnded:
 		t.noteEnded(a)
+	case sched.LoadSummary:
+		t.noteLoad(a)
 	case sched.LimitExceeded:
 		t.h.incCounter("apart.exceeded")
 		t.h.log.Warn("sched: more runs of a step on a worker than it allows.", "id", a.Task.String(), "worker", a.Worker, "term", t.number, "limit", a.Limit, "detail", a.Runs)
 	case sched.Note:
-		t.h.log.Info("sched: "+a.What+".", "id", a.ID, "worker", a.Worker, "run", a.Run, "term", t.number, "detail", a.Detail)
+		t.note(a)
 	}
 }
 
 // noteEnded records a final state, for this host and for those that sync with it.
 func (t *term) noteEnded(a sched.JobEnded) {
-	t.h.log.Info("sched: ended.", "id", a.ID, "term", t.number, "detail", a.State)
+	t.logEnded(a)
 	st := finals.Status{State: a.State, Organisation: a.Organisation}
 	t.h.states.add(a.ID, st)
 	now := t.h.now()
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -17,7 +17,7 @@
 	s.jobs[spec.ID], s.openJobs[spec.ID] = j, j
 	j.BeginRounds(s.now)
 	s.markDirty(j)
-	s.emit(Note{ID: spec.ID, What: "queued", Detail: spec.Queue.Name})
+	s.emit(JobQueued{ID: spec.ID, Queue: spec.Queue.Name, Organisation: spec.Organisation, Rank: s.queue(j).Rank})
 	for c := range s.earlyCancels {
 		if c.ID == spec.ID && access.Owns(c.Organisation, spec.Organisation) {
 			delete(s.earlyCancels, c)
@@ -85,7 +85,7 @@
 		for _, st := range r.Stages {
 			delete(s.advice, st)
 			delete(s.preemptions, st)
-			delete(s.waits, st)
+			s.endWait(j, st)
 		}
 	}
 	clear(j.Rounds)
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -276,10 +276,29 @@
 	After time.Duration
 }
 
-// JobEnded reports that a job's final state is stored. It never changes afterwards.
+// JobQueued reports that a job was added to its queue.
+type JobQueued struct {
+	ID, Queue, Organisation string
+	Rank                    int
+}
+
+// JobEnded reports that a job's final state is stored. It never changes afterwards. Repeated means
+// that this term has reported the job before.
 type JobEnded struct {
-	ID, Organisation string
-	State            flow.State
+	ID, Queue, Organisation string
+	Rank                    int
+	State                   flow.State
+	Repeated                bool
+	// Took is the time from acceptance to the end, Objective the time within which the job should
+	// end. Objective is zero for a job that has none.
+	Took, Objective time.Duration
+	// Waits is how long the job's steps waited under this term, in sum.
+	Waits WaitTimes
+}
+
+// Late reports whether the job missed its objective. A cancelled job misses nothing.
+func (e JobEnded) Late() bool {
+	return e.State != flow.Cancelled && e.Objective > 0 && e.Took > e.Objective
 }
 
 // LimitExceeded reports that more runs of a step may be on a worker than the step allows. Runs
@@ -293,12 +312,15 @@
 	Limit int
 }
 
-// Note describes a decision, for the log.
+// Note describes a decision, for the log. Queue and Organisation are those of the job, Reason is
+// what a step waits for; they are set for decisions that reports sum up.
 type Note struct {
 	ID, What string
 	Worker   string
 	Run      int
 	Detail   string
+
+	Queue, Organisation, Reason string
 }
 
 func (Append) action()        {}
@@ -311,6 +333,8 @@
 func (StepDown) action()      {}
 func (StepWaited) action()    {}
 func (JobStarted) action()    {}
+func (JobQueued) action()     {}
 func (JobEnded) action()      {}
+func (LoadSummary) action()   {}
 func (LimitExceeded) action() {}
 func (Note) action()          {}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -44,6 +44,11 @@
 	outages []outage
 	// waits are the waiting steps.
 	waits map[*flow.Stage]*stepWait
+	// jobWaits is how long steps of a job waited that do not wait any more, by job.
+	jobWaits map[string]WaitTimes
+	// lastSummary is the time of the last load summary, summaryIdle whether it reported no load.
+	lastSummary time.Time
+	summaryIdle bool
 	// preemptions is the capacity that other tasks were stopped for, by the step that it is for.
 	preemptions map[*flow.Stage][]preemption
 	// earlyCancels is when jobs that are not known yet were cancelled.
@@ -104,7 +109,7 @@
 	s := &Sched{
 		limits: limits, term: term, queues: map[string]flow.Queue{}, jobs: map[string]*flow.Job{}, openJobs: map[string]*flow.Job{},
 		workers: map[string]*worker{}, hosts: policy.New(!slices.Contains(limits.Disabled, AdaptUrgentHosts)), advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
-		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, preemptions: map[*flow.Stage][]preemption{}, waits: map[*flow.Stage]*stepWait{}, earlyCancels: map[Cancel]time.Time{}, usage: quota.New(), wideHolds: map[string]time.Time{}, dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
+		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, preemptions: map[*flow.Stage][]preemption{}, waits: map[*flow.Stage]*stepWait{}, jobWaits: map[string]WaitTimes{}, earlyCancels: map[Cancel]time.Time{}, usage: quota.New(), wideHolds: map[string]time.Time{}, dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
 	}
 	for _, j := range jobs {
 		s.jobs[j.Spec.ID] = j
@@ -151,6 +156,7 @@
 		s.noteChange()
 	}
 	s.flush()
+	s.summarizeLoad()
 	return s.actions
 }
 
@@ -367,9 +373,10 @@
 	if b.number < j.PublishedAppend {
 		return
 	}
+	repeated := j.Published.Final()
 	j.Published, j.PublishedAppend = b.states[j], b.number
 	if j.Published.Final() {
-		s.emit(JobEnded{ID: j.Spec.ID, Organisation: j.Spec.Organisation, State: j.Published})
+		s.emit(s.jobEnded(j, repeated))
 	}
 }
 
@@ -393,6 +400,7 @@
 		if j.State.Final() && j.Published.Final() && s.now.Sub(j.Ended) > s.limits.Retention {
 			delete(s.jobs, id)
 			delete(s.openJobs, id)
+			delete(s.jobWaits, id)
 			s.emit(Forget{ID: id})
 		}
 	}
--- a/internal/sched/simcell_test.go
+++ b/internal/sched/simcell_test.go
@@ -96,6 +96,8 @@
 	endedIncarnations int
 	// restartExtra is the extra time until the next incarnation of a worker.
 	restartExtra time.Duration
+	// reports are the load summaries and the reports of queued and ended jobs.
+	reports []sched.Action
 	// failedNotes are the notes about jobs that failed because of crashes.
 	failedNotes []sched.Note
 }
@@ -281,6 +283,8 @@
 		b.stepWaits = append(b.stepWaits, a)
 	case sched.JobStarted:
 		b.jobStarts = append(b.jobStarts, a)
+	case sched.LoadSummary, sched.JobQueued, sched.JobEnded:
+		b.reports = append(b.reports, a)
 	case sched.Note:
 		b.recordNote(a)
 	}
--- a/internal/sched/stop.go
+++ b/internal/sched/stop.go
@@ -23,7 +23,7 @@
 	if !t.Transition(flow.Stop, s.now) {
 		return
 	}
-	s.noteTask(t, "stop", why)
+	s.emit(Note{ID: t.Name.String(), What: "stop", Worker: t.Worker, Run: t.Run, Detail: why, Queue: t.Job.Spec.Queue.Name, Organisation: t.Job.Spec.Organisation})
 	k := runKey{t.Name, t.Run}
 	st := &pendingStop{task: t, worker: t.Worker}
 	s.stops[k] = st
--- a/internal/sched/waits.go
+++ b/internal/sched/waits.go
@@ -63,6 +63,7 @@
 	accountedUntil time.Time
 	reason         WaitReason
 	nextNote       time.Duration
+	rank           int
 }
 
 // accountWaits adds the time since the last pass to each step's current wait reason, and reports
@@ -80,13 +81,13 @@
 func (s *Sched) accountWait(r readyStep, reason WaitReason) {
 	w, ok := s.waits[r.stage]
 	if !ok {
-		w = &stepWait{accountedUntil: s.now, nextNote: firstWaitNote}
+		w = &stepWait{accountedUntil: s.now, nextNote: firstWaitNote, rank: r.queue.Rank}
 		s.waits[r.stage] = w
 	}
 	w.times[w.reason] += s.now.Sub(w.accountedUntil)
 	w.accountedUntil, w.reason = s.now, reason
 	if !r.stage.AnyWaiting() {
-		delete(s.waits, r.stage)
+		s.endWait(r.job, r.stage)
 		s.emit(StepWaited{Rank: r.queue.Rank, Times: w.times})
 		return
 	}
@@ -96,7 +97,8 @@
 		if reason == WaitForQuota {
 			detail += "; " + s.usage.Describe(r.job.Spec.Organisation)
 		}
-		s.emit(Note{ID: r.stage.Tasks[0].Name.StepName(), What: "step waits", Detail: detail})
+		s.emit(Note{ID: r.stage.Tasks[0].Name.StepName(), What: "step waits", Detail: detail,
+			Queue: r.queue.Name, Organisation: r.job.Spec.Organisation, Reason: reason.String()})
 	}
 }
 
