--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pollencroft/internal/entry"
+	"pollencroft/internal/logs"
 	"pollencroft/internal/standin/users"
 	"pollencroft/internal/store"
 )
@@ -41,6 +42,8 @@
 	workers []*users.Worker
 	hosts   map[string]*testHost
 	logs    *logBuffer
+	// jsonLogs, if set, gets the hosts' log lines as the hosts write them in production.
+	jsonLogs *logBuffer
 	// workersPerCore is the setting agents.workers of the hosts.
 	workersPerCore float64
 	// deadline is the deadline that callers send; if it is zero, they send none.
@@ -76,7 +79,15 @@
 }
 
 func startCluster(t *testing.T, hosts, workers int, work time.Duration, workersPerCore float64) *cluster {
-	c := &cluster{workersPerCore: workersPerCore, t: t, log: users.NewLog(16, time.Now), checker: users.NewInvariantChecker(), hosts: map[string]*testHost{}, logs: &logBuffer{}}
+	c := &cluster{workersPerCore: workersPerCore, t: t}
+	c.startAll(hosts, workers, work)
+	return c
+}
+
+// startAll starts all workers and hosts, and stops them when the test ends.
+func (c *cluster) startAll(hosts, workers int, work time.Duration) {
+	t := c.t
+	c.log, c.checker, c.hosts, c.logs = users.NewLog(16, time.Now), users.NewInvariantChecker(), map[string]*testHost{}, &logBuffer{}
 	for i := range workers {
 		w := users.NewWorker(fmt.Sprintf("w%d", i), work, c.checker)
 		t.Cleanup(w.Close)
@@ -86,7 +97,7 @@
 	c.log.Put("op", "config", fmt.Appendf(nil, tableText, 1, ""))
 	for i := range hosts {
 		c.start(fmt.Sprintf("h%d", i), func(s *entry.Settings) {
-			if workersPerCore > 0 {
+			if c.workersPerCore > 0 {
 				s.Domain = fmt.Sprintf("zone%d", i%3)
 			}
 		})
@@ -102,7 +113,6 @@
 			t.Log(c.logs.String())
 		}
 	})
-	return c
 }
 
 func freePort(t *testing.T) netip.AddrPort {
@@ -128,6 +138,9 @@
 		c.hosts[name] = r
 	}
 	log := slog.New(slog.NewTextHandler(c.logs, nil)).With("host", name)
+	if c.jsonLogs != nil {
+		log = slog.New(logs.NewHandler(slog.NewJSONHandler(c.jsonLogs, nil), time.Now)).With("hostname", name, "domain", r.cfg.Domain)
+	}
 	h, err := entry.New(r.cfg, log, time.Now)
 	require.NoError(c.t, err)
 	require.NoError(c.t, h.Start())
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -34,47 +34,70 @@
 // maxLineLength bounds the length of one log line.
 const maxLineLength = 1 << 20
 
-// Read returns the lines that mention the id, or a task or step of it, in order of time. Input
-// lines that are not log lines are skipped.
-func Read(r io.Reader, id string) ([]Line, error) {
-	var all []Line
+// Entry is one log line of any kind.
+type Entry struct {
+	// At is the zero time if the line has no valid time.
+	At            time.Time
+	From, Message string
+	// Attrs are all JSON fields of the line.
+	Attrs map[string]any
+}
+
+// Scan calls f for each log line in the order of the input, and returns how many lines are no log
+// lines.
+func Scan(r io.Reader, f func(Entry)) (unreadable int, err error) {
 	s := bufio.NewScanner(r)
 	s.Buffer(make([]byte, 0, 64<<10), maxLineLength)
 	for s.Scan() {
-		if l, ok := parse(s.Bytes(), id); ok {
-			all = append(all, l)
+		if e, ok := parse(s.Bytes()); ok {
+			f(e)
+		} else if len(bytes.TrimSpace(s.Bytes())) > 0 {
+			unreadable++
 		}
 	}
+	return unreadable, errors.Wrap(s.Err(), "read log")
+}
+
+// Read returns the lines that mention the id, or a task or step of it, in order of time. Input
+// lines that are not log lines are skipped.
+func Read(r io.Reader, id string) ([]Line, error) {
+	var all []Line
+	_, err := Scan(r, func(e Entry) {
+		if mentions(e.Attrs, id) {
+			all = append(all, lineOf(e))
+		}
+	})
 	slices.SortStableFunc(all, func(a, b Line) int { return a.At.Compare(b.At) })
-	return all, errors.Wrap(s.Err(), "read log")
+	return all, err
 }
 
-func parse(b []byte, id string) (Line, bool) {
+func parse(b []byte) (Entry, bool) {
 	i := bytes.IndexByte(b, '{')
 	if i < 0 {
-		return Line{}, false
-	}
-	var fields map[string]any
-	if json.Unmarshal(b[i:], &fields) != nil {
-		return Line{}, false
+		return Entry{}, false
 	}
-	if !mentions(fields, id) {
-		return Line{}, false
+	e := Entry{From: strings.TrimSpace(string(b[:i]))}
+	if json.Unmarshal(b[i:], &e.Attrs) != nil {
+		return Entry{}, false
 	}
-	l := Line{From: strings.TrimSpace(string(b[:i]))}
-	l.Message, _ = fields["msg"].(string)
-	if at, ok := fields["time"].(string); ok {
-		// A line without a valid time sorts first.
-		l.At, _ = time.Parse(time.RFC3339Nano, at)
+	e.Message, _ = e.Attrs["msg"].(string)
+	if at, ok := e.Attrs["time"].(string); ok {
+		e.At, _ = time.Parse(time.RFC3339Nano, at)
 	}
-	for _, k := range slices.Sorted(maps.Keys(fields)) {
+	return e, true
+}
+
+// lineOf returns a log line for display. A line without a valid time sorts first.
+func lineOf(e Entry) Line {
+	l := Line{At: e.At, From: e.From, Message: e.Message}
+	for _, k := range slices.Sorted(maps.Keys(e.Attrs)) {
 		switch k {
 		case "time", "msg", "level":
 		default:
-			l.Fields = append(l.Fields, fmt.Sprintf("%s=%v", k, fields[k]))
+			l.Fields = append(l.Fields, fmt.Sprintf("%s=%v", k, e.Attrs[k]))
 		}
 	}
-	return l, true
+	return l
 }
 
 // mentions reports whether a line is about the id, or about a step or task of it.
