report: break rejections and stopped runs down by window, list the longest waits

Cause: reasons of rejections, the return of callers and the beneficiaries of stops were sums over the whole log, and jobs that waited were listed only if they were late or had not ended.

Change: both parts have a line per window (rejections also per queue, organisation and domain); a list of the jobs that waited longest.

Measured: go test ./internal/report ./internal/commands passes.

--- a/internal/commands/report.go
+++ b/internal/commands/report.go
@@ -24,7 +24,7 @@
 		flags: func(s *flaggy.Subcommand) {
 			s.Duration(&window, "w", "window", "length of the windows of time")
 			s.String(&by, "b", "by", "what to sum up by, separated by commas; empty for windows only")
-			s.Int(&jobs, "n", "jobs", "how many late and waiting jobs to list")
+			s.Int(&jobs, "n", "jobs", "how many jobs each list shows")
 		},
 		run: func() error {
 			split := func(c rune) bool { return c == ',' }
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -89,19 +89,24 @@
 }
 
 type rejectionKey struct {
+	key
 	code          int
 	reason, retry string
 }
 
 // rejectionSums are the rejections with one code, reason and Retry-After, and when their callers
-// returned, in milliseconds.
+// returned, in milliseconds. after is nil until one has returned.
 type rejectionSums struct {
 	n, returned, untimed, away int
 	after                      *hdrhistogram.Histogram
 }
 
-// stopKey is whose runs were stopped, why and for whom.
-type stopKey struct{ queue, organisation, why, forQueue, forOrganisation string }
+// stopKey is whose runs were stopped in a window, why and for whom.
+type stopKey struct {
+	window time.Time
+
+	queue, organisation, why, forQueue, forOrganisation string
+}
 
 type runKey struct {
 	task string
@@ -246,8 +251,8 @@
 	}
 }
 
-// row returns the sums of a job's key at a time. domain is the job's unless the event names another.
-func (r *Report) row(at time.Time, j *outcome, domain string) *row {
+// key returns the key of an event about a job. domain is the job's unless the event names another.
+func (r *Report) key(at time.Time, j *outcome, domain string) key {
 	k := key{window: at.Truncate(r.o.Window)}
 	for _, d := range r.o.By {
 		switch d {
@@ -259,6 +264,12 @@
 			k.domain = domain
 		}
 	}
+	return k
+}
+
+// row returns the sums of a key.
+func (r *Report) row(at time.Time, j *outcome, domain string) *row {
+	k := r.key(at, j, domain)
 	if r.rows[k] == nil {
 		r.rows[k] = &row{}
 	}
@@ -295,6 +306,9 @@
 	}
 }
 
+// maxReturnTime is the longest time until the return of a caller that is told apart from longer ones.
+const maxReturnTime = time.Hour
+
 // returned notes that a caller that was asked to return submits its job again.
 func (r *Report) returned(at time.Time, j *outcome, domain string) {
 	if j.refused == nil {
@@ -302,8 +316,11 @@
 	}
 	s := r.rejections[j.refused.rejectionKey]
 	s.returned++
-	// The histogram's range is a day; a longer time is recorded as that.
-	_ = s.after.RecordValue(min(at.Sub(j.refused.at).Milliseconds(), s.after.HighestTrackableValue()))
+	if s.after == nil {
+		s.after = hdrhistogram.New(1, maxReturnTime.Milliseconds(), 2)
+	}
+	// A longer time is recorded as the longest one, which is always within the range.
+	_ = s.after.RecordValue(min(at.Sub(j.refused.at).Milliseconds(), maxReturnTime.Milliseconds()))
 	r.row(at, j, domain).returned++
 	j.refused = nil
 }
@@ -313,10 +330,10 @@
 	r.returned(at, j, e.domain)
 	// What follows a colon differs from request to request.
 	reason, _, _ := strings.Cut(e.reason, ":")
-	k := rejectionKey{e.code, reason, e.retry}
+	k := rejectionKey{r.key(at, j, e.domain), e.code, reason, e.retry}
 	s, ok := r.rejections[k]
 	if !ok {
-		s = &rejectionSums{after: hdrhistogram.New(1, (24 * time.Hour).Milliseconds(), 3)}
+		s = &rejectionSums{}
 		r.rejections[k] = s
 	}
 	s.n++
@@ -368,7 +385,7 @@
 	r.row(at, j, j.domain).stopped++
 	// Numbers in a reason differ from run to run.
 	why := strings.TrimSpace(strings.TrimRight(e.why, "0123456789.µnmsh "))
-	s := stopKey{queue: j.queue, organisation: j.organisation, why: why, forQueue: unknown, forOrganisation: unknown}
+	s := stopKey{window: at.Truncate(r.o.Window), queue: j.queue, organisation: j.organisation, why: why, forQueue: unknown, forOrganisation: unknown}
 	if e.beneficiary != "" {
 		other := r.job(jobOf(e.beneficiary))
 		s.forQueue, s.forOrganisation = other.queue, other.organisation
--- a/internal/report/table.go
+++ b/internal/report/table.go
@@ -24,7 +24,7 @@
 	r.writeLoads(&b)
 	r.writeRejections(&b)
 	r.writeStops(&b)
-	r.writeLate(&b)
+	r.writeEnded(&b)
 	r.writeWaiting(&b)
 	_, err := io.WriteString(w, b.String())
 	return errors.Wrap(err, "write report")
@@ -96,11 +96,7 @@
 	t := newTable(b, "Jobs", head...)
 	total := row{}
 	for _, k := range slices.SortedFunc(maps.Keys(r.rows), key.compare) {
-		line := []string{r.label(k.window)}
-		for _, d := range r.o.By {
-			line = append(line, map[string]string{"queue": k.queue, "organisation": k.organisation, "domain": k.domain}[d])
-		}
-		t.line(append(line, r.cells(r.rows[k], k.window)...)...)
+		t.line(append(r.keyCells(k), r.cells(r.rows[k], k.window)...)...)
 		total.add(r.rows[k])
 	}
 	line := append([]string{"total"}, make([]string, len(r.o.By))...)
@@ -108,6 +104,14 @@
 	t.end()
 }
 
+func (r *Report) keyCells(k key) []string {
+	line := []string{r.label(k.window)}
+	for _, d := range r.o.By {
+		line = append(line, map[string]string{"queue": k.queue, "organisation": k.organisation, "domain": k.domain}[d])
+	}
+	return line
+}
+
 func (r *Report) cells(w *row, window time.Time) []string {
 	var all []string
 	for _, c := range columns {
@@ -158,61 +162,77 @@
 	if len(r.rejections) == 0 {
 		return
 	}
-	t := newTable(b, "Rejections, and seconds until their callers returned", "code", "reason", "retry", "rejected", "returned", "half", "nine of ten", "last", "order unknown", "away")
+	head := append(append([]string{"window"}, r.o.By...), "code", "reason", "retry", "rejected", "returned", "half", "nine of ten", "last", "order unknown", "away")
+	t := newTable(b, "Rejections, and seconds until their callers returned", head...)
 	order := func(a, b rejectionKey) int {
-		return cmp.Or(cmp.Compare(a.code, b.code), strings.Compare(a.reason, b.reason), strings.Compare(a.retry, b.retry))
+		return cmp.Or(a.key.compare(b.key), cmp.Compare(a.code, b.code), strings.Compare(a.reason, b.reason), strings.Compare(a.retry, b.retry))
 	}
 	for _, k := range slices.SortedFunc(maps.Keys(r.rejections), order) {
 		s := r.rejections[k]
-		line := []string{strconv.Itoa(k.code), k.reason, cmp.Or(k.retry, unknown), r.omissions.count(s.n, time.Time{}, rejections)}
-		if k.retry == "" {
-			t.line(append(line, unknown, unknown, unknown, unknown, unknown, unknown)...)
+		line := append(r.keyCells(k.key), strconv.Itoa(k.code), k.reason, cmp.Or(k.retry, unknown), r.omissions.count(s.n, k.window, rejections))
+		t.line(append(line, r.returnCells(k, s)...)...)
+	}
+	t.end()
+}
+
+// returnCells returns when the callers returned that were asked to. A caller may return in any later
+// window, and seems to be away if the line of its return is missing.
+func (r *Report) returnCells(k rejectionKey, s *rejectionSums) []string {
+	if k.retry == "" {
+		return []string{unknown, unknown, unknown, unknown, unknown, unknown}
+	}
+	line := []string{r.omissions.count(s.returned, time.Time{}, rejections, acceptances)}
+	for _, q := range []float64{50, 90, 100} {
+		if s.after == nil {
+			line = append(line, unknown)
 			continue
 		}
-		line = append(line, r.omissions.count(s.returned, time.Time{}, rejections, acceptances))
-		for _, q := range []float64{50, 90, 100} {
-			line = append(line, seconds(time.Duration(s.after.ValueAtQuantile(q))*time.Millisecond))
-		}
-		// A caller seems to be away if the line of its return is missing.
-		away := strconv.Itoa(s.away)
-		if r.omissions.lacks(acceptances, time.Time{}) || r.omissions.lacks(rejections, time.Time{}) {
-			away += "?"
-		}
-		t.line(append(line, strconv.Itoa(s.untimed), away)...)
+		line = append(line, seconds(time.Duration(s.after.ValueAtQuantile(q))*time.Millisecond))
 	}
-	t.end()
+	away := strconv.Itoa(s.away)
+	if r.omissions.lacks(acceptances, time.Time{}) || r.omissions.lacks(rejections, time.Time{}) {
+		away += "?"
+	}
+	return append(line, strconv.Itoa(s.untimed), away)
 }
 
 func (r *Report) writeStops(b *strings.Builder) {
 	if len(r.stops) == 0 {
 		return
 	}
-	t := newTable(b, "Stopped runs", "queue", "organisation", "why", "for queue", "for organisation", "runs")
+	t := newTable(b, "Stopped runs", "window", "queue", "organisation", "why", "for queue", "for organisation", "runs")
 	order := func(a, b stopKey) int {
-		return cmp.Or(cmp.Compare(r.stops[b], r.stops[a]), strings.Compare(fmt.Sprint(a), fmt.Sprint(b)))
+		return cmp.Or(a.window.Compare(b.window), cmp.Compare(r.stops[b], r.stops[a]), strings.Compare(fmt.Sprint(a), fmt.Sprint(b)))
 	}
 	for _, k := range slices.SortedFunc(maps.Keys(r.stops), order) {
-		t.line(k.queue, k.organisation, k.why, k.forQueue, k.forOrganisation, r.omissions.count(r.stops[k], time.Time{}, stops))
+		t.line(r.label(k.window), k.queue, k.organisation, k.why, k.forQueue, k.forOrganisation, r.omissions.count(r.stops[k], k.window, stops))
 	}
 	t.end()
 }
 
-// writeLate lists the latest jobs, by how many times their objective they took.
-func (r *Report) writeLate(b *strings.Builder) {
-	var late []*outcome
+// writeEnded lists the latest jobs, by how many times their objective they took, and those whose
+// steps waited longest.
+func (r *Report) writeEnded(b *strings.Builder) {
+	var late, waited []*outcome
 	for _, j := range r.jobs {
 		if j.ended != nil && j.ended.late() {
 			late = append(late, j)
 		}
+		if j.ended != nil && j.ended.waits.total() > 0 {
+			waited = append(waited, j)
+		}
 	}
-	if len(late) == 0 || r.o.Jobs == 0 {
+	r.listEnded(b, "Late jobs", late, func(a, b *ended) int { return cmp.Compare(b.lateness(), a.lateness()) })
+	r.listEnded(b, "Jobs that waited longest", waited, func(a, b *ended) int { return cmp.Compare(b.waits.total(), a.waits.total()) })
+}
+
+func (r *Report) listEnded(b *strings.Builder, title string, all []*outcome, order func(a, b *ended) int) {
+	if len(all) == 0 || r.o.Jobs == 0 {
 		return
 	}
-	slices.SortFunc(late, func(a, b *outcome) int {
-		return cmp.Or(cmp.Compare(b.ended.lateness(), a.ended.lateness()), strings.Compare(a.id, b.id))
-	})
-	shown := late[:min(len(late), r.o.Jobs)]
-	title := fmt.Sprintf("Late jobs (%d of %s)", len(shown), r.omissions.count(len(late), time.Time{}, ends))
+	slices.SortFunc(all, func(a, b *outcome) int { return cmp.Or(order(a.ended, b.ended), strings.Compare(a.id, b.id)) })
+	shown := all[:min(len(all), r.o.Jobs)]
+	title = fmt.Sprintf("%s (%d of %s)", title, len(shown), r.omissions.count(len(all), time.Time{}, ends))
 	t := newTable(b, title, "job", "queue", "organisation", "domain", "state", "took", "objective", "waited for")
 	for _, j := range shown {
 		e := j.ended
