report, entry: name waits in ended lines apart from other attributes, date long windows

Cause: "host" in "sched: ended." was a waiting time and a name elsewhere. A summary of a term that was just ending could leave its gauges set.

--- a/internal/entry/report_test.go
+++ b/internal/entry/report_test.go
@@ -29,7 +29,7 @@
 	var b strings.Builder
 	require.NoError(t, r.Write(&b))
 	require.Regexp(t, `(?m)^\S+ +scan +- +zone0 +4 +1 +0 +4 +0 +`, b.String())
-	require.Regexp(t, `(?m)^400 +\S.* - +1 `, b.String())
+	require.Regexp(t, `(?m)^\S+ +scan +- +zone0 +400 +job cannot be read +- +1 `, b.String())
 	require.Contains(t, b.String(), "Leader (mean; processors)")
 	require.NotContains(t, b.String(), "!")
 
--- a/internal/entry/summary.go
+++ b/internal/entry/summary.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -54,7 +55,7 @@
 	}
 	for r, d := range a.Waits {
 		if d > 0 {
-			attrs = append(attrs, sched.WaitReason(r).String(), d)
+			attrs = append(attrs, "wait-"+sched.WaitReason(r).String(), d)
 		}
 	}
 	t.h.log.Info("sched: ended.", attrs...)
@@ -75,7 +76,7 @@
 		values[fmt.Sprintf("load.steps.rank%d.%s", w.Rank, w.Reason)] = int64(w.Steps)
 		values[fmt.Sprintf("load.cpu.rank%d.%s", w.Rank, w.Reason)] = w.CPU
 	}
-	t.h.loadGauges.set(values)
+	t.h.loadGauges.set(t.ctx, values)
 }
 
 // countOmittedLines brings the counter of log lines that were left out up to date.
@@ -95,9 +96,13 @@
 	names map[string]bool
 }
 
-func (g *loadGauges) set(values map[string]int64) {
+// set sets the gauges, unless the context of their term has ended.
+func (g *loadGauges) set(ctx context.Context, values map[string]int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
 	if g.names == nil {
 		g.names = map[string]bool{}
 	}
@@ -109,5 +114,5 @@
 	}
 }
 
-// clear sets all gauges to zero.
-func (g *loadGauges) clear() { g.set(nil) }
+// clear sets all gauges to zero. The context of their term has ended before that.
+func (g *loadGauges) clear() { g.set(context.Background(), nil) }
--- a/internal/report/events.go
+++ b/internal/report/events.go
@@ -117,7 +117,8 @@
 		id: a.text("id"), queue: a.text("queue"), organisation: a.text("organisation"), state: a.text("detail"),
 		term: a.number("term"), took: a.duration("took"), objective: a.duration("objective"),
 	}
-	for r, name := range reasons {
+	for r, reason := range reasons {
+		name := "wait-" + reason
 		if _, ok := a.e.Attrs[name]; ok {
 			e.waits[r] = a.duration(name)
 		}
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -105,8 +105,8 @@
 	sued.Info("sched: load.", "term", 3, "used", 27_000_000, "free", 1_000_000, "queries", 12, "waiting", []map[string]any{
 		{"rank": 0, "reason": "quota", "steps": 170, "cpu": 8_900_000}, {"rank": 2, "reason": "room", "steps": 4, "cpu": 72_000}})
 	s.now = s.now.Add(4 * time.Second)
-	end(sued, 3, "a2", "scan", "kronach", "completed", 1500*time.Millisecond, 1750*time.Millisecond, "advice", 200*time.Millisecond)
-	end(sued, 3, "b0", "scan", "halle", "completed", 5*time.Second, 1750*time.Millisecond, "quota", 3500*time.Millisecond)
+	end(sued, 3, "a2", "scan", "kronach", "completed", 1500*time.Millisecond, 1750*time.Millisecond, "wait-advice", 200*time.Millisecond)
+	end(sued, 3, "b0", "scan", "halle", "completed", 5*time.Second, 1750*time.Millisecond, "wait-quota", 3500*time.Millisecond)
 	sued.Info("sched: step waits.", "id", "b7.0.0", "worker", "", "run", 0, "term", 3, "detail", "quota 4s; 30 of 30 cores", "queue", "scan", "organisation", "halle", "reason", "quota")
 	s.now = s.now.Add(6 * time.Second)
 	nord.Info("caller: state reported.", "id", "b0", "state", "completed")
--- a/internal/report/table.go
+++ b/internal/report/table.go
@@ -165,7 +165,7 @@
 	head := append(append([]string{"window"}, r.o.By...), "code", "reason", "retry", "rejected", "returned", "half", "nine of ten", "last", "order unknown", "away")
 	t := newTable(b, "Rejections, and seconds until their callers returned", head...)
 	order := func(a, b rejectionKey) int {
-		return cmp.Or(a.key.compare(b.key), cmp.Compare(a.code, b.code), strings.Compare(a.reason, b.reason), strings.Compare(a.retry, b.retry))
+		return cmp.Or(a.compare(b.key), cmp.Compare(a.code, b.code), strings.Compare(a.reason, b.reason), strings.Compare(a.retry, b.retry))
 	}
 	for _, k := range slices.SortedFunc(maps.Keys(r.rejections), order) {
 		s := r.rejections[k]
@@ -282,10 +282,14 @@
 }
 
 func (r *Report) label(at time.Time) string {
-	if r.o.Window%time.Second != 0 {
+	switch {
+	case r.o.Window%time.Second != 0:
 		return at.Format("15:04:05.000")
+	case r.o.Window >= 24*time.Hour:
+		return at.Format(time.DateOnly)
+	default:
+		return at.Format(time.TimeOnly)
 	}
-	return at.Format(time.TimeOnly)
 }
 
 // seconds formats a duration in seconds.
