--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -95,15 +95,15 @@
 	}
 	h.incCounter("caller.rejected.overload")
 	h.refuseFor(w, http.StatusTooManyRequests, id, err.Error(), over.RetryAfter,
-		"queue", over.Queue, "organisation", over.Organisation, "expected", over.Expected, "age", over.Age, "term", over.Term)
+		"expected", over.Expected, "age", over.Age, "term", over.Term)
 }
 
 // refuseUnstored answers a request that was not stored.
-func (h *Host) refuseUnstored(w http.ResponseWriter, k requestKey, queue string, err error) {
+func (h *Host) refuseUnstored(w http.ResponseWriter, id string, err error) {
 	h.incCounter("caller.rejected.store")
 	age := h.storeSilence()
-	h.refuseFor(w, http.StatusServiceUnavailable, k.id, "not stored: "+err.Error(), admission.OutageRetry(age, k.id),
-		"queue", queue, "organisation", k.organisation, "outage", age)
+	h.refuseFor(w, http.StatusServiceUnavailable, id, "not stored: "+err.Error(), admission.OutageRetry(age, id),
+		"outage", age)
 }
 
 // storeSilence returns for how long the store has not answered this host; zero if it never has.
--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -96,7 +96,7 @@
 	require.Contains(t, a.body, "beyond its rate")
 	line := c.logs.String()
 	line = line[strings.LastIndex(line, "caller: refused."):]
-	for _, field := range []string{"id=" + jobID(n), "queue=scan", "organisation=a", "code=429", "expected=", "age=", "term=", "retry-after="} {
+	for _, field := range []string{"id=" + jobID(n), "queue=scan", "organisation=a", "code=429", "expected=", "age=", "term=", "retry="} {
 		require.Contains(t, line, field)
 	}
 	h := c.follower()
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -57,6 +57,7 @@
 		return
 	}
 	q := route.Queue
+	w = &requestWriter{ResponseWriter: w, method: r.Method, queue: q.Name, organisation: organisation}
 	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
 	defer cancel()
 	began := h.now()
@@ -76,7 +77,7 @@
 	case r.Method == http.MethodGet:
 		h.serveState(ctx, w, id, organisation)
 	case r.Method == http.MethodDelete:
-		h.cancelJob(ctx, w, q.Name, requestKey{id: id, organisation: organisation, cancels: true})
+		h.cancelJob(ctx, w, requestKey{id: id, organisation: organisation, cancels: true})
 	default:
 		h.refuse(w, http.StatusMethodNotAllowed, id, r.Method)
 	}
@@ -146,12 +147,10 @@
 // refuseFor answers with the reason and when to retry; zero means that a retry makes no sense.
 func (h *Host) refuseFor(w http.ResponseWriter, code int, id, reason string, after time.Duration, attrs ...any) {
 	h.incCounter("caller.refused." + strconv.Itoa(code))
-	line := []any{"id", id, "code", code, "reason", reason}
 	if after > 0 {
-		seconds := strconv.Itoa(int(after.Seconds()))
-		w.Header().Set("Retry-After", seconds)
-		line = append(line, "retry-after", seconds)
+		w.Header().Set("Retry-After", strconv.Itoa(int(after.Seconds())))
 	}
+	line := append([]any{"id", id, "code", code, "reason", reason}, requestAttrs(w)...)
 	h.log.Info("caller: refused.", append(line, attrs...)...)
 	b, err := json.Marshal(map[string]string{"error": reason})
 	if err != nil {
@@ -204,7 +203,7 @@
 		h.log.Info("caller: accepted.", "id", id, "queue", q.Name, "organisation", k.organisation)
 		reply(w, http.StatusOK, []byte("{}"))
 	case store.NotDone(err):
-		h.refuseUnstored(w, k, q.Name, err)
+		h.refuseUnstored(w, id, err)
 	default:
 		h.refuse(w, http.StatusGatewayTimeout, id, "not known whether it is stored")
 	}
@@ -264,7 +263,7 @@
 // cancelJob stores the cancellation of a job. While no leader answers, the cancellation is stored
 // without a check whether the job exists: cancelling an unknown job only means that it never
 // starts. The leader ignores the cancellation of another organisation's job.
-func (h *Host) cancelJob(ctx context.Context, w http.ResponseWriter, queue string, k requestKey) {
+func (h *Host) cancelJob(ctx context.Context, w http.ResponseWriter, k requestKey) {
 	id := k.id
 	st, known, err := h.finalOrLeaderStatus(ctx, id)
 	gone := err == nil && (!known && !h.acceptedRecently(id) || known && !access.Owns(k.organisation, st.Organisation))
@@ -282,7 +281,7 @@
 		h.log.Info("caller: cancelled.", "id", id)
 		reply(w, http.StatusOK, []byte("{}"))
 	case store.NotDone(err):
-		h.refuseUnstored(w, k, queue, err)
+		h.refuseUnstored(w, id, err)
 	default:
 		h.refuse(w, http.StatusGatewayTimeout, id, "not known whether it is stored")
 	}
@@ -324,6 +323,7 @@
 	r := chi.NewRouter()
 	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain")
+		h.countOmittedLines()
 		metrics.WriteOnce(h.metrics, w)
 	})
 	return r
