flow: records name untracked runs

Cause: a record names only the newest run of each task. A run that was left behind on a silent worker when its copy started elsewhere is unknown to the next leader.

Change: a job has a list of untracked runs; its record holds them by worker (field u) for as long as there are any, also after its rounds or the job have ended. Such a job is not restored without its spec, which has the size of the run. Nothing fills the list yet.

--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -183,6 +183,8 @@
 	Rounds map[int]*Round
 	// NextRound is the index of the first round that has not begun.
 	NextRound int
+	// Untracked are the runs that may exist beside the newest ones of their tasks.
+	Untracked []UntrackedRun
 	// Ended is when the job reached a final state.
 	Ended time.Time
 	// chainTimes holds for each step the estimated time from its start to the end of the job.
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -25,6 +25,9 @@
 	// MayHaveCopies marks an ended job of which copies of tasks may still run. The job's spec
 	// is then still needed, because it says how much capacity they use.
 	MayHaveCopies bool `json:"k,omitempty"`
+	// Untracked holds by worker the runs that may exist beside the newest ones of their tasks. It
+	// outlives the rounds, because such a run may outlive its job.
+	Untracked map[string][]runRecord `json:"u,omitempty"`
 }
 
 type roundRecord struct {
@@ -87,7 +90,7 @@
 
 // Record encodes the job's progress.
 func (j *Job) Record(v Version) []byte {
-	rec := record{Version: v, State: j.State, Accepted: j.Accepted.UnixMilli(), Number: j.Number, NextRound: j.NextRound, Organisation: j.Spec.Organisation}
+	rec := record{Version: v, State: j.State, Accepted: j.Accepted.UnixMilli(), Number: j.Number, NextRound: j.NextRound, Organisation: j.Spec.Organisation, Untracked: j.untrackedRecords()}
 	if j.State.Final() {
 		rec.Ended = j.Ended.UnixMilli()
 		rec.MayHaveCopies = slices.ContainsFunc(j.Spec.Steps, func(s Step) bool { return s.AllowCopies })
@@ -131,12 +134,12 @@
 	return all
 }
 
-// RestoreEnded restores a job that has ended and of which nothing runs, without its spec.
+// RestoreEnded restores a job that has ended and of which nothing may run, without its spec.
 // Decoding the spec is most of the work of a restore, and nine in ten jobs that a new leader
 // takes over are kept only to report how they ended. It returns false for any other job.
 func RestoreEnded(id string, b []byte) (*Job, bool) {
 	var rec record
-	if json.Unmarshal(b, &rec) != nil || !rec.State.Final() || rec.MayHaveCopies || len(rec.Rounds) > 0 {
+	if json.Unmarshal(b, &rec) != nil || !rec.State.Final() || rec.MayHaveCopies || len(rec.Rounds) > 0 || len(rec.Untracked) > 0 {
 		return nil, false
 	}
 	j := New(Spec{ID: id, Organisation: rec.Organisation}, rec.Number, time.UnixMilli(rec.Accepted))
@@ -177,6 +180,7 @@
 	for _, rr := range rec.Rounds {
 		j.openRound(rr.Index, now).restore(rr, now)
 	}
+	j.restoreUntracked(rec.Untracked)
 	j.State, j.Published = rec.State, rec.State
 	if rec.State.Final() {
 		j.Ended = time.UnixMilli(rec.Ended)
