sched: a successor counts the runs left behind

Cause: the record of a job named only the newest run of each task. A run that was left behind on a silent worker when its copy started elsewhere was known to the leader alone. The next one, which had not read that worker, gave its quota away (30,000 of 20,000).

Change: each untracked run is named in its job's record, with its worker, until it is released. A successor books these runs as untracked and releases them by the same proofs as its own: a listed end, also one reported by the previous leader; a list without the run after an answered stop; expired leases, also of a worker that it never reaches. LeaseBounds reports workers with nothing but untracked runs. A worker that is not listed is forgotten only after the leases of its untracked runs, and is asked while it has any. An ended job is forgotten only once its last untracked run is released and that is stored.

Order of appends: the record in which a task stops naming a run is the one that lists the run as untracked, so no stored record lacks both. Until the first append after a start that did not wait for the store, no record names the run; a successor learns of it from the worker's list, before which nothing starts there. For quotas that leaves up to 5 % (maxUnstoredShare) for each leader that ends before it has stored its starts, as before. A release that is not stored makes the successor count a run that is gone until it has proof again.

Measured: TestQuotaCountsRunsLeftBehindUnderAFormerLeader passes, unchanged.

--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -44,6 +44,7 @@
 	}
 	update(&l)
 	w.untracked[k] = l
+	s.recordUntracked(w, k)
 }
 
 // untrackStart untracks a run whose start has been sent and may still arrive.
@@ -122,6 +123,7 @@
 func (s *Sched) dropUntracked(w *worker, k runKey, why string) {
 	w.release(w.untracked[k].footprint)
 	delete(w.untracked, k)
+	s.unrecordUntracked(w, k)
 	s.emit(Note{ID: k.task.String(), What: "untracked run over", Worker: w.Incarnation, Run: k.run, Detail: why})
 }
 
--- a/internal/sched/leases.go
+++ b/internal/sched/leases.go
@@ -33,7 +33,7 @@
 func (s *Sched) LeaseBounds(now time.Time) map[string]time.Duration {
 	all := map[string]time.Duration{}
 	for incarnation, w := range s.workers {
-		if len(w.tasks) > 0 && (!w.fenced || w.silent(now)) {
+		if len(w.tasks)+len(w.untracked) > 0 && (!w.fenced || w.silent(now)) {
 			all[incarnation] = max(s.leaseBound(w).Sub(now), 0)
 		}
 	}
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -101,7 +101,11 @@
 // a run that has ended stays ended, whoever has read it, and however late that is reported.
 func (s *Sched) applyPreviousEnds(ev PreviousEnds) {
 	for _, e := range ev.All {
-		t := s.task(runKey{e.Task, e.Run})
+		k := runKey{e.Task, e.Run}
+		if w, ok := s.workers[e.Worker]; ok && w.isUntracked(k) {
+			s.dropUntracked(w, k, "ended as "+e.How.String())
+		}
+		t := s.task(k)
 		if t == nil {
 			// The task has a newer run, or its job is gone.
 			continue
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -113,6 +113,7 @@
 			s.openJobs[j.Spec.ID] = j
 			s.adoptJob(j)
 		}
+		s.adoptUntracked(j)
 	}
 	return s
 }
@@ -145,6 +146,7 @@
 	s.now, s.actions = now, nil
 	if s.termStart.IsZero() {
 		s.termStart = now
+		s.noteInherited()
 	}
 	s.handle(ev)
 	if _, idle := ev.(Tick); !idle {
@@ -385,12 +387,13 @@
 
 // forgetEndedJobs deletes jobs whose final state has been available for long enough. The spec is
 // deleted first and the progress after it: a spec without progress looks like a new job to the next
-// leader, which would run it again.
+// leader, which would run it again. A job with untracked runs is kept, because a successor needs its
+// record to count them.
 func (s *Sched) forgetEndedJobs() {
 	maps.DeleteFunc(s.earlyCancels, func(_ Cancel, at time.Time) bool { return s.now.Sub(at) > s.limits.Retention })
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		j := s.jobs[id]
-		if j.State.Final() && j.Published.Final() && s.now.Sub(j.Ended) > s.limits.Retention {
+		if j.State.Final() && j.Published.Final() && s.now.Sub(j.Ended) > s.limits.Retention && s.settled(j) {
 			delete(s.jobs, id)
 			delete(s.openJobs, id)
 			s.emit(Forget{ID: id})
--- a/internal/sched/simcell_test.go
+++ b/internal/sched/simcell_test.go
@@ -76,6 +76,9 @@
 	// quotas are the organisations' quotas, organisation that of the jobs submitted next.
 	quotas       map[string]cell.Size
 	formerQuotas []formerQuotas
+	// named holds the runs that a stored record has named, each with the sequence number of the
+	// simulation's events at which one first did; nil if the test does not need it.
+	named        map[flow.UntrackedRun]int
 	organisation string
 	// alter changes the jobs that are submitted; nil means none.
 	alter func(*flow.Spec)
@@ -308,6 +311,7 @@
 	}
 	for _, c := range a.Changes {
 		b.stored[c.Key] = flow.NewerRecord(b.stored[c.Key], c.Value)
+		b.noteNamed(c)
 	}
 	b.after(3*time.Millisecond, func() { b.deliver(term, sched.Appended{Number: a.Number}) })
 }
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -233,7 +233,7 @@
 			s.dropAllUntracked(w, "worker forgotten")
 			delete(s.workers, incarnation)
 			s.workersChanged()
-		case len(w.lostRuns) > 0:
+		case len(w.lostRuns)+len(w.untracked) > 0:
 			s.ensureHold(w)
 		}
 	}
@@ -249,7 +249,7 @@
 		s.emit(Note{ID: w.Incarnation, What: "leases have lapsed", Worker: w.Incarnation})
 		s.loseTasks(w)
 	}
-	if w.silent(s.now) && s.now.After(s.leaseBound(w)) {
+	if (!w.fenced || w.silent(s.now)) && s.now.After(s.leaseBound(w)) {
 		s.dropAllUntracked(w, "leases have lapsed")
 	}
 }
@@ -259,6 +259,9 @@
 	if w.dead {
 		return len(w.lostRuns) == 0
 	}
+	if len(w.untracked) > 0 && !s.now.After(s.leaseBound(w)) {
+		return false
+	}
 	since := w.unlistedSince
 	if since.IsZero() && len(w.lostRuns) > 0 {
 		since = s.termStart
