sched: keep the speed factors of workers between passes

Cause: each placement cost of a worker looked up two maps and took two exponentials; a pass compares hundreds of workers for hundreds of steps on hosts of a fifth of a core. Change: a worker keeps its factors until a step's runs were compared.

--- a/internal/sched/speeds.go
+++ b/internal/sched/speeds.go
@@ -41,10 +41,22 @@
 
 // speedFactor returns how many times as long runs take on a worker as on the fastest kind.
 func (s *Sched) speedFactor(w *worker) float64 {
-	if !s.enabled(PreferBySpeed) {
-		return 1
+	s.updateFactors(w)
+	return w.factor
+}
+
+// updateFactors updates the factors of a worker if they may have changed. Each pass compares hundreds
+// of workers for hundreds of steps by them.
+func (s *Sched) updateFactors(w *worker) {
+	version := s.speeds.Version()
+	if w.factorVersion == version && w.factor > 0 {
+		return
+	}
+	w.factorVersion, w.factor, w.kindFactor = version, 1, 1
+	if s.enabled(PreferBySpeed) {
+		kind := w.kind()
+		w.factor, w.kindFactor = s.speeds.Factor(w.Incarnation, kind), s.speeds.KindFactor(kind)
 	}
-	return s.speeds.Factor(w.Incarnation, w.kind())
 }
 
 // speedCost returns the part of a task's placement cost that depends on the worker's speed.
@@ -63,10 +75,8 @@
 // kindFactor returns how many times as long runs take on workers of the same kind as on the fastest
 // kind.
 func (s *Sched) kindFactor(w *worker) float64 {
-	if !s.enabled(PreferBySpeed) {
-		return 1
-	}
-	return s.speeds.KindFactor(w.kind())
+	s.updateFactors(w)
+	return w.kindFactor
 }
 
 // recordSpeed compares a run that ended as done with others of its step.
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -76,6 +76,10 @@
 	// speed is how fast its runs progress, relative to their estimates.
 	speed float64
 	pace  pacing
+	// factor is how many times as long runs take on the worker as on the fastest kind, kindFactor the
+	// same for its kind, as of factorVersion.
+	factor, kindFactor float64
+	factorVersion      int
 }
 
 func newWorker(w Worker, u *quota.Usage) *worker {
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -49,6 +49,7 @@
 	}
 	w.Worker = l
 	if !same {
+		w.factor = 0
 		s.recallStarts(w)
 	}
 }
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -55,6 +55,8 @@
 
 // Model holds the factors of kinds and workers. It is not safe for concurrent use.
 type Model struct {
+	// version changes with the factors.
+	version int
 	kinds   map[string]*estimate
 	workers map[string]*estimate
 	steps   map[string][]Run
@@ -71,6 +73,7 @@
 // Adopt takes over the factors of kinds that the model knows nothing about. A few runs of its own
 // outweigh them.
 func (m *Model) Adopt(kinds map[string]float64) {
+	m.version++
 	for kind, f := range kinds {
 		if _, ok := m.kinds[kind]; !ok && f > 0 && !math.IsInf(f, 0) && !math.IsNaN(f) {
 			m.kinds[kind] = &estimate{log: math.Log(f), runs: kindTrust}
@@ -93,6 +96,7 @@
 	if len(all) < minRuns {
 		return
 	}
+	m.version++
 	level := m.level(all)
 	// A step on one kind only says nothing about the kind, and its noise would add up.
 	if slices.ContainsFunc(all, func(r Run) bool { return r.Kind != all[0].Kind }) {
@@ -198,4 +202,10 @@
 func (m *Model) ForgetStep(step string) { delete(m.steps, step) }
 
 // ForgetWorker drops what is known of an incarnation that has ended.
-func (m *Model) ForgetWorker(worker string) { delete(m.workers, worker) }
+func (m *Model) ForgetWorker(worker string) {
+	m.version++
+	delete(m.workers, worker)
+}
+
+// Version returns a number that differs from an earlier one if a factor may have changed since.
+func (m *Model) Version() int { return m.version }
