sched: keep the rank of the most urgent queues

Cause: each placement cost asked whether the queue is among the most urgent ones and went through the table for it, for each worker. Change: the rank is kept when the table changes.

--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -148,14 +148,7 @@
 }
 
 // isLong reports whether a queue is not among the most urgent ones, whose queries are short.
-func (s *Sched) isLong(q flow.Queue) bool {
-	for _, other := range s.queues {
-		if other.Rank < q.Rank {
-			return true
-		}
-	}
-	return false
-}
+func (s *Sched) isLong(q flow.Queue) bool { return q.Rank > s.top }
 
 // adviceFor returns the advice on a step and creates an empty one if there is none.
 func (s *Sched) adviceFor(st *flow.Stage) *advice {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -170,13 +170,7 @@
 }
 
 // topRank returns the rank of the most urgent queues of the table.
-func (s *Sched) topRank() int {
-	top := math.MaxInt
-	for _, q := range s.queues {
-		top = min(top, q.Rank)
-	}
-	return top
-}
+func (s *Sched) topRank() int { return s.top }
 
 // listOpenWorkers lists the workers of each pool that have capacity for any of the steps. In a full
 // cell they are few, and hundreds of steps look for one.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -27,10 +28,13 @@
 	predecessorGone time.Time
 	actions         []Action
 	queues          map[string]flow.Queue
-	jobs            map[string]*flow.Job
-	openJobs        map[string]*flow.Job
-	lastNumber      int64
-	workers         map[string]*worker
+	// top is the rank of the most urgent queues. A table may have more than a thousand queues, and
+	// placement costs depend on it.
+	top        int
+	jobs       map[string]*flow.Job
+	openJobs   map[string]*flow.Job
+	lastNumber int64
+	workers    map[string]*worker
 	// sortedCache holds the workers sorted by incarnation; it is valid until one is added or
 	// removed.
 	sortedCache []*worker
@@ -122,7 +126,7 @@
 // New returns the scheduler of a term that begins with the given jobs.
 func New(limits Limits, term int64, jobs []*flow.Job) *Sched {
 	s := &Sched{
-		limits: limits, term: term, queues: map[string]flow.Queue{}, jobs: map[string]*flow.Job{}, openJobs: map[string]*flow.Job{},
+		limits: limits, term: term, queues: map[string]flow.Queue{}, top: math.MaxInt, jobs: map[string]*flow.Job{}, openJobs: map[string]*flow.Job{},
 		workers: map[string]*worker{}, hosts: policy.New(!slices.Contains(limits.Disabled, AdaptUrgentHosts)),
 		advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
 		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, waits: map[*flow.Stage]*stepWait{}, jobWaits: map[string]WaitTimes{},
@@ -236,6 +240,10 @@
 	for _, q := range ev.All {
 		s.queues[q.Name] = q
 	}
+	s.top = math.MaxInt
+	for _, q := range s.queues {
+		s.top = min(s.top, q.Rank)
+	}
 	s.usage.SetQuotas(ev.Quotas)
 	s.setRates(ev.Weights)
 	s.recallAboveQuota()
