--- a/test/trace_test.go
+++ b/test/trace_test.go
@@ -83,7 +83,11 @@
 			Workload: b.names.Urgent, Method: http.MethodPost, Path: "/gate", Key: uuid.Must(uuid.NewV7()).String(),
 			Header: http.Header{standin.HeaderCost: {"50ms"}}, Body: []byte("pass"),
 		})
-		return err == nil && reply.Outcome == client.Done
+		if err != nil || reply.Outcome != client.Done {
+			t.Logf("status %d, again %s, %v: %s", reply.Status, reply.Again, err, reply.Body)
+			return false
+		}
+		return true
 	}
 	var g errgroup.Group
 	for range 4 {
@@ -123,7 +127,7 @@
 			require.Equal(t, s.SpanContext.TraceID, hop.SpanContext.TraceID)
 			if i > 0 {
 				require.False(t, hop.StartTime.Before(hops[i-1].StartTime), names)
-				require.False(t, hop.EndTime.After(hops[i-1].EndTime), names)
+				require.False(t, hop.EndTime.After(hops[i-1].EndTime), "%s: %+v", names, hops)
 			}
 		}
 		if slices.Contains(names, "peer") {
