sched: tell incarnations of a worker with one id apart

Platforms may restart a worker under its ID, with nothing of its former state. The core took both for one worker: ends were never read because their numbers began again, crashes did not count, and runs started twice.

Incarnations are named ID@BORN. A later one ends the earlier ones; runs that the earlier one never listed move to it and are stopped there before their task starts again, untracked runs and starts whose stop was answered too. Nothing starts there within 12 s of the last unanswered hold that acknowledged ends, leases that late orders gave are waited for, and holds acknowledge ends only as long as necessary.

Not prevented: a start whose stop the former incarnation has answered and that the next one carries out before the leader knows of it.

--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -49,7 +49,7 @@
 // untrackStart untracks a run whose start has been sent and may still arrive.
 func (s *Sched) untrackStart(w *worker, k runKey, f footprint, why string) {
 	s.untrack(w, k, f, why, func(l *untrackedRun) {
-		l.latestStart, l.deadline = s.latestStart(), w.startDeadline
+		l.latestStart, l.deadline = latest(s.latestStart(), w.strayUntil), w.startDeadline
 	})
 }
 
--- a/internal/sched/crash.go
+++ b/internal/sched/crash.go
@@ -112,6 +112,7 @@
 	if ev.Outcome == Accepted || ev.Outcome == Unanswered {
 		return
 	}
+	delete(w.unlisted, runKey{ev.Task, ev.Run})
 	if l, ok := w.lostRuns[ev.Task]; ok && l.run == ev.Run {
 		delete(w.lostRuns, ev.Task)
 		s.clearSuspicion(l.task, w)
--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -41,6 +41,10 @@
 	n := b.endedIncarnations
 	b.after(unlistDelay, b.list)
 	b.after(restartDelay+b.restartExtra, func() {
+		if b.reportsBorn {
+			w.restart(0)
+			return
+		}
 		w.replaced = true
 		next := b.addWorker(fmt.Sprintf("z%03d", n), 100+n%100)
 		next.info.Size, next.info.Domain, next.info.Rack = w.info.Size, w.info.Domain, w.info.Rack
--- a/internal/sched/fakeworker_test.go
+++ b/internal/sched/fakeworker_test.go
@@ -37,6 +37,7 @@
 	waitingHolds []func()
 	// replaced means that another incarnation has begun at the worker's address.
 	replaced bool
+	sameID
 	// formerEntries are the worker's earlier entries.
 	formerEntries []formerEntry
 	// repliesToLose is how many replies that list an end are lost.
@@ -119,15 +120,15 @@
 // clock returns the worker's time.
 func (w *fakeWorker) clock() time.Time {
 	if w.slowSince.IsZero() {
-		return w.b.now
+		return w.b.now.Add(-w.clockBehind)
 	}
-	return w.slowSince.Add(time.Duration(float64(w.b.now.Sub(w.slowSince)) / maxClockDelay))
+	return w.slowSince.Add(time.Duration(float64(w.b.now.Sub(w.slowSince)) / maxClockDelay)).Add(-w.clockBehind)
 }
 
 // untilClock returns how long it takes until the worker's clock shows a time.
 func (w *fakeWorker) untilClock(at time.Time) time.Duration {
 	if w.slowSince.IsZero() {
-		return at.Sub(w.b.now)
+		return at.Sub(w.clock())
 	}
 	return time.Duration(float64(at.Sub(w.clock())) * maxClockDelay)
 }
@@ -156,21 +157,21 @@
 
 func (w *fakeWorker) start(term int64, a sched.Start, sent int) {
 	answer := func(o sched.Outcome) {
-		w.reply(term, sched.StartReply{Task: a.Task, Run: a.Run, Worker: w.info.Incarnation, Outcome: o})
+		w.reply(term, sched.StartReply{Task: a.Task, Run: a.Run, Worker: a.To.Incarnation, Outcome: o})
 	}
 	if w.replaced && !w.silent {
 		answer(sched.OtherIncarnation)
 		return
 	}
 	if w.silent || w.dead {
-		w.unanswered(term, sched.StartReply{Task: a.Task, Run: a.Run, Worker: w.info.Incarnation, Outcome: sched.Unanswered})
+		w.unanswered(term, sched.StartReply{Task: a.Task, Run: a.Run, Worker: a.To.Incarnation, Outcome: sched.Unanswered})
 		return
 	}
 	if late := w.startDelay; late > 0 {
-		w.unanswered(term, sched.StartReply{Task: a.Task, Run: a.Run, Worker: w.info.Incarnation, Outcome: sched.Unanswered})
+		w.unanswered(term, sched.StartReply{Task: a.Task, Run: a.Run, Worker: a.To.Incarnation, Outcome: sched.Unanswered})
 		w.b.after(late, func() {
-			if !w.dead {
-				w.begin(a, sent)
+			if c := w.current(); !c.dead && !w.refusedBefore(a) {
+				c.begin(a, sent)
 			}
 		})
 		return
@@ -201,9 +202,7 @@
 	r := &fakeRun{run: a.Run, began: w.b.now, ends: w.b.now.Add(time.Duration(float64(st.EstimatedTime) * w.slowdown)), step: st}
 	w.runs[a.Task] = r
 	w.b.recordMember(a.Task, a.Run)
-	if a.Deadline.After(w.deadline) {
-		w.deadline = a.Deadline
-	}
+	w.extendLease(a.Deadline)
 	if used, size := w.used(), w.maxSizeSince(sent); !used.Fits(size) {
 		w.b.violation("%s is overfilled: %+v used of %+v", w.info.Incarnation, used, size)
 	}
@@ -365,11 +364,11 @@
 
 func (w *fakeWorker) stop(term int64, a sched.Stop) {
 	if w.replaced && !w.silent {
-		w.reply(term, sched.StopReply{Task: a.Task, Run: a.Run, Worker: w.info.Incarnation, Outcome: sched.OtherIncarnation})
+		w.reply(term, sched.StopReply{Task: a.Task, Run: a.Run, Worker: a.To.Incarnation, Outcome: sched.OtherIncarnation})
 		return
 	}
 	if w.silent || w.dead {
-		w.unanswered(term, sched.StopReply{Task: a.Task, Run: a.Run, Worker: w.info.Incarnation, Outcome: sched.Unanswered})
+		w.unanswered(term, sched.StopReply{Task: a.Task, Run: a.Run, Worker: a.To.Incarnation, Outcome: sched.Unanswered})
 		return
 	}
 	out := sched.Accepted
@@ -386,14 +385,18 @@
 			})
 		}
 	}
-	w.reply(term, sched.StopReply{Task: a.Task, Run: a.Run, Worker: w.info.Incarnation, Outcome: out})
+	w.reply(term, sched.StopReply{Task: a.Task, Run: a.Run, Worker: a.To.Incarnation, Outcome: out})
 }
 
 func (w *fakeWorker) hold(term int64, a sched.Hold, sent time.Time) {
-	ev := sched.HoldReply{Worker: w.info.Incarnation, Probe: a.Probe, AckedEnd: a.AckedEnd, Sent: sent}
-	if w.rejectHold(term, a, ev) {
-		return
+	ev := sched.HoldReply{Worker: a.To.Incarnation, Probe: a.Probe, AckedEnd: a.AckedEnd, Sent: sent}
+	if !w.rejectHold(term, a, ev) && !w.delayHold(term, a, ev) {
+		w.serveHold(term, a, ev, sent)
 	}
+}
+
+// serveHold carries out a hold.
+func (w *fakeWorker) serveHold(term int64, a sched.Hold, ev sched.HoldReply, sent time.Time) {
 	w.fence = a.Term
 	for len(w.ends) > 0 && w.ends[0].Number <= a.AckedEnd {
 		if w.ends[0].How == sched.EndDone && w.ends[0].Number > w.lapsedUpTo {
@@ -401,8 +404,7 @@
 		}
 		w.ends = w.ends[1:]
 	}
-	if a.Deadline.After(w.deadline) {
-		w.deadline = a.Deadline
+	if w.extendLease(a.Deadline) {
 		w.lapseLater()
 	}
 	answered := false
@@ -422,6 +424,11 @@
 			w.b.after(max(sent.Add(a.Wait+replyTimeout).Sub(w.b.now), networkDelay), func() { w.b.deliver(term, ev) })
 			return
 		}
+		if a.To.Incarnation != w.info.Incarnation {
+			ev.Outcome, ev.AnsweredBy = sched.OtherIncarnation, w.info.Incarnation
+			w.reply(term, ev)
+			return
+		}
 		w.list(term, ev)
 	}
 	if a.Wait == 0 || len(w.ends) > 0 {
--- a/internal/sched/history_test.go
+++ b/internal/sched/history_test.go
@@ -139,6 +139,14 @@
 		// The addresses of incarnations that ended under a previous leader are not known.
 		b.advance(40 * time.Second)
 	}
+	for range 4 {
+		if crashes == nil || !b.reportsBorn {
+			break
+		}
+		// A worker gets no task for up to 12 s after each crash.
+		maps.DeleteFunc(jobs, func(id string, _ bool) bool { return b.state(id).Final() })
+		b.advance(time.Minute)
+	}
 	b.requireFewLateStarts()
 	require.Empty(t, b.violations)
 	for id := range jobs {
@@ -225,7 +233,7 @@
 	b.storeDown, b.storeTime = false, nil
 	for _, w := range b.sortedWorkers() {
 		w.setSize(w.originalSize())
-		w.silent, w.fails, w.stalled, w.slowdown, w.startDelay = false, false, false, 1, 0
+		w.silent, w.fails, w.stalled, w.slowdown, w.startDelay, w.holdDelay = false, false, false, 1, 0, 0
 		for n, run := range w.runs {
 			if !w.dead && !run.step.LongRunning {
 				b.after(10*time.Second, func() {
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pollencroft/internal/flow"
+	"pollencroft/internal/incarnation"
 )
 
 // ensureHold keeps one hold in flight to each worker that has leases to renew, lists to read, or
@@ -19,7 +20,7 @@
 		return
 	}
 	w.holding, w.lastHold = true, s.now
-	h := Hold{To: w.Address, Term: s.term, AckedEnd: w.lastEndStored}
+	h := Hold{To: w.Address, Term: s.term, AckedEnd: w.ackEnd(false, s.now)}
 	if w.fenced && w.unansweredSince.IsZero() {
 		// An unanswered hold may still be carried out and extend the leases, so a silent worker is
 		// only polled without a deadline; otherwise the leases on a dead worker would never expire.
@@ -61,7 +62,7 @@
 		return
 	}
 	w.probing = true
-	s.emit(Hold{To: w.Address, Term: s.term, AckedEnd: w.lastEndStored, Probe: true})
+	s.emit(Hold{To: w.Address, Term: s.term, AckedEnd: w.ackEnd(true, s.now), Probe: true})
 }
 
 func (s *Sched) holdReplied(ev HoldReply) {
@@ -69,6 +70,11 @@
 	if !ok || w.dead {
 		return
 	}
+	w.ackAnswered(ev.Probe, ev.Outcome != Unanswered)
+	if ev.Outcome == OtherIncarnation && ev.AnsweredBy != "" && !incarnation.Parse(ev.AnsweredBy).Replaces(w.name) {
+		// An earlier incarnation can't answer after a later one was known.
+		ev.Outcome = Unanswered
+	}
 	if ev.Probe {
 		w.probing = false
 		if w.probeAgain {
@@ -82,7 +88,7 @@
 	case Accepted:
 		s.applyHoldReply(w, ev)
 	case OtherIncarnation:
-		s.incarnationEnded(w.Incarnation)
+		s.otherAnswered(w, ev.AnsweredBy)
 		return
 	case Fenced:
 		s.emit(StepDown{Worker: w.Incarnation})
@@ -126,6 +132,7 @@
 	// A list may arrive after a newer one, with runs whose ends were read since.
 	outdated := ev.Sent.Before(w.endReadAt)
 	for _, e := range ev.Ended {
+		s.seen(w, runKey{e.Task, e.Run})
 		if k := (runKey{e.Task, e.Run}); w.isUntracked(k) {
 			// A run that has ended never begins again.
 			s.dropUntracked(w, k, "ended as "+e.How.String())
@@ -142,6 +149,7 @@
 	listed := make(map[runKey]bool, len(ev.Running))
 	for _, l := range ev.Running {
 		listed[runKey{l.Task, l.Run}] = true
+		s.seen(w, runKey{l.Task, l.Run})
 		if !outdated || w.knows(runKey{l.Task, l.Run}) {
 			s.runListed(w, l, ev.Clock)
 		}
--- a/internal/sched/leases.go
+++ b/internal/sched/leases.go
@@ -16,16 +16,16 @@
 // leader gives up its term in time, and its last renewal lasts at most one lease.
 func (s *Sched) leaseBound(w *worker) time.Time {
 	if w.fenced {
-		return w.leaseEnd()
+		return latest(w.leaseEnd(), w.strayLeaseEnd())
 	}
 	at := s.termStart.Add(StoreTimeout + maxLeaseDuration(s.limits.Lease))
 	if !s.predecessorGone.IsZero() {
 		at = s.predecessorGone.Add(maxLeaseDuration(s.limits.Lease))
 	}
-	if !w.predecessorLeaseEnd.IsZero() && w.predecessorLeaseEnd.Before(at) {
-		return w.predecessorLeaseEnd
+	if !w.predecessorLeaseEnd.IsZero() && (w.name.HasBorn || w.predecessorLeaseEnd.Before(at)) {
+		return latest(w.predecessorLeaseEnd, w.strayLeaseEnd())
 	}
-	return at
+	return latest(at, w.strayLeaseEnd(), w.youngLeaseEnd())
 }
 
 // LeaseBounds returns for each silent worker how much longer runs may go on there. Without it a
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -8,8 +8,8 @@
 	"pollencroft/internal/flow"
 )
 
-// Address identifies one incarnation of a worker and where it is reached. A worker that crashed
-// comes back as a new incarnation, which runs nothing.
+// Address identifies one incarnation of a worker and where it is reached; see incarnation.Name. A
+// worker that crashed comes back as a new incarnation, which runs nothing.
 type Address struct {
 	Incarnation string
 	Addr        netip.AddrPort
@@ -105,7 +105,9 @@
 type HoldReply struct {
 	Worker  string
 	Outcome Outcome
-	Probe   bool
+	// AnsweredBy is the incarnation that answered, if it is another one under the same ID.
+	AnsweredBy string
+	Probe      bool
 	// AckedEnd is the last end that the request acknowledged, so that the worker could forget it.
 	AckedEnd       int64
 	Sent, Received time.Time
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -106,7 +106,7 @@
 			// The task has a newer run, or its job is gone.
 			continue
 		}
-		there := t.Worker == e.Worker && t.MayBeRunning()
+		there := t.MayBeRunning() && (t.Worker == e.Worker || s.carriedFrom(t) == e.Worker)
 		if there {
 			s.emit(Note{ID: e.Task.String(), What: "end read by the previous leader", Worker: e.Worker, Run: e.Run, Detail: e.How.String()})
 			if e.Checkpoint != "" {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -29,6 +29,10 @@
 	openJobs        map[string]*flow.Job
 	lastNumber      int64
 	workers         map[string]*worker
+	// latest holds the latest known incarnation of each worker ID, replaced those that ended because
+	// a later one is known, until that is dealt with.
+	latest   map[string]*worker
+	replaced []*worker
 	// sortedCache holds the workers sorted by incarnation; it is valid until one is added or
 	// removed.
 	sortedCache []*worker
@@ -103,7 +107,7 @@
 func New(limits Limits, term int64, jobs []*flow.Job) *Sched {
 	s := &Sched{
 		limits: limits, term: term, queues: map[string]flow.Queue{}, jobs: map[string]*flow.Job{}, openJobs: map[string]*flow.Job{},
-		workers: map[string]*worker{}, hosts: policy.New(!slices.Contains(limits.Disabled, AdaptUrgentHosts)), advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
+		workers: map[string]*worker{}, latest: map[string]*worker{}, hosts: policy.New(!slices.Contains(limits.Disabled, AdaptUrgentHosts)), advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
 		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, preemptions: map[*flow.Stage][]preemption{}, waits: map[*flow.Stage]*stepWait{}, earlyCancels: map[Cancel]time.Time{}, usage: quota.New(), wideHolds: map[string]time.Time{}, dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
 	}
 	for _, j := range jobs {
@@ -123,7 +127,9 @@
 	j.Tasks(func(t *flow.Task) {
 		s.adoptLostRuns(t)
 		if t.State == flow.Inherited {
-			s.ensureWorker(t.Worker).add(t)
+			w := s.ensureWorker(t.Worker)
+			w.add(t)
+			w.unlisted[runKey{t.Name, t.Run}] = time.Time{}
 		}
 	})
 }
@@ -134,8 +140,7 @@
 	w, ok := s.workers[incarnation]
 	if !ok {
 		w = newWorker(Worker{Address: Address{Incarnation: incarnation}}, s.usage)
-		s.workers[incarnation] = w
-		s.workersChanged()
+		s.addWorker(w)
 	}
 	return w
 }
--- a/internal/sched/simcell_test.go
+++ b/internal/sched/simcell_test.go
@@ -98,6 +98,11 @@
 	restartExtra time.Duration
 	// failedNotes are the notes about jobs that failed because of crashes.
 	failedNotes []sched.Note
+	// reportsBorn means that workers report when they began, and restart under the ID that they had.
+	reportsBorn bool
+	// lateStartsOfStopped means that starts are carried out late by the next incarnation also if the
+	// former one has answered a stop of the run.
+	lateStartsOfStopped bool
 }
 
 type timedEvent struct {
@@ -126,6 +131,7 @@
 }
 
 func (b *simCell) addWorker(incarnation string, i int) *fakeWorker {
+	incarnation = b.nameOf(incarnation)
 	w := &fakeWorker{b: b, slowdown: 1, runs: map[flow.Name]*fakeRun{}, tombstones: map[flow.Name]int{}, info: sched.Worker{
 		Address: sched.Address{Incarnation: incarnation, Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)},
 		Service: "pass", Domain: fmt.Sprintf("d%d", i%3), Rack: fmt.Sprintf("r%d", i%3), Labels: b.labels, Size: cell.Size{CPU: 64_000, Mem: 256 << 30},
@@ -148,7 +154,7 @@
 func (b *simCell) list() {
 	var ev sched.Workers
 	for _, n := range slices.Sorted(maps.Keys(b.workers)) {
-		if w := b.workers[n]; !w.dead {
+		if w := b.workers[n]; w.isListed() {
 			ev.All = append(ev.All, w.info)
 		}
 	}
@@ -260,12 +266,12 @@
 		b.after(took, func() { b.store(term, a) })
 	case sched.Hold:
 		b.holds++
-		b.after(networkDelay, func() { b.workers[a.To.Incarnation].hold(term, a, b.now.Add(-networkDelay)) })
+		b.after(networkDelay, func() { b.workers[a.To.Incarnation].current().hold(term, a, b.now.Add(-networkDelay)) })
 	case sched.Start:
 		sent := b.seq
-		b.after(networkDelay, func() { b.workers[a.To.Incarnation].start(term, a, sent) })
+		b.after(networkDelay, func() { b.workers[a.To.Incarnation].current().start(term, a, sent) })
 	case sched.Stop:
-		b.after(networkDelay, func() { b.workers[a.To.Incarnation].stop(term, a) })
+		b.after(networkDelay, func() { b.workers[a.To.Incarnation].current().stop(term, a) })
 	case sched.Pace:
 		b.paces = append(b.paces, a)
 	case sched.QueryPolicy:
--- a/internal/sched/start.go
+++ b/internal/sched/start.go
@@ -58,6 +58,7 @@
 		return
 	}
 	t.Transition(flow.Send, s.now)
+	w.unlisted[k] = s.now
 	deadline := w.clockAt(s.now).Add(startTimeout)
 	w.extendDeadline(deadline)
 	if deadline.After(w.startDeadline) {
--- a/internal/sched/untracked_test.go
+++ b/internal/sched/untracked_test.go
@@ -71,7 +71,16 @@
 // and which is silent since. The first worker was silent too, is draining now and has listed the end
 // of its own copy as done.
 func overtakenCopy(t *testing.T, late time.Duration) (b *simCell, second *fakeWorker, sent time.Time) {
-	b = newSimCell(t, 1)
+	return overtakenCopyIn(newSimCell(t, 1), late)
+}
+
+// overtakenBornCopy is the same in a cell whose workers report when they began.
+func overtakenBornCopy(t *testing.T, late time.Duration) (b *simCell, second *fakeWorker, sent time.Time) {
+	return overtakenCopyIn(newBornCell(t, 1), late)
+}
+
+func overtakenCopyIn(b *simCell, late time.Duration) (_ *simCell, second *fakeWorker, sent time.Time) {
+	t := b.t
 	b.copies = true
 	b.advance(100 * time.Millisecond)
 	b.submit("a", "scan", apart(2, 1200*time.Millisecond))
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -8,6 +8,7 @@
 
 	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
+	"pollencroft/internal/incarnation"
 	"pollencroft/internal/quarantine"
 	"pollencroft/internal/quota"
 )
@@ -15,6 +16,7 @@
 // worker is one incarnation of a worker, as this leader knows it.
 type worker struct {
 	Worker
+	name incarnation.Name
 	// listed means that the platform lists it now, draining that it is leaving; it certainly stays
 	// until leavesAt.
 	listed   bool
@@ -76,10 +78,11 @@
 	// speed is how fast its runs progress, relative to their estimates.
 	speed float64
 	pace  pacing
+	restart
 }
 
 func newWorker(w Worker, u *quota.Usage) *worker {
-	return &worker{Worker: w, occupancy: newOccupancy(u), tasks: map[flow.Name]*flow.Task{}, jobs: map[*flow.Job]int{}, pace: newPacing(), speed: 1, untracked: map[runKey]untrackedRun{}, lostRuns: map[flow.Name]lostRun{}}
+	return &worker{Worker: w, name: incarnation.Parse(w.Incarnation), restart: newRestart(), occupancy: newOccupancy(u), tasks: map[flow.Name]*flow.Task{}, jobs: map[*flow.Job]int{}, pace: newPacing(), speed: 1, untracked: map[runKey]untrackedRun{}, lostRuns: map[flow.Name]lostRun{}}
 }
 
 // add tracks a task on the worker, and reports whether more runs of its step are there than may be.
@@ -139,12 +142,12 @@
 		since = w.backSince
 	}
 	listed := w.listed || now.Sub(since) < unlistedGrace && w.readAt.After(w.unlistedSince)
-	return listed && w.fenced && !w.dead && !w.draining && w.unansweredSince.IsZero() && w.Size != (cell.Size{})
+	return listed && w.fenced && !w.dead && !w.draining && w.unansweredSince.IsZero() && !now.Before(w.startsFrom) && w.Size != (cell.Size{})
 }
 
 // mayReturn reports whether the worker gets no work only because it has just missed a reply.
 func (w *worker) mayReturn(now time.Time) bool {
-	return w.listed && w.fenced && !w.dead && !w.draining && !w.silent(now) && w.Size != (cell.Size{})
+	return w.listed && w.fenced && !w.dead && !w.draining && !w.silent(now) && !now.Before(w.startsFrom) && w.Size != (cell.Size{})
 }
 
 // clockAt returns the worker's time now; if its clock is slow, the result is later than that.
@@ -183,15 +186,23 @@
 }
 
 // incarnationEnded handles the end of an incarnation: nothing runs there any more.
-func (s *Sched) incarnationEnded(incarnation string) {
-	w, ok := s.workers[incarnation]
-	if !ok || w.dead {
-		return
+func (s *Sched) incarnationEnded(name string) {
+	w, ok := s.workers[name]
+	if ok && !w.dead {
+		s.markEnded(w)
+		s.requeueEnded(w)
 	}
+}
+
+func (s *Sched) markEnded(w *worker) {
 	w.dead, w.judgeAt = true, s.now.Add(crashJudgeDelay)
 	s.dropAllUntracked(w, "worker died")
 	s.recordOutage(w)
-	s.emit(Note{ID: incarnation, What: "worker has begun another incarnation", Worker: incarnation, Detail: w.describeRuns()})
+	s.emit(Note{ID: w.Incarnation, What: "worker has begun another incarnation", Worker: w.Incarnation, Detail: w.describeRuns()})
+}
+
+// requeueEnded requeues the tasks of an ended incarnation.
+func (s *Sched) requeueEnded(w *worker) {
 	for _, t := range w.sortedTasks() {
 		// The reply to a start in flight shows whether the incarnation ended before it.
 		if t.State != flow.Starting {
@@ -212,7 +223,7 @@
 // checkWorkers handles leases that have certainly expired, and keeps polling workers.
 func (s *Sched) checkWorkers() {
 	for _, w := range s.sortedWorkers() {
-		incarnation := w.Incarnation
+		s.pruneUnlisted(w)
 		if w.draining && !w.dead {
 			s.evacuate(w)
 		}
@@ -228,11 +239,10 @@
 		}
 		switch {
 		case s.canForget(w):
-			s.emit(Note{ID: incarnation, What: "worker forgotten", Worker: incarnation, Detail: w.describeEnd()})
+			s.emit(Note{ID: w.Incarnation, What: "worker forgotten", Worker: w.Incarnation, Detail: w.describeEnd()})
 			s.resolveForgotten(w)
 			s.dropAllUntracked(w, "worker forgotten")
-			delete(s.workers, incarnation)
-			s.workersChanged()
+			s.removeWorker(w)
 		case len(w.lostRuns) > 0:
 			s.ensureHold(w)
 		}
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -14,13 +14,15 @@
 func (s *Sched) setWorkers(ev Workers) {
 	listed := make(map[string]bool, len(ev.All))
 	for _, l := range ev.All {
+		if s.isOutdated(l.Incarnation) {
+			continue
+		}
 		listed[l.Incarnation] = true
 		w, ok := s.workers[l.Incarnation]
 		if !ok {
 			w = newWorker(l, s.usage)
 			w.firstSeen = s.now
-			s.workers[l.Incarnation] = w
-			s.workersChanged()
+			s.addWorker(w)
 			s.emit(Note{ID: l.Incarnation, What: "worker listed", Worker: l.Incarnation, Detail: l.Domain})
 		}
 		s.updateWorker(w, l)
@@ -30,6 +32,7 @@
 		}
 		s.ensureHold(w)
 	}
+	s.endReplaced()
 	for _, w := range s.sortedWorkers() {
 		incarnation := w.Incarnation
 		if !listed[incarnation] && w.listed {
