platform: name incarnations by id and start; pass over foreign entries

An entry's born names the incarnation ID@BORN; orders and the policy service get the ID only, and a response to hold of another born, or of none, is not taken for the incarnation's. An entry whose fields, address, ID or born are not usable names no worker, and an unusable record no longer discards the page it is on. Agents get ID and born apart, so that older builds reach the workers.

--- a/internal/agent/wire.go
+++ b/internal/agent/wire.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pollencroft/internal/flow"
+	"pollencroft/internal/incarnation"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/sched"
 )
@@ -28,7 +29,12 @@
 // for all of its tasks in a batch.
 func encode(id int64, a sched.Action) peer.Order {
 	to, _ := worker(a)
-	o := peer.Order{ID: id, Worker: to.Incarnation, Addr: to.Addr}
+	// The ID stands by itself, so that agents of older builds reach the worker, too.
+	name := incarnation.Parse(to.Incarnation)
+	o := peer.Order{ID: id, Worker: name.ID, Addr: to.Addr}
+	if name.HasBorn {
+		o.Born = &name.Born
+	}
 	switch a := a.(type) {
 	case sched.Start:
 		o.Kind, o.Task, o.Run, o.Checkpoint, o.Ticket, o.Deadline = peer.StartOrder, a.Task.String(), a.Run, a.Checkpoint, a.Ticket, milliseconds(a.Deadline)
@@ -44,7 +50,11 @@
 
 // decode returns the action that an order stands for, or false if it is not a valid order.
 func decode(m peer.Orders, o peer.Order) (sched.Action, bool) {
-	to := sched.Address{Incarnation: o.Worker, Addr: o.Addr}
+	name := incarnation.Name{ID: o.Worker}
+	if o.Born != nil {
+		name.Born, name.HasBorn = *o.Born, true
+	}
+	to := sched.Address{Incarnation: name.String(), Addr: o.Addr}
 	if o.Kind == peer.HoldOrder {
 		return sched.Hold{
 			To: to, Term: m.Term, Deadline: fromMilliseconds(o.Deadline), AckedEnd: o.AckedEnd, Wait: time.Duration(o.Wait) * time.Millisecond, Probe: o.Probe,
@@ -69,7 +79,7 @@
 
 // encodeHold returns a worker's answer to a hold in the format in which leaders receive it.
 func encodeHold(id int64, r sched.HoldReply) peer.OrderResult {
-	got := peer.OrderResult{ID: id, Outcome: int(r.Outcome), Clock: milliseconds(r.Clock)}
+	got := peer.OrderResult{ID: id, Outcome: int(r.Outcome), Clock: milliseconds(r.Clock), AnsweredBy: r.AnsweredBy}
 	for _, l := range r.Running {
 		got.Running = append(got.Running, peer.ListedRun{Task: l.Task.String(), Run: l.Run, Checkpoint: l.Checkpoint, Percent: l.Percent, Metric: l.Metric})
 	}
@@ -100,7 +110,7 @@
 
 func holdReply(a sched.Hold, outcome sched.Outcome, r peer.OrderResult, sent, received time.Time) sched.HoldReply {
 	h := sched.HoldReply{
-		Worker: a.To.Incarnation, Outcome: outcome, Probe: a.Probe, AckedEnd: a.AckedEnd, Sent: sent, Received: received, Clock: fromMilliseconds(r.Clock),
+		Worker: a.To.Incarnation, Outcome: outcome, AnsweredBy: r.AnsweredBy, Probe: a.Probe, AckedEnd: a.AckedEnd, Sent: sent, Received: received, Clock: fromMilliseconds(r.Clock),
 	}
 	for _, l := range r.Running {
 		if task, ok := flow.ParseName(l.Task); ok {
--- a/internal/entry/messages.go
+++ b/internal/entry/messages.go
@@ -9,6 +9,7 @@
 	"pollencroft/internal/peer"
 	"pollencroft/internal/sched"
 	"pollencroft/internal/store"
+	"pollencroft/platform"
 )
 
 // UnknownMessageError is returned for messages that this kind of host does not accept.
@@ -240,10 +241,12 @@
 		return h.policyResult(a, good, err)
 	}
 	var r peer.AdviseReply
-	m := peer.Advise{Step: a.Step, Workers: a.Workers}
+	// Hosts of older builds know workers by their IDs only.
+	ids, byID := platform.WorkerIDs(a.Workers)
+	m := peer.Advise{Step: a.Step, Workers: ids}
 	m.Within.Duration = a.Timeout
 	err := h.peers.Ask(ctx, a.Host, m, &r)
-	return h.policyResult(a, r.Tickets, err)
+	return h.policyResult(a, platform.TicketsByWorker(r.Tickets, byID), err)
 }
 
 func (h *Host) policyResult(a sched.QueryPolicy, good map[string]string, err error) sched.PolicyReply {
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -43,8 +43,7 @@
 	lastPoll time.Time
 	// requestKeys holds, by job, the partitions and keys of the job's requests in the store.
 	requestKeys map[string]map[partKey]bool
-	// workers are the workers in the store's list, by incarnation.
-	workers map[string]sched.Worker
+	workers     entries
 	// finalStates are the final states of the term's jobs.
 	finalStates finals.Log
 	// unreadable are stored jobs that cannot be decoded. The scheduler core does not know them,
@@ -88,7 +87,7 @@
 	limits.Retention = time.Duration(h.cfg.Times.Keep) * 5 / 4
 	t := &term{
 		h: h, number: number, readAt: read, beganAt: began, lastPoll: read, jobs: len(r.jobs) + len(r.notStarted), open: len(r.notStarted),
-		kick: make(chan struct{}, 1), nextOffset: next, requestKeys: map[string]map[partKey]bool{}, workers: map[string]sched.Worker{}, unreadable: map[string]bool{},
+		kick: make(chan struct{}, 1), nextOffset: next, requestKeys: map[string]map[partKey]bool{}, workers: newEntries(), unreadable: map[string]bool{},
 		core: sched.New(limits, number, r.jobs), journal: newJournal(h.store, h.log, &h.wg, number, h.stateParts()),
 	}
 	for _, id := range r.unreadable {
--- a/internal/peer/orders.go
+++ b/internal/peer/orders.go
@@ -27,9 +27,11 @@
 
 // Order is one order. The names are short because a leader sends thousands of them a second.
 type Order struct {
-	ID     int64          `json:"i"`
-	Kind   OrderKind      `json:"k"`
+	ID   int64     `json:"i"`
+	Kind OrderKind `json:"k"`
+	// Worker is the ID of the worker, Born when its incarnation began; nil if that is not known.
 	Worker string         `json:"w"`
+	Born   *int64         `json:"n,omitempty"`
 	Addr   netip.AddrPort `json:"a"`
 	Task   string         `json:"t,omitempty"`
 	Run    int            `json:"r,omitempty"`
@@ -59,6 +61,8 @@
 	Clock   int64       `json:"c,omitempty"`
 	Running []ListedRun `json:"r,omitempty"`
 	Ended   []EndedRun  `json:"e,omitempty"`
+	// AnsweredBy is the incarnation that answered, if it is another one under the same ID.
+	AnsweredBy string `json:"b,omitempty"`
 }
 
 // ListedRun is a run that a worker lists as running.
