standin/users: restart workers under the same id

Stand-ins report when they began and restart with none of their state, and leases are capped at 10 s.

--- /dev/null
+++ b/internal/standin/users/restart.go
@@ -0,0 +1,40 @@
+package users
+
+import "time"
+
+// longestLease is the longest lease that workers give, whatever an order asks for.
+const longestLease = 10 * time.Second
+
+// ReportBorn makes the worker report when it began.
+func (w *Worker) ReportBorn() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.born = time.Now().UnixMilli()
+}
+
+// Restart ends the worker's incarnation with all its runs, and begins the next one under the same ID
+// and at the same address, with none of its state. Its entry has to be written again.
+func (w *Worker) Restart() {
+	w.mu.Lock()
+	for k, timer := range w.runs {
+		timer.Stop()
+		w.checker.end(k, w.ID, false)
+	}
+	clear(w.runs)
+	clear(w.endedRuns)
+	if w.lapse != nil {
+		w.lapse.Stop()
+	}
+	// Two incarnations do not begin in the same millisecond.
+	w.born = max(time.Now().UnixMilli(), w.born+1)
+	w.began, w.fence, w.ends, w.number, w.deadline = time.Now(), 0, nil, 0, time.Time{}
+	w.mu.Unlock()
+	w.server.CloseClientConnections()
+}
+
+// addBorn adds the start of the incarnation to what the worker says about itself. The caller holds mu.
+func (w *Worker) addBorn(m map[string]any) {
+	if w.born > 0 {
+		m["born"] = w.born
+	}
+}
--- a/internal/standin/users/worker.go
+++ b/internal/standin/users/worker.go
@@ -162,7 +162,9 @@
 	work    time.Duration
 	began   time.Time
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// born is when the incarnation began in Unix milliseconds, or zero if the worker does not report it.
+	born   int64
 	fence  int64
 	labels []string
 	// stopTime is how long a run takes to stop.
@@ -273,12 +275,14 @@
 // EntryAt returns the same record as Entry with another address.
 func (w *Worker) EntryAt(addr, service, zone string) []byte {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	cpu, labels := w.cpu, w.labels
-	w.mu.Unlock()
-	b, _ := json.Marshal(map[string]any{
+	entry := map[string]any{
 		"service": service, "address": addr, "zone": zone, "state": "ready",
 		"capacity": map[string]int64{"cpu": cpu, "memMb": 262_144}, "labels": labels, "seq": 1,
-	})
+	}
+	w.addBorn(entry)
+	b, _ := json.Marshal(entry)
 	return b
 }
 
@@ -407,6 +411,9 @@
 // extend extends the leases of all tasks, never shortening them. The caller holds mu.
 func (w *Worker) extend(ms int64) {
 	at := w.began.Add(time.Duration(ms)*time.Millisecond - time.Hour)
+	if most := time.Now().Add(longestLease); at.After(most) {
+		at = most
+	}
 	if !at.After(w.deadline) {
 		return
 	}
@@ -437,8 +444,9 @@
 	}
 	w.mu.Lock()
 	if o.FencingToken < w.fence {
+		ms := w.clock().Milliseconds()
 		w.mu.Unlock()
-		writeJSON(rw, http.StatusConflict, map[string]any{"clockMs": w.clock().Milliseconds(), "reason": "fence"})
+		writeJSON(rw, http.StatusConflict, map[string]any{"clockMs": ms, "reason": "fence"})
 		return
 	}
 	w.fence = o.FencingToken
@@ -470,7 +478,8 @@
 	for _, e := range w.ends {
 		ends = append(ends, []any{e.n, e.task, e.run, e.how, ""})
 	}
-	ms := w.clock().Milliseconds()
+	lists := map[string]any{"clockMs": w.clock().Milliseconds(), "running": running, "ended": ends}
+	w.addBorn(lists)
 	w.mu.Unlock()
-	writeJSON(rw, http.StatusOK, map[string]any{"clockMs": ms, "running": running, "ended": ends})
+	writeJSON(rw, http.StatusOK, lists)
 }
