--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -35,6 +35,10 @@
 	openJobs   map[string]*flow.Job
 	lastNumber int64
 	workers    map[string]*worker
+	// latest holds the latest known incarnation of each worker ID, replaced those that ended because
+	// a later one is known, until that is dealt with.
+	latest   map[string]*worker
+	replaced []*worker
 	// sortedCache holds the workers sorted by incarnation; it is valid until one is added or
 	// removed.
 	sortedCache []*worker
@@ -127,7 +131,7 @@
 func New(limits Limits, term int64, jobs []*flow.Job) *Sched {
 	s := &Sched{
 		limits: limits, term: term, queues: map[string]flow.Queue{}, top: math.MaxInt, jobs: map[string]*flow.Job{}, openJobs: map[string]*flow.Job{},
-		workers: map[string]*worker{}, hosts: policy.New(!slices.Contains(limits.Disabled, AdaptUrgentHosts)),
+		workers: map[string]*worker{}, latest: map[string]*worker{}, hosts: policy.New(!slices.Contains(limits.Disabled, AdaptUrgentHosts)),
 		advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
 		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, waits: map[*flow.Stage]*stepWait{}, jobWaits: map[string]WaitTimes{},
 		preemptions: map[*flow.Stage][]preemption{}, earlyCancels: map[Cancel]time.Time{},
@@ -154,7 +158,9 @@
 	j.Tasks(func(t *flow.Task) {
 		s.adoptLostRuns(t)
 		if t.State == flow.Inherited {
-			s.ensureWorker(t.Worker).add(t)
+			w := s.ensureWorker(t.Worker)
+			w.add(t)
+			w.unlisted[runKey{t.Name, t.Run}] = time.Time{}
 		}
 	})
 }
@@ -165,8 +171,7 @@
 	w, ok := s.workers[incarnation]
 	if !ok {
 		w = newWorker(Worker{Address: Address{Incarnation: incarnation}}, s.usage)
-		s.workers[incarnation] = w
-		s.workersChanged()
+		s.addWorker(w)
 	}
 	return w
 }
