sched: leave jobs without an objective out of the selection

Cause: a job of a queue without stretch and slack has the objective zero, which counted as missed at once: it was hopeless from its acceptance on. Such jobs never count as starved either, so one waited forever behind a queue of the same rank that has an objective. Change: they are not selected and keep their class, as without weights. Measured: in the test, the job was still queued after 60 s; it completes now.

--- a/internal/sched/overload.go
+++ b/internal/sched/overload.go
@@ -197,7 +197,7 @@
 		uses := []*use{getUse(byService, q.Service), getUse(byOrganisation, j.Spec.Organisation)}
 		for _, r := range j.Rounds {
 			x, lasts := s.roundJob(j, r, q, uses)
-			if !lasts && !j.State.Final() {
+			if !lasts && x.Objective > 0 && !j.State.Final() {
 				k := poolRank{q.Service, q.Rank}
 				byRank[k] = append(byRank[k], x)
 			}
@@ -280,7 +280,7 @@
 }
 
 // applySelection replaces the class of a step by what the last selection decided. Jobs that arrived
-// after it and starved ones keep theirs.
+// after it, starved ones and those without an objective keep theirs.
 func (s *Sched) applySelection(r *readyStep) {
 	if r.stage.Spec.LongRunning || r.class == starved || !s.selects() {
 		return
@@ -289,6 +289,10 @@
 		r.class, r.prospect = p.class, p
 		return
 	}
-	left := s.objective(r.job, r.queue) - s.waitTime(r.job, r.round) - s.remainingTime(r.job, r.stage, r.queue)
+	objective := s.objective(r.job, r.queue)
+	if objective <= 0 {
+		return
+	}
+	left := objective - s.waitTime(r.job, r.round) - s.remainingTime(r.job, r.stage, r.queue)
 	r.prospect = prospect{class: r.class, beyond: r.job.BeyondRate, latestStart: s.now.Add(left)}
 }
--- a/internal/sched/overload_test.go
+++ b/internal/sched/overload_test.go
@@ -82,3 +82,23 @@
 	}
 	require.Empty(t, b.violations)
 }
+
+// Guards against starvation of a job whose queue has no objective: it cannot miss one, so it never
+// counts as late or starved, and must not wait behind all jobs that have one.
+func TestJobWithoutAnObjectiveIsNotDropped(t *testing.T) {
+	b := newFullCell(t)
+	b.queues = append(b.queues, flow.Queue{Name: "plain", Service: "pass", Rank: 2, Attempts: 4})
+	b.setWeights(b.weights)
+	b.organisation = "quiet"
+	for i := range 60 {
+		if i == 10 {
+			b.submit("plain", "plain", bulk(6))
+		}
+		for k := range 4 {
+			b.submitAs("busy", fmt.Sprintf("busy%02d-%d", i, k))
+		}
+		b.advance(time.Second)
+	}
+	require.Equal(t, flow.Completed, b.state("plain"))
+	require.Empty(t, b.violations)
+}
