sched: select no jobs while on-time-first is switched off

Cause: without the mechanism in-time-first no job counts as starved, but jobs were still selected. One that was dropped then waited for as long as others arrived, and was never promoted. Change: jobs are selected only with that mechanism. Measured: in the test, four of eight jobs were still queued after 40 s; all complete now.

--- a/internal/sched/overload.go
+++ b/internal/sched/overload.go
@@ -114,8 +114,10 @@
 }
 
 // selects reports whether jobs are selected: organisations have weights, their shares when there is
-// not enough for all.
-func (s *Sched) selects() bool { return s.enabled(SelectOnTime) && s.rates.Limited() }
+// not enough for all. Without OnTimeFirst no job is ever starved, so dropped jobs would wait forever.
+func (s *Sched) selects() bool {
+	return s.enabled(SelectOnTime) && s.enabled(OnTimeFirst) && s.rates.Limited()
+}
 
 // selectJobs decides which jobs are to be on time, unless it did so a moment ago.
 func (s *Sched) selectJobs(pools map[string]*pool) {
