sched: count no tasks as backlog that wait beside free capacity

Cause: the expected wait of an organisation counted all its waiting tasks. Tasks that need a label or the members of a gang, that are larger than every worker, or that exceed the limit per worker wait beside free workers; new jobs, which would have started at once, were then to be rejected. Change: such tasks are not counted, neither for the wait nor for whether capacity is free.

--- a/internal/sched/backlog.go
+++ b/internal/sched/backlog.go
@@ -71,7 +71,8 @@
 		clear(s.backlogs)
 	}
 	s.loadAt = now
-	s.countBacklogs(now)
+	workers := s.workersByService()
+	s.countBacklogs(now, workers)
 	snap := &admission.Snapshot{Term: s.term}
 	for _, k := range slices.SortedFunc(maps.Keys(s.backlogs), compareKeys) {
 		b := s.backlogs[k]
@@ -82,7 +83,7 @@
 		case k.organisation == "":
 			snap.Queues = append(snap.Queues, admission.QueueWait{Rank: q.Rank, Wait: wait})
 		default:
-			s.addLoad(snap, now, q, k, b, wait)
+			s.addLoad(snap, now, workers[q.Service], q, k, b, wait)
 		}
 	}
 	return snap
@@ -95,25 +96,25 @@
 // addLoad adds the load of an organisation that is beyond its rate and for which nothing is free:
 // what waits in the queue takes all free capacity, or what waits of the organisation takes the rest
 // of its quota.
-func (s *Sched) addLoad(snap *admission.Snapshot, now time.Time, q flow.Queue, k backlogKey, b *backlog, wait time.Duration) {
+func (s *Sched) addLoad(snap *admission.Snapshot, now time.Time, workers serviceWorkers, q flow.Queue, k backlogKey, b *backlog, wait time.Duration) {
 	limit, balance := s.rates.Rate(k.organisation), s.rates.Balance(now, k.organisation)
 	if limit == 0 || balance >= 1 {
 		return
 	}
-	free, largest := s.slots(q, b.need)
+	free := s.slots(workers, q, b.need)
 	queued := s.backlogs[backlogKey{queue: k.queue}].tasks
 	if free >= int64(queued) && s.usage.Fits(k.organisation, b.need.Scale(float64(b.tasks))) {
 		return
 	}
 	snap.Loads = append(snap.Loads, admission.Load{
 		Queue: k.queue, Organisation: k.organisation, Jobs: b.jobs, Tasks: b.tasks, Wait: cell.Duration{Duration: wait.Round(time.Millisecond)},
-		Rate: limit, Balance: balance, Need: b.need, Largest: largest,
+		Rate: limit, Balance: balance, Need: b.need, Largest: workers.largest(),
 	})
 }
 
 // countBacklogs counts the tasks that could start. Steps that are hopeless or starved do not count:
 // a new job comes before them.
-func (s *Sched) countBacklogs(now time.Time) {
+func (s *Sched) countBacklogs(now time.Time, workers map[string]serviceWorkers) {
 	for _, b := range s.backlogs {
 		b.jobs, b.tasks = 0, 0
 	}
@@ -121,7 +122,7 @@
 		if j.State.Final() {
 			continue
 		}
-		tasks, need := s.startable(j)
+		tasks, need := s.startable(j, workers[s.queue(j).Service])
 		if tasks == 0 {
 			continue
 		}
@@ -134,20 +135,29 @@
 }
 
 // startable counts a job's tasks that wait for capacity, and returns the least that one needs in
-// each resource.
-func (s *Sched) startable(j *flow.Job) (tasks int, need cell.Size) {
+// each resource. Tasks that may wait beside free capacity do not count, since a new job would not wait
+// behind them: those that need a label or the other members of a gang, that are too large for every
+// worker, or that exceed the limit per worker.
+func (s *Sched) startable(j *flow.Job, workers serviceWorkers) (tasks int, need cell.Size) {
 	q := s.queue(j)
 	for _, r := range j.Rounds {
 		for _, st := range r.Stages {
 			if !st.AnyWaiting() || !r.Ready(st) || s.deadlineClassOf(j, r, st, q) >= hopeless {
 				continue
 			}
-			demand := st.Spec.Demand()
+			demand, waiting := st.Spec.Demand(), st.Waiting()
+			if st.Spec.MaxPerWorker > 0 {
+				running := len(st.Tasks) - st.Done - waiting
+				waiting = min(waiting, st.Spec.MaxPerWorker*len(workers.all)-running)
+			}
+			if st.Spec.Label != "" || st.Spec.Gang || waiting <= 0 || !workers.anyHas(demand) {
+				continue
+			}
 			if tasks == 0 {
 				need = demand
 			}
 			need = smallest(need, demand)
-			tasks += st.Waiting()
+			tasks += waiting
 		}
 	}
 	return tasks, need
@@ -190,22 +200,55 @@
 	return per * time.Duration(b.tasks), true
 }
 
-// slots returns how many tasks that need that much could start now on the workers of the queue's
-// service, and the most that one of these workers has in each resource. Workers that have just missed
-// a reply count: they may return at once.
-func (s *Sched) slots(q flow.Queue, need cell.Size) (slots int64, largest cell.Size) {
-	total, freeCPU := int64(0), int64(0)
-	for _, w := range s.workers {
-		if w.Service != q.Service || !w.usable(s.now) && !w.mayReturn(s.now) {
+// serviceWorkers is the workers of one service that may start tasks.
+type serviceWorkers struct {
+	all []*worker
+	// sizes holds each of their sizes once.
+	sizes []cell.Size
+}
+
+// workersByService lists the usable workers. Those that have just missed a reply count: they may
+// return at once.
+func (s *Sched) workersByService() map[string]serviceWorkers {
+	services := map[string]serviceWorkers{}
+	for _, w := range s.sortedWorkers() {
+		if !w.usable(s.now) && !w.mayReturn(s.now) {
 			continue
 		}
+		v := services[w.Service]
+		v.all = append(v.all, w)
+		if !slices.Contains(v.sizes, w.Size) {
+			v.sizes = append(v.sizes, w.Size)
+		}
+		services[w.Service] = v
+	}
+	return services
+}
+
+// anyHas reports whether one of the workers is as large as a task needs.
+func (v serviceWorkers) anyHas(demand cell.Size) bool {
+	return slices.ContainsFunc(v.sizes, demand.Fits)
+}
+
+// largest returns the most that one of the workers has in each resource.
+func (v serviceWorkers) largest() cell.Size {
+	var most cell.Size
+	for _, size := range v.sizes {
+		most = cell.Size{CPU: max(most.CPU, size.CPU), Mem: max(most.Mem, size.Mem), Accel: max(most.Accel, size.Accel)}
+	}
+	return most
+}
+
+// slots returns how many tasks of a queue that need that much could start now.
+func (s *Sched) slots(workers serviceWorkers, q flow.Queue, need cell.Size) int64 {
+	slots, total, freeCPU := int64(0), int64(0), int64(0)
+	for _, w := range workers.all {
 		left := w.free()
 		slots += min(need.FitCount(left), maxSlots)
 		total, freeCPU = total+w.Size.CPU, freeCPU+max(left.CPU, 0)
-		largest = cell.Size{CPU: max(largest.CPU, w.Size.CPU), Mem: max(largest.Mem, w.Size.Mem), Accel: max(largest.Accel, w.Size.Accel)}
 	}
 	if q.Rank > s.topRank() && need.CPU > 0 {
 		slots = min(slots, max(freeCPU-int64(urgentReserve*float64(total)), 0)/need.CPU)
 	}
-	return slots, largest
+	return slots
 }
--- a/internal/sched/backlog_test.go
+++ b/internal/sched/backlog_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pollencroft/internal/cell"
+	"pollencroft/internal/flow"
 	"pollencroft/internal/sched"
 )
 
@@ -120,3 +121,31 @@
 	require.Greater(t, reports, 80)
 	require.Empty(t, b.violations)
 }
+
+// Guards against rejections while capacity is free: tasks that no worker can run, or that their step
+// keeps apart, wait beside free workers, and a new job does not wait behind them.
+func TestTasksThatTakeNoFreeCapacityAreNoBacklog(t *testing.T) {
+	for name, change := range map[string]func(*flow.Step){
+		"label":          func(st *flow.Step) { st.Label = "gpu" },
+		"size":           func(st *flow.Step) { st.Size.CPU = 1_000_000 },
+		"max per worker": func(st *flow.Step) { st.MaxPerWorker = 1 },
+		"gang":           func(st *flow.Step) { st.Gang = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newSimCell(t, 4)
+			b.quotas = map[string]cell.Size{"small": {}}
+			b.queues[0].Stretch, b.queues[0].Slack = 1.5, 20*time.Second
+			b.setWeights(map[string]float64{"small": 0.5})
+			b.organisation = "small"
+			step := scan(900)
+			change(&step)
+			b.submit("blocked", "scan", step)
+			for i := range 30 {
+				b.submit(fmt.Sprintf("free%02d", i), "scan", scan(1))
+				require.Empty(t, b.core.Load(b.now).Loads)
+				b.advance(100 * time.Millisecond)
+			}
+			require.Empty(t, b.violations)
+		})
+	}
+}
