speed: keep nothing of a worker that ended before its step

Cause: the runs of a step are compared when it is done. A worker that was forgotten before then got a factor again, which nothing removed any more. Change: a factor is kept from the first recorded run until the worker is forgotten, and runs of forgotten workers are compared only for their kind.

--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -80,8 +80,12 @@
 
 // Record keeps a run until its step is complete.
 func (m *Model) Record(step string, r Run) {
-	if r.Took >= minTook && len(m.steps[step]) < maxRuns {
-		m.steps[step] = append(m.steps[step], r)
+	if r.Took < minTook || len(m.steps[step]) >= maxRuns {
+		return
+	}
+	m.steps[step] = append(m.steps[step], r)
+	if _, ok := m.workers[r.Worker]; !ok {
+		m.workers[r.Worker] = &estimate{}
 	}
 }
 
@@ -130,13 +134,11 @@
 	e.add(math.Log(r.Took.Seconds())-level, kindWindow)
 }
 
+// compareWorker does nothing for a worker that was forgotten after the run.
 func (m *Model) compareWorker(r Run, level float64) {
-	e, ok := m.workers[r.Worker]
-	if !ok {
-		e = &estimate{}
-		m.workers[r.Worker] = e
+	if e, ok := m.workers[r.Worker]; ok {
+		e.add(math.Log(r.Took.Seconds())-level-m.kindLog(r.Kind), workerWindow)
 	}
-	e.add(math.Log(r.Took.Seconds())-level-m.kindLog(r.Kind), workerWindow)
 }
 
 func (m *Model) kindLog(kind string) float64 {
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -114,6 +114,22 @@
 	require.Empty(t, m.Kinds())
 }
 
+// A worker ends while a step of which it has run tasks goes on. Guards against a factor that is kept
+// for good for an incarnation that has ended.
+func TestForgottenWorkerStaysForgotten(t *testing.T) {
+	m := speed.New(nil)
+	for i := range 30 {
+		r := speed.Run{Worker: fmt.Sprint("w", i%6), Kind: "a", Took: time.Second}
+		if r.Worker == "w0" {
+			r.Took = 2 * time.Second
+		}
+		m.Record("s", r)
+	}
+	m.ForgetWorker("w0")
+	m.Complete("s")
+	require.InDelta(t, 1, m.Factor("w0", "a"), 1e-9)
+}
+
 func ExampleModel() {
 	m := speed.New(nil)
 	for step := range 8 {
