sched: add up what jobs use in a fixed order

Cause: what less urgent tasks use was summed over maps of ranks and of rounds. Sums of floating-point numbers depend on the order, so that equal events could give different selections. Change: the sums go by rank and by round.

--- a/internal/sched/export_test.go
+++ b/internal/sched/export_test.go
@@ -38,3 +38,9 @@
 func (s *Sched) UsableShareForTest(service string) float64 {
 	return s.selection.usableShare[service]
 }
+
+// OccupiedForTest returns what less urgent tasks use of a capacity, from the processors and the
+// processor-seconds of each rank.
+func OccupiedForTest(running, seconds map[int]float64) time.Duration {
+	return (&use{running: running, seconds: seconds}).capacity(1e6, 0).OccupiedFor
+}
--- a/internal/sched/overload.go
+++ b/internal/sched/overload.go
@@ -106,9 +106,10 @@
 func (u *use) capacity(total float64, rank int) overload.Capacity {
 	c := overload.Capacity{Total: total - u.lasting}
 	seconds := 0.0
-	for r, cpu := range u.running {
+	// Sums of floating-point numbers depend on the order.
+	for _, r := range slices.Sorted(maps.Keys(u.running)) {
 		if r > rank {
-			c.Occupied += cpu
+			c.Occupied += u.running[r]
 			seconds += u.seconds[r]
 		}
 	}
@@ -205,7 +206,8 @@
 	for _, j := range s.sortedOpenJobs() {
 		q := s.queue(j)
 		uses := []*use{getUse(byService, q.Service), getUse(byOrganisation, j.Spec.Organisation)}
-		for _, r := range j.Rounds {
+		for _, i := range slices.Sorted(maps.Keys(j.Rounds)) {
+			r := j.Rounds[i]
 			x, lasts := s.roundJob(j, r, q, uses)
 			if !lasts && x.Objective > 0 && !j.State.Final() {
 				k := poolRank{q.Service, q.Rank}
--- a/internal/sched/overload_test.go
+++ b/internal/sched/overload_test.go
@@ -145,3 +145,15 @@
 	require.InDelta(t, 0.92, b.core.UsableShareForTest("pass"), 1e-9)
 	require.Empty(t, b.violations)
 }
+
+// Guards against a selection that depends on the order of a map: sums of floating-point numbers do.
+func TestOccupiedTimeIsDeterministic(t *testing.T) {
+	running, seconds := map[int]float64{}, map[int]float64{}
+	for rank := range 12 {
+		running[rank], seconds[rank] = float64(rank), 1e9/float64(rank+3)
+	}
+	want := sched.OccupiedForTest(running, seconds)
+	for range 200 {
+		require.Equal(t, want, sched.OccupiedForTest(running, seconds))
+	}
+}
