--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -159,7 +159,7 @@
 	work := 0.0
 	var victims victimHeap
 	for _, x := range set {
-		tooLarge, droppable := x.Work > c.until(x.due), x.class == class && !(x.Begun && class == OnTime)
+		tooLarge, droppable := x.Work > c.until(x.due), x.class == class && (!x.Begun || class != OnTime)
 		if tooLarge && droppable {
 			x.dropped = true
 			continue
