admission: reject by expected run times, not by declared ones

Cause: hosts calculated a job's objective from its declared times and without the queries to the policy service, while the leader uses measured run times. With steps that take longer than declared a job was rejected that could have ended within three times its objective. A step without a declared time counted as taking none. Change: the load of an organisation holds the run times of the queue, and the objective follows from them, with the declared time as the least. A job with a step of unknown time is not rejected. Measured: in the test, four such jobs are admitted; the load of a leader in virtual time has the expected times.

--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -44,6 +44,34 @@
 	Need cell.Size
 	// Largest is the most that a listed worker of the queue's service has in each resource.
 	Largest cell.Size
+	// Times is how long the queue's steps take.
+	Times RunTimes
+}
+
+// RunTimes is how long the steps of a queue take.
+type RunTimes struct {
+	// Usual is the usual declared time of a step, Expected how long such a step is expected to take,
+	// and Slope the exponent of the declared time in the expected one. Usual is zero if the queue is
+	// not measured.
+	Usual, Expected cell.Duration
+	Slope           float64
+	// Query is the time of a query to the policy service, which is counted once for each step.
+	Query cell.Duration
+}
+
+// chain returns the time of a job's longest chain of steps. No step counts with less than its
+// declared time, since a job must not be rejected because of an estimate that is too low.
+func (t RunTimes) chain(spec flow.Spec) time.Duration {
+	steps := make([]time.Duration, len(spec.Steps))
+	for i, s := range spec.Steps {
+		steps[i] = s.EstimatedTime
+		if t.Usual.Duration > 0 {
+			ratio := math.Pow(s.EstimatedTime.Seconds()/t.Usual.Seconds(), t.Slope)
+			steps[i] = max(steps[i], time.Duration(float64(t.Expected.Duration)*ratio))
+		}
+		steps[i] += t.Query.Duration
+	}
+	return slices.Max(spec.ChainTimes(steps))
 }
 
 const (
@@ -97,9 +125,10 @@
 	if l.Balance+l.Rate*max(age, 0).Seconds() >= 1 || !l.blocks(spec) {
 		return nil
 	}
-	limit := overload.LateFactor * flow.New(spec, 0, now).Objective(spec.Queue)
+	chain := l.Times.chain(spec)
+	limit := overload.LateFactor * spec.Queue.Objective(chain)
 	// The wait that leaves enough time for the job.
-	allowed := limit - spec.ChainTime()
+	allowed := limit - chain
 	if l.Wait.Duration-age <= time.Duration(waitMargin*float64(max(allowed, 0))) {
 		return nil
 	}
@@ -111,7 +140,9 @@
 
 // hasDeadline reports whether a job begins at once and has an objective that is known.
 func hasDeadline(spec flow.Spec) bool {
-	return spec.Repeat.Count == 0 && spec.Queue.Stretch > 0 && spec.ChainTime() > 0 && !slices.ContainsFunc(spec.Steps, func(s flow.Step) bool { return s.LongRunning || s.BestEffort })
+	return spec.Repeat.Count == 0 && spec.Queue.Stretch > 0 && len(spec.Steps) > 0 && !slices.ContainsFunc(spec.Steps, func(s flow.Step) bool {
+		return s.LongRunning || s.BestEffort || s.EstimatedTime <= 0
+	})
 }
 
 // blocks reports whether none of the job's first steps could start now. A job that needs more than
--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -39,6 +39,11 @@
 	require.Contains(t, err.Error(), `organisation "a" is beyond its rate`)
 }
 
+// measured returns the run times of a queue whose steps usually declare 1 s.
+func measured(expected time.Duration, slope float64) admission.RunTimes {
+	return admission.RunTimes{Usual: cell.Duration{Duration: time.Second}, Expected: cell.Duration{Duration: expected}, Slope: slope}
+}
+
 // Guards against a rejection because of a state that is old, unknown or of another leader, of a job
 // that is within its organisation's rate, or of one of which it is not certain that it is too late.
 func TestWhatIsNotCertainIsAdmitted(t *testing.T) {
@@ -60,7 +65,16 @@
 		"best-effort":               func(_ *admission.View, s *flow.Spec) { s.Steps[0].BestEffort = true },
 		"repeated":                  func(_ *admission.View, s *flow.Spec) { s.Repeat.Count = 1 },
 		"no objective":              func(_ *admission.View, s *flow.Spec) { s.Queue.Stretch = 0 },
-		"unknown run time":          func(_ *admission.View, s *flow.Spec) { s.Steps[0].EstimatedTime = 0 },
+		"longer than declared":      func(v *admission.View, _ *flow.Spec) { v.Loads[0].Times = measured(4*time.Second, 1) },
+		"short declared time": func(v *admission.View, s *flow.Spec) {
+			v.Loads[0].Times = measured(25*time.Second, 0.4)
+			s.Steps[0].EstimatedTime = 10 * time.Millisecond
+		},
+		"slow policy service": func(v *admission.View, _ *flow.Spec) { v.Loads[0].Times.Query.Duration = 3 * time.Second },
+		"step of unknown run time": func(_ *admission.View, s *flow.Spec) {
+			s.Steps = append(s.Steps, flow.Step{Tasks: 1, Size: s.Steps[0].Size, After: []int{0}})
+		},
+		"unknown run time": func(_ *admission.View, s *flow.Spec) { s.Steps[0].EstimatedTime = 0 },
 	} {
 		v, spec := overloaded()
 		change(&v, &spec)
--- a/internal/estimate/times.go
+++ b/internal/estimate/times.go
@@ -126,6 +126,9 @@
 	return math.Exp(q.declared.published.meanY - q.declared.published.meanX)
 }
 
+// Usual returns the queue's usual declared time.
+func (q *QueueTimes) Usual() time.Duration { return fromLog(q.declared.published.meanX) }
+
 // Slope returns the exponent of the declared time in the expected run time: 0 if declared times say
 // nothing about run times, 1 if run times are proportional to them.
 func (q *QueueTimes) Slope() float64 {
--- a/internal/sched/backlog.go
+++ b/internal/sched/backlog.go
@@ -108,7 +108,7 @@
 	}
 	snap.Loads = append(snap.Loads, admission.Load{
 		Queue: k.queue, Organisation: k.organisation, Jobs: b.jobs, Tasks: b.tasks, Wait: cell.Duration{Duration: wait.Round(time.Millisecond)},
-		Rate: limit, Balance: balance, Need: b.need, Largest: workers.largest(),
+		Rate: limit, Balance: balance, Need: b.need, Largest: workers.largest(), Times: s.runTimesOf(q),
 	})
 }
 
--- a/internal/sched/backlog_test.go
+++ b/internal/sched/backlog_test.go
@@ -52,6 +52,8 @@
 	require.Equal(t, 5, int(l.Rate))
 	require.Equal(t, scan(1).Size, l.Need)
 	require.Equal(t, cell.Size{CPU: 64_000, Mem: 256 << 30}, l.Largest)
+	require.InDelta(t, 1, l.Times.Usual.Seconds(), 0.01)
+	require.InDelta(t, 1, l.Times.Expected.Seconds(), 0.2)
 	// "large" takes at most 20 of the 48 slots each second.
 	perSecond := float64(l.Tasks) / l.Wait.Seconds()
 	require.True(t, 20 <= perSecond && perSecond <= 55, "%.1f tasks per second: %+v", perSecond, l)
--- a/internal/sched/runtimes.go
+++ b/internal/sched/runtimes.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"pollencroft/internal/admission"
+	"pollencroft/internal/cell"
 	"pollencroft/internal/estimate"
 	"pollencroft/internal/flow"
 )
@@ -78,10 +80,7 @@
 	if version == 0 {
 		return nil
 	}
-	query := time.Duration(0)
-	if q.Advice != nil {
-		query = q.Advice.Cost(policyQueryWorkers)
-	}
+	query := queryTime(q)
 	if t.chain == nil || t.version != version || t.query != query {
 		t.version, t.query = version, query
 		t.update(j.Spec)
@@ -89,6 +88,28 @@
 	return t
 }
 
+// queryTime returns the time of the query to the policy service that the objective counts for each
+// step.
+func queryTime(q flow.Queue) time.Duration {
+	if q.Advice == nil {
+		return 0
+	}
+	return q.Advice.Cost(policyQueryWorkers)
+}
+
+// runTimesOf returns what hosts need to calculate the objectives of a queue's jobs.
+func (s *Sched) runTimesOf(q flow.Queue) admission.RunTimes {
+	t := s.times.queues.Queue(q.Name)
+	if !s.enabled(LearnTimes) || t.Version() == 0 {
+		return admission.RunTimes{}
+	}
+	all := admission.RunTimes{Query: cell.Duration{Duration: queryTime(q)}}
+	if d := t.Expect(t.Usual()); d.Measured {
+		all.Usual.Duration, all.Expected.Duration, all.Slope = t.Usual(), d.Median, t.Slope()
+	}
+	return all
+}
+
 func (m *runTimes) of(j *flow.Job) *jobTimes {
 	t, ok := m.jobs[j]
 	if !ok {
