--- a/internal/sched/export_test.go
+++ b/internal/sched/export_test.go
@@ -33,3 +33,14 @@
 		}
 	}
 }
+
+// UsableShareForTest returns the measured share of a service's processors that jobs can use.
+func (s *Sched) UsableShareForTest(service string) float64 {
+	return s.selection.usableShare[service]
+}
+
+// OccupiedForTest returns what less urgent tasks use of a capacity, from the processors and the
+// processor-seconds of each rank.
+func OccupiedForTest(running, seconds map[int]float64) time.Duration {
+	return (&use{running: running, seconds: seconds}).capacity(1e6, 0).OccupiedFor
+}
--- a/internal/sched/overload.go
+++ b/internal/sched/overload.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -20,6 +21,9 @@
 	// usableWindow is the time over which the measurement is averaged.
 	initialUsableShare = 0.92
 	usableWindow       = 5 * time.Second
+	// maxUseGap is the longest time between two selections over which the use is averaged; after a
+	// longer one it is not known whether jobs have waited in between.
+	maxUseGap = time.Second
 	// urgentUseWindow is the time over which the use by more urgent queues is averaged.
 	urgentUseWindow = time.Second
 	// selectionNoteInterval is the minimum time between two notes of a selection.
@@ -63,7 +67,8 @@
 	// urgentUse is the processors that the jobs of each rank use, averaged over urgentUseWindow.
 	urgentUse map[poolRank]float64
 	// usableShare is the measured share of the processors of each service that are in use while jobs
-	// wait, and short that not all jobs could be on time in the last selection.
+	// wait, and short that in the last selection not all jobs could be on time and more tasks waited
+	// than there was free capacity for.
 	usableShare map[string]float64
 	short       map[string]bool
 	// notedAt is when a selection was last noted.
@@ -89,9 +94,9 @@
 
 // use is what jobs use of some capacity.
 type use struct {
-	// lasting is the processors of long-running tasks, running those of other tasks by rank, and
-	// seconds these times the length of a task.
-	lasting          float64
+	// lasting is the processors of long-running tasks, waiting those that tasks could use now if they
+	// were free, running those of other tasks by rank, and seconds these times the length of a task.
+	lasting, waiting float64
 	running, seconds map[int]float64
 }
 
@@ -101,9 +106,10 @@
 func (u *use) capacity(total float64, rank int) overload.Capacity {
 	c := overload.Capacity{Total: total - u.lasting}
 	seconds := 0.0
-	for r, cpu := range u.running {
+	// Sums of floating-point numbers depend on the order.
+	for _, r := range slices.Sorted(maps.Keys(u.running)) {
 		if r > rank {
-			c.Occupied += cpu
+			c.Occupied += u.running[r]
 			seconds += u.seconds[r]
 		}
 	}
@@ -114,8 +120,10 @@
 }
 
 // selects reports whether jobs are selected: organisations have weights, their shares when there is
-// not enough for all.
-func (s *Sched) selects() bool { return s.enabled(SelectOnTime) && s.rates.Limited() }
+// not enough for all. Without OnTimeFirst no job is ever starved, so dropped jobs would wait forever.
+func (s *Sched) selects() bool {
+	return s.enabled(SelectOnTime) && s.enabled(OnTimeFirst) && s.rates.Limited()
+}
 
 // selectJobs decides which jobs are to be on time, unless it did so a moment ago.
 func (s *Sched) selectJobs(pools map[string]*pool) {
@@ -148,6 +156,9 @@
 		sel.urgentUse[k] += min(passed.Seconds()/urgentUseWindow.Seconds(), 1) * (byService[k.service].running[k.rank] - sel.urgentUse[k])
 		moreUrgent[k.service] += sel.urgentUse[k]
 	}
+	maps.DeleteFunc(sel.short, func(service string, _ bool) bool {
+		return byService[service].waiting <= float64(pools[service].freeCPU)
+	})
 }
 
 // measureUse measures the share of a service's processors that is in use while jobs wait.
@@ -156,7 +167,7 @@
 	if !ok {
 		share = initialUsableShare
 	}
-	if sel.short[service] && p.totalCPU > 0 {
+	if sel.short[service] && p.totalCPU > 0 && passed <= maxUseGap {
 		used := min(float64(p.used.CPU)/float64(p.totalCPU), 1)
 		share += min(passed.Seconds()/usableWindow.Seconds(), 1) * (used - share)
 	}
@@ -195,9 +206,10 @@
 	for _, j := range s.sortedOpenJobs() {
 		q := s.queue(j)
 		uses := []*use{getUse(byService, q.Service), getUse(byOrganisation, j.Spec.Organisation)}
-		for _, r := range j.Rounds {
+		for _, i := range slices.Sorted(maps.Keys(j.Rounds)) {
+			r := j.Rounds[i]
 			x, lasts := s.roundJob(j, r, q, uses)
-			if !lasts && !j.State.Final() {
+			if !lasts && x.Objective > 0 && !j.State.Final() {
 				k := poolRank{q.Service, q.Rank}
 				byRank[k] = append(byRank[k], x)
 			}
@@ -238,6 +250,11 @@
 			u.running[q.Rank] += cpu * float64(active)
 			u.seconds[q.Rank] += cpu * float64(active) * each.Seconds()
 		}
+		if waiting > 0 && r.Ready(st) && s.usage.Fits(j.Spec.Organisation, st.Spec.QuotaNeed()) {
+			for _, u := range uses {
+				u.waiting += cpu * float64(waiting)
+			}
+		}
 		// A task that runs is half done on average.
 		x.Work += cpu * each.Seconds() * (float64(waiting) + float64(active)/2)
 		if !st.Finished() && r.Ready(st) {
@@ -280,7 +297,7 @@
 }
 
 // applySelection replaces the class of a step by what the last selection decided. Jobs that arrived
-// after it and starved ones keep theirs.
+// after it, starved ones and those without an objective keep theirs.
 func (s *Sched) applySelection(r *readyStep) {
 	if r.stage.Spec.LongRunning || r.class == starved || !s.selects() {
 		return
@@ -289,6 +306,10 @@
 		r.class, r.prospect = p.class, p
 		return
 	}
-	left := s.objective(r.job, r.queue) - s.waitTime(r.job, r.round) - s.remainingTime(r.job, r.stage, r.queue)
+	objective := s.objective(r.job, r.queue)
+	if objective <= 0 {
+		return
+	}
+	left := objective - s.waitTime(r.job, r.round) - s.remainingTime(r.job, r.stage, r.queue)
 	r.prospect = prospect{class: r.class, beyond: r.job.BeyondRate, latestStart: s.now.Add(left)}
 }
--- a/internal/sched/overload_test.go
+++ b/internal/sched/overload_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
 	"pollencroft/internal/sched"
 )
@@ -82,3 +83,77 @@
 	}
 	require.Empty(t, b.violations)
 }
+
+// Guards against starvation of a job whose queue has no objective: it cannot miss one, so it never
+// counts as late or starved, and must not wait behind all jobs that have one.
+func TestJobWithoutAnObjectiveIsNotDropped(t *testing.T) {
+	b := newFullCell(t)
+	b.queues = append(b.queues, flow.Queue{Name: "plain", Service: "pass", Rank: 2, Attempts: 4})
+	b.setWeights(b.weights)
+	b.organisation = "quiet"
+	for i := range 40 {
+		if i == 10 {
+			b.submit("plain", "plain", bulk(6))
+		}
+		for k := range 4 {
+			b.submitAs("busy", fmt.Sprintf("busy%02d-%d", i, k))
+		}
+		b.advance(time.Second)
+	}
+	require.Equal(t, flow.Completed, b.state("plain"))
+	require.Empty(t, b.violations)
+}
+
+// Guards against starvation while on-time-first is switched off: no job counts as starved then, so
+// one that is beyond its organisation's rate must not wait for all others.
+func TestNothingIsDroppedWithoutOnTimeFirst(t *testing.T) {
+	t.Setenv("POLLENCROFT_OFF", string(sched.OnTimeFirst))
+	b := newFullCell(t)
+	for i := range 40 {
+		if i == 4 {
+			for k := range 8 {
+				b.submitAs("busy", fmt.Sprintf("busy%d", k))
+			}
+		}
+		for k := range 3 {
+			b.submitAs("other", fmt.Sprintf("other%02d-%d", i, k))
+		}
+		b.advance(time.Second)
+	}
+	for i := range 8 {
+		require.Equal(t, flow.Completed, b.state(fmt.Sprintf("busy%d", i)), i)
+	}
+	require.Empty(t, b.violations)
+}
+
+// One job takes far longer than declared in a cell that is otherwise idle, and an organisation waits
+// for its quota. Neither uses all that the cell has. Guards against a usable capacity that is measured
+// then: it falls to nearly zero, and the next jobs are dropped although they fit.
+func TestUsableCapacityIsMeasuredOnlyWhileItIsInUse(t *testing.T) {
+	b := newFullCell(t)
+	b.queues[0].Stretch, b.queues[0].Slack = 1.5, 300*time.Millisecond
+	b.quotas = map[string]cell.Size{"quiet": {CPU: 70_000, Mem: 1 << 40}}
+	b.setWeights(b.weights)
+	b.organisation = "busy"
+	b.submitReal("long", []flow.Step{scan(1)}, 200*time.Second)
+	b.advance(10 * time.Second)
+	require.InDelta(t, 0.92, b.core.UsableShareForTest("pass"), 1e-9)
+	for i := range 10 {
+		b.submitAs("quiet", fmt.Sprintf("quiet%d", i))
+	}
+	b.advance(15 * time.Second)
+	require.InDelta(t, 0.92, b.core.UsableShareForTest("pass"), 1e-9)
+	require.Empty(t, b.violations)
+}
+
+// Guards against a selection that depends on the order of a map: sums of floating-point numbers do.
+func TestOccupiedTimeIsDeterministic(t *testing.T) {
+	running, seconds := map[int]float64{}, map[int]float64{}
+	for rank := range 12 {
+		running[rank], seconds[rank] = float64(rank), 1e9/float64(rank+3)
+	}
+	want := sched.OccupiedForTest(running, seconds)
+	for range 200 {
+		require.Equal(t, want, sched.OccupiedForTest(running, seconds))
+	}
+}
