--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -155,8 +155,11 @@
 	c.incarnations++
 	w := users.NewWorker(fmt.Sprintf("w%d", c.incarnations), taskTime, c.invariants)
 	c.t.Cleanup(w.Close)
-	if c.keepsApart && i%3 == 0 {
-		w.SetLabels(rareLabel, "r1-1")
+	if c.keepsApart {
+		w.ReportBorn()
+		if i%3 == 0 {
+			w.SetLabels(rareLabel, "r1-1")
+		}
 	}
 	p := c.proxy("worker "+w.ID, w.Address())
 	n := &worker{w, p, fmt.Sprintf("zone%d", c.incarnations%3)}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -206,6 +207,44 @@
 	}
 }
 
+// foreignEntries are worker entries of another writer. None names a usable worker.
+var foreignEntries = []string{
+	"\x00\xff", "[]", `{"service":7}`, `{"service":"pass","address":"nowhere","state":"ready"}`,
+	`{"service":"pass","address":"127.0.0.1:1","state":"ready","capacity":{"cpu":64000,"memMb":262144},"born":"soon"}`,
+	`{"service":"other","address":"127.0.0.1:1","state":"asleep","capacity":{"cpu":64000,"memMb":262144},"born":1.5}`,
+}
+
+// restartSome restarts random workers under their IDs until ctx ends, and stores foreign entries,
+// some under the ID of a worker. Entries follow late, and for a while a former one is listed. Like
+// resizeSome it runs at the same time as the faults.
+func (c *cell) restartSome(ctx context.Context, r *rand.Rand) {
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Duration(200+r.IntN(1800)) * time.Millisecond):
+		}
+		w, pause := c.worker(r.IntN(workers)), time.Duration(r.IntN(1500))*time.Millisecond
+		if r.IntN(3) == 0 {
+			id := fmt.Sprintf("foreign%d", n%5)
+			if r.IntN(2) == 0 {
+				id = w.ID
+			}
+			c.log.Put("servers", id, []byte(foreignEntries[r.IntN(len(foreignEntries))]))
+		} else {
+			w.Restart()
+		}
+		c.busy.Go(func() {
+			time.Sleep(pause)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if slices.Contains(c.workers, w) {
+				c.listWorker(w)
+			}
+		})
+	}
+}
+
 // cutWorkers cuts off several workers in short series that overlap until ctx ends, so that workers
 // return whose tasks have copies elsewhere. Workers take long to stop those. Like resizeSome it runs
 // at the same time as the faults.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -86,6 +86,7 @@
 	if fresh {
 		c.busy.Go(func() { c.resizeSome(ctx, rand.New(rand.NewPCG(seed, 3))) })
 		c.busy.Go(func() { c.cutWorkers(ctx, rand.New(rand.NewPCG(seed, 4))) })
+		c.busy.Go(func() { c.restartSome(ctx, rand.New(rand.NewPCG(seed, 6))) })
 		c.busy.Go(func() { a.runApart(ctx, rand.New(rand.NewPCG(seed, 5))) })
 	}
 	faultLog := c.disturb(ctx, rand.New(rand.NewPCG(seed, 2)))
