estimate: bound the runs that wait to be recorded

Cause: a run is recorded three expected times after its beginning. A queue whose declared times are far too long kept all its runs for that long, and was not measured before. Expected times of more than 97 years gave a time in the past. Change: at most 10,000 runs wait; of more, those that are due first are recorded.

--- a/internal/estimate/lag.go
+++ b/internal/estimate/lag.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 )
 
@@ -11,6 +12,10 @@
 // after four. Of those that began three medians ago, 87 to 98 % have ended.
 const lagFactor = 3
 
+// maxLater bounds the runs that wait to be recorded. A queue whose declared times are far too long, and
+// which is not measured for that reason, would collect them for three times the declared time.
+const maxLater = 10 * memory
+
 // ended is a run that has ended and is recorded at some time.
 type ended struct {
 	at             time.Time
@@ -35,13 +40,14 @@
 // RecordLater records a run once others that began with it have had the time to end as well. Settle
 // has to be called for that.
 func (q *QueueTimes) RecordLater(began time.Time, declared, took time.Duration) {
-	heap.Push(&q.later, ended{began.Add(lagFactor * q.Expect(declared).Median), declared, took})
+	lag := lagFactor * min(q.Expect(declared).Median, math.MaxInt64/lagFactor)
+	heap.Push(&q.later, ended{began.Add(lag), declared, took})
 }
 
-// Settle records the runs that are due. It reports whether the estimates have changed materially.
+// Settle records the runs that are due, and the first ones of more than maxLater. It reports whether the estimates have changed materially.
 func (q *QueueTimes) Settle(now time.Time) bool {
 	version := q.Version()
-	for len(q.later) > 0 && !q.later[0].at.After(now) {
+	for len(q.later) > maxLater || len(q.later) > 0 && !q.later[0].at.After(now) {
 		e := heap.Pop(&q.later).(ended)
 		q.Record(e.declared, e.took)
 	}
--- a/internal/estimate/times_test.go
+++ b/internal/estimate/times_test.go
@@ -174,3 +174,15 @@
 		times.Record("q", inSeconds(1+r.Float64()), inSeconds(1+r.Float64()))
 	}
 }
+
+// Runs end after a second that declare a day. Guards against keeping all of them for three days.
+func TestRunsThatWaitToBeRecordedAreBounded(t *testing.T) {
+	all := estimate.NewTimes(100)
+	now := time.Unix(1_000_000, 0)
+	for range 12_000 {
+		all.Queue("q").RecordLater(now, 24*time.Hour, time.Second)
+	}
+	all.Settle(now.Add(time.Second))
+	require.Equal(t, 2000, all.Queue("q").Runs())
+	require.InDelta(t, 1, all.Expect("q", 24*time.Hour).Median.Seconds(), 0.1)
+}
