rate: let tokens accrue from the time at which the rates are set

Cause: a successor marks the jobs that it takes over by their acceptance times, which are by its predecessor's clock. If that was ahead, the buckets were of a later time than now and earned nothing until then, so that nearly all jobs were marked as beyond the rate. Change: when the rates are set, buckets of a later time go on from now. Measured: in the test, an organisation has a token two seconds later instead of after an hour.

--- a/internal/rate/rate.go
+++ b/internal/rate/rate.go
@@ -37,9 +37,12 @@
 
 // SetRates replaces the rates, by organisation in jobs per second. Organisations without a rate, or
 // with one that is not positive, are not limited. Tokens that have accrued stay.
+// Tokens accrue from now on: a previous leader's clock may have been ahead.
 func (m *Meter) SetRates(now time.Time, rates map[string]float64) {
 	for o := range m.buckets {
-		m.buckets[o] = m.refilled(now, o)
+		b := m.refilled(now, o)
+		b.at = now
+		m.buckets[o] = b
 	}
 	clear(m.rates)
 	maps.Copy(m.rates, rates)
--- a/internal/rate/rate_test.go
+++ b/internal/rate/rate_test.go
@@ -70,3 +70,17 @@
 	sent(m, start.Add(2*time.Second), "a", 1000, 0)
 	require.InDelta(t, -8, m.Balance(start.Add(2*time.Second), "a"), 0)
 }
+
+// The clock of the previous leader was an hour ahead. Guards against organisations that earn nothing
+// for that hour, all of whose jobs would be beyond their rates.
+func TestOrganisationsEarnBehindAFormerClock(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	m := rate.New()
+	m.SetRates(now.Add(time.Hour), map[string]float64{"a": 1})
+	for range 10 {
+		m.Beyond(now.Add(time.Hour), "a")
+	}
+	m.SetRates(now, map[string]float64{"a": 1})
+	require.True(t, m.Beyond(now, "a"))
+	require.False(t, m.Beyond(now.Add(2*time.Second), "a"))
+}
