--- a/internal/rate/rate.go
+++ b/internal/rate/rate.go
@@ -36,8 +36,8 @@
 func New() *Meter { return &Meter{rates: map[string]float64{}, buckets: map[string]bucket{}} }
 
 // SetRates replaces the rates, by organisation in jobs per second. Organisations without a rate, or
-// with one that is not positive, are not limited. Tokens that have accrued stay.
-// Tokens accrue from now on: a previous leader's clock may have been ahead.
+// with one that is not positive, are not limited. Tokens that have accrued stay, and further ones
+// accrue from now on, because the clock of a previous leader may have been ahead.
 func (m *Meter) SetRates(now time.Time, rates map[string]float64) {
 	for o := range m.buckets {
 		b := m.refilled(now, o)
