speed: keep the fastest kind instead of searching for it

Cause: each factor was divided by the smallest one of all kinds, which was searched for each time. A kind is a worker's first label; where each worker has a label of its own, a placement compared each worker with each. Change: the fastest kind is found again when kinds have changed. Measured: the factors of 1,100 workers of as many kinds took 12.0 ms and take 0.15 ms.

--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -58,6 +58,8 @@
 	kinds   map[string]*estimate
 	workers map[string]*estimate
 	steps   map[string][]Run
+	// fastest is the smallest logarithm of a kind that has enough runs.
+	fastest float64
 }
 
 // New returns a model that starts with the given factors of kinds, which a previous leader may have
@@ -76,6 +78,7 @@
 			m.kinds[kind] = &estimate{log: math.Log(f), runs: kindTrust}
 		}
 	}
+	m.findFastest()
 }
 
 // Record keeps a run until its step is complete.
@@ -103,6 +106,7 @@
 		for _, r := range all {
 			m.compareKind(r, level)
 		}
+		m.findFastest()
 	}
 	for _, r := range all {
 		m.compareWorker(r, level)
@@ -158,15 +162,15 @@
 	return e.log * float64(e.runs) / float64(e.runs+workerTrust)
 }
 
-// fastest returns the smallest logarithm of a kind that has enough runs.
-func (m *Model) fastest() float64 {
-	least := math.Inf(1)
+// findFastest is called when kinds have changed. Each placement asks for the factors of many workers,
+// and there may be as many kinds as workers.
+func (m *Model) findFastest() {
+	m.fastest = math.Inf(1)
 	for _, e := range m.kinds {
 		if e.runs >= kindTrust {
-			least = min(least, e.log)
+			m.fastest = min(m.fastest, e.log)
 		}
 	}
-	return least
 }
 
 // KindFactor returns how many times as long runs take on workers of a kind as on the fastest kind.
@@ -176,7 +180,7 @@
 	if !ok || e.runs < kindTrust {
 		return 1
 	}
-	return math.Exp(e.log - m.fastest())
+	return math.Exp(e.log - m.fastest)
 }
 
 // Factor returns how many times as long runs take on a worker as on the fastest kind of workers. A
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -145,3 +145,21 @@
 	fmt.Printf("old %.1f, new %.1f\n", m.KindFactor("old"), m.KindFactor("new"))
 	// Output: old 1.5, new 1.0
 }
+
+// Load: 1,100 workers with a label of their own each, so that each is a kind. A placement compares all
+// of them, and a leader on a fifth of a core has no time to compare each with each.
+func BenchmarkFactorWithManyKinds(b *testing.B) {
+	m := speed.New(nil)
+	for step := range 200 {
+		for i := range 60 {
+			name := fmt.Sprint("w", (step*60+i)%1100)
+			m.Record(fmt.Sprint(step), speed.Run{Worker: name, Kind: name, Took: time.Second})
+		}
+		m.Complete(fmt.Sprint(step))
+	}
+	for b.Loop() {
+		for i := range 1100 {
+			m.Factor("", fmt.Sprint("w", i))
+		}
+	}
+}
