--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -50,25 +51,21 @@
 		s.applySelection(&all[i])
 	}
 	s.promoteStarved(all, pools)
-	slices.SortFunc(all, func(a, b readyStep) int {
-		switch {
-		case a.queue.Rank != b.queue.Rank:
-			return a.queue.Rank - b.queue.Rank
-		case a.class != b.class:
-			return int(a.class - b.class)
-		case compareProspects(a.prospect, b.prospect) != 0:
-			return compareProspects(a.prospect, b.prospect)
-		case a.job.Number != b.job.Number:
-			return int(a.job.Number - b.job.Number)
-		case a.round.Index != b.round.Index:
-			return a.round.Index - b.round.Index
-		default:
-			return a.stage.Index - b.stage.Index
-		}
-	})
+	slices.SortFunc(all, compareSteps)
 	return all
 }
 
+// compareSteps orders steps by urgency, and equally urgent ones by their acceptance.
+func compareSteps(a, b readyStep) int {
+	if c := cmp.Or(a.queue.Rank-b.queue.Rank, int(a.class-b.class)); c != 0 {
+		return c
+	}
+	if c := compareProspects(a.prospect, b.prospect); c != 0 {
+		return c
+	}
+	return cmp.Or(cmp.Compare(a.job.Number, b.job.Number), a.round.Index-b.round.Index, a.stage.Index-b.stage.Index)
+}
+
 // startableTasks lists the tasks of a step that may start; tasks that have to run alone come last.
 func startableTasks(st *flow.Stage) []*flow.Task {
 	var tasks, alone []*flow.Task
