--- a/internal/sched/overload.go
+++ b/internal/sched/overload.go
@@ -102,6 +102,17 @@
 
 func newUse() *use { return &use{running: map[int]float64{}, seconds: map[int]float64{}} }
 
+// add adds the active tasks of a step, of which each takes some time unless it lasts.
+func (u *use) add(st flow.Step, rank, active int, each time.Duration) {
+	cpu := float64(st.Demand().CPU) * float64(active)
+	if st.LongRunning {
+		u.lasting += cpu
+		return
+	}
+	u.running[rank] += cpu
+	u.seconds[rank] += cpu * each.Seconds()
+}
+
 // capacity returns what jobs of a rank can use of a number of processors.
 func (u *use) capacity(total float64, rank int) overload.Capacity {
 	c := overload.Capacity{Total: total - u.lasting}
@@ -236,27 +247,18 @@
 	for _, st := range r.Stages {
 		waiting := st.Waiting()
 		active := len(st.Tasks) - st.Done - waiting
-		cpu := float64(st.Spec.Demand().CPU)
-		lasts = lasts || st.Spec.LongRunning
-		x.Begun = x.Begun || st.Done > 0 || active > 0
-		if st.Spec.LongRunning {
-			for _, u := range uses {
-				u.lasting += cpu * float64(active)
-			}
-			continue
-		}
 		each := s.taskTime(j, st, q)
+		ready := waiting > 0 && r.Ready(st) && s.usage.Fits(j.Spec.Organisation, st.Spec.QuotaNeed())
 		for _, u := range uses {
-			u.running[q.Rank] += cpu * float64(active)
-			u.seconds[q.Rank] += cpu * float64(active) * each.Seconds()
-		}
-		if waiting > 0 && r.Ready(st) && s.usage.Fits(j.Spec.Organisation, st.Spec.QuotaNeed()) {
-			for _, u := range uses {
-				u.waiting += cpu * float64(waiting)
+			u.add(st.Spec, q.Rank, active, each)
+			if ready && !st.Spec.LongRunning {
+				u.waiting += float64(st.Spec.Demand().CPU) * float64(waiting)
 			}
 		}
+		lasts = lasts || st.Spec.LongRunning
+		x.Begun = x.Begun || st.Done > 0 || active > 0
 		// A task that runs is half done on average.
-		x.Work += cpu * each.Seconds() * (float64(waiting) + float64(active)/2)
+		x.Work += float64(st.Spec.Demand().CPU) * each.Seconds() * (float64(waiting) + float64(active)/2)
 		if !st.Finished() && r.Ready(st) {
 			left := s.remainingTime(j, st, q)
 			if waiting == 0 {
