--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -253,14 +253,24 @@
 		t.h.wg.Go(func() { t.forget(a.ID) })
 	case sched.StepDown:
 		t.end("worker " + a.Worker + " obeys a later term")
+	case sched.JobEnded:
+		t.noteEnded(a)
+	case sched.Note:
+		t.note(a)
+	default:
+		t.observe(a)
+	}
+}
+
+// observe logs and counts what the core reports.
+func (t *term) observe(a sched.Action) {
+	switch a := a.(type) {
 	case sched.StepWaited:
 		t.h.observeWait(a)
 	case sched.JobStarted:
 		t.h.observe(fmt.Sprintf("job.start.rank%d", a.Rank), a.After)
 	case sched.JobQueued:
 		t.h.log.Info("sched: queued.", "id", a.ID, "term", t.number, "detail", a.Queue, "queue", a.Queue, "organisation", a.Organisation, "rank", a.Rank)
-	case sched.JobEnded:
-		t.noteEnded(a)
 	case sched.Selected:
 		t.h.observeSelection(a)
 	case sched.KindSpeed:
@@ -273,8 +283,6 @@
 	case sched.LimitExceeded:
 		t.h.incCounter("apart.exceeded")
 		t.h.log.Warn("sched: more runs of a step on a worker than it allows.", "id", a.Task.String(), "worker", a.Worker, "term", t.number, "limit", a.Limit, "detail", a.Runs)
-	case sched.Note:
-		t.note(a)
 	}
 }
 
--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -79,7 +79,7 @@
 	keepsApart bool
 	// restarts reports whether workers restart under their IDs.
 	restarts bool
-	busy       sync.WaitGroup
+	busy     sync.WaitGroup
 }
 
 // host holds the process of one host and the proxies on its connections.
