sched: count a start that is carried over for one crash only

Cause: a run whose start was sent to an incarnation that restarted under its id is carried over to the next one, and each further restart counted as a crash under it, although the start is carried out once at most. Three restarts of one worker gave the task's job up as failed. Change: within a term, a run that was carried over counts at the first incarnation only, until the incarnation that it is on has listed it.

--- a/internal/sched/crash.go
+++ b/internal/sched/crash.go
@@ -30,8 +30,12 @@
 	at   time.Time
 }
 
-// markLost records that a run may have crashed a worker that stopped answering.
+// markLost records that a run may have crashed a worker that stopped answering. A run that was carried
+// over from a former incarnation counts there: its start is carried out once at most.
 func (s *Sched) markLost(t *flow.Task, w *worker) {
+	if _, carried := w.carried[runKey{t.Name, t.Run}]; carried {
+		return
+	}
 	if t.State == flow.Assigned || w.draining || t.Job.State.Final() || !t.MarkLost(w.Incarnation) {
 		return
 	}
--- a/internal/sched/restart_test.go
+++ b/internal/sched/restart_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pollencroft/internal/flow"
+	"pollencroft/internal/incarnation"
 	"pollencroft/internal/sched"
 )
 
@@ -253,6 +254,38 @@
 	}
 }
 
+// Guards against a job that is given up because the worker of one start restarts again and again: the
+// start is carried out once at most, so that one incarnation at most ended under its run.
+func TestOneStartCountsForOneCrashOnly(t *testing.T) {
+	for _, pause := range []time.Duration{60 * time.Millisecond, 150 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			b := bornCellWithEnds(t, 6)
+			for _, w := range b.sortedWorkers() {
+				w.startDelay = 11 * time.Second
+			}
+			b.submit("a", "scan", scan(1))
+			b.advance(40 * time.Millisecond)
+			id := incarnation.Parse(b.core.JobForTest("a").Rounds[0].Stages[0].Tasks[0].Worker).ID
+			for range 4 {
+				// What is stopped there can't be confirmed before the next restart.
+				b.worker(id).restart(0).silent = true
+				b.advance(pause)
+			}
+			b.worker(id).silent = false
+			seen := map[int]int{}
+			for _, a := range b.crashNotes {
+				seen[a.Run]++
+			}
+			for run, n := range seen {
+				require.Equal(t, 1, n, "run %d", run)
+			}
+			b.advance(3 * time.Second)
+			require.NotEqual(t, flow.Failed, b.state("a"))
+			b.requireCompletedWithin("a", 60*time.Second)
+		})
+	}
+}
+
 // Plays random histories whose workers restart under their IDs at any time, with orders that are
 // carried out late, by the next incarnation too; see TestRandomHistories.
 func TestRandomHistoriesWithRestartsUnderTheSameID(t *testing.T) {
--- a/internal/sched/simcell_test.go
+++ b/internal/sched/simcell_test.go
@@ -103,6 +103,8 @@
 	restartExtra time.Duration
 	// reports are the load summaries and the reports of queued and ended jobs.
 	reports []sched.Action
+	// crashNotes are the notes about runs under which a worker may have crashed.
+	crashNotes []sched.Note
 	// failedNotes are the notes about jobs that failed because of crashes.
 	failedNotes []sched.Note
 	// reportsBorn means that workers report when they began, and restart under the ID that they had.
@@ -308,6 +310,8 @@
 		b.resizeNotes = append(b.resizeNotes, a)
 	case "step waits":
 		b.longWaits = append(b.longWaits, a)
+	case "worker crashed during run":
+		b.crashNotes = append(b.crashNotes, a)
 	case "failed after crashes":
 		b.failedNotes = append(b.failedNotes, a)
 	}
