review: show that refused jobs run

Cause: callDirect repeats a call when the store answers again, and returns the refusal of the repetition alone, though the first attempt may have been carried out.

Change: case 2 of the review. Nothing of the program is changed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,7 +28,8 @@
 type play func(program string, rec *record, trouble bool) (verdict, error)
 
 var cases = map[string]play{
-	"ends": playEnds,
+	"ends":    playEnds,
+	"refused": playRefused,
 }
 
 func main() { os.Exit(int(playCase())) }
