review: keep the outages of cases 1 and 2 inside the site's doses

Cause: the 4.5 s that case 1 quoted belong to outages with a share; the longest of the whole store on the site is 4.2 s. Case 2 carried out all unanswered appends of jobs; the site loses answers of 0.35 of the writes.

Change: case 1 has an outage of 4.2 s. Case 2 carries out the first append of each job only. Both share the stand-in of the store, so they are one commit.

--- a/review/standin/ends.go
+++ b/review/standin/ends.go
@@ -16,8 +16,9 @@
 		shortest    = 6 * time.Second
 		spread      = 4 * time.Second
 		// gap keeps the rate below that of the site's usual traffic.
-		gap  = 100 * time.Millisecond
-		down = 4500 * time.Millisecond
+		gap = 100 * time.Millisecond
+		// down is the longest outage of the whole store on the site.
+		down = 4200 * time.Millisecond
 	)
 	c, err := newCell(program, 7, 48, func(task string) time.Duration { return shortest + spreadOf(task, spread) }, rec)
 	if err != nil {
@@ -39,7 +40,7 @@
 	time.Sleep(time.Until(first.Add(shortest + jobs*gap/3)))
 	if trouble {
 		rec.add("store: down for %s", down)
-		c.rule.set(func(*http.Request) fault { return busy })
+		c.rule.set(func(*http.Request, []byte) fault { return busy })
 	}
 	time.Sleep(down)
 	c.rule.set(nil)
--- a/review/standin/refused.go
+++ b/review/standin/refused.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// playRefused has the store go down in two steps, as a process does that stops and comes back: calls under way
-// are carried out and get no answer, and after that appends are refused for a while. Consumers hand in one job
-// each meanwhile, and do not repeat what is refused.
+// playRefused has the store go down in two steps, as a process does that stops and comes back: it gives no
+// answers, and after that it refuses appends for a while. Of the writes without an answer the first one of each
+// job is carried out. Consumers hand in one job each meanwhile, and do not repeat what is refused.
 func playRefused(program string, rec *record, trouble bool) (verdict, error) {
 	const (
 		silence  = 1150 * time.Millisecond
@@ -26,8 +26,9 @@
 	defer c.close()
 	time.Sleep(3 * time.Second)
 	began := time.Now()
+	lost := &lostWrites{jobs: map[string]bool{}}
 	if trouble {
-		c.takeStoreDown(silence, refusing)
+		c.takeStoreDown(silence, refusing, lost)
 	}
 	codes := make([]int, len(c.hosts))
 	var wg sync.WaitGroup
@@ -39,6 +40,9 @@
 	}
 	wg.Wait()
 	time.Sleep(10 * time.Second)
+	if trouble {
+		rec.add("store: %d of %d appends without an answer were carried out", lost.done, lost.all)
+	}
 	wrong, ran := 0, 0
 	for i, code := range codes {
 		begun, _ := c.hist.count(jobID(i))
@@ -61,19 +65,36 @@
 	}
 }
 
-// takeStoreDown leaves all calls without an answer for a time; jobs that hosts append are stored nevertheless.
-// After that the store refuses appends and serves all other calls for a time.
-func (c *cell) takeStoreDown(silence, refusing time.Duration) {
-	c.rec.add("store: gives no answers for %s", silence)
-	c.rule.set(func(r *http.Request) fault {
-		if isAppend(r) && isTopic(r, "jobs") {
-			return lost
-		}
+// lostWrites are the appends that have no answer. Those that are the first of their job are carried out.
+type lostWrites struct {
+	jobs      map[string]bool
+	done, all int
+}
+
+// decide is called under the lock of the rule.
+func (l *lostWrites) decide(r *http.Request, body []byte) fault {
+	if !isAppend(r) {
 		return silent
-	})
+	}
+	l.all++
+	// The key of a record follows its length and the length of the key.
+	const keyAt, keyEnd = 5, 5 + 16
+	if !isTopic(r, "jobs") || len(body) < keyEnd || l.jobs[string(body[keyAt:keyEnd])] {
+		return silent
+	}
+	l.jobs[string(body[keyAt:keyEnd])] = true
+	l.done++
+	return lost
+}
+
+// takeStoreDown leaves all calls without an answer for a time. After that the store refuses appends and serves
+// all other calls for a time.
+func (c *cell) takeStoreDown(silence, refusing time.Duration, l *lostWrites) {
+	c.rec.add("store: gives no answers for %s", silence)
+	c.rule.set(l.decide)
 	time.AfterFunc(silence, func() {
 		c.rec.add("store: answers again, and refuses appends for %s", refusing)
-		c.rule.set(func(r *http.Request) fault {
+		c.rule.set(func(r *http.Request, _ []byte) fault {
 			if isAppend(r) {
 				return busy
 			}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -40,7 +40,7 @@
 }
 
 // ruling decides about one call.
-type ruling func(r *http.Request) fault
+type ruling func(r *http.Request, body []byte) fault
 
 // rule is the ruling in force; nil means that all calls are served.
 type rule struct {
@@ -54,13 +54,13 @@
 	u.of = of
 }
 
-func (u *rule) decide(r *http.Request) fault {
+func (u *rule) decide(r *http.Request, body []byte) fault {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.of == nil {
 		return served
 	}
-	return u.of(r)
+	return u.of(r, body)
 }
 
 func newFront(host string, log *users.Log, rec *record, u *rule) *front {
@@ -86,7 +86,7 @@
 	if err != nil {
 		return
 	}
-	does := f.rule.decide(r)
+	does := f.rule.decide(r, body)
 	if isAppend(r) && does != served {
 		f.rec.add("store: append of %s to %s/%s is %s", f.host, r.URL.Query().Get("topic"), r.URL.Query().Get("part"), does)
 	}
@@ -117,7 +117,7 @@
 	got := httptest.NewRecorder()
 	f.log.ServeHTTP(got, r)
 	if !isAppend(r) {
-		if f.rule.decide(r) == silent {
+		if f.rule.decide(r, body) == silent {
 			leaveOpen(r)
 		}
 	}
