store: report a write as unanswered if an attempt of it was given up

What callers saw: 503, "not stored", for jobs that ran to their end. A caller that hands its work in elsewhere has it done twice.

Cause: when the store answers after a second of silence, callDirect drops the calls under way and makes them again. If the second attempt was refused, its refusal was returned alone, though the first attempt may have been carried out. store.NotDone was true then, on which 503 depends.

Records that the store doesn't have counted as stored.

A partition or peer whose missing answer counts as a refusal is ruled out: no other append of these jobs was carried out.

Change: callDirect combines the result with that of the attempt that was given up, as race and Spread do for theirs. A read keeps its refusal, so that it is still made through a peer.

--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -82,24 +82,34 @@
 
 // NewJournal returns a journal whose term has claimed the partitions.
 func NewJournal(t *testing.T, log store.Log, term int64, parts []int) *Journal {
+	// A call without an answer is given up, as a host does.
+	return newBoundedJournal(t, log, term, parts, 50*time.Millisecond)
+}
+
+// NewPatientJournal returns a journal for a log that ends calls without an answer itself.
+func NewPatientJournal(t *testing.T, log store.Log, term int64, parts []int) *Journal {
+	return newBoundedJournal(t, log, term, parts, time.Minute)
+}
+
+func newBoundedJournal(t *testing.T, log store.Log, term int64, parts []int, callTimeout time.Duration) *Journal {
 	wg := &sync.WaitGroup{}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() {
 		cancel()
 		wg.Wait()
 	})
-	return &Journal{newJournal(boundedLog{log, ctx}, slog.New(slog.DiscardHandler), wg, term, parts)}
+	return &Journal{newJournal(boundedLog{log, ctx, callTimeout}, slog.New(slog.DiscardHandler), wg, term, parts)}
 }
 
-// boundedLog ends calls at the end of the test.
+// boundedLog ends calls after a timeout and at the end of the test.
 type boundedLog struct {
-	log store.Log
-	ctx context.Context
+	log     store.Log
+	ctx     context.Context
+	timeout time.Duration
 }
 
 func (u boundedLog) Do(ctx context.Context, c store.Call) (store.Answer, error) {
-	// A call without an answer is given up, as a host does.
-	ctx, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, u.timeout)
 	defer cancel()
 	defer context.AfterFunc(u.ctx, cancel)()
 	return u.log.Do(ctx, c)
--- a/internal/entry/journal_test.go
+++ b/internal/entry/journal_test.go
@@ -101,6 +101,59 @@
 	}
 }
 
+// unansweredOnce carries out the first append to partition 0 without an answer.
+type unansweredOnce struct {
+	store.Log
+	carriedOut atomic.Bool
+}
+
+func (l *unansweredOnce) Do(ctx context.Context, c store.Call) (store.Answer, error) {
+	if c.Op != store.Append || c.Part != 0 || l.carriedOut.Swap(true) {
+		return l.Log.Do(ctx, c)
+	}
+	_, _ = l.Log.Do(ctx, c)
+	<-ctx.Done()
+	return store.Answer{}, &store.UnansweredError{Op: c.Op, Cause: ctx.Err()}
+}
+
+// noPeers is a relay without peers.
+type noPeers struct{}
+
+func (noPeers) Peers() []string { return nil }
+
+func (noPeers) Do(_ context.Context, _ string, c store.Call) (store.Answer, error) {
+	return store.Answer{}, &store.RefusedError{Op: c.Op}
+}
+
+// Guards against progress that counts as stored and is not: an append was carried out without an
+// answer, its repetition after the store's recovery was refused, and the next append with the same
+// sequence number gets the answer of the first one.
+func TestSequenceNumberIsNotReusedAfterAnAbandonedAppend(t *testing.T) {
+	// silence is long enough for the store's next answer to count as its recovery.
+	const silence = 1100 * time.Millisecond
+	log := users.NewLog(16, time.Now)
+	parts := []int{0, 5, 10}
+	for _, p := range parts {
+		claim(t, log, p, 7)
+	}
+	r := store.NewRouted(&unansweredOnce{Log: log.For("lead")}, noPeers{}, time.Now, func(store.Call, bool, error) {})
+	join := store.Call{Op: store.Join, Group: "hosts", Member: "lead", TTL: time.Minute}
+	_, err := r.Do(t.Context(), join)
+	require.NoError(t, err)
+	j := entry.NewPatientJournal(t, r, 7, parts)
+	require.NoError(t, j.Append(t.Context(), nextNumber(), oneRecord("a", "1"), appendTimeout))
+	time.Sleep(silence)
+	log.BreakPart("state", 0, users.Busy)
+	_, err = r.Do(t.Context(), join)
+	require.NoError(t, err)
+	time.Sleep(10 * appendTimeout)
+	log.BreakPart("state", 0, users.None)
+	log.BreakPart("state", 5, users.Busy)
+	log.BreakPart("state", 10, users.Busy)
+	require.NoError(t, j.Append(t.Context(), nextNumber(), oneRecord("b", "1"), appendTimeout))
+	require.Equal(t, map[string]string{"a": "1", "b": "1"}, newestRecords(t, log, 0))
+}
+
 // While every partition is unavailable, the append waits and is not lost.
 func TestAppendWaitsForAnyPartition(t *testing.T) {
 	log, b := newJournal(t, 7)
--- a/internal/store/routed.go
+++ b/internal/store/routed.go
@@ -36,6 +36,9 @@
 	latencyDecay = 0.8
 )
 
+// errAbandoned is the cause of the error for a call of which an earlier attempt was given up.
+var errAbandoned = errors.New("an earlier attempt had no answer")
+
 // Relay makes a call through a peer that the store may serve.
 type Relay interface {
 	// Peers lists the peers to ask, best first.
@@ -359,8 +362,10 @@
 // was silent. A call that was sent while the store was silent is never answered, and would be
 // waited for until its timeout: a leader stored nothing for 1.6 s after the store was back, and
 // in that time no task was started and no job was reported as completed. Making the call twice is
-// safe, see Routed.
+// safe, see Routed. The outcome of the attempt that was given up remains unknown: if a later attempt
+// is refused, a write is reported as unanswered.
 func (r *Routed) callDirect(ctx context.Context, c Call) (Answer, error) {
+	var abandoned error
 	for {
 		began, recovered := r.now(), r.recovery()
 		call := c
@@ -385,9 +390,12 @@
 				// Otherwise the caller gave up, which says nothing about the store.
 				r.recordDirect(c, began, arrives.began(), got.err)
 			}
-			return got.answer, got.err
+			return got.answer, CombineErrors(abandoned, got.err)
 		case <-recovered:
 			cancel()
+			if !c.Op.isRead() {
+				abandoned = &UnansweredError{Op: c.Op, Cause: errAbandoned}
+			}
 		}
 	}
 }
