entry: don't answer a repeated request with the refusal of its last attempt

What callers saw: a caller sends its job again after no answer (504, a lost connection), and the same host answers 503, "not stored", or 429 under overload. The first request may be stored, and the job runs. The repetition of a stored job was answered 503 as well while the store is down.

Change: internal/attempts remembers for five minutes what became of the requests with a key, open ones too. A refused repetition is answered 504 if an earlier request may be stored, and 200 if it is. 504 carries Retry-After by the age of the outage, and the log line its cause.

Not covered: a repetition at another host.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"pollencroft/internal/admission"
+	"pollencroft/internal/attempts"
 	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
 	"pollencroft/internal/peer"
@@ -57,8 +58,8 @@
 // certainly not there yet: an earlier request for it may have been stored without an answer, and the
 // job may have run. While the store does not answer, callers are rejected for that reason, and return
 // by the age of the outage.
-func (h *Host) checkLoad(ctx context.Context, spec flow.Spec) error {
-	if h.acceptedRecently(spec.ID) || !h.store.AnsweredWithin(storeFreshness) {
+func (h *Host) checkLoad(ctx context.Context, k requestKey, spec flow.Spec) error {
+	if h.acceptedRecently(spec.ID) || h.inbox.sent.Known(k.String()) != attempts.NotDone || !h.store.AnsweredWithin(storeFreshness) {
 		return nil
 	}
 	err := h.loadView().Check(h.now(), spec)
@@ -106,6 +107,11 @@
 		"outage", age)
 }
 
+// refuseUnsure answers a request of which it is not known whether it is stored.
+func (h *Host) refuseUnsure(w http.ResponseWriter, id string, err error) {
+	h.refuseFor(w, http.StatusGatewayTimeout, id, "not known whether it is stored", admission.OutageRetry(h.storeSilence(), id), "err", err)
+}
+
 // storeSilence returns for how long the store has not answered this host; zero if it never has.
 func (h *Host) storeSilence() time.Duration {
 	last := h.store.LastAnswer()
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -185,7 +185,7 @@
 		h.refuse(w, http.StatusUnprocessableEntity, id, err.Error())
 		return
 	}
-	if err := h.checkLoad(ctx, spec); err != nil {
+	if err := h.checkLoad(ctx, k, spec); err != nil {
 		h.refuseOverload(w, id, err)
 		return
 	}
@@ -205,7 +205,7 @@
 	case store.NotDone(err):
 		h.refuseUnstored(w, id, err)
 	default:
-		h.refuse(w, http.StatusGatewayTimeout, id, "not known whether it is stored")
+		h.refuseUnsure(w, id, err)
 	}
 }
 
@@ -283,7 +283,7 @@
 	case store.NotDone(err):
 		h.refuseUnstored(w, id, err)
 	default:
-		h.refuse(w, http.StatusGatewayTimeout, id, "not known whether it is stored")
+		h.refuseUnsure(w, id, err)
 	}
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -191,6 +191,37 @@
 	c.waitCompleted(h, 1)
 }
 
+// Guards against a job that is reported as refused although an earlier request for it may be stored:
+// the request that a caller sends again after it had no answer is refused.
+func TestRefusedRepetitionOfAnUnansweredRequestIsNotARefusal(t *testing.T) {
+	c := newCluster(t, 2, 2, 50*time.Millisecond)
+	h := c.follower()
+	c.log.BreakAppends("jobs", users.Lost)
+	require.Equal(t, http.StatusGatewayTimeout, c.submit(h, 0).code)
+	c.log.BreakAppends("jobs", users.Busy)
+	require.Eventually(t, func() bool { return c.submit(h, 1).code == http.StatusServiceUnavailable }, waitTimeout, 20*time.Millisecond)
+	a := c.submit(h, 0)
+	require.Equal(t, http.StatusGatewayTimeout, a.code)
+	require.Equal(t, "1", a.header.Get("Retry-After"))
+	c.log.BreakAppends("jobs", users.None)
+	c.waitCompleted(h, 1)
+}
+
+// Guards against a repeated request for a stored job that is reported as refused while the store is
+// down.
+func TestRefusedRepetitionOfAStoredRequestIsAccepted(t *testing.T) {
+	c := newCluster(t, 2, 2, 50*time.Millisecond)
+	h := c.follower()
+	require.Equal(t, http.StatusOK, c.submit(h, 0).code)
+	c.log.BreakAppends("jobs", users.Busy)
+	require.Equal(t, http.StatusServiceUnavailable, c.submit(h, 1).code)
+	require.Equal(t, http.StatusOK, c.submit(h, 0).code)
+	c.log.BreakAppends("jobs", users.None)
+	c.waitCompleted(h, 1)
+	code, _ := c.get(h.cfg.Listen.Caller, prefix+jobID(1))
+	require.Equal(t, http.StatusGone, code)
+}
+
 // Orders to workers get no answer, whether they were executed or not. Each task runs in one place
 // at a time and completes.
 func TestOrdersWithoutAnAnswerRunNothingTwice(t *testing.T) {
--- a/internal/entry/inbox.go
+++ b/internal/entry/inbox.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"pollencroft/internal/attempts"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/store"
 )
@@ -59,6 +60,8 @@
 	// parts are the partitions that it may append to, its own one first.
 	parts []int
 	queue chan appendRequest
+	// sent tracks what is known of the requests that this host got lately, by the key of their record.
+	sent *attempts.Tracker
 }
 
 type appendRequest struct {
@@ -78,27 +81,32 @@
 	storeFreshness = 900 * time.Millisecond
 	// unansweredRetry is the pause before an append without an answer is repeated.
 	unansweredRetry = 60 * time.Millisecond
+	// sentExpiry is how long a request is remembered after its append has ended, maxSent how many are.
+	sentExpiry = 5 * time.Minute
+	maxSent    = 20_000
 )
 
 func newInbox(h *Host) *inbox {
 	own := int(xxhash.Sum64String(h.cfg.Name) % uint64(h.cfg.Parts))
-	return &inbox{h: h, parts: store.PartsFrom(own, h.cfg.Parts), queue: make(chan appendRequest, maxQueuedRequests)}
+	return &inbox{h: h, parts: store.PartsFrom(own, h.cfg.Parts), queue: make(chan appendRequest, maxQueuedRequests), sent: attempts.New(sentExpiry, maxSent, h.now)}
 }
 
 // append stores a record. If it returns a store.RefusedError, the record is certainly not stored
-// and never will be. After any other error it is unknown whether the record is stored.
+// and never will be. After any other error it is unknown whether the record is stored. Callers send
+// a request again if it had no answer, so the earlier requests with the same key count as well.
 func (b *inbox) append(ctx context.Context, r store.Record) error {
 	if !b.h.store.AnsweredWithin(storeFreshness) {
 		// A request that is sent while the store is unreachable gets no answer, and its caller
 		// could only be told that the outcome is unknown. A request that is not sent is certainly
 		// not stored.
-		return &store.RefusedError{Op: store.Append, Reason: "the store has not answered for a while"}
+		return afterRefusal(b.sent.Known(r.Key), &store.RefusedError{Op: store.Append, Reason: "the store has not answered for a while"})
 	}
 	a := appendRequest{ctx: ctx, record: r, done: make(chan error, 1)}
+	b.sent.Begin(r.Key)
 	select {
 	case b.queue <- a:
 	default:
-		return &store.RefusedError{Op: store.Append, Reason: "too many wait"}
+		return afterRefusal(b.sent.End(r.Key, attempts.NotDone), &store.RefusedError{Op: store.Append, Reason: "too many wait"})
 	}
 	select {
 	case err := <-a.done:
@@ -108,6 +116,19 @@
 	}
 }
 
+// afterRefusal returns the result of a request that was refused, given what is known of all requests
+// with its key.
+func afterRefusal(known attempts.Outcome, refused error) error {
+	switch known {
+	case attempts.Done:
+		return nil
+	case attempts.Unknown:
+		return &store.UnansweredError{Op: store.Append, Cause: refused}
+	default:
+		return refused
+	}
+}
+
 func (b *inbox) run() {
 	for {
 		select {
@@ -151,24 +172,29 @@
 		if err == nil {
 			b.h.notifyLeader(parts[first], got.Offset, records)
 			b.parts[0], b.parts[first] = b.parts[first], b.parts[0]
-			finish(all, nil)
+			b.finish(all, attempts.Done, nil)
 			return
 		}
 		if store.NotDone(err) && !unsure {
-			finish(all, err)
+			b.finish(all, attempts.NotDone, err)
 			return
 		}
 		unsure = true
 		if b.h.ctx.Err() != nil || !anyWaiting(all) {
-			finish(all, &store.UnansweredError{Op: store.Append, Cause: err})
+			b.finish(all, attempts.Unknown, &store.UnansweredError{Op: store.Append, Cause: err})
 			return
 		}
 		sleep(b.h.ctx, unansweredRetry)
 	}
 }
 
-func finish(all []appendRequest, err error) {
+func (b *inbox) finish(all []appendRequest, o attempts.Outcome, err error) {
 	for _, a := range all {
+		known := b.sent.End(a.record.Key, o)
+		if o == attempts.NotDone {
+			a.done <- afterRefusal(known, err)
+			continue
+		}
 		a.done <- err
 	}
 }
