host: tell a repeated job as unknown if an earlier submission may be stored

What callers saw: a caller of /jobs submits a job with a key, gets "unknown", submits it again and gets "refused", which means that it didn't run. The job runs: the first submission was written to the log without an answer, and the log refused the second.

Change: the host that the caller asked and the one that leads the rack remember for five minutes what became of the submissions of a key (internal/attempts). A refusal other than a conflict of keys is told as unknown if an earlier submission may be stored.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -110,7 +110,7 @@
 	h := &Host{
 		cfg: cfg, controlBytes: control, log: log, clock: clock, incarnation: now.UnixMilli(), startedAt: now, metrics: metrics.NewRegistry(),
 		platform: platform.New(cfg.Platform, newTransport(control)), peers: peer.NewClients(peerAddresses(cfg)),
-		history: trail.New(maxHistoryNotes), table: table.New(), tableChanged: make(chan struct{}), jobs: newJobStore(), listChanged: make(chan struct{}, 1), peerWork: newGate(), budget: &budget{limit: orDefault(cfg.Limits.Memory, settings.DefaultMemory)},
+		history: trail.New(maxHistoryNotes), table: table.New(), tableChanged: make(chan struct{}), jobs: newJobStore(clock), listChanged: make(chan struct{}, 1), peerWork: newGate(), budget: &budget{limit: orDefault(cfg.Limits.Memory, settings.DefaultMemory)},
 		ctx: ctx, cancel: cancel, stopped: make(chan struct{}),
 		shares:  newShares(cfg, now),
 		members: member.New(member.Heartbeat{Name: cfg.Name, Domain: cfg.Domain, Incarnation: now.UnixMilli()}),
--- a/internal/host/jobs.go
+++ b/internal/host/jobs.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"pollencroft/internal/attempts"
 	"pollencroft/internal/caller"
 	"pollencroft/internal/cell"
 	"pollencroft/internal/job"
@@ -35,8 +36,7 @@
 // jobKeyNamespace is the UUID namespace for the ids of jobs that carry a caller's key.
 var jobKeyNamespace = uuid.MustParse("6d4f0b52-7c1e-4a55-9b07-2f6f5a0a7c11")
 
-// submit assigns a job to a home rack and sends it to the host that leads the rack. If that host
-// certainly did not accept the job, the leader of another rack is tried.
+// submit assigns a job to a home rack and sends it to the host that leads the rack.
 func (h *Host) submit(ctx context.Context, j caller.Job) peer.JobReply {
 	row, _ := h.Row(j.Row)
 	racks := h.racks(h.cfg.Domain)
@@ -54,6 +54,12 @@
 	if err := spec.Check(); err != nil {
 		return peer.RefuseJob(http.StatusBadRequest, err.Error())
 	}
+	return h.trackSubmission(spec, func() peer.JobReply { return h.sendToLeader(ctx, j, spec, racks, first) })
+}
+
+// sendToLeader sends a job to the host that leads its rack. If that host certainly did not accept the
+// job, the leader of another rack is tried.
+func (h *Host) sendToLeader(ctx context.Context, j caller.Job, spec job.Spec, racks []string, first int) peer.JobReply {
 	end := h.clock().Add(submitRetryFor)
 	reply := h.askLeader(ctx, spec.ID, peer.Submit{Spec: spec})
 	for tries := 1; isUnavailable(reply) && h.clock().Before(end) && ctx.Err() == nil; tries++ {
@@ -66,6 +72,32 @@
 	return reply
 }
 
+// trackSubmission submits a job and records the outcome. Callers submit a job with a key again if they
+// had no answer, and an earlier submission may be stored although this one is refused.
+func (h *Host) trackSubmission(spec job.Spec, submit func() peer.JobReply) peer.JobReply {
+	if spec.Key == "" {
+		return submit()
+	}
+	h.jobs.submitted.Begin(spec.ID)
+	reply := submit()
+	known := h.jobs.submitted.End(spec.ID, submissionOutcome(reply))
+	if reply.Outcome == cell.Refused && reply.Code != http.StatusConflict && known != attempts.NotDone {
+		return peer.UnsureJob(http.StatusGatewayTimeout, spec.ID, "an earlier submission may be stored, this one was refused: "+reply.Reason)
+	}
+	return reply
+}
+
+func submissionOutcome(r peer.JobReply) attempts.Outcome {
+	switch {
+	case r.Code == 0:
+		return attempts.Done
+	case r.Outcome == cell.Refused:
+		return attempts.NotDone
+	default:
+		return attempts.Unknown
+	}
+}
+
 // limitKey returns the key by which the tasks of a row are counted: its organisation if that has a
 // quota, or else the row if it has limits, or else nothing. Urgent rows are not counted and may
 // go to any leader: while a leader is being replaced, a limit that delays urgent work does more
@@ -402,7 +434,9 @@
 		return peer.TokenReply{Token: token}, err
 	case peer.Handover:
 		return h.adoptJobs(m)
-	case peer.Submit, peer.AskJob, peer.AskTrail, peer.CancelJob:
+	case peer.Submit:
+		return h.trackSubmission(m.Spec, func() peer.JobReply { return h.handleJobMessage(ctx, m) }), nil
+	case peer.AskJob, peer.AskTrail, peer.CancelJob:
 		return h.handleJobMessage(ctx, m), nil
 	default:
 		return nil, &peer.RefusedError{Name: h.cfg.Name, Reason: "message is not known"}
--- a/internal/host/keep.go
+++ b/internal/host/keep.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/semaphore"
 
+	"pollencroft/internal/attempts"
 	"pollencroft/internal/cell"
 	"pollencroft/internal/job"
 	"pollencroft/internal/joblog"
@@ -25,6 +26,10 @@
 	// renewFraction is the divisor that gives the oldest part of the log. The record of an open
 	// job in this part is written again before the log trims it.
 	renewFraction = 4
+	// submittedExpiry is how long a submission of a job with a key is remembered, maxSubmitted how
+	// many are.
+	submittedExpiry = 5 * time.Minute
+	maxSubmitted    = 20_000
 )
 
 // pendingRecord is a record that waits for its append.
@@ -45,6 +50,8 @@
 	// of both could find a job in neither, and conclude that nobody leads it.
 	transferMu sync.RWMutex
 	collectMu  sync.Mutex
+	// submitted tracks the submissions of jobs with a key, by the job's id.
+	submitted *attempts.Tracker
 	// wasReady is the readiness of this host at the last call of repairJobs.
 	wasReady bool
 	// outgoing contains the jobs that are being handed over to another leader, by id.
@@ -58,9 +65,10 @@
 	writtenEnds, sharedEnds map[string]bool
 }
 
-func newJobStore() *jobStore {
+func newJobStore(now func() time.Time) *jobStore {
 	return &jobStore{
-		log: joblog.New(), queue: make(chan pendingRecord), appendSlots: semaphore.NewWeighted(4), accepting: map[string]bool{},
+		submitted: attempts.New(submittedExpiry, maxSubmitted, now),
+		log:       joblog.New(), queue: make(chan pendingRecord), appendSlots: semaphore.NewWeighted(4), accepting: map[string]bool{},
 		outgoing: map[string]*outgoingJob{}, unwritten: map[string]joblog.Record{}, writtenEnds: map[string]bool{}, sharedEnds: map[string]bool{},
 	}
 }
--- a/internal/host/lifecycle_test.go
+++ b/internal/host/lifecycle_test.go
@@ -267,6 +267,39 @@
 	require.ErrorContains(t, err, "409")
 }
 
+// Guards against a job that runs after its repeated submission was refused: the first submission was
+// written to the log without an answer, and the log refuses the second one.
+func TestRefusedRepetitionOfAnUnansweredJobIsNotARefusal(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1)
+	j := smallJob(2, 0.3)
+	j.Workload, j.Key = "print", "batch-8"
+	// The reads that wait for records when the fault begins are still answered.
+	c.cell.Platform.SetFaults(standin.PlatformFaults{FailReads: true})
+	time.Sleep(2 * time.Second)
+	c.cell.Platform.SetFaults(standin.PlatformFaults{LoseAnswers: 1000, FailReads: true})
+	var lost, refused *client.StatusError
+	_, err := c.clients["h0"].Submit(context.Background(), j)
+	require.ErrorAs(t, err, &lost)
+	require.Equal(t, client.Unknown, lost.Outcome)
+	c.cell.Platform.SetFaults(standin.PlatformFaults{Down: true})
+	_, err = c.clients["h0"].Submit(context.Background(), j)
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, client.Unknown, refused.Outcome, "%v", err)
+	j.Key = "batch-9"
+	_, err = c.clients["h0"].Submit(context.Background(), j)
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, client.Refused, refused.Outcome, "%v", err)
+	c.cell.Platform.SetFaults(standin.PlatformFaults{})
+	j.Key = "batch-8"
+	s := client.JobStatus{}
+	c.waitFor("job is found", func() bool {
+		s, err = c.clients["h0"].Submit(context.Background(), j)
+		return err == nil
+	})
+	c.requireEndsOnce(s.ID, 2)
+}
+
 // A host is stopped as planned while the log is unavailable. Its jobs go to the next leader at
 // once nevertheless, because their state is sent from host to host.
 func TestPlannedStopWhileTheLogIsAway(t *testing.T) {
