host: wait for the verdict of a repeated edit that may be written

What operators saw: an edit that is sent again under its id after no answer is answered "not accepted" while the log is down, and comes into force later.

Cause: the same as for repeated jobs. publish knew only its own append.

Change: publish remembers for five minutes what became of the appends of an edit's id. If an earlier one may be written, the verdict on the record is waited for.

--- a/internal/host/edit.go
+++ b/internal/host/edit.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"pollencroft/internal/attempts"
 	"pollencroft/internal/operator"
 	"pollencroft/internal/platform"
 	"pollencroft/internal/table"
@@ -15,6 +16,9 @@
 const (
 	verdictTimeout = 5 * time.Second
 	appendTimeout  = 2 * time.Second
+	// editExpiry is how long an edit is remembered after its append, maxEdits how many are.
+	editExpiry = 5 * time.Minute
+	maxEdits   = 1000
 )
 
 // operatorTable gives operators access to this host's table.
@@ -86,18 +90,31 @@
 }
 
 // publish appends a record and waits until this host has read it back. The log's answer may be
-// lost after the write, so the verdict on the record decides, never the log's answer.
+// lost after the write, so the verdict on the record decides, never the log's answer. Operators may
+// send an edit again under its id, so it is refused only if no earlier append of it may be written.
 func (h *Host) publish(ctx context.Context, id string, body []byte) (table.Verdict, error) {
 	actx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
+	h.edits.Begin(id)
 	_, err := h.platform.Append(actx, table.Stream, body)
-	var notWritten *platform.NotWrittenError
-	if errors.As(err, &notWritten) {
+	if h.edits.End(id, appendOutcome(err)) == attempts.NotDone {
 		return table.Verdict{}, err
 	}
 	return h.awaitVerdict(ctx, id)
 }
 
+func appendOutcome(err error) attempts.Outcome {
+	var notWritten *platform.NotWrittenError
+	switch {
+	case err == nil:
+		return attempts.Done
+	case errors.As(err, &notWritten):
+		return attempts.NotDone
+	default:
+		return attempts.Unknown
+	}
+}
+
 func (h *Host) awaitVerdict(ctx context.Context, id string) (table.Verdict, error) {
 	ctx, cancel := context.WithTimeout(ctx, verdictTimeout)
 	defer cancel()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"pollencroft/internal/attempts"
 	"pollencroft/internal/backend"
 	"pollencroft/internal/chart"
 	"pollencroft/internal/dial"
@@ -88,6 +89,8 @@
 	listChanged  chan struct{}
 	listNotified atomic.Bool
 	jobs         *jobStore
+	// edits tracks the operators' edits, by id.
+	edits *attempts.Tracker
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -110,7 +113,7 @@
 	h := &Host{
 		cfg: cfg, controlBytes: control, log: log, clock: clock, incarnation: now.UnixMilli(), startedAt: now, metrics: metrics.NewRegistry(),
 		platform: platform.New(cfg.Platform, newTransport(control)), peers: peer.NewClients(peerAddresses(cfg)),
-		history: trail.New(maxHistoryNotes), table: table.New(), tableChanged: make(chan struct{}), jobs: newJobStore(clock), listChanged: make(chan struct{}, 1), peerWork: newGate(), budget: &budget{limit: orDefault(cfg.Limits.Memory, settings.DefaultMemory)},
+		history: trail.New(maxHistoryNotes), table: table.New(), tableChanged: make(chan struct{}), jobs: newJobStore(clock), edits: attempts.New(editExpiry, maxEdits, clock), listChanged: make(chan struct{}, 1), peerWork: newGate(), budget: &budget{limit: orDefault(cfg.Limits.Memory, settings.DefaultMemory)},
 		ctx: ctx, cancel: cancel, stopped: make(chan struct{}),
 		shares:  newShares(cfg, now),
 		members: member.New(member.Heartbeat{Name: cfg.Name, Domain: cfg.Domain, Incarnation: now.UnixMilli()}),
--- a/internal/host/table_test.go
+++ b/internal/host/table_test.go
@@ -5,14 +5,17 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"pollencroft/internal/host"
+	"pollencroft/internal/operator"
 	"pollencroft/internal/settings"
 	"pollencroft/internal/standin"
 	"pollencroft/pkg/client"
@@ -137,6 +140,37 @@
 	})
 }
 
+// putEdit sends an edit of a row under an id and returns the status.
+func (c *testHosts) putEdit(i int, id, row, fields string) int {
+	c.t.Helper()
+	req, err := http.NewRequestWithContext(c.t.Context(), http.MethodPut, "http://"+c.sockets[i].Operator.Addr().String()+"/table/"+row, strings.NewReader(fields))
+	require.NoError(c.t, err)
+	req.Header.Set("Authorization", "Bearer secret")
+	req.Header.Set(operator.HeaderEdit, id)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(c.t, err)
+	require.NoError(c.t, resp.Body.Close())
+	return resp.StatusCode
+}
+
+// Guards against an edit that comes into force after its repetition was answered "not accepted": the
+// first append has no answer, and the log refuses the one of the repetition.
+func TestRefusedRepetitionOfAnUnansweredEditIsUnknown(t *testing.T) {
+	t.Parallel()
+	c := newTestHosts(t, 1)
+	c.startHost(0)
+	c.waitReady(0)
+	c.platform.SetFaults(standin.PlatformFaults{FailReads: true})
+	c.waitFor("reads fail", func() bool { return c.hosts[0].Count("table.unread") > 0 })
+	c.platform.SetFaults(standin.PlatformFaults{FailReads: true, LoseAnswers: 1})
+	require.Equal(t, http.StatusGatewayTimeout, c.putEdit(0, "e1", "scan", `{"weight":7}`))
+	c.platform.SetFaults(standin.PlatformFaults{Down: true})
+	require.Equal(t, http.StatusGatewayTimeout, c.putEdit(0, "e1", "scan", `{"weight":7}`))
+	require.Equal(t, http.StatusServiceUnavailable, c.putEdit(0, "e2", "scan", `{"weight":8}`))
+	c.platform.SetFaults(standin.PlatformFaults{})
+	c.waitFor("edit is in force", func() bool { return c.weight(0, "scan") == 7 })
+}
+
 // Hosts are replaced while the log is down. A host with peers must start with their table. A
 // host that has never seen a table must not accept work, because it would refuse every caller or
 // ignore every limit.
