sched: don't take a cut-off list of ends for complete

What callers saw: tasks run a second time after a worker had listed their first run as done; their jobs are told as completed.

Cause: a worker lists 500 ends at most; the others follow once these are acknowledged, which needs the store. applyHoldReply took each list for complete and requeued tasks that were neither in it nor among the running ones. More than 500 ends between two acknowledgements are enough.

Ruled out by the fix of the lists alone: ends that are acknowledged before they are stored, and lists that overtake each other.

Change: platform marks a reply with 500 ends or more (MoreEnds), also on its way through agents, and for agents of older builds the leader counts. Tasks that such a reply doesn't name keep their runs. The stand-in lists 500 ends at a time too, the simulated workers as many as a test says, and the histories count a start as a violation if the earlier end is acknowledged only later.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -60,7 +60,7 @@
 		orders := &fakeOrders{list: sched.HoldReply{
 			Outcome: sched.Accepted, Clock: time.UnixMilli(123_456),
 			Running: []sched.RunStatus{{Task: task, Run: 4, Checkpoint: "c", Percent: 7, Metric: 9}},
-			Ended:   []sched.RunEnd{{Number: 5, Task: task, Run: 6, How: sched.EndDone, Checkpoint: "d"}},
+			Ended:   []sched.RunEnd{{Number: 5, Task: task, Run: 6, How: sched.EndDone, Checkpoint: "d"}}, MoreEnds: true,
 		}}
 		var wg sync.WaitGroup
 		var messages int
--- a/internal/agent/dispatcher_test.go
+++ b/internal/agent/dispatcher_test.go
@@ -18,6 +18,7 @@
 	"pollencroft/internal/flow"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/sched"
+	"pollencroft/platform"
 )
 
 // fixture is a dispatcher whose messages are answered by the test.
@@ -332,6 +333,28 @@
 	})
 }
 
+// Guards against a list of ends that is cut off and taken for complete: an agent of an older build does
+// not report that there are more.
+func TestFullListOfEndsFromAnOlderAgentMayBeCutOff(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		f.addHall()
+		for i, n := range []int{platform.MaxListedEnds - 1, platform.MaxListedEnds} {
+			require.True(t, f.Send(hold(1)))
+			f.Flush()
+			time.Sleep(20 * time.Millisecond)
+			synctest.Wait()
+			all := f.orders()
+			r := peer.OrderResult{ID: all[len(all)-1].ID}
+			for k := range n {
+				r.Ended = append(r.Ended, peer.EndedRun{Number: int64(k + 1), Task: flow.Name{Job: "a", Index: k}.String(), Run: 1})
+			}
+			f.Results(peer.OrderResults{Term: 7, All: []peer.OrderResult{r}})
+			require.Len(t, f.applied(), i+1)
+			require.Equal(t, n == platform.MaxListedEnds, f.applied()[i].(sched.HoldReply).MoreEnds)
+		}
+	})
+}
+
 // An agent confirms orders and is lost before it sends the results. The core must learn that the
 // orders have no answer, or it would wait for them forever.
 func TestOrdersWithoutAResultAreReportedAsUnanswered(t *testing.T) {
--- a/internal/agent/wire.go
+++ b/internal/agent/wire.go
@@ -7,6 +7,7 @@
 	"pollencroft/internal/incarnation"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/sched"
+	"pollencroft/platform"
 )
 
 // worker returns the worker that an action is an order to, or false if it is none.
@@ -79,7 +80,7 @@
 
 // encodeHold returns a worker's answer to a hold in the format in which leaders receive it.
 func encodeHold(id int64, r sched.HoldReply) peer.OrderResult {
-	got := peer.OrderResult{ID: id, Outcome: int(r.Outcome), Clock: milliseconds(r.Clock), AnsweredBy: r.AnsweredBy}
+	got := peer.OrderResult{ID: id, Outcome: int(r.Outcome), Clock: milliseconds(r.Clock), AnsweredBy: r.AnsweredBy, MoreEnds: r.MoreEnds}
 	for _, l := range r.Running {
 		got.Running = append(got.Running, peer.ListedRun{Task: l.Task.String(), Run: l.Run, Checkpoint: l.Checkpoint, Percent: l.Percent, Metric: l.Metric})
 	}
@@ -111,6 +112,8 @@
 func holdReply(a sched.Hold, outcome sched.Outcome, r peer.OrderResult, sent, received time.Time) sched.HoldReply {
 	h := sched.HoldReply{
 		Worker: a.To.Incarnation, Outcome: outcome, AnsweredBy: r.AnsweredBy, Probe: a.Probe, AckedEnd: a.AckedEnd, Sent: sent, Received: received, Clock: fromMilliseconds(r.Clock),
+		// Agents of older builds do not say whether there are more.
+		MoreEnds: r.MoreEnds || len(r.Ended) >= platform.MaxListedEnds,
 	}
 	for _, l := range r.Running {
 		if task, ok := flow.ParseName(l.Task); ok {
--- a/internal/peer/orders.go
+++ b/internal/peer/orders.go
@@ -61,6 +61,8 @@
 	Clock   int64       `json:"c,omitempty"`
 	Running []ListedRun `json:"r,omitempty"`
 	Ended   []EndedRun  `json:"e,omitempty"`
+	// MoreEnds means that the worker may have more ends than those in Ended.
+	MoreEnds bool `json:"x,omitempty"`
 	// AnsweredBy is the incarnation that answered, if it is another one under the same ID.
 	AnsweredBy string `json:"b,omitempty"`
 }
--- a/internal/sched/fakeworker_test.go
+++ b/internal/sched/fakeworker_test.go
@@ -26,12 +26,14 @@
 	fails      bool
 	startDelay time.Duration
 	// stopTime is how long a run takes to stop; zero is 100 ms.
-	stopTime     time.Duration
-	fence        int64
-	deadline     time.Time
-	runs         map[flow.Name]*fakeRun
-	ends         []sched.RunEnd
-	lastEnd      int64
+	stopTime time.Duration
+	fence    int64
+	deadline time.Time
+	runs     map[flow.Name]*fakeRun
+	ends     []sched.RunEnd
+	lastEnd  int64
+	// endOrder is when each end was, by the cell's count of starts and ends.
+	endOrder     map[int64]int
 	lapsedUpTo   int64
 	tombstones   map[flow.Name]int
 	waitingHolds []func()
@@ -197,6 +199,8 @@
 	w.b.checkStart(w, a, sent)
 	w.checkStep(a.Task, sent)
 	w.b.starts[a.Task]++
+	w.b.order++
+	w.b.lastStart[a.Task] = w.b.order
 	if w.b.crashed[a.Task] >= 3 {
 		w.b.lateStarts[a.Task]++
 	}
@@ -337,6 +341,8 @@
 	delete(w.runs, n)
 	w.tombstones[n] = max(w.tombstones[n], r.run)
 	w.lastEnd++
+	w.b.order++
+	w.endOrder[w.lastEnd] = w.b.order
 	w.ends = append(w.ends, sched.RunEnd{Number: w.lastEnd, Task: n, Run: r.run, How: how})
 	w.answerHolds()
 }
@@ -402,7 +408,7 @@
 	w.fence = a.Term
 	for len(w.ends) > 0 && w.ends[0].Number <= a.AckedEnd {
 		if w.ends[0].How == sched.EndDone && w.ends[0].Number > w.lapsedUpTo {
-			w.b.done[w.ends[0].Task] = true
+			w.b.acknowledge(w, w.ends[0])
 		}
 		w.ends = w.ends[1:]
 	}
@@ -441,6 +447,16 @@
 	w.b.after(a.Wait, answer)
 }
 
+// acknowledge records that an end as done was acknowledged, and a violation if the task was started
+// after it.
+func (b *simCell) acknowledge(w *fakeWorker, e sched.RunEnd) {
+	b.done[e.Task] = true
+	mayRepeat := b.copies && w.spec(e.Task).AllowCopies
+	if b.lastStart[e.Task] > w.endOrder[e.Number] && !mayRepeat {
+		b.violation("%s started after run %d had ended as done on %s, which is acknowledged now", e.Task, e.Run, w.info.Incarnation)
+	}
+}
+
 // rejectHold reports whether a hold is not carried out, and answers it in that case.
 func (w *fakeWorker) rejectHold(term int64, a sched.Hold, ev sched.HoldReply) bool {
 	switch {
@@ -478,6 +494,9 @@
 		ev.Running = append(ev.Running, l)
 	}
 	ev.Ended = slices.Clone(w.ends)
+	if n := w.b.endsPerReply; n > 0 && len(ev.Ended) >= n {
+		ev.Ended, ev.MoreEnds = ev.Ended[:n], true
+	}
 	ev.Received = w.b.now.Add(networkDelay)
 	w.reply(term, ev)
 }
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"pollencroft/internal/flow"
@@ -154,14 +155,32 @@
 			s.runListed(w, l, ev.Clock)
 		}
 	}
-	for _, t := range w.tasksNotListed(listed) {
-		s.runMissing(t, ev.Sent)
+	notListed := w.tasksNotListed(listed)
+	s.noteMoreEnds(w, ev.MoreEnds, len(notListed))
+	if !ev.MoreEnds {
+		for _, t := range notListed {
+			s.runMissing(t, ev.Sent)
+		}
 	}
 	s.checkSpeed(w, ev.Clock)
 	s.releaseUntracked(w, listed, ev.Sent, ev.Clock)
 	s.adjustPace(w, ev.Running)
 }
 
+// noteMoreEnds notes when a worker begins or stops to list only a part of its ends. Until all of them
+// are read, a task that it does not list may have ended.
+func (s *Sched) noteMoreEnds(w *worker, more bool, notListed int) {
+	if w.moreEnds == more {
+		return
+	}
+	w.moreEnds = more
+	what := "all ends of the worker are read"
+	if more {
+		what = "worker has more ends"
+	}
+	s.emit(Note{ID: w.Incarnation, What: what, Worker: w.Incarnation, Detail: strconv.Itoa(notListed) + " tasks are not listed"})
+}
+
 // tasksNotListed returns the worker's tasks whose run is not listed, sorted by name. Nearly always
 // there is none.
 func (w *worker) tasksNotListed(listed map[runKey]bool) []*flow.Task {
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -116,6 +116,9 @@
 	Clock          time.Time
 	Running        []RunStatus
 	Ended          []RunEnd
+	// MoreEnds means that the worker may have ends after the last one in Ended. It lists them once
+	// earlier ones are acknowledged. Running is always complete.
+	MoreEnds bool
 }
 
 // RunStatus is one run that a worker lists. For a task that serves requests, Metric is the tail of
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -41,8 +41,9 @@
 	s.emit(Stop{To: w.Address, Term: s.term, Task: l.Task, Run: l.Run})
 }
 
-// runMissing handles a task that the worker does not list. A list counts only if it was requested
-// after the run was certain to be on the worker, or certain never to begin.
+// runMissing handles a task that the worker lists neither as running nor as ended, in a reply with all
+// of its ends. A list counts only if it was requested after the run was certain to be on the worker, or
+// certain never to begin.
 func (s *Sched) runMissing(t *flow.Task, sent time.Time) {
 	switch t.State {
 	case flow.Inherited:
--- a/internal/sched/simcell_test.go
+++ b/internal/sched/simcell_test.go
@@ -40,6 +40,8 @@
 	cancelledAt   map[string]int
 	// storeDown leaves appends unanswered.
 	storeDown bool
+	// endsPerReply is how many ends workers list in one reply; zero means all.
+	endsPerReply int
 	// storeTime is how long the store takes for an append; nil is 3 ms.
 	storeTime func() time.Duration
 	// copies means that several runs of one task may exist at the same time, if its step allows it.
@@ -55,6 +57,8 @@
 	stepWaits []sched.StepWaited
 	jobStarts []sched.JobStarted
 	longWaits []sched.Note
+	// pageNotes are the notes about workers that list their ends in pages.
+	pageNotes []sched.Note
 	// resizeNotes are the notes about size changes.
 	resizeNotes []sched.Note
 	// appendedRecords and appendedBytes count what was appended to the store.
@@ -89,6 +93,10 @@
 	violations []string
 	// done are tasks that ended as done and whose end was acknowledged.
 	done map[flow.Name]bool
+	// order counts the starts and ends of runs, lastStart is when each task was started last by that
+	// count.
+	order     int
+	lastStart map[flow.Name]int
 	// starts counts starts by task, gangs holds the members that have begun in each run of a gang.
 	starts map[flow.Name]int
 	gangs  map[gangRun]map[int]bool
@@ -123,7 +131,7 @@
 func newSimCell(t *testing.T, workers int) *simCell {
 	b := &simCell{
 		t: t, now: time.Unix(1_000_000, 0), term: 1, workers: map[string]*fakeWorker{}, stored: map[string][]byte{},
-		specs: map[string]flow.Spec{}, done: map[flow.Name]bool{}, cancelledAt: map[string]int{}, starts: map[flow.Name]int{}, gangs: map[gangRun]map[int]bool{},
+		specs: map[string]flow.Spec{}, done: map[flow.Name]bool{}, cancelledAt: map[string]int{}, starts: map[flow.Name]int{}, lastStart: map[flow.Name]int{}, gangs: map[gangRun]map[int]bool{},
 		crashed: map[flow.Name]int{}, lateStarts: map[flow.Name]int{},
 		queues: []flow.Queue{{Name: "scan", Service: "pass", Rank: 0, Attempts: 3}, {Name: "print", Service: "pass", Rank: 2, Attempts: 4}},
 	}
@@ -141,7 +149,7 @@
 
 func (b *simCell) addWorker(incarnation string, i int) *fakeWorker {
 	incarnation = b.nameOf(incarnation)
-	w := &fakeWorker{b: b, slowdown: 1, runs: map[flow.Name]*fakeRun{}, tombstones: map[flow.Name]int{}, info: sched.Worker{
+	w := &fakeWorker{b: b, slowdown: 1, endOrder: map[int64]int{}, runs: map[flow.Name]*fakeRun{}, tombstones: map[flow.Name]int{}, info: sched.Worker{
 		Address: sched.Address{Incarnation: incarnation, Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)},
 		Service: "pass", Domain: fmt.Sprintf("d%d", i%3), Rack: fmt.Sprintf("r%d", i%3), Labels: b.labels, Size: cell.Size{CPU: 64_000, Mem: 256 << 30},
 	}}
@@ -306,6 +314,8 @@
 // recordNote records notes about some of the core's decisions.
 func (b *simCell) recordNote(a sched.Note) {
 	switch a.What {
+	case "worker has more ends", "all ends of the worker are read":
+		b.pageNotes = append(b.pageNotes, a)
 	case "worker resized":
 		b.resizeNotes = append(b.resizeNotes, a)
 	case "step waits":
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -46,6 +46,8 @@
 	// lastEndRead is the last end that was read, lastEndStored the last one that is stored, and
 	// lastEndAcked the last one that the worker knows to be stored.
 	lastEndRead, lastEndStored, lastEndAcked int64
+	// moreEnds means that the last reply that was read did not list all ends.
+	moreEnds bool
 	// endReadAt is when an end was last read.
 	endReadAt time.Time
 	// clock is the worker's time as of readAt. No lease lasts beyond leaseDeadline, and no start is
--- a/internal/standin/users/worker.go
+++ b/internal/standin/users/worker.go
@@ -192,6 +192,9 @@
 	TaskCPU = 500
 	// wholeCPU is the initial CPU capacity of a worker.
 	wholeCPU = 64_000
+	// maxListedEnds is how many ends one response lists. The others follow once these are
+	// acknowledged.
+	maxListedEnds = 500
 )
 
 // NewWorker starts a worker whose tasks each run for the duration work.
@@ -475,7 +478,7 @@
 	for _, k := range slices.SortedFunc(maps.Keys(w.runs), compareRuns) {
 		running = append(running, []any{k.task, k.run, "", 100, 0})
 	}
-	for _, e := range w.ends {
+	for _, e := range w.ends[:min(len(w.ends), maxListedEnds)] {
 		ends = append(ends, []any{e.n, e.task, e.run, e.how, ""})
 	}
 	lists := map[string]any{"clockMs": w.clock().Milliseconds(), "running": running, "ended": ends}
