report: say where the time of late jobs went

Cause: the line of a job's end had the time that its steps waited and the whole time. Whether a late job lost time on the way to the leader, between decision and start, or between a run's end and its notice could not be told apart.

Change: the line names the time until the runs that ended last were stored, begun and ended; the report sums it up for late jobs, beside the waits and the time from acceptance to the leader's receipt.

Result: TestEndTellsHowLongThePhasesOfItsRunsTook, ExampleRead.

--- a/internal/entry/summary.go
+++ b/internal/entry/summary.go
@@ -58,6 +58,7 @@
 			attrs = append(attrs, "wait-"+sched.WaitReason(r).String(), d)
 		}
 	}
+	attrs = append(attrs, "phase-store", a.Phases.Store, "phase-order", a.Phases.Order, "phase-run", a.Phases.Run)
 	t.h.log.Info("sched: ended.", attrs...)
 	if a.Repeated {
 		return
--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -71,6 +71,8 @@
 	// does not show how long the task takes: a former leader started it, so that its beginning is
 	// not known, or it resumed from a checkpoint.
 	MeasuredFrom time.Time
+	// Phases is how long the phases of the current or latest run took.
+	Phases Phases
 	// avoided lists the workers that the task avoids, and may contain expired ones.
 	avoided []avoidance
 	// Percent is the progress reported last. ProgressSeen is when progress was first reported
@@ -98,6 +100,7 @@
 	case ev == Confirm && t.State == Starting && t.Checkpoint == "":
 		t.MeasuredFrom = now
 	}
+	t.Phases = t.Phases.after(ev, t.State, now.Sub(t.Since))
 	t.setState(next)
 	t.Since = now
 	return true
@@ -202,6 +205,8 @@
 	Untracked []UntrackedRun
 	// Ended is when the job reached a final state.
 	Ended time.Time
+	// Phases is the sum over the finished steps of the phases of the run that ended last.
+	Phases Phases
 	// chainTimes holds for each step the estimated time from its start to the end of the job.
 	chainTimes []time.Duration
 }
--- a/internal/report/events.go
+++ b/internal/report/events.go
@@ -31,6 +31,9 @@
 	term                           int64
 	took, objective                time.Duration
 	waits                          waitTimes
+	// phased means that the line names the phases of the job's runs.
+	phased bool
+	phases phaseTimes
 }
 
 // stepWaits says that a step has waited for long and still waits.
@@ -123,6 +126,12 @@
 			e.waits[r] = a.duration(name)
 		}
 	}
+	for p, phase := range phases {
+		name := "phase-" + phase
+		if _, ok := a.e.Attrs[name]; ok {
+			e.phased, e.phases[p] = true, a.duration(name)
+		}
+	}
 	return e
 }
 
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -132,6 +132,7 @@
 	unreadable int
 	omissions  *omissions
 	rows       map[key]*row
+	latencies  map[key]*latencySums
 	jobs       map[string]*outcome
 	rejections map[rejectionKey]*rejectionSums
 	stops      map[stopKey]int
@@ -153,7 +154,7 @@
 		return nil, err
 	}
 	rep := &Report{
-		o: o, omissions: newOmissions(o.Window), rows: map[key]*row{}, jobs: map[string]*outcome{},
+		o: o, omissions: newOmissions(o.Window), rows: map[key]*row{}, latencies: map[key]*latencySums{}, jobs: map[string]*outcome{},
 		rejections: map[rejectionKey]*rejectionSums{}, stops: map[stopKey]int{}, stoppedRun: map[runKey]bool{},
 		loads: map[time.Time]*loadSums{}, terms: map[int64]bool{},
 	}
@@ -361,6 +362,7 @@
 	}
 	if e.late() {
 		w.late++
+		r.addLatency(at, j)
 	}
 	if e.waits.total() > 0 {
 		w.waited++
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -106,7 +106,7 @@
 		{"rank": 0, "reason": "quota", "steps": 170, "cpu": 8_900_000}, {"rank": 2, "reason": "room", "steps": 4, "cpu": 72_000}})
 	s.now = s.now.Add(4 * time.Second)
 	end(sued, 3, "a2", "scan", "kronach", "completed", 1500*time.Millisecond, 1750*time.Millisecond, "wait-advice", 200*time.Millisecond)
-	end(sued, 3, "b0", "scan", "halle", "completed", 5*time.Second, 1750*time.Millisecond, "wait-quota", 3500*time.Millisecond)
+	end(sued, 3, "b0", "scan", "halle", "completed", 5*time.Second, 1750*time.Millisecond, "wait-quota", 3500*time.Millisecond, "phase-store", 20*time.Millisecond, "phase-order", 30*time.Millisecond, "phase-run", time.Second)
 	sued.Info("sched: step waits.", "id", "b7.0.0", "worker", "", "run", 0, "term", 3, "detail", "quota 4s; 30 of 30 cores", "queue", "scan", "organisation", "halle", "reason", "quota")
 	s.now = s.now.Add(6 * time.Second)
 	nord.Info("caller: state reported.", "id", "b0", "state", "completed")
@@ -138,6 +138,10 @@
 	// 12:00:06  scan   kronach       sued    0         0         0         1      0       0     1       0.0   0.2     0.0   0.0    0        0
 	// total                                  158+      1         1+        2      0       1     2       0.0   0.2     0.0   3.5    1        1
 	//
+	// Time of late jobs (mean; seconds)
+	// window    queue  organisation  domain  jobs  took  objective  notice  host  advice  room  quota  store  order  run
+	// 12:00:06  scan   halle         nord    1     5.00  1.75       -       0.00  0.00    0.00  3.50   0.02   0.03   1.00
+	//
 	// Plot
 	// window    accepted               rejected            late                stopped             waiting processors
 	// 12:00:00  # 2                    0                   0                   0                   0
--- a/internal/report/table.go
+++ b/internal/report/table.go
@@ -14,12 +14,13 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Write prints the report: what may be missing, the sums by window, a plot, the leaders' load, the
+// Write prints the report: what may be missing, the sums by window, where the time of late jobs went, a plot, the leaders' load, the
 // rejections, the stopped runs and the jobs that were late or still wait.
 func (r *Report) Write(w io.Writer) error {
 	var b strings.Builder
 	r.writeHead(&b)
 	r.writeRows(&b)
+	r.writeLatencies(&b)
 	r.writePlot(&b)
 	r.writeLoads(&b)
 	r.writeRejections(&b)
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -139,6 +139,7 @@
 		return
 	}
 	if t.Step.Finished() {
+		t.Job.Phases = t.Job.Phases.Add(t.Phases)
 		s.compareSpeeds(t.Step)
 		delete(s.advice, t.Step)
 	}
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -305,6 +305,9 @@
 	Took, Objective time.Duration
 	// Waits is how long the job's steps waited under this term, in sum.
 	Waits WaitTimes
+	// Phases is the sum over the steps of the phases of the run that ended last, as far as this term
+	// knows them.
+	Phases flow.Phases
 }
 
 // Late reports whether the job missed its objective. A cancelled job misses nothing.
--- a/internal/sched/summary.go
+++ b/internal/sched/summary.go
@@ -103,6 +103,7 @@
 	e := JobEnded{
 		ID: j.Spec.ID, Queue: q.Name, Organisation: j.Spec.Organisation, Rank: q.Rank, State: j.Published, Repeated: repeated,
 		Took: j.Ended.Sub(j.Accepted), Waits: s.jobWaits[j.Spec.ID],
+		Phases: j.Phases,
 	}
 	for _, r := range j.Rounds {
 		for _, st := range r.Stages {
--- a/internal/sched/summary_test.go
+++ b/internal/sched/summary_test.go
@@ -58,3 +58,24 @@
 	require.False(t, s2.Late())
 	require.InDelta(t, 500, s2.Waits[sched.WaitForQuota].Milliseconds(), 100)
 }
+
+// Guards against ends that don't say whether a late job's time was spent on storing its runs, on
+// ordering them or on the runs themselves.
+func TestEndTellsHowLongThePhasesOfItsRunsTook(t *testing.T) {
+	b := newQuotaCell(t, 4)
+	spec := scan(2)
+	b.submit("s1", "scan", spec)
+	b.advance(20 * time.Second)
+	var ends []sched.JobEnded
+	for _, a := range b.reports {
+		if e, ok := a.(sched.JobEnded); ok && !e.Repeated {
+			ends = append(ends, e)
+		}
+	}
+	require.Len(t, ends, 1)
+	p := ends[0].Phases
+	require.Positive(t, p.Store)
+	require.Positive(t, p.Order)
+	require.Greater(t, p.Run, spec.EstimatedTime/2)
+	require.LessOrEqual(t, p.Store+p.Order+p.Run, ends[0].Took)
+}
