peer: pack orders and their results

Cause: the JSON-RPC library decodes the parameters of each message into maps, encodes them again, and only then are they decoded into the message. Together with the check of the text before each decoding that is most of what the leader spends on results: 15 % of its processor time at 2,050 starts a second.

Change: orders and results are packed as CBOR once the peer has answered to a ping that it unpacks them; hosts of older builds get and send them as before. The text of a message is handed to the library's types without two checks more.

Result: TestReadingAMessageTakesLittleMoreThanDecodingIt; without packing it failed with 119 allocations for each result where 18 are allowed, twice those of decoding it once. TestMessagesArriveAsSent, TestMessagesAreNotPackedForOlderBuilds, and 15 s of FuzzDecodeParams passed.

--- a/internal/peer/bound.go
+++ b/internal/peer/bound.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"encoding/json"
@@ -50,13 +51,26 @@
 		c.count("size")
 		return &SizeError{Size: size}
 	}
-	rest := io.LimitReader(r, int64(size))
-	if err := json.NewDecoder(rest).Decode(v); err != nil {
+	var b bytes.Buffer
+	// The buffer grows with what arrives, not with the size that the peer claims.
+	if _, err := io.CopyN(&b, r, int64(size)); err != nil {
 		c.count("broken")
 		return err
 	}
-	_, err = io.Copy(io.Discard, rest)
-	return err
+	if err := decodeObject(b.Bytes(), v); err != nil {
+		c.count("broken")
+		return err
+	}
+	return nil
+}
+
+// decodeObject decodes one message of the library. Its types check the text themselves, which
+// json.Unmarshal would do twice more.
+func decodeObject(b []byte, v any) error {
+	if u, ok := v.(json.Unmarshaler); ok {
+		return u.UnmarshalJSON(b)
+	}
+	return json.Unmarshal(b, v)
 }
 
 type senderKey struct{}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -53,6 +53,8 @@
 	sent atomic.Int64
 	// silent counts the links that were closed because they were silent.
 	silent *atomic.Int64
+	// unpacks means that the peer unpacks messages, asked that it was asked about that.
+	unpacks, asked atomic.Bool
 }
 
 func newLink(raw net.Conn, idle time.Duration, silent *atomic.Int64) *link {
@@ -116,7 +118,11 @@
 		// as well.
 		l.sent.Add(int64(len(r.Request.Body)))
 	}
-	err := l.rpc.Call(ctx, m.method(), m, into)
+	params, err := l.params(m)
+	if err != nil {
+		return err
+	}
+	err = l.rpc.Call(ctx, m.method(), params, into)
 	if errors.Is(err, jsonrpc2.ErrClosed) {
 		l.ended.Store(true)
 	}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -30,8 +30,11 @@
 	Remaining cell.Duration `json:"Left"`
 }
 
-// Ping asks only for an answer, to check that the connection works.
-type Ping struct{}
+// Ping asks for an answer, to check that the connection works. The answer says whether the host
+// unpacks messages that are packed as CBOR.
+type Ping struct {
+	Unpacks bool `json:"unpacks,omitempty"`
+}
 
 // OpenKey asks the home of a key to open it; the answer is a ledger.Verdict.
 type OpenKey struct{ ledger.Open }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log"
@@ -145,11 +144,11 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
 	}
 	v := reflect.New(typ)
-	if err := json.Unmarshal(*req.Params, v.Interface()); err != nil {
+	if err := decodeParams(*req.Params, v.Interface()); err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
-	if ping, ok := v.Elem().Interface().(Ping); ok {
-		return ping, nil
+	if _, ok := v.Elem().Interface().(Ping); ok {
+		return Ping{Unpacks: true}, nil
 	}
 	// The library cancels ctx when the connection ends, so a request that only waits here, in a
 	// queue or for a key, frees its place.
@@ -287,7 +286,11 @@
 	if err != nil {
 		return &UnreachableError{Name: name, Cause: err}
 	}
-	if err := conn.rpc.Notify(ctx, m.method(), m); err != nil {
+	params, err := conn.params(m)
+	if err != nil {
+		return err
+	}
+	if err := conn.rpc.Notify(ctx, m.method(), params); err != nil {
 		return &NoAnswerError{Name: name, Cause: err}
 	}
 	return nil
