--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -438,15 +438,19 @@
 // record to count them.
 func (s *Sched) forgetEndedJobs() {
 	maps.DeleteFunc(s.earlyCancels, func(_ Cancel, at time.Time) bool { return s.now.Sub(at) > s.limits.Retention })
-	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
-		j := s.jobs[id]
+	var expired []string
+	for id, j := range s.jobs {
 		if j.State.Final() && j.Published.Final() && s.now.Sub(j.Ended) > s.limits.Retention && s.settled(j) {
-			delete(s.jobs, id)
-			delete(s.openJobs, id)
-			delete(s.jobWaits, id)
-			s.emit(Forget{ID: id})
+			expired = append(expired, id)
 		}
 	}
+	slices.Sort(expired)
+	for _, id := range expired {
+		delete(s.jobs, id)
+		delete(s.openJobs, id)
+		delete(s.jobWaits, id)
+		s.emit(Forget{ID: id})
+	}
 }
 
 // Due returns the latest time at which the core has to be stepped again.
