sched: leave bulk more of few hosts that can ask the policy service

Cause: 0.4 of the hosts, rounded up, may be kept free for urgent queries. Of three that is two, which urgent queries fill by a quarter, and one host asks for all other steps, whose queries take more than its time.

Change: for steps that have waited for a host for a second the share is rounded down. With many hosts that changes one of them.

--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -15,10 +15,22 @@
 	urgent usage
 	// adapt means that the number of hosts kept free of long queries follows the urgent load.
 	adapt bool
-	// noneFree means for urgent and for long queries that no host can take one in this pass.
-	noneFree map[bool]bool
+	// noneFree means for each kind of query that no host can take one in this pass.
+	noneFree map[Kind]bool
 }
 
+// Kind is the kind of a query.
+type Kind int
+
+const (
+	// Urgent queries are those about steps of the most urgent queues.
+	Urgent Kind = iota
+	// Long queries are all others.
+	Long
+	// Overdue queries are long ones that have waited for a host for too long.
+	Overdue
+)
+
 // host is a host that can query the policy service.
 type host struct {
 	// busyUntil is when the queries given to the host are expected to be answered; long means that
@@ -53,7 +65,7 @@
 // New returns an empty set of hosts. If adapt is set, the number of hosts that are kept free of long
 // queries follows the load of urgent ones; otherwise it is constant.
 func New(adapt bool) *Hosts {
-	return &Hosts{all: map[string]*host{}, adapt: adapt, noneFree: map[bool]bool{}}
+	return &Hosts{all: map[string]*host{}, adapt: adapt, noneFree: map[Kind]bool{}}
 }
 
 // Set replaces the hosts. What is known of those that stay is kept.
@@ -97,9 +109,14 @@
 
 // reserved returns how many hosts are kept free of long queries, based on the recent load of urgent
 // ones. An urgent query takes a tenth of the time of a long one and would have to wait for all of
-// it. But each host that is reserved needlessly leaves workers idle that no step asks about.
-func (p *Hosts) reserved(now time.Time) int {
-	most := int(math.Ceil(maxUrgentShare * float64(len(p.all))))
+// it. But each host that is reserved needlessly leaves workers idle that no step asks about. Of few
+// hosts the share rounded up is most of them, so it is rounded down for overdue queries.
+func (p *Hosts) reserved(k Kind, now time.Time) int {
+	share := maxUrgentShare * float64(len(p.all))
+	most := int(math.Ceil(share))
+	if k == Overdue {
+		most = max(int(share), 1)
+	}
 	if !p.adapt {
 		return most
 	}
@@ -110,16 +127,16 @@
 func (p *Hosts) BeginPass() { clear(p.noneFree) }
 
 // NoneFree reports whether PickOnce has found no host since BeginPass.
-func (p *Hosts) NoneFree(long bool) bool { return p.noneFree[long] }
+func (p *Hosts) NoneFree(k Kind) bool { return p.noneFree[k] }
 
 // PickOnce is like Pick, but remembers until BeginPass that no host is free, so that a backlog of a
 // thousand steps checks once.
-func (p *Hosts) PickOnce(long bool, now time.Time) string {
-	if p.noneFree[long] {
+func (p *Hosts) PickOnce(k Kind, now time.Time) string {
+	if p.noneFree[k] {
 		return ""
 	}
-	name := p.Pick(long, 0, now)
-	p.noneFree[long] = name == ""
+	name := p.Pick(k, 0, now)
+	p.noneFree[k] = name == ""
 	return name
 }
 
@@ -127,8 +144,8 @@
 // Long queries go to idle hosts only and never to all hosts, so that an urgent one doesn't wait
 // behind them everywhere. A long query must leave at least the given number of the hosts open to
 // long queries.
-func (p *Hosts) Pick(long bool, leave int, now time.Time) string {
-	busy := 0
+func (p *Hosts) Pick(k Kind, leave int, now time.Time) string {
+	long, busy := k != Urgent, 0
 	best := ""
 	for n, h := range p.all {
 		if h.long && h.busyUntil.After(now) {
@@ -141,7 +158,7 @@
 			best = n
 		}
 	}
-	most := max(len(p.all)-p.reserved(now), 1)
+	most := max(len(p.all)-p.reserved(k, now), 1)
 	if long && busy+leave >= most {
 		return ""
 	}
--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pollencroft/internal/flow"
+	"pollencroft/internal/policy"
 )
 
 // advice holds what the policy service has answered about one step.
@@ -132,7 +133,7 @@
 	if s.now.Before(a.nextQuery) || p.knownFull(r.stage.Spec.Demand()) {
 		return
 	}
-	name := s.hosts.PickOnce(s.isLong(r.queue), s.now)
+	name := s.hosts.PickOnce(s.queryKind(r), s.now)
 	if name == "" {
 		return
 	}
@@ -150,6 +151,21 @@
 // isLong reports whether a queue is not among the most urgent ones, whose queries are short.
 func (s *Sched) isLong(q flow.Queue) bool { return q.Rank > s.top }
 
+// maxHostWait is how long a step may wait for a host before it may use those that are kept free for
+// urgent queries beyond their share.
+const maxHostWait = time.Second
+
+// queryKind returns the kind of a query about a step.
+func (s *Sched) queryKind(r readyStep) policy.Kind {
+	if !s.isLong(r.queue) {
+		return policy.Urgent
+	}
+	if w, ok := s.waits[r.stage]; ok && w.times[WaitForHost] >= maxHostWait {
+		return policy.Overdue
+	}
+	return policy.Long
+}
+
 // adviceFor returns the advice on a step and creates an empty one if there is none.
 func (s *Sched) adviceFor(st *flow.Stage) *advice {
 	a, ok := s.advice[st]
--- a/internal/sched/prefetch.go
+++ b/internal/sched/prefetch.go
@@ -31,7 +31,7 @@
 	if !a.queriedAt.IsZero() {
 		return
 	}
-	name := s.hosts.Pick(true, 1, s.now)
+	name := s.hosts.Pick(policy.Long, 1, s.now)
 	if name == "" {
 		return
 	}
--- a/internal/sched/waits.go
+++ b/internal/sched/waits.go
@@ -113,7 +113,7 @@
 		return WaitForCapacity
 	case ok && !a.queriedAt.IsZero():
 		return WaitForPolicy
-	case s.hosts.NoneFree(s.isLong(r.queue)):
+	case s.hosts.NoneFree(s.queryKind(r)):
 		return WaitForHost
 	default:
 		return WaitForCapacity
