peer: encode messages with one check of their text less

Cause: the library's types encode themselves, and json.Marshal checks and copies what they return once more.

Change: the codec writes what they return.

--- a/internal/peer/bound.go
+++ b/internal/peer/bound.go
@@ -10,8 +10,6 @@
 	"io"
 	"net"
 	"time"
-
-	"github.com/sourcegraph/jsonrpc2"
 )
 
 // Bounds of one message.
@@ -27,11 +25,10 @@
 
 func (e *SizeError) Error() string { return fmt.Sprintf("message of %d bytes is too large", e.Size) }
 
-// boundedCodec reads the library's format and rejects a message that claims to be too large or
+// boundedCodec reads and writes the format of jsonrpc2.VarintObjectCodec, and rejects a message that claims to be too large or
 // does not end in time. The library itself accepts any size: one message could take all memory,
 // or hold its connection forever.
 type boundedCodec struct {
-	jsonrpc2.VarintObjectCodec
 	conn  net.Conn
 	count func(reason string)
 }
@@ -64,6 +61,25 @@
 	return nil
 }
 
+// WriteObject writes one message.
+func (c boundedCodec) WriteObject(w io.Writer, v any) error {
+	b, err := encodeObject(v)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(append(binary.AppendUvarint(make([]byte, 0, binary.MaxVarintLen64+len(b)), uint64(len(b))), b...))
+	return err
+}
+
+// encodeObject encodes one message of the library. Its types return checked text, which json.Marshal
+// would check and copy again.
+func encodeObject(v any) ([]byte, error) {
+	if m, ok := v.(json.Marshaler); ok {
+		return m.MarshalJSON()
+	}
+	return json.Marshal(v)
+}
+
 // decodeObject decodes one message of the library. Its types check the text themselves, which
 // json.Unmarshal would do twice more.
 func decodeObject(b []byte, v any) error {
