entry: log the garbage collector's time of a leader

A leader near its memory limit may spend its processor on collections; its line of load could not tell that from work.

--- a/internal/entry/load.go
+++ b/internal/entry/load.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"maps"
+	runtimemetrics "runtime/metrics"
 	"slices"
 	"strings"
 	"syscall"
@@ -22,22 +23,22 @@
 // much CPU time the process used. A leader that is short of CPU time answers late, is taken for
 // dead and is fenced off; these lines show which work used the CPU time.
 func (t *term) reportLoad() {
-	was, at, cpu := t.h.loadCounts(), t.h.now(), processorTime()
+	was, at, cpu, gc := t.h.loadCounts(), t.h.now(), processorTime(), collectorTime()
 	for more := true; more; {
 		more = sleep(t.ctx, loadInterval)
-		is, now, used := t.h.loadCounts(), t.h.now(), processorTime()
+		is, now, used, collected := t.h.loadCounts(), t.h.now(), processorTime(), collectorTime()
 		t.mu.Lock()
 		late := t.maxTickDelay
 		t.maxTickDelay = 0
 		t.mu.Unlock()
-		attrs := []any{"term", t.number, "for", now.Sub(at), "processor", used - cpu, "late", late, "peak-mib", peakMemory()}
+		attrs := []any{"term", t.number, "for", now.Sub(at), "processor", used - cpu, "collector", collected - gc, "late", late, "peak-mib", peakMemory()}
 		for _, name := range slices.Sorted(maps.Keys(is)) {
 			if n := is[name] - was[name]; n > 0 {
 				attrs = append(attrs, slog.Int64(name, n))
 			}
 		}
 		t.h.log.Info("lead: load.", attrs...)
-		was, at, cpu = is, now, used
+		was, at, cpu, gc = is, now, used, collected
 	}
 }
 
@@ -59,6 +60,17 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
+// collectorTime returns the CPU time that the garbage collector has used so far, in the runtime's own
+// estimate.
+func collectorTime() time.Duration {
+	s := []runtimemetrics.Sample{{Name: "/cpu/classes/gc/total:cpu-seconds"}}
+	runtimemetrics.Read(s)
+	if s[0].Value.Kind() != runtimemetrics.KindFloat64 {
+		return 0
+	}
+	return time.Duration(s[0].Value.Float64() * float64(time.Second))
+}
+
 // peakMemory returns the peak memory use of this process, in MiB.
 func peakMemory() int64 { return usage().Maxrss >> 10 }
 
