--- a/internal/peer/bound.go
+++ b/internal/peer/bound.go
@@ -25,9 +25,9 @@
 
 func (e *SizeError) Error() string { return fmt.Sprintf("message of %d bytes is too large", e.Size) }
 
-// boundedCodec reads and writes the format of jsonrpc2.VarintObjectCodec, and rejects a message that claims to be too large or
-// does not end in time. The library itself accepts any size: one message could take all memory,
-// or hold its connection forever.
+// boundedCodec reads and writes the format of jsonrpc2.VarintObjectCodec. It rejects a message that
+// claims to be too large or does not end in time. The library itself accepts any size: one message
+// could take all memory, or hold its connection forever.
 type boundedCodec struct {
 	conn  net.Conn
 	count func(reason string)
