--- a/internal/sched/candidates.go
+++ b/internal/sched/candidates.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pollencroft/internal/flow"
 	"pollencroft/internal/policy"
 )
@@ -12,18 +14,22 @@
 const examinedPerNamed = 8
 
 // examine calls suits for workers on which a step may be placed, until it has returned true enough
-// times: first for those in the failure domain of the job. All jobs begin at the same worker: a worker
-// that runs anything takes holds, so tasks are kept on as few as have capacity. For gangs and for steps
-// that are close to their data it calls suits for all workers.
+// times: first for those in the failure domain of the job. It begins at another worker for each job,
+// so that jobs don't all compete for the same few workers. For gangs and for steps that are close to
+// their data it calls suits for all workers.
 func (s *Sched) examine(r readyStep, all []*worker, enough int, suits func(w *worker) bool) {
-	if st := r.stage.Spec; st.Gang || st.NearRack != "" {
+	first := 0
+	if st := r.stage.Spec; st.Gang || st.NearRack != "" || len(all) <= enough {
 		enough = len(all)
+	} else {
+		first = int(xxhash.Sum64String(r.job.Spec.ID) % uint64(len(all)))
 	}
 	for _, sameDomain := range []bool{true, false} {
-		for _, w := range all {
+		for i := range all {
 			if enough <= 0 {
 				return
 			}
+			w := all[(first+i)%len(all)]
 			if (w.Domain == r.job.Domain) != sameDomain {
 				continue
 			}
