sched: report runs that begin in a worker's next incarnation

Orders name their worker by its ID, so a start may be carried out after the worker has restarted. The log had the restart and the runs that may be carried over, not whether one was: that tells orders that arrive after a restart apart from two leaders. A line and the counter run.carried say it now, with the age of the start.

--- a/internal/entry/summary.go
+++ b/internal/entry/summary.go
@@ -41,8 +41,11 @@
 	if a.Reason != "" {
 		attrs = append(attrs, "reason", a.Reason)
 	}
-	if a.What == "stop" {
+	switch a.What {
+	case "stop":
 		t.h.incCounter("run.stopped")
+	case "run began in the next incarnation":
+		t.h.incCounter("run.carried")
 	}
 	t.h.log.Info("sched: "+a.What+".", attrs...)
 }
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -280,6 +280,14 @@
 	}
 }
 
+// describeAge returns how long ago a start was sent, for the log.
+func (s *Sched) describeAge(sent time.Time) string {
+	if sent.IsZero() {
+		return " by a former leader"
+	}
+	return " " + s.now.Sub(sent).String() + " ago"
+}
+
 func (s *Sched) noteCarried(old, next *worker, k runKey) {
 	next.unlisted[k] = old.unlisted[k]
 	next.carried[k] = cmp.Or(old.carried[k], old.Incarnation)
@@ -297,12 +305,14 @@
 // seen notes that a worker has listed a run. A run that began in the incarnation after the one to
 // which its start was sent did not end the former one.
 func (s *Sched) seen(w *worker, k runKey) {
+	sent := w.unlisted[k]
 	delete(w.unlisted, k)
 	former, ok := w.carried[k]
 	if !ok {
 		return
 	}
 	delete(w.carried, k)
+	s.emit(Note{ID: k.task.String(), What: "run began in the next incarnation", Worker: w.Incarnation, Run: k.run, Detail: "its start was sent to " + former + s.describeAge(sent)})
 	old, ok := s.workers[former]
 	if !ok {
 		return
--- a/internal/sched/restart_test.go
+++ b/internal/sched/restart_test.go
@@ -98,6 +98,8 @@
 			b.worker("w01").restart(5 * time.Second)
 			b.submit("a", "scan", flow.Step{Tasks: 6, Size: scan(1).Size, EstimatedTime: 4 * time.Second, AllowCopies: copies})
 			b.requireCompletedWithin("a", 30*time.Second)
+			require.NotEmpty(t, b.carriedNotes)
+			require.Contains(t, b.carriedNotes[0].Detail, "ago")
 		})
 	}
 }
@@ -177,6 +179,8 @@
 	}
 	b.requireCompletedWithin("a", 20*time.Second)
 	require.Equal(t, 1, b.starts[name], "the run goes on")
+	require.Len(t, b.carriedNotes, 1)
+	require.Contains(t, b.carriedNotes[0].Detail, "by a former leader")
 }
 
 // Guards against a gang that goes on with one member fewer, or whose members run under different
--- a/internal/sched/simcell_test.go
+++ b/internal/sched/simcell_test.go
@@ -113,6 +113,8 @@
 	reports []sched.Action
 	// crashNotes are the notes about runs under which a worker may have crashed.
 	crashNotes []sched.Note
+	// carriedNotes are the notes about runs whose start was sent to a former incarnation.
+	carriedNotes []sched.Note
 	// failedNotes are the notes about jobs that failed because of crashes.
 	failedNotes []sched.Note
 	// reportsBorn means that workers report when they began, and restart under the ID that they had.
@@ -320,6 +322,8 @@
 		b.resizeNotes = append(b.resizeNotes, a)
 	case "step waits":
 		b.longWaits = append(b.longWaits, a)
+	case "run began in the next incarnation":
+		b.carriedNotes = append(b.carriedNotes, a)
 	case "worker crashed during run":
 		b.crashNotes = append(b.crashNotes, a)
 	case "failed after crashes":
