agent: pass on an order's own fencing token

Each order has its fencing token now, named as such, in place of the number of the term. Agents of older builds take that of the message, which is the term. No change of behaviour: all orders still carry the term.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -79,10 +79,10 @@
 		f.addHall()
 		to := address(0)
 		sent := []sched.Action{
-			sched.Start{To: to, Term: 7, Task: task, Run: 2, Text: "text", Checkpoint: "c", Ticket: "t", Deadline: time.UnixMilli(2000)},
-			sched.Stop{To: to, Term: 7, Task: task, Run: 2},
-			sched.Hold{To: to, Term: 7, Deadline: time.UnixMilli(3000), AckedEnd: 11, Wait: 600 * time.Millisecond, Probe: true},
-			sched.Pace{To: to, Term: 7, Task: task, Run: 2, Percent: 40},
+			sched.Start{To: to, Token: 7, Task: task, Run: 2, Text: "text", Checkpoint: "c", Ticket: "t", Deadline: time.UnixMilli(2000)},
+			sched.Stop{To: to, Token: 9, Task: task, Run: 2},
+			sched.Hold{To: to, Token: 7, Deadline: time.UnixMilli(3000), AckedEnd: 11, Wait: 600 * time.Millisecond, Probe: true},
+			sched.Pace{To: to, Token: 7, Task: task, Run: 2, Percent: 40},
 		}
 		at := time.Now()
 		for _, a := range sent {
--- a/internal/agent/dispatcher.go
+++ b/internal/agent/dispatcher.go
@@ -255,7 +255,7 @@
 		m := d.leader.Orders()
 		m.Texts = map[string]string{}
 		for _, q := range all {
-			m.All = append(m.All, encode(q.id, q.action))
+			m.All = append(m.All, encode(q.id, m.Term, q.action))
 			if s, ok := q.action.(sched.Start); ok {
 				m.Texts[s.Task.Job] = s.Text
 			}
--- a/internal/agent/dispatcher_test.go
+++ b/internal/agent/dispatcher_test.go
@@ -120,11 +120,11 @@
 }
 
 func start(i int) sched.Start {
-	return sched.Start{To: address(i), Term: 7, Task: flow.Name{Job: fmt.Sprintf("job%d", i), Index: i}, Run: 1, Text: "text", Deadline: time.Now().Add(4 * time.Second)}
+	return sched.Start{To: address(i), Token: 7, Task: flow.Name{Job: fmt.Sprintf("job%d", i), Index: i}, Run: 1, Text: "text", Deadline: time.Now().Add(4 * time.Second)}
 }
 
 func hold(i int) sched.Hold {
-	return sched.Hold{To: address(i), Term: 7, Deadline: time.Now().Add(8 * time.Second), Wait: 600 * time.Millisecond}
+	return sched.Hold{To: address(i), Token: 7, Deadline: time.Now().Add(8 * time.Second), Wait: 600 * time.Millisecond}
 }
 
 func (f *fixture) orders() []peer.Order {
@@ -214,7 +214,7 @@
 			<-ctx.Done()
 			return &peer.NoAnswerError{Cause: ctx.Err()}
 		}
-		stop := sched.Stop{To: address(0), Term: 7, Task: flow.Name{Job: "old"}, Run: 3}
+		stop := sched.Stop{To: address(0), Token: 7, Task: flow.Name{Job: "old"}, Run: 3}
 		for _, a := range []sched.Action{start(0), hold(0), stop} {
 			require.True(t, f.Send(a))
 		}
--- a/internal/agent/wire.go
+++ b/internal/agent/wire.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"time"
 
 	"pollencroft/internal/flow"
@@ -28,7 +29,7 @@
 
 // encode returns an order in the format in which agents receive it. The text of a job is sent once
 // for all of its tasks in a batch.
-func encode(id int64, a sched.Action) peer.Order {
+func encode(id, term int64, a sched.Action) peer.Order {
 	to, _ := worker(a)
 	// The ID stands by itself, so that agents of older builds reach the worker, too.
 	name := incarnation.Parse(to.Incarnation)
@@ -38,17 +39,25 @@
 	}
 	switch a := a.(type) {
 	case sched.Start:
-		o.Kind, o.Task, o.Run, o.Checkpoint, o.Ticket, o.Deadline = peer.StartOrder, a.Task.String(), a.Run, a.Checkpoint, a.Ticket, milliseconds(a.Deadline)
+		o.Kind, o.Token, o.Task, o.Run, o.Checkpoint, o.Ticket, o.Deadline = peer.StartOrder, ownToken(a.Token, term), a.Task.String(), a.Run, a.Checkpoint, a.Ticket, milliseconds(a.Deadline)
 	case sched.Stop:
-		o.Kind, o.Task, o.Run = peer.StopOrder, a.Task.String(), a.Run
+		o.Kind, o.Token, o.Task, o.Run = peer.StopOrder, ownToken(a.Token, term), a.Task.String(), a.Run
 	case sched.Hold:
-		o.Kind, o.Deadline, o.AckedEnd, o.Wait, o.Probe = peer.HoldOrder, milliseconds(a.Deadline), a.AckedEnd, a.Wait.Milliseconds(), a.Probe
+		o.Kind, o.Token, o.Deadline, o.AckedEnd, o.Wait, o.Probe = peer.HoldOrder, ownToken(a.Token, term), milliseconds(a.Deadline), a.AckedEnd, a.Wait.Milliseconds(), a.Probe
 	case sched.Pace:
-		o.Kind, o.Task, o.Run, o.Percent = peer.PaceOrder, a.Task.String(), a.Run, a.Percent
+		o.Kind, o.Token, o.Task, o.Run, o.Percent = peer.PaceOrder, ownToken(a.Token, term), a.Task.String(), a.Run, a.Percent
 	}
 	return o
 }
 
+// ownToken returns an order's token if it is not the term, which the message has.
+func ownToken(token, term int64) int64 {
+	if token == term {
+		return 0
+	}
+	return token
+}
+
 // decode returns the action that an order stands for, or false if it is not a valid order.
 func decode(m peer.Orders, o peer.Order) (sched.Action, bool) {
 	name := incarnation.Name{ID: o.Worker}
@@ -56,9 +65,11 @@
 		name.Born, name.HasBorn = *o.Born, true
 	}
 	to := sched.Address{Incarnation: name.String(), Addr: o.Addr}
+	// Leaders of older builds have one token for all orders.
+	token := cmp.Or(o.Token, m.Term)
 	if o.Kind == peer.HoldOrder {
 		return sched.Hold{
-			To: to, Term: m.Term, Deadline: fromMilliseconds(o.Deadline), AckedEnd: o.AckedEnd, Wait: time.Duration(o.Wait) * time.Millisecond, Probe: o.Probe,
+			To: to, Token: token, Deadline: fromMilliseconds(o.Deadline), AckedEnd: o.AckedEnd, Wait: time.Duration(o.Wait) * time.Millisecond, Probe: o.Probe,
 		}, to.Addr.IsValid()
 	}
 	task, ok := flow.ParseName(o.Task)
@@ -67,12 +78,12 @@
 	case peer.StartOrder:
 		text, known := m.Texts[task.Job]
 		return sched.Start{
-			To: to, Term: m.Term, Task: task, Run: o.Run, Text: text, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Deadline: fromMilliseconds(o.Deadline),
+			To: to, Token: token, Task: task, Run: o.Run, Text: text, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Deadline: fromMilliseconds(o.Deadline),
 		}, ok && known
 	case peer.StopOrder:
-		return sched.Stop{To: to, Term: m.Term, Task: task, Run: o.Run}, ok
+		return sched.Stop{To: to, Token: token, Task: task, Run: o.Run}, ok
 	case peer.PaceOrder:
-		return sched.Pace{To: to, Term: m.Term, Task: task, Run: o.Run, Percent: o.Percent}, ok
+		return sched.Pace{To: to, Token: token, Task: task, Run: o.Run, Percent: o.Percent}, ok
 	default:
 		return nil, false
 	}
--- a/internal/peer/orders.go
+++ b/internal/peer/orders.go
@@ -33,8 +33,10 @@
 	Worker string         `json:"w"`
 	Born   *int64         `json:"n,omitempty"`
 	Addr   netip.AddrPort `json:"a"`
-	Task   string         `json:"t,omitempty"`
-	Run    int            `json:"r,omitempty"`
+	// Token is the order's fencing token; zero means the term.
+	Token int64  `json:"f,omitempty"`
+	Task  string `json:"t,omitempty"`
+	Run   int    `json:"r,omitempty"`
 	// Checkpoint and Ticket belong to a start.
 	Checkpoint string `json:"c,omitempty"`
 	Ticket     string `json:"y,omitempty"`
--- a/internal/sched/fakehold_test.go
+++ b/internal/sched/fakehold_test.go
@@ -19,7 +19,7 @@
 
 // serveHold carries out a hold.
 func (w *fakeWorker) serveHold(term int64, a sched.Hold, ev sched.HoldReply, sent time.Time) {
-	w.fence = a.Term
+	w.fence = a.Token
 	for len(w.ends) > 0 && w.ends[0].Number <= a.AckedEnd {
 		if w.ends[0].How == sched.EndDone && w.ends[0].Number > w.lapsedUpTo {
 			w.b.acknowledge(w, w.ends[0])
@@ -80,7 +80,7 @@
 		return true
 	case w.replaced:
 		ev.Outcome = sched.OtherIncarnation
-	case a.Term < w.fence:
+	case a.Token < w.fence:
 		ev.Outcome = sched.Fenced
 	default:
 		return false
--- a/internal/sched/fakeworker_test.go
+++ b/internal/sched/fakeworker_test.go
@@ -184,14 +184,14 @@
 
 func (w *fakeWorker) begin(a sched.Start, sent int) sched.Outcome {
 	switch {
-	case a.Term < w.fence:
+	case a.Token < w.fence:
 		return sched.Fenced
 	case w.clock().After(a.Deadline):
 		return sched.Rejected
 	case w.tombstones[a.Task] >= a.Run:
 		return sched.Rejected
 	}
-	w.fence = a.Term
+	w.fence = a.Token
 	if r, ok := w.runs[a.Task]; ok && r.run == a.Run {
 		return sched.Accepted
 	}
@@ -204,7 +204,7 @@
 		w.b.lateStarts[a.Task]++
 	}
 	st := w.spec(a.Task)
-	r := &fakeRun{run: a.Run, term: a.Term, began: w.b.now, ends: w.b.now.Add(time.Duration(float64(st.EstimatedTime) * w.slowdown)), step: st}
+	r := &fakeRun{run: a.Run, term: a.Token, began: w.b.now, ends: w.b.now.Add(time.Duration(float64(st.EstimatedTime) * w.slowdown)), step: st}
 	w.runs[a.Task] = r
 	w.b.recordMember(a.Task, a.Run)
 	w.extendLease(a.Deadline)
@@ -379,10 +379,10 @@
 		return
 	}
 	out := sched.Accepted
-	if a.Term < w.fence {
+	if a.Token < w.fence {
 		out = sched.Fenced
 	} else {
-		w.fence = a.Term
+		w.fence = a.Token
 		w.tombstones[a.Task] = max(w.tombstones[a.Task], a.Run)
 		if r, ok := w.runs[a.Task]; ok && r.run == a.Run {
 			w.b.after(cmp.Or(w.stopTime, 100*time.Millisecond), func() {
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -218,12 +218,14 @@
 	Changes []Change
 }
 
+// Orders carry a fencing token: a worker refuses those whose token is lower than one that it has seen.
+
 // Hold renews the leases on a worker until Deadline by the worker's clock, acknowledges ends up to
 // AckedEnd so that the worker can forget them, and reads the worker's lists. A Probe is answered at
 // once, even while another hold is waiting.
 type Hold struct {
 	To       Address
-	Term     int64
+	Token    int64
 	Deadline time.Time
 	AckedEnd int64
 	Wait     time.Duration
@@ -233,7 +235,7 @@
 // Start asks a worker to start a run. The worker ignores it after Deadline, by the worker's clock.
 type Start struct {
 	To         Address
-	Term       int64
+	Token      int64
 	Task       flow.Name
 	Run        int
 	Text       string
@@ -244,17 +246,17 @@
 
 // Stop asks a worker to stop a run, or never to begin it if it has not begun.
 type Stop struct {
-	To   Address
-	Term int64
-	Task flow.Name
-	Run  int
-	Why  string
+	To    Address
+	Token int64
+	Task  flow.Name
+	Run   int
+	Why   string
 }
 
 // Pace limits the processor time of a best-effort run.
 type Pace struct {
 	To      Address
-	Term    int64
+	Token   int64
 	Task    flow.Name
 	Run     int
 	Percent int
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -276,7 +276,7 @@
 		l.stopping = next.Addr.IsValid()
 	})
 	if next.Addr.IsValid() {
-		s.emit(Stop{To: next.Address, Term: s.term, Task: k.task, Run: k.run})
+		s.emit(Stop{To: next.Address, Token: s.term, Task: k.task, Run: k.run})
 	}
 }
 
--- a/internal/sched/sameid_test.go
+++ b/internal/sched/sameid_test.go
@@ -101,7 +101,7 @@
 		return false
 	}
 	for ; w.next != nil; w = w.next {
-		if w.tombstones[a.Task] >= a.Run || a.Term < w.fence {
+		if w.tombstones[a.Task] >= a.Run || a.Token < w.fence {
 			return true
 		}
 	}
@@ -140,7 +140,7 @@
 	w.unanswered(term, ev)
 	w.b.after(w.holdDelay, func() {
 		// No leader receives the answer.
-		if c := w.current(); !c.dead && a.Term >= c.fence {
+		if c := w.current(); !c.dead && a.Token >= c.fence {
 			c.serveHold(-1, a, ev, w.b.now)
 		}
 	})
