sched: send a restarted worker orders with a greater fencing token

Callers saw tasks run again after their end was confirmed. A fencing token named the leader, not the incarnation.

The first orders to an incarnation carry a token that is greater than those to the one before, so that it refuses them from its first answer on. Tokens come from the end of the partition that decides who leads: a term uses none above the end that its own appends have reached, and the next one begins with the end after its claim. If no greater token can be used yet, the waits of before apply.

A restarted worker gets work at its first answer, not up to 12 s after the last acknowledgement without one.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -93,7 +93,8 @@
 	}
 	number := a.End + 1
 	mine := h.memberName() + " " + strconv.FormatInt(h.now().UnixNano(), 36)
-	if err := h.fence(ctx, number, mine); err != nil {
+	token, err := h.fence(ctx, number, mine)
+	if err != nil {
 		return nil, errors.Wrap(err, "begin a term")
 	}
 	// Records that are stored from here on may be missing in what is read.
@@ -105,7 +106,7 @@
 	if !holdsNewestClaim(states[0], mine) {
 		return nil, &LostClaimError{Term: number}
 	}
-	return h.newTerm(number, slices.Concat(states...), requests, next, read), nil
+	return h.newTerm(termID{number, token}, slices.Concat(states...), requests, next, read), nil
 }
 
 // stateParts lists the partitions of stateTopic. The first one decides who leads.
@@ -116,17 +117,25 @@
 // started a second time. Two hosts that claim at the same time may fence different partitions
 // first. The first partition decides which of them leads, and the other one's fence there does
 // not end a later term.
-func (h *Host) fence(ctx context.Context, number int64, mine string) error {
+//
+// It returns the end of the first partition after the claim, which is the term's first fencing token.
+// Former leaders may have used higher tokens than the term's number, up to the end that their last
+// append there has reached, and all of those came before the claim.
+func (h *Host) fence(ctx context.Context, number int64, mine string) (token int64, err error) {
 	g, ctx := errgroup.WithContext(ctx)
-	for _, part := range h.stateParts() {
+	for i, part := range h.stateParts() {
 		g.Go(func() error {
-			_, err := h.store.Do(ctx, store.Call{
+			a, err := h.store.Do(ctx, store.Call{
 				Op: store.Append, Topic: stateTopic, Part: part, Keyed: true, Epoch: number, Records: []store.Record{{Key: claimKey, Value: []byte(mine)}},
 			})
+			if i == 0 {
+				token = a.End
+			}
 			return errors.Wrapf(err, "fence partition %d", part)
 		})
 	}
-	return g.Wait()
+	err = g.Wait()
+	return max(token, number), err
 }
 
 // LeaderExistsError is returned if another host leads or is about to.
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -123,6 +123,21 @@
 // Drop deletes a job's progress.
 func (b *Journal) Drop(ctx context.Context, id string) { b.drop(ctx, id) }
 
+// FenceBehind begins a term whose number was chosen before a former leader's last n appends, and returns
+// the number and the first fencing token.
+func (h *Host) FenceBehind(t *testing.T, n int) (number, token int64) {
+	read, err := h.store.Do(t.Context(), store.Call{Op: store.Newest, Topic: stateTopic})
+	require.NoError(t, err)
+	number = read.End + 1
+	for range n {
+		_, err := h.store.Do(t.Context(), store.Call{Op: store.Append, Topic: stateTopic, Keyed: true, Records: []store.Record{{Key: "job", Value: []byte("{}")}}})
+		require.NoError(t, err)
+	}
+	token, err = h.fence(t.Context(), number, "me")
+	require.NoError(t, err)
+	return number, token
+}
+
 // JobsPart returns the partition to which the host appends jobs first.
 func (h *Host) JobsPart() int { return h.inbox.parts[0] }
 
@@ -132,7 +147,7 @@
 // BeginTerm begins a term without any jobs, as if the reading of the store had started at the
 // given time.
 func (h *Host) BeginTerm(number int64, read time.Time) {
-	h.newTerm(number, nil, nil, make([]int64, h.cfg.Parts), read)
+	h.newTerm(termID{number, number}, nil, nil, make([]int64, h.cfg.Parts), read)
 }
 
 // IsUncertain reports whether the leader cannot tell whether the job exists.
--- a/internal/entry/journal.go
+++ b/internal/entry/journal.go
@@ -26,10 +26,14 @@
 	// parts is the number of partitions. It is readable without mu, because the order of writers
 	// changes while appends are in progress.
 	parts int
+	// first is the partition that decides who leads.
+	first int
 
 	mu sync.Mutex
 	// writers are the partitions, the most recently served one first.
 	writers []*partWriter
+	// end is the end of the first partition, as the store last answered.
+	end int64
 }
 
 // partWriter is a partition as this term writes to it.
@@ -56,7 +60,7 @@
 )
 
 func newJournal(log store.Log, lines *slog.Logger, wg *sync.WaitGroup, term int64, parts []int) *journal {
-	j := &journal{log: log, logger: lines, wg: wg, term: term, parts: len(parts)}
+	j := &journal{log: log, logger: lines, wg: wg, term: term, parts: len(parts), first: parts[0]}
 	for _, p := range parts {
 		// The claim was the first append.
 		j.writers = append(j.writers, &partWriter{part: p, seq: 1, stored: map[string]int64{}})
@@ -122,6 +126,23 @@
 	return nil
 }
 
+// noteEnd notes the end of a partition after an append of this term.
+func (j *journal) noteEnd(w *partWriter, end int64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if w.part == j.first {
+		j.end = max(j.end, end)
+	}
+}
+
+// firstEnd returns the end of the first partition as far as it is known. All later terms have greater
+// numbers.
+func (j *journal) firstEnd() int64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.end
+}
+
 func (j *journal) release(w *partWriter) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -154,10 +175,11 @@
 	}
 	unsure := false
 	for {
-		_, err := j.log.Do(ctx, c)
+		a, err := j.log.Do(ctx, c)
 		switch {
 		case err == nil:
 			w.recordWritten(number, c.Records)
+			j.noteEnd(w, a.End)
 			j.release(w)
 			return nil
 		case store.NotDone(err) && !unsure:
--- a/internal/entry/restart_test.go
+++ b/internal/entry/restart_test.go
@@ -12,7 +12,8 @@
 
 // Guards against a worker that restarts under its ID and is taken for the one before: ends that are
 // never read, runs that are waited for until their leases have lapsed, and orders that name more than
-// the ID. Orders also go through agents.
+// the ID. Orders also go through agents. Guards against orders to the former incarnation that the next
+// one does not refuse because their fencing token is not lower, under one leader and after it was killed.
 func TestWorkersRestartUnderTheirIDs(t *testing.T) {
 	for _, workersPerCore := range []float64{0, 0.5} {
 		t.Run(fmt.Sprint(workersPerCore), func(t *testing.T) {
@@ -31,7 +32,9 @@
 				c.waitCompleted(h, 2*round+1)
 				require.Equal(t, http.StatusOK, c.submit(h, 2*round+1).code)
 				require.Eventually(t, func() bool { return c.workers[0].Running()+c.workers[1].Running()+c.workers[2].Running() > 0 }, waitTimeout, 5*time.Millisecond)
+				former := make([]int64, len(c.workers))
 				for i, w := range c.workers {
+					former[i] = w.Fence()
 					w.Restart()
 					if i > 0 {
 						put(i)
@@ -41,7 +44,15 @@
 				time.Sleep(700 * time.Millisecond)
 				put(0)
 				c.waitCompleted(h, 2*round+2)
+				for i, w := range c.workers {
+					require.Eventually(t, func() bool { return w.Fence() > former[i] }, waitTimeout, 5*time.Millisecond, "worker %d", i)
+				}
 			}
+			raised := c.workers[0].Fence()
+			h.Kill()
+			c.start(h.cfg.Name)
+			c.waitReady()
+			require.Eventually(t, func() bool { return c.workers[0].Fence() > raised }, waitTimeout, 5*time.Millisecond)
 			require.Contains(t, c.logs.String(), "worker restarted under its id")
 			require.Empty(t, c.checker.Violations())
 		})
@@ -68,3 +79,11 @@
 	require.Equal(t, 4, strings.Count(c.logs.String(), "entry passed over"))
 	require.Empty(t, c.checker.Violations())
 }
+
+// Guards against a leader whose orders workers refuse, or whose predecessor's orders they do not refuse,
+// since that one has raised its fencing token after the number of the new term was chosen.
+func TestFirstTokenOfATermIsGreaterThanThoseOfFormerLeaders(t *testing.T) {
+	c := newCluster(t, 1, 1, 50*time.Millisecond)
+	number, token := c.leader().FenceBehind(t, 5)
+	require.Equal(t, number+5, token)
+}
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -19,11 +19,15 @@
 	"pollencroft/internal/store"
 )
 
+// termID is the number of a term, which is its epoch in the store, and the first fencing token of its
+// orders.
+type termID struct{ number, token int64 }
+
 // term is the period in which this host leads. It executes the scheduler core's actions on the
 // store and the workers, and feeds their answers back to the core.
 type term struct {
-	h      *Host
-	number int64
+	h *Host
+	termID
 	// readAt is when the reading of the previous leader's state started, beganAt when it was
 	// finished.
 	readAt, beganAt time.Time
@@ -83,7 +87,7 @@
 )
 
 // newTerm starts a term with the state that the store contained when it was read.
-func (h *Host) newTerm(number int64, states []store.Record, requests [][]store.Record, next []int64, read time.Time) *term {
+func (h *Host) newTerm(id termID, states []store.Record, requests [][]store.Record, next []int64, read time.Time) *term {
 	began := h.now()
 	r := h.restore(states, requests)
 	limits := sched.DefaultLimits
@@ -92,9 +96,9 @@
 	limits.Disabled = h.cfg.Off
 	limits.Retention = time.Duration(h.cfg.Times.Keep) * 5 / 4
 	t := &term{
-		h: h, number: number, readAt: read, beganAt: began, lastPoll: read, jobs: len(r.jobs) + len(r.notStarted), open: len(r.notStarted),
+		h: h, termID: id, readAt: read, beganAt: began, lastPoll: read, jobs: len(r.jobs) + len(r.notStarted), open: len(r.notStarted),
 		kick: make(chan struct{}, 1), nextOffset: next, requestKeys: map[string]map[partKey]bool{}, workers: newEntries(), unreadable: map[string]bool{},
-		core: sched.New(limits, number, r.jobs), journal: newJournal(h.store, h.log, &h.wg, number, h.stateParts()),
+		core: sched.New(limits, id.number, r.jobs), journal: newJournal(h.store, h.log, &h.wg, id.number, h.stateParts()),
 	}
 	for _, id := range r.unreadable {
 		t.unreadable[id] = true
@@ -122,6 +126,7 @@
 	unstored, speeds := h.unstoredEnds, h.kindSpeeds
 	names := slices.Sorted(maps.Keys(h.hosts))
 	h.mu.Unlock()
+	t.step(sched.Tokens{First: id.token, Last: id.token})
 	if table != nil {
 		t.step(queuesOf(table))
 	}
@@ -317,7 +322,7 @@
 	t.h.observe("lead.append", t.h.now().Sub(began))
 	switch {
 	case err == nil:
-		t.step(sched.Appended{Number: a.Number})
+		t.step(sched.Appended{Number: a.Number}, sched.Tokens{Last: t.journal.firstEnd()})
 	case t.ctx.Err() == nil:
 		t.end("append: " + err.Error())
 	}
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -99,7 +99,7 @@
 		case l.provenFrom.IsZero() && !l.stopping:
 			l.stopping = true
 			w.untracked[k] = l
-			s.emit(Stop{To: w.Address, Token: s.term, Task: k.task, Run: k.run})
+			s.emit(Stop{To: w.Address, Token: s.tokenFor(w), Task: k.task, Run: k.run})
 		}
 	}
 }
@@ -212,7 +212,7 @@
 	k, f := runKey{t.Name, t.Run}, footprintOf(t.Job, t.Name)
 	s.taskDone(t)
 	if stop {
-		s.emit(Stop{To: w.Address, Token: s.term, Task: k.task, Run: k.run})
+		s.emit(Stop{To: w.Address, Token: s.tokenFor(w), Task: k.task, Run: k.run})
 		s.untrackStart(w, k, f, "another copy is done")
 	}
 }
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -21,7 +21,7 @@
 		return
 	}
 	w.holding, w.lastHold = true, s.now
-	h := Hold{To: w.Address, Token: s.term, AckedEnd: w.ackEnd(false, s.now)}
+	h := Hold{To: w.Address, Token: s.tokenFor(w), AckedEnd: w.ackEnd(false, s.now)}
 	if w.fenced && w.unansweredSince.IsZero() {
 		// An unanswered hold may still be carried out and extend the leases, so a silent worker is
 		// only polled without a deadline; otherwise the leases on a dead worker would never expire.
@@ -63,7 +63,7 @@
 		return
 	}
 	w.probing = true
-	s.emit(Hold{To: w.Address, Token: s.term, AckedEnd: w.ackEnd(true, s.now), Probe: true})
+	s.emit(Hold{To: w.Address, Token: s.tokenFor(w), AckedEnd: w.ackEnd(true, s.now), Probe: true})
 }
 
 func (s *Sched) holdReplied(ev HoldReply) {
@@ -127,6 +127,7 @@
 	first := !w.fenced
 	w.fenced = true
 	if first {
+		s.endStrays(w)
 		w.extendDeadline(ev.Clock.Add(s.limits.Lease))
 	}
 	w.lastEndAcked = max(w.lastEndAcked, ev.AckedEnd)
--- /dev/null
+++ b/internal/sched/lateorders_test.go
@@ -0,0 +1,39 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/flow"
+)
+
+// runElsewhere submits a task whose start is carried out late by w00, after the task was started on w01
+// instead. It returns the task.
+func (b *simCell) runElsewhere(late time.Duration) flow.Name {
+	b.lateStartsOfStopped = true
+	b.worker("w01").info.Draining = true
+	b.list()
+	b.worker("w00").startDelay = late
+	b.submit("a", "scan", flow.Step{Tasks: 1, Size: scan(1).Size, EstimatedTime: 30 * time.Second})
+	b.advance(300 * time.Millisecond)
+	b.worker("w00").startDelay = 0
+	b.addWorker("w02", 2)
+	b.list()
+	b.advance(1700 * time.Millisecond)
+	name := flow.Name{Job: "a"}
+	require.Len(b.t, b.worker("w02").runs, 1, "the task runs elsewhere")
+	return name
+}
+
+// Guards against a late start that begins in the next incarnation because the leader has forgotten it:
+// a host that stood still may send an order after any time.
+func TestStartIsRefusedByTheNextIncarnationHoweverLateItIs(t *testing.T) {
+	b := bornCellWithEnds(t, 2)
+	name := b.runElsewhere(16 * time.Second)
+	b.advance(12500 * time.Millisecond)
+	b.worker("w00").restart(100 * time.Millisecond)
+	b.requireCompletedWithin("a", 60*time.Second)
+	require.Equal(t, 1, b.starts[name])
+}
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -89,6 +89,11 @@
 // Workers replaces the list of workers.
 type Workers struct{ All []Worker }
 
+// Tokens reports which fencing tokens the term may use: those from First on are greater than the tokens
+// of all earlier terms, those up to Last less than the tokens of all later ones. Until it is reported,
+// the term's number is its only token.
+type Tokens struct{ First, Last int64 }
+
 // Hosts replaces the entry hosts that can query the policy service.
 type Hosts struct{ Names []string }
 
@@ -188,6 +193,7 @@
 
 func (Queues) event()             {}
 func (Workers) event()            {}
+func (Tokens) event()             {}
 func (Hosts) event()              {}
 func (Submit) event()             {}
 func (Cancel) event()             {}
--- a/internal/sched/moreends_test.go
+++ b/internal/sched/moreends_test.go
@@ -106,10 +106,17 @@
 	}
 }
 
+// failedPageSeeds are seeds that failed before: an acknowledgement of ends reached the next incarnation
+// of its worker, which forgot ends of its own.
+var failedPageSeeds = []uint64{87, 559}
+
 // Plays the same with workers that restart under their IDs.
 func TestRandomHistoriesWithPagesOfEndsAndRestarts(t *testing.T) {
+	seeds := failedPageSeeds
 	for i := range *histories {
-		seed := *firstSeed + uint64(i)
+		seeds = append(seeds, *firstSeed+uint64(i))
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			r, restarts := rand.New(rand.NewPCG(seed, 0)), rand.New(rand.NewPCG(seed, 4))
 			b := newBornCell(t, 3+r.IntN(7))
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -65,7 +65,7 @@
 	for _, t := range w.sortedTasks() {
 		if t.Spec().BestEffort && t.State == flow.Running && (t.CPUPercent != level || worst >= pauseFrom) {
 			t.CPUPercent = level
-			s.emit(Pace{To: w.Address, Token: s.term, Task: t.Name, Run: t.Run, Percent: level})
+			s.emit(Pace{To: w.Address, Token: s.tokenFor(w), Task: t.Name, Run: t.Run, Percent: level})
 		}
 	}
 }
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -97,6 +97,9 @@
 // startMayArrive reports whether the start of a run that the worker has not listed may still be
 // carried out. Those of a former leader were sent before this term.
 func (s *Sched) startMayArrive(w *worker, k runKey) bool {
+	if _, carried := w.carried[k]; carried && w.refusesFormerOrders() {
+		return false
+	}
 	return s.now.Sub(latest(s.termStart, w.unlisted[k])) < maxOrderDelay
 }
 
@@ -127,6 +130,7 @@
 	switch {
 	case !ok:
 	case w.name.Replaces(other.name):
+		s.raiseToken(w, other)
 		s.replaced = append(s.replaced, other)
 	default:
 		s.replaced = append(s.replaced, w)
@@ -143,6 +147,18 @@
 	s.workersChanged()
 }
 
+// endStrays notes that a worker has answered for the first time: from now on it refuses all orders to
+// earlier incarnations, if its token is greater than theirs.
+func (s *Sched) endStrays(w *worker) {
+	if w.exposed {
+		return
+	}
+	w.startsFrom = time.Time{}
+	if w.strayUntil.After(s.now) {
+		w.strayUntil = s.now
+	}
+}
+
 // isOutdated reports whether a later incarnation under the same ID is known.
 func (s *Sched) isOutdated(name string) bool {
 	n := incarnation.Parse(name)
@@ -186,11 +202,13 @@
 // orders name only the ID: it is stopped there before its task starts anywhere else.
 func (s *Sched) restarted(old, next *worker) {
 	s.emit(Note{ID: next.Incarnation, What: "worker restarted under its id", Worker: old.Incarnation, Detail: old.describeRuns()})
-	next.startsFrom = latest(next.startsFrom, old.startsFrom)
-	if ack := latest(old.lostAck, old.openAcks[:]...); !ack.IsZero() {
-		next.startsFrom = latest(next.startsFrom, ack.Add(maxOrderDelay))
+	if !next.refusesFormerOrders() {
+		next.startsFrom = latest(next.startsFrom, old.startsFrom)
+		if ack := latest(old.lostAck, old.openAcks[:]...); !ack.IsZero() {
+			next.startsFrom = latest(next.startsFrom, ack.Add(maxOrderDelay))
+		}
+		next.strayUntil = latest(next.strayUntil, s.lastStray())
 	}
-	next.strayUntil = latest(next.strayUntil, s.lastStray())
 	for _, k := range sortedRuns(old.untracked) {
 		if l := old.untracked[k]; s.mayMove(old, k) {
 			s.dropUntracked(old, k, "worker restarted")
@@ -276,7 +294,7 @@
 		l.stopping = next.Addr.IsValid()
 	})
 	if next.Addr.IsValid() {
-		s.emit(Stop{To: next.Address, Token: s.term, Task: k.task, Run: k.run})
+		s.emit(Stop{To: next.Address, Token: s.tokenFor(next), Task: k.task, Run: k.run})
 	}
 }
 
--- a/internal/sched/restart_test.go
+++ b/internal/sched/restart_test.go
@@ -17,14 +17,19 @@
 // numbers of the next incarnations' ends are below those that were read.
 func bornCellWithEnds(t *testing.T, workers int) *simCell {
 	b := newBornCell(t, workers)
+	b.endSomeRuns()
+	return b
+}
+
+// endSomeRuns lets each worker end some runs, and acknowledges their ends.
+func (b *simCell) endSomeRuns() {
 	b.advance(100 * time.Millisecond)
-	b.submit("before", "scan", scan(12*workers))
+	b.submit("before", "scan", scan(12*len(b.workers)))
 	b.advance(5 * time.Second)
-	require.Equal(t, flow.Completed, b.state("before"))
+	require.Equal(b.t, flow.Completed, b.state("before"))
 	for _, w := range b.sortedWorkers() {
-		require.Greater(t, w.lastEnd, int64(4))
+		require.Greater(b.t, w.lastEnd, int64(4))
 	}
-	return b
 }
 
 // requireCompletedWithin checks that a job completes within some time, and that no rule was broken.
@@ -104,11 +109,9 @@
 	}
 }
 
-// Guards against starts on an incarnation that may still forget ends because of a hold to the former
-// one: the task's end would be lost, and the task run twice.
-func TestNothingStartsWhileAHoldToTheFormerIncarnationMayArrive(t *testing.T) {
-	const late = 11 * time.Second
-	b := bornCellWithEnds(t, 1)
+// restartWithLateHold restarts a worker to which a hold is on its way that acknowledges ends, and returns
+// when the hold was sent at the latest.
+func (b *simCell) restartWithLateHold(late time.Duration) time.Time {
 	b.submit("first", "scan", scan(1))
 	w := b.worker("w00")
 	for n := w.lastEnd; w.lastEnd == n; {
@@ -119,6 +122,39 @@
 	last := b.now
 	w.restart(100 * time.Millisecond)
 	b.advance(200 * time.Millisecond)
+	return last
+}
+
+// Guards against a hold to the former incarnation that makes the next one forget ends which nobody has
+// read, so that their tasks run twice, and against a worker that gets no work until it cannot arrive.
+func TestHoldToTheFormerIncarnationIsRefused(t *testing.T) {
+	for _, late := range []time.Duration{2 * time.Second, 11 * time.Second, 20 * time.Second} {
+		t.Run(late.String(), func(t *testing.T) {
+			b := bornCellWithEnds(t, 1)
+			last := b.restartWithLateHold(late)
+			b.submit("a", "scan", flow.Step{Tasks: 4, Size: scan(1).Size, EstimatedTime: last.Add(late).Sub(b.now) - 500*time.Millisecond})
+			b.advance(100 * time.Millisecond)
+			require.Equal(t, 5, total(b.starts)-12)
+			// The ends are listed when the hold arrives, since they are not stored.
+			b.storeDown = true
+			b.advance(last.Add(late).Sub(b.now) + time.Second)
+			require.Len(t, b.worker("w00").ends, 4)
+			b.takeover()
+			b.storeDown = false
+			b.requireCompletedWithin("a", 20*time.Second)
+			require.Equal(t, 5, total(b.starts)-12)
+		})
+	}
+}
+
+// Guards against starts on an incarnation that may still forget ends because of a hold to the former
+// one, which it would not refuse: the task's end would be lost, and the task run twice.
+func TestNothingStartsWhileAHoldToTheFormerIncarnationMayArrive(t *testing.T) {
+	const late = 11 * time.Second
+	b := newBornCell(t, 1)
+	b.storeEndDown = true
+	b.endSomeRuns()
+	last := b.restartWithLateHold(late)
 	b.submit("a", "scan", scan(2))
 	for b.starts[flow.Name{Job: "a"}] == 0 && b.now.Sub(last) < 30*time.Second {
 		b.advance(10 * time.Millisecond)
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -38,7 +38,7 @@
 	} else {
 		s.untrackListed(w, k, footprint{step: stepOf(l.Task)}, false)
 	}
-	s.emit(Stop{To: w.Address, Token: s.term, Task: l.Task, Run: l.Run})
+	s.emit(Stop{To: w.Address, Token: s.tokenFor(w), Task: l.Task, Run: l.Run})
 }
 
 // runMissing handles a task that the worker lists neither as running nor as ended, in a reply with all
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -22,6 +22,7 @@
 type Sched struct {
 	limits    Limits
 	term      int64
+	tokens    tokens
 	now       time.Time
 	termStart time.Time
 	// predecessorGone is when the previous leader had certainly stopped renewing leases.
@@ -132,7 +133,7 @@
 // New returns the scheduler of a term that begins with the given jobs.
 func New(limits Limits, term int64, jobs []*flow.Job) *Sched {
 	s := &Sched{
-		limits: limits, term: term, queues: map[string]flow.Queue{}, top: math.MaxInt, jobs: map[string]*flow.Job{}, openJobs: map[string]*flow.Job{},
+		limits: limits, term: term, tokens: tokens{first: term, last: term}, queues: map[string]flow.Queue{}, top: math.MaxInt, jobs: map[string]*flow.Job{}, openJobs: map[string]*flow.Job{},
 		workers: map[string]*worker{}, latest: map[string]*worker{}, hosts: policy.New(!slices.Contains(limits.Disabled, AdaptUrgentHosts)),
 		advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
 		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, waits: map[*flow.Stage]*stepWait{}, jobWaits: map[string]WaitTimes{},
@@ -200,6 +201,8 @@
 		s.setQueues(ev)
 	case Workers:
 		s.setWorkers(ev)
+	case Tokens:
+		s.setTokens(ev)
 	case Hosts:
 		s.hosts.Set(ev.Names)
 	case Submit:
--- a/internal/sched/simcell_test.go
+++ b/internal/sched/simcell_test.go
@@ -24,6 +24,10 @@
 type simCell struct {
 	t   *testing.T
 	now time.Time
+	// storeEnd is the offset at which the partition of the store ends that decides who leads. While
+	// it is down, the leader hears of no higher one.
+	storeEnd     int64
+	storeEndDown bool
 	// skew is how much the leader's time of day differs from the true time.
 	skew    time.Duration
 	core    *sched.Sched
@@ -132,7 +136,7 @@
 
 func newSimCell(t *testing.T, workers int) *simCell {
 	b := &simCell{
-		t: t, now: time.Unix(1_000_000, 0), term: 1, workers: map[string]*fakeWorker{}, stored: map[string][]byte{},
+		t: t, now: time.Unix(1_000_000, 0), term: 1, storeEnd: 1, workers: map[string]*fakeWorker{}, stored: map[string][]byte{},
 		specs: map[string]flow.Spec{}, done: map[flow.Name]bool{}, cancelledAt: map[string]int{}, starts: map[flow.Name]int{}, lastStart: map[flow.Name]int{}, gangs: map[gangRun]map[int]bool{},
 		crashed: map[flow.Name]int{}, lateStarts: map[flow.Name]int{},
 		queues: []flow.Queue{{Name: "scan", Service: "pass", Rank: 0, Attempts: 3}, {Name: "print", Service: "pass", Rank: 2, Attempts: 4}},
@@ -343,7 +347,14 @@
 		b.stored[c.Key] = flow.NewerRecord(b.stored[c.Key], c.Value)
 		b.noteNamed(c)
 	}
-	b.after(3*time.Millisecond, func() { b.deliver(term, sched.Appended{Number: a.Number}) })
+	b.storeEnd += int64(len(a.Changes))
+	end := b.storeEnd
+	b.after(3*time.Millisecond, func() {
+		b.deliver(term, sched.Appended{Number: a.Number})
+		if !b.storeEndDown {
+			b.deliver(term, sched.Tokens{Last: end})
+		}
+	})
 }
 
 func (b *simCell) answerQuery(term int64, a sched.QueryPolicy) {
@@ -379,7 +390,8 @@
 
 // takeover ends the leader without a handover; another begins from what is stored.
 func (b *simCell) takeover() {
-	b.term++
+	b.storeEnd++
+	b.term = b.storeEnd
 	var jobs []*flow.Job
 	var fresh []flow.Spec
 	for _, id := range slices.Sorted(maps.Keys(b.specs)) {
--- a/internal/sched/start.go
+++ b/internal/sched/start.go
@@ -66,7 +66,7 @@
 		w.startDeadline = deadline
 	}
 	s.emit(Start{
-		To: w.Address, Token: s.term, Task: t.Name, Run: t.Run, Text: t.Job.Spec.Text, Checkpoint: t.Checkpoint, Ticket: ticket, Deadline: deadline,
+		To: w.Address, Token: s.tokenFor(w), Task: t.Name, Run: t.Run, Text: t.Job.Spec.Text, Checkpoint: t.Checkpoint, Ticket: ticket, Deadline: deadline,
 	})
 	s.ensureHold(w)
 }
--- a/internal/sched/stop.go
+++ b/internal/sched/stop.go
@@ -37,7 +37,7 @@
 		return
 	}
 	st.inFlight = true
-	s.emit(Stop{To: w.Address, Token: s.term, Task: k.task, Run: k.run})
+	s.emit(Stop{To: w.Address, Token: s.tokenFor(w), Task: k.task, Run: k.run})
 }
 
 func (s *Sched) retryStops() {
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -85,6 +85,7 @@
 	factor, kindFactor float64
 	factorVersion      int
 	restart
+	wireToken
 }
 
 func newWorker(w Worker, u *quota.Usage) *worker {
--- a/internal/standin/users/restart.go
+++ b/internal/standin/users/restart.go
@@ -32,6 +32,13 @@
 	w.server.CloseClientConnections()
 }
 
+// Fence returns the highest fencing token that this incarnation has seen.
+func (w *Worker) Fence() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fence
+}
+
 // addBorn adds the start of the incarnation to what the worker says about itself. The caller holds mu.
 func (w *Worker) addBorn(m map[string]any) {
 	if w.born > 0 {
