sched: notice restarts of workers to which a start may be on its way

Callers saw a task run twice: its first start, which had no answer, was carried out by the next incarnation of its worker while a later run went on, or had ended, elsewhere. The former incarnation had answered a stop of the first run, and the leader polled the worker no longer, since nothing ran there: it heard of the restart from the list of workers, seconds later.

A worker that may restart under its ID is polled as long as a start to it may arrive, and by a new leader for as long as one of the former leader may. The hold in flight shows the restart, and the next hold makes the worker refuse all former orders.

The random histories left out every late start that a former incarnation had refused. Now they leave out only those that reach an incarnation within 1.2 s of its beginning, or while it answers no hold: nothing but a wait of 12 s before a task is started elsewhere could prevent these.

--- a/internal/sched/fakehold_test.go
+++ b/internal/sched/fakehold_test.go
@@ -20,6 +20,7 @@
 // serveHold carries out a hold.
 func (w *fakeWorker) serveHold(term int64, a sched.Hold, ev sched.HoldReply, sent time.Time) {
 	w.fence = a.Token
+	w.reached = w.reached || a.To.Incarnation == w.info.Incarnation
 	for len(w.ends) > 0 && w.ends[0].Number <= a.AckedEnd {
 		if w.ends[0].How == sched.EndDone && w.ends[0].Number > w.lapsedUpTo {
 			w.b.acknowledge(w, w.ends[0])
@@ -75,6 +76,7 @@
 func (w *fakeWorker) rejectHold(term int64, a sched.Hold, ev sched.HoldReply) bool {
 	switch {
 	case w.silent || w.dead && !w.replaced:
+		w.missed = w.missed || w.silent
 		ev.Outcome = sched.Unanswered
 		w.unanswered(term, ev)
 		return true
--- a/internal/sched/fakeworker_test.go
+++ b/internal/sched/fakeworker_test.go
@@ -167,13 +167,14 @@
 		return
 	}
 	if w.silent || w.dead {
+		w.missed = w.missed || w.silent
 		w.unanswered(term, sched.StartReply{Task: a.Task, Run: a.Run, Worker: a.To.Incarnation, Outcome: sched.Unanswered})
 		return
 	}
 	if late := w.startDelay; late > 0 {
 		w.unanswered(term, sched.StartReply{Task: a.Task, Run: a.Run, Worker: a.To.Incarnation, Outcome: sched.Unanswered})
 		w.b.after(late, func() {
-			if c := w.current(); !c.dead && !w.refusedBefore(a) {
+			if c := w.current(); !c.dead && !w.isUnpreventable(a) {
 				c.begin(a, sent)
 			}
 		})
@@ -375,6 +376,7 @@
 		return
 	}
 	if w.silent || w.dead {
+		w.missed = w.missed || w.silent
 		w.unanswered(term, sched.StopReply{Task: a.Task, Run: a.Run, Worker: a.To.Incarnation, Outcome: sched.Unanswered})
 		return
 	}
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -12,7 +12,7 @@
 // ensureHold keeps one hold in flight to each worker that has leases to renew, lists to read, or
 // ends to forget.
 func (s *Sched) ensureHold(w *worker) {
-	if w.holding || w.dead || !w.Addr.IsValid() || s.now.Before(w.nextHold) || w.idle() {
+	if w.holding || w.dead || !w.Addr.IsValid() || s.now.Before(w.nextHold) || w.idle() && !s.isWatched(w) {
 		return
 	}
 	if w.fenced && w.lastEndRead > w.lastEndStored && s.now.Sub(w.lastHold) < unstoredHoldInterval {
@@ -37,12 +37,19 @@
 	return w.fenced && len(w.tasks) == 0 && len(w.untracked) == 0 && len(w.lostRuns) == 0 && w.lastEndAcked >= w.lastEndStored && w.unansweredSince.IsZero()
 }
 
+// isWatched reports whether a start to the worker may still arrive, of this leader or a former one. If
+// the worker may restart under its ID, the next incarnation would carry it out until the leader has
+// read it, and only a hold in flight shows a restart at once.
+func (s *Sched) isWatched(w *worker) bool {
+	return w.name.HasBorn && w.listed && (len(w.unlisted) > 0 || s.now.Sub(s.termStart) < maxOrderDelay)
+}
+
 // holdWait returns how long a hold may wait on the worker for a run to end. If the worker has only
 // untracked runs, they may not exist and no end may come, so the hold returns when the first of
 // them can no longer begin and its capacity can be released.
 func (s *Sched) holdWait(w *worker) time.Duration {
 	switch {
-	case len(w.tasks) == 0 && len(w.untracked) == 0:
+	case len(w.tasks) == 0 && len(w.untracked) == 0 && !s.isWatched(w):
 		return 0
 	case len(w.tasks) == 0 && w.firstUntrackedEnd().After(s.now):
 		return min(s.limits.HoldWait, max(w.firstUntrackedEnd().Sub(s.now), s.limits.BatchInterval))
--- a/internal/sched/lateorders_test.go
+++ b/internal/sched/lateorders_test.go
@@ -27,6 +27,34 @@
 	return name
 }
 
+// Guards against a late start that begins in the next incarnation of a worker beside a later run of its
+// task, because nobody polled the worker and noticed its restart.
+func TestRestartOfAnIdleWorkerIsNoticedBeforeALateStart(t *testing.T) {
+	for _, arrives := range []time.Duration{3500 * time.Millisecond, 5 * time.Second, 8 * time.Second} {
+		t.Run(arrives.String(), func(t *testing.T) {
+			b := bornCellWithEnds(t, 2)
+			b.advance(15 * time.Second)
+			name := b.runElsewhere(arrives)
+			b.advance(arrives - 2*time.Second - noticeTime)
+			// Its entry follows long after the start.
+			b.worker("w00").restart(20 * time.Second)
+			b.requireCompletedWithin("a", 60*time.Second)
+			require.Equal(t, 1, b.starts[name])
+		})
+	}
+}
+
+// Guards against the same after a change of the leader: the next one does not know of the start.
+func TestRestartOfAnIdleWorkerIsNoticedAfterALeaderChange(t *testing.T) {
+	b := bornCellWithEnds(t, 2)
+	name := b.runElsewhere(8 * time.Second)
+	b.takeover()
+	b.advance(4 * time.Second)
+	b.worker("w00").restart(20 * time.Second)
+	b.requireCompletedWithin("a", 60*time.Second)
+	require.Equal(t, 1, b.starts[name])
+}
+
 // Guards against a late start that begins in the next incarnation because the leader has forgotten it:
 // a host that stood still may send an order after any time.
 func TestStartIsRefusedByTheNextIncarnationHoweverLateItIs(t *testing.T) {
--- a/internal/sched/sameid_test.go
+++ b/internal/sched/sameid_test.go
@@ -20,6 +20,9 @@
 	entryLate bool
 	// clockBehind is how much the worker's clock is behind the time of day.
 	clockBehind time.Duration
+	// reached means that this incarnation has carried out a hold for it, missed that it has ignored or
+	// delayed a request.
+	reached, missed bool
 	// holdDelay is how late holds are carried out; they have no answer then.
 	holdDelay time.Duration
 }
@@ -92,12 +95,16 @@
 	return w
 }
 
-// refusedBefore reports whether an incarnation that has ended since had answered a stop of a run, or
-// would have refused its start as that of a former leader. The leader may have started the task
-// elsewhere then. If the start arrives before the leader knows of the next incarnation, nothing can
-// prevent that run; TestWorkerRestartsDuringAnUnansweredStart covers the time after that.
-func (w *fakeWorker) refusedBefore(a sched.Start) bool {
-	if w.b.lateStartsOfStopped {
+// noticeTime is how long the leader may take to notice that a worker has restarted.
+const noticeTime = 1200 * time.Millisecond
+
+// isUnpreventable reports whether a late start reaches an incarnation which the leader could not have
+// reached yet, and an incarnation that has ended since had answered a stop of the run, or would have
+// refused its start as that of a former leader. The leader may have started the task elsewhere then.
+func (w *fakeWorker) isUnpreventable(a sched.Start) bool {
+	c := w.current()
+	age := c.clock().Sub(time.Unix(3600, 0))
+	if w.b.lateStartsOfStopped || c.reached || age > noticeTime && !c.missed {
 		return false
 	}
 	for ; w.next != nil; w = w.next {
@@ -136,6 +143,7 @@
 	if w.holdDelay == 0 {
 		return false
 	}
+	w.missed = true
 	ev.Outcome = sched.Unanswered
 	w.unanswered(term, ev)
 	w.b.after(w.holdDelay, func() {
