--- a/internal/sched/token.go
+++ b/internal/sched/token.go
@@ -7,8 +7,8 @@
 	first, last int64
 }
 
-// wireToken is what the leader knows of the tokens of a worker's orders.
-type wireToken struct {
+// workerToken is what the leader knows of the tokens of a worker's orders.
+type workerToken struct {
 	// token is the token of orders to this incarnation; zero means the term's first one.
 	token int64
 	// ordered means that an order was sent to this incarnation under this term.
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -85,7 +85,7 @@
 	factor, kindFactor float64
 	factorVersion      int
 	restart
-	wireToken
+	workerToken
 }
 
 func newWorker(w Worker, u *quota.Usage) *worker {
