sched: keep the raised token of a worker that is forgotten

A worker that restarted under its ID, was not listed for half a minute and came back got orders with the term's first token again, which is lower than the one that it had seen. It refused them, and the leader took that for the end of its term.

--- a/internal/sched/lateorders_test.go
+++ b/internal/sched/lateorders_test.go
@@ -65,3 +65,25 @@
 	b.requireCompletedWithin("a", 60*time.Second)
 	require.Equal(t, 1, b.starts[name])
 }
+
+// Guards against a leader that is refused by a worker, and takes that for the end of its term, because
+// it has forgotten that it had raised the token of the worker's orders.
+func TestTokenOfAForgottenWorkerIsNotLowered(t *testing.T) {
+	for _, restarts := range []bool{false, true} {
+		b := bornCellWithEnds(t, 2)
+		w := b.worker("w00").restart(100 * time.Millisecond)
+		b.advance(time.Second)
+		w.silent, w.entryLate = true, true
+		b.list()
+		b.advance(2 * time.Minute)
+		w.silent, w.entryLate = false, false
+		if restarts {
+			w.restart(0)
+		}
+		b.list()
+		b.submit("a", "scan", scan(24))
+		b.requireCompletedWithin("a", 5*time.Second)
+		require.False(t, b.steppedDown)
+		require.Positive(t, b.worker("w00").lastEnd)
+	}
+}
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -129,6 +129,7 @@
 	other, ok := s.latest[w.name.ID]
 	switch {
 	case !ok:
+		s.recallToken(w)
 	case w.name.Replaces(other.name):
 		s.raiseToken(w, other)
 		s.replaced = append(s.replaced, other)
@@ -143,6 +144,9 @@
 	delete(s.workers, w.Incarnation)
 	if s.latest[w.name.ID] == w {
 		delete(s.latest, w.name.ID)
+		if w.token > 0 {
+			s.forgotten[w.name.ID] = w
+		}
 	}
 	s.workersChanged()
 }
--- a/internal/sched/token.go
+++ b/internal/sched/token.go
@@ -45,5 +45,19 @@
 	}
 }
 
+// recallToken gives a worker that was forgotten the token that its orders had: it refuses lower ones.
+func (s *Sched) recallToken(w *worker) {
+	former, ok := s.forgotten[w.name.ID]
+	if !ok {
+		return
+	}
+	delete(s.forgotten, w.name.ID)
+	if w.name.Replaces(former.name) {
+		s.raiseToken(w, former)
+		return
+	}
+	w.workerToken = former.workerToken
+}
+
 // refusesFormerOrders reports whether a worker refuses all orders to earlier incarnations under its ID.
 func (w *worker) refusesFormerOrders() bool { return w.fenced && !w.exposed }
