--- a/internal/sched/restart_test.go
+++ b/internal/sched/restart_test.go
@@ -336,6 +336,19 @@
 	}
 }
 
+// Plays the same while no greater fencing token can be used within a term.
+func TestRandomHistoriesWithRestartsAndOneTokenForEachTerm(t *testing.T) {
+	for i := range *histories {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			r, restarts := rand.New(rand.NewPCG(seed, 0)), rand.New(rand.NewPCG(seed, 4))
+			b := newBornCell(t, 3+r.IntN(7))
+			b.storeEndDown, b.endsPerReply = true, int(seed%4)
+			b.playHistory(r, nil, nil, func() { b.restartRandomWorker(restarts, false) })
+		})
+	}
+}
+
 func runRestartHistory(t *testing.T, seed uint64, crashes *rand.Rand) {
 	r, restarts := rand.New(rand.NewPCG(seed, 0)), rand.New(rand.NewPCG(seed, 4))
 	b := newBornCell(t, 3+r.IntN(7))
