sched: remember the fencing tokens of workers that were forgotten

A worker that was listed again after 30 s got orders with a lower token than before, refused them, and the leader stepped down; one that had restarted meanwhile would not refuse orders to the former incarnation.

--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -131,7 +131,7 @@
 	case !ok:
 		s.recallToken(w)
 	case w.name.Replaces(other.name):
-		s.raiseToken(w, other)
+		s.raiseToken(w, other.workerToken)
 		s.replaced = append(s.replaced, other)
 	default:
 		s.replaced = append(s.replaced, w)
@@ -144,8 +144,8 @@
 	delete(s.workers, w.Incarnation)
 	if s.latest[w.name.ID] == w {
 		delete(s.latest, w.name.ID)
-		if w.token > 0 {
-			s.forgotten[w.name.ID] = w
+		if w.name.HasBorn {
+			s.forgotten[w.name.ID] = formerOrders{w.name, w.workerToken}
 		}
 	}
 	s.workersChanged()
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -40,8 +40,8 @@
 	// a later one is known, until that is dealt with.
 	latest   map[string]*worker
 	replaced []*worker
-	// forgotten holds the workers, by ID, that were removed and whose orders had a raised token.
-	forgotten map[string]*worker
+	// forgotten holds the latest incarnations that were removed, by worker ID.
+	forgotten map[string]formerOrders
 	// sortedCache holds the workers sorted by incarnation; it is valid until one is added or
 	// removed.
 	sortedCache []*worker
@@ -136,7 +136,7 @@
 func New(limits Limits, term int64, jobs []*flow.Job) *Sched {
 	s := &Sched{
 		limits: limits, term: term, tokens: tokens{first: term, last: term}, queues: map[string]flow.Queue{}, top: math.MaxInt, jobs: map[string]*flow.Job{}, openJobs: map[string]*flow.Job{},
-		workers: map[string]*worker{}, latest: map[string]*worker{}, forgotten: map[string]*worker{}, hosts: policy.New(!slices.Contains(limits.Disabled, AdaptUrgentHosts)),
+		workers: map[string]*worker{}, latest: map[string]*worker{}, forgotten: map[string]formerOrders{}, hosts: policy.New(!slices.Contains(limits.Disabled, AdaptUrgentHosts)),
 		advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
 		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, waits: map[*flow.Stage]*stepWait{}, jobWaits: map[string]WaitTimes{},
 		preemptions: map[*flow.Stage][]preemption{}, earlyCancels: map[Cancel]time.Time{},
