sched: watch a worker after the first restart, too

A start that is refused by the next incarnation may still be carried out by the one after it. TestSecondRestartOfAnIdleWorkerIsNoticedBeforeALateStart failed before.

--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -97,9 +97,6 @@
 // startMayArrive reports whether the start of a run that the worker has not listed may still be
 // carried out. Those of a former leader were sent before this term.
 func (s *Sched) startMayArrive(w *worker, k runKey) bool {
-	if _, carried := w.carried[k]; carried && w.refusesFormerOrders() {
-		return false
-	}
 	return s.now.Sub(latest(s.termStart, w.unlisted[k])) < maxOrderDelay
 }
 
