--- a/internal/sched/fakehold_test.go
+++ b/internal/sched/fakehold_test.go
@@ -65,6 +65,9 @@
 // acknowledge records that an end as done was acknowledged, and a violation if the task was started
 // after it.
 func (b *simCell) acknowledge(w *fakeWorker, e sched.RunEnd) {
+	if !b.done[e.Task] {
+		b.after(time.Second, func() { b.doneSeq[e.Task] = b.seq })
+	}
 	b.done[e.Task] = true
 	mayRepeat := b.copies && w.spec(e.Task).AllowCopies
 	if b.lastStart[e.Task] > w.endOrder[e.Number] && !mayRepeat {
--- a/internal/sched/fakeworker_test.go
+++ b/internal/sched/fakeworker_test.go
@@ -264,6 +264,9 @@
 	if seq, ok := b.cancelledAt[a.Task.Job]; ok && sent >= seq {
 		b.violation("%s starts after the cancellation of its job", a.Task)
 	}
+	if seq, ok := b.doneSeq[a.Task]; ok && sent >= seq {
+		b.violation("%s is started over a second after its end as done was acknowledged", a.Task)
+	}
 	if b.copies && w.spec(a.Task).AllowCopies {
 		return
 	}
--- a/internal/sched/simcell_test.go
+++ b/internal/sched/simcell_test.go
@@ -97,6 +97,9 @@
 	violations []string
 	// done are tasks that ended as done and whose end was acknowledged.
 	done map[flow.Name]bool
+	// doneSeq is, by task, the sequence number of the simulation's events a second after its end as done
+	// was acknowledged first: no start that is sent from then on may be carried out, copies or not.
+	doneSeq map[flow.Name]int
 	// order counts the starts and ends of runs, lastStart is when each task was started last by that
 	// count.
 	order     int
@@ -137,7 +140,7 @@
 func newSimCell(t *testing.T, workers int) *simCell {
 	b := &simCell{
 		t: t, now: time.Unix(1_000_000, 0), term: 1, storeEnd: 1, workers: map[string]*fakeWorker{}, stored: map[string][]byte{},
-		specs: map[string]flow.Spec{}, done: map[flow.Name]bool{}, cancelledAt: map[string]int{}, starts: map[flow.Name]int{}, lastStart: map[flow.Name]int{}, gangs: map[gangRun]map[int]bool{},
+		specs: map[string]flow.Spec{}, done: map[flow.Name]bool{}, doneSeq: map[flow.Name]int{}, cancelledAt: map[string]int{}, starts: map[flow.Name]int{}, lastStart: map[flow.Name]int{}, gangs: map[gangRun]map[int]bool{},
 		crashed: map[flow.Name]int{}, lateStarts: map[flow.Name]int{},
 		queues: []flow.Queue{{Name: "scan", Service: "pass", Rank: 0, Attempts: 3}, {Name: "print", Service: "pass", Rank: 2, Attempts: 4}},
 	}
