--- a/internal/sched/twice_history_test.go
+++ b/internal/sched/twice_history_test.go
@@ -58,6 +58,7 @@
 	b.clearFaults()
 	b.advance(90 * time.Second)
 	require.Empty(t, b.violations)
+	require.False(t, b.steppedDown, "the leader is refused by a worker")
 	for id := range jobs {
 		require.True(t, b.state(id).Final(), "job %s is %s", id, b.state(id))
 	}
