standin/users: count starts after an end that is acknowledged later

The checker reported a start only if a run that was done had been acknowledged before it. The rule also counts ends that are acknowledged later, unless the worker's lease lapsed in between.

The checker now remembers each end with the starts before it. Starts after an acknowledged end are reported as before, whether the lease had lapsed or not.

--- /dev/null
+++ b/internal/standin/users/twice_test.go
@@ -0,0 +1,151 @@
+package users
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// clocked returns a checker of tasks as checked does, and a function that lets time pass for it.
+func clocked() (*InvariantChecker, func(time.Duration)) {
+	o, now := checked(), time.Now()
+	o.now = func() time.Time { return now }
+	return o, func(d time.Duration) { now = now.Add(d) }
+}
+
+// Guards against a checker that passes over a start between a run that was done and the
+// acknowledgement of its end.
+func TestCheckerSeesAStartBeforeTheAcknowledgement(t *testing.T) {
+	again := []string{"task b.0.0.0 was started on w2 after its run 1 was done on w1, and that end was acknowledged later"}
+	for name, tc := range map[string]struct {
+		task          string
+		lapses, acked bool
+		want          []string
+	}{
+		"acknowledged later":             {"b.0.0.0", false, true, again},
+		"lapsed before that":             {"b.0.0.0", true, true, nil},
+		"never acknowledged":             {"b.0.0.0", false, false, nil},
+		"of a step that allows copies":   {"a.0.0.0", false, true, nil},
+		"lapsed and never acknowledged":  {"b.0.0.0", true, false, nil},
+		"lapsed, of a step with copies ": {"a.0.0.0", true, true, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, _ := clocked()
+			o.begin(tc.task, "w1", false)
+			e := o.end(runKey{tc.task, 1}, "w1", true)
+			o.begin(tc.task, "w2", false)
+			o.end(runKey{tc.task, 2}, "w2", false)
+			if tc.lapses {
+				o.lapsed(e)
+			}
+			if tc.acked {
+				o.acknowledged(e)
+			}
+			require.Equal(t, tc.want, o.Violations())
+		})
+	}
+}
+
+// Guards against a lapse that excuses starts after the acknowledgement.
+func TestCheckerSeesAStartAfterALapsedEndWasAcknowledged(t *testing.T) {
+	o, _ := clocked()
+	o.begin("b.0.0.0", "w1", false)
+	e := o.end(runKey{"b.0.0.0", 1}, "w1", true)
+	o.lapsed(e)
+	o.acknowledged(e)
+	o.begin("b.0.0.0", "w2", false)
+	require.Equal(t, []string{"task b.0.0.0 was started on w2 after its end was acknowledged"}, o.Violations())
+}
+
+// Guards against starts that are reported once for each end before them.
+func TestCheckerReportsAStartOnce(t *testing.T) {
+	o, _ := clocked()
+	o.begin("b.0.0.0", "w1", false)
+	first := o.end(runKey{"b.0.0.0", 1}, "w1", true)
+	o.begin("b.0.0.0", "w2", false)
+	second := o.end(runKey{"b.0.0.0", 2}, "w2", true)
+	o.acknowledged(first)
+	o.acknowledged(second)
+	require.Len(t, o.Violations(), 1)
+	o.begin("b.0.0.0", "w3", false)
+	require.Len(t, o.Violations(), 2)
+}
+
+// Guards against copies that start long after their task was done.
+func TestCheckerSeesCopiesLongAfterTheEnd(t *testing.T) {
+	for name, tc := range map[string]struct {
+		after        time.Duration
+		late, lapses bool
+		found        int
+	}{
+		"soon":                         {noticeTime, false, false, 0},
+		"long after":                   {noticeTime + time.Millisecond, false, false, 1},
+		"by an order carried out late": {noticeTime + time.Millisecond, true, false, 0},
+		"lapsed before":                {noticeTime + time.Millisecond, false, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, pass := clocked()
+			o.begin("a.0.0.0", "w1", false)
+			e := o.end(runKey{"a.0.0.0", 1}, "w1", true)
+			if tc.lapses {
+				o.lapsed(e)
+			}
+			o.acknowledged(e)
+			pass(tc.after)
+			o.begin("a.0.0.0", "w2", tc.late)
+			require.Len(t, o.Violations(), tc.found)
+		})
+	}
+}
+
+// Guards against tasks that start after callers were told that their job is completed.
+func TestCheckerSeesStartsOfCompletedJobs(t *testing.T) {
+	for name, tc := range map[string]struct {
+		after time.Duration
+		late  bool
+		found int
+	}{
+		"soon":                         {noticeTime, false, 0},
+		"long after":                   {noticeTime + time.Millisecond, false, 1},
+		"by an order carried out late": {noticeTime + time.Millisecond, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, pass := clocked()
+			o.ShownCompleted("a")
+			pass(time.Millisecond)
+			o.ShownCompleted("a")
+			pass(tc.after - time.Millisecond)
+			o.begin("a.0.0.0", "w1", tc.late)
+			o.begin("b.0.0.0", "w1", tc.late)
+			require.Len(t, o.Violations(), tc.found)
+		})
+	}
+}
+
+// Guards against a worker whose ends still count after its lease lapsed, or no longer count although
+// it did not.
+func TestWorkersLapseDecidesWhetherAnEndCounts(t *testing.T) {
+	for name, tc := range map[string]struct {
+		lapses bool
+		found  int
+	}{"lease goes on": {false, 1}, "lease lapses": {true, 0}} {
+		t.Run(name, func(t *testing.T) {
+			o := NewInvariantChecker()
+			w := NewWorker("w1", time.Hour, o)
+			defer w.Close()
+			w.mu.Lock()
+			deadline := (w.clock() + 5*time.Second).Milliseconds()
+			w.start(order{Task: "b.0.0.0", Run: 1, DeadlineMs: deadline})
+			w.end(runKey{"b.0.0.0", 1}, "done")
+			if tc.lapses {
+				w.deadline = time.Now().Add(-time.Millisecond)
+			}
+			w.mu.Unlock()
+			w.lapsed()
+			o.begin("b.0.0.0", "w2", false)
+			o.acknowledged(w.ends[0].done)
+			require.Len(t, o.Violations(), tc.found)
+		})
+	}
+}
--- a/internal/standin/users/worker.go
+++ b/internal/standin/users/worker.go
@@ -16,18 +16,19 @@
 )
 
 // InvariantChecker checks the invariants of task execution on all workers and records violations: a task
-// never runs twice at the same time, and does not start again after its end was acknowledged, unless its
-// step allows copies; a worker has the label and not more runs of a step than the step allows.
+// never runs twice at the same time, and does not start after a run that was done and whose end is
+// acknowledged sooner or later, unless its step allows copies; a worker has the label and not more runs
+// of a step than the step allows.
 type InvariantChecker struct {
 	mu         sync.Mutex
 	violations []string
-	// at holds the workers on which each task runs, one for each run, done the tasks whose
-	// successful end the host has acknowledged, runs the number of starts of each task.
-	at   map[string][]string
-	done map[string]bool
-	runs map[string]int
-	// finished holds the tasks of which a run ended as done.
-	finished map[string]bool
+	now        func() time.Time
+	// at holds the workers on which each task runs, one for each run, starts and ends the task's
+	// starts and its ends as done, in their order, shown when jobs were first reported as completed.
+	at     map[string][]string
+	starts map[string][]*begun
+	ends   map[string][]*doneEnd
+	shown  map[string]time.Time
 	// organisationOf returns the organisation of a task, limits how many tasks each may have
 	// running; nil means no limits.
 	organisationOf func(task string) string
@@ -42,7 +43,7 @@
 // NewInvariantChecker returns a checker that has recorded nothing yet.
 func NewInvariantChecker() *InvariantChecker {
 	return &InvariantChecker{
-		at: map[string][]string{}, done: map[string]bool{}, runs: map[string]int{}, finished: map[string]bool{},
+		now: time.Now, at: map[string][]string{}, starts: map[string][]*begun{}, ends: map[string][]*doneEnd{}, shown: map[string]time.Time{},
 		stepOf: func(string) Step { return Step{} }, due: map[gangRun]map[string]func(){}, present: map[gangRun]map[string]bool{},
 	}
 }
@@ -81,14 +82,18 @@
 func (o *InvariantChecker) Runs() map[string]int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return maps.Clone(o.runs)
+	runs := map[string]int{}
+	for task, all := range o.starts {
+		runs[task] = len(all)
+	}
+	return runs
 }
 
 // Finished reports whether a run of the task ended as done.
 func (o *InvariantChecker) Finished(task string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.finished[task]
+	return len(o.ends[task]) > 0
 }
 
 func (o *InvariantChecker) addViolation(format string, args ...any) {
@@ -97,23 +102,22 @@
 	o.violations = append(o.violations, fmt.Sprintf(format, args...))
 }
 
-func (o *InvariantChecker) begin(task, worker string) {
+// begin notes that a task begins, by an order that was carried out late or at once.
+func (o *InvariantChecker) begin(task, worker string, late bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	st := o.stepOf(task)
 	if at := o.at[task]; len(at) > 0 && !st.AllowCopies {
 		o.violations = append(o.violations, fmt.Sprintf("task %s was started on %s while it was running on %s", task, worker, at[0]))
 	}
-	if o.done[task] && !st.AllowCopies {
-		o.violations = append(o.violations, fmt.Sprintf("task %s was started on %s after its end was acknowledged", task, worker))
-	}
+	o.addStart(task, worker, late, st.AllowCopies)
 	o.at[task] = append(o.at[task], worker)
-	o.runs[task]++
 	o.checkLimit(task)
 	o.checkApart(task, worker, st.MaxPerWorker)
 }
 
-func (o *InvariantChecker) end(k runKey, worker string, done bool) {
+// end notes that a run ended. It returns the end if the run was done.
+func (o *InvariantChecker) end(k runKey, worker string, done bool) *doneEnd {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if i := slices.Index(o.at[k.task], worker); i >= 0 {
@@ -125,15 +129,10 @@
 	g := gangRun{stepName(k.task), k.run}
 	delete(o.due[g], k.task)
 	delete(o.present[g], k.task)
-	if done {
-		o.finished[k.task] = true
+	if !done {
+		return nil
 	}
-}
-
-func (o *InvariantChecker) acknowledged(task string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.done[task] = true
+	return o.addEnd(k, worker)
 }
 
 // runKey identifies one run of a task.
@@ -151,6 +150,8 @@
 	task string
 	run  int
 	how  string
+	// done is the end as the checker knows it, or nil if the run was not done.
+	done *doneEnd
 }
 
 // Worker simulates one worker on the loopback interface. A task runs for the duration work unless its
@@ -340,7 +341,7 @@
 	if w.runs[k] != nil {
 		return http.StatusOK, ""
 	}
-	w.checker.begin(o.Task, w.ID)
+	w.checker.begin(o.Task, w.ID, false)
 	st := w.checker.step(o.Task)
 	if st.Label != "" && !slices.Contains(w.labels, st.Label) {
 		w.checker.addViolation("task %s was started on %s, which does not have the label %s", o.Task, w.ID, st.Label)
@@ -403,10 +404,10 @@
 // end removes a run from the worker and adds its end to the list of ends. The caller holds mu.
 func (w *Worker) end(k runKey, how string) {
 	delete(w.runs, k)
-	w.checker.end(k, w.ID, how == "done")
+	done := w.checker.end(k, w.ID, how == "done")
 	w.endedRuns[k.task] = max(w.endedRuns[k.task], k.run)
 	w.number++
-	w.ends = append(w.ends, ended{w.number, k.task, k.run, how})
+	w.ends = append(w.ends, ended{w.number, k.task, k.run, how, done})
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -433,6 +434,11 @@
 	if time.Now().Before(w.deadline) {
 		return
 	}
+	for _, e := range w.ends {
+		if e.done != nil {
+			w.checker.lapsed(e.done)
+		}
+	}
 	for _, k := range slices.SortedFunc(maps.Keys(w.runs), compareRuns) {
 		w.runs[k].Stop()
 		w.end(k, "lapsed")
@@ -454,8 +460,8 @@
 	}
 	w.fence = o.FencingToken
 	for len(w.ends) > 0 && w.ends[0].n <= o.LastSeen {
-		if w.ends[0].how == "done" {
-			w.checker.acknowledged(w.ends[0].task)
+		if e := w.ends[0].done; e != nil {
+			w.checker.acknowledged(e)
 		}
 		w.ends = w.ends[1:]
 	}
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -132,6 +132,7 @@
 		a.violation("job %s is reported as %s after it was reported as %s", j.id, state, before)
 	case state == "completed" && before != state:
 		a.finished(j.id)
+		a.c.invariants.ShownCompleted(j.id)
 	}
 	a.mu.Lock()
 	j.state = state
