--- a/internal/standin/users/worker.go
+++ b/internal/standin/users/worker.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"fmt"
 	"maps"
 	"net/http"
 	"net/http/httptest"
@@ -15,126 +14,6 @@
 	"github.com/go-chi/chi/v5"
 )
 
-// InvariantChecker checks the invariants of task execution on all workers and records violations: a task
-// never runs twice at the same time, and does not start after a run that was done and whose end is
-// acknowledged sooner or later, unless its step allows copies; a worker has the label and not more runs
-// of a step than the step allows.
-type InvariantChecker struct {
-	mu         sync.Mutex
-	violations []string
-	now        func() time.Time
-	// at holds the workers on which each task runs, one for each run, starts and ends the task's
-	// starts and its ends as done, in their order, shown when jobs were first reported as completed.
-	at     map[string][]string
-	starts map[string][]*begun
-	ends   map[string][]*doneEnd
-	shown  map[string]time.Time
-	// organisationOf returns the organisation of a task, limits how many tasks each may have
-	// running; nil means no limits.
-	organisationOf func(task string) string
-	limits         map[string]int
-	stepOf         func(task string) Step
-	// due holds the members of gangs that have done their work, by the function that ends each.
-	due map[gangRun]map[string]func()
-	// present holds the members of gangs that are on workers.
-	present map[gangRun]map[string]bool
-}
-
-// NewInvariantChecker returns a checker that has recorded nothing yet.
-func NewInvariantChecker() *InvariantChecker {
-	return &InvariantChecker{
-		now: time.Now, at: map[string][]string{}, starts: map[string][]*begun{}, ends: map[string][]*doneEnd{}, shown: map[string]time.Time{},
-		stepOf: func(string) Step { return Step{} }, due: map[gangRun]map[string]func(){}, present: map[gangRun]map[string]bool{},
-	}
-}
-
-// LimitOrganisations makes it a violation if an organisation has more tasks running than its limit.
-func (o *InvariantChecker) LimitOrganisations(of func(task string) string, limits map[string]int) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.organisationOf, o.limits = of, limits
-}
-
-// checkLimit records a violation if the start of a task exceeds its organisation's limit. mu is held.
-func (o *InvariantChecker) checkLimit(task string) {
-	if o.organisationOf == nil {
-		return
-	}
-	name, running := o.organisationOf(task), 0
-	for t, at := range o.at {
-		if o.organisationOf(t) == name {
-			running += len(at)
-		}
-	}
-	if most, ok := o.limits[name]; ok && running > most {
-		o.violations = append(o.violations, fmt.Sprintf("%s runs %d tasks of %d after the start of %s", name, running, most, task))
-	}
-}
-
-// Violations lists the violations.
-func (o *InvariantChecker) Violations() []string {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return slices.Clone(o.violations)
-}
-
-// Runs returns the number of starts of each task.
-func (o *InvariantChecker) Runs() map[string]int {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	runs := map[string]int{}
-	for task, all := range o.starts {
-		runs[task] = len(all)
-	}
-	return runs
-}
-
-// Finished reports whether a run of the task ended as done.
-func (o *InvariantChecker) Finished(task string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return len(o.ends[task]) > 0
-}
-
-func (o *InvariantChecker) addViolation(format string, args ...any) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.violations = append(o.violations, fmt.Sprintf(format, args...))
-}
-
-// begin notes that a task begins, by an order that was carried out late or at once.
-func (o *InvariantChecker) begin(task, worker string, late bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	st := o.stepOf(task)
-	if at := o.at[task]; len(at) > 0 && !st.AllowCopies {
-		o.violations = append(o.violations, fmt.Sprintf("task %s was started on %s while it was running on %s", task, worker, at[0]))
-	}
-	o.addStart(task, worker, late, st.AllowCopies)
-	o.at[task] = append(o.at[task], worker)
-	o.checkLimit(task)
-	o.checkApart(task, worker, st.MaxPerWorker)
-}
-
-// end notes that a run ended. It returns the end if the run was done.
-func (o *InvariantChecker) end(k runKey, worker string, done bool) *doneEnd {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if i := slices.Index(o.at[k.task], worker); i >= 0 {
-		o.at[k.task] = slices.Delete(o.at[k.task], i, i+1)
-	}
-	if len(o.at[k.task]) == 0 {
-		delete(o.at, k.task)
-	}
-	g := gangRun{stepName(k.task), k.run}
-	delete(o.due[g], k.task)
-	delete(o.present[g], k.task)
-	if !done {
-		return nil
-	}
-	return o.addEnd(k, worker)
-}
-
 // runKey identifies one run of a task.
 type runKey struct {
 	task string
