--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -51,6 +51,9 @@
 }
 
 var binary = sync.OnceValues(func() (string, error) {
+	if *program != "" {
+		return *program, nil
+	}
 	dir, err := os.MkdirTemp("", "pollencroft-soak")
 	if err != nil {
 		return "", err
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,6 +18,7 @@
 	firstSeed  = flag.Uint64("seed", 1, "the first seed")
 	concurrent = flag.Int("apart", 2, "how many seeds to run at once")
 	faultsFor  = flag.Duration("lasts", 12*time.Second, "how long faults are injected")
+	program    = flag.String("program", "", "the program that the hosts run, if it is not to be built from this tree")
 )
 
 // regressionSeeds lists the seeds that failed in the past, each with the cause of the failure.
