soak: hold up orders to workers

Orders without an answer were dropped or carried out at once. The platform may also carry them out seconds later, after newer ones, and by another incarnation that has the worker's ID by then.

Runs of one incarnation are no longer ended by timers of the former one. Violations come with the histories of their tasks.

--- a/internal/standin/users/checker.go
+++ b/internal/standin/users/checker.go
@@ -21,6 +21,9 @@
 	starts map[string][]*begun
 	ends   map[string][]*doneEnd
 	shown  map[string]time.Time
+	late   Late
+	// history holds what the workers did with each task.
+	history map[string][]string
 	// organisationOf returns the organisation of a task, limits how many tasks each may have
 	// running; nil means no limits.
 	organisationOf func(task string) string
@@ -35,7 +38,7 @@
 // NewInvariantChecker returns a checker that has recorded nothing yet.
 func NewInvariantChecker() *InvariantChecker {
 	return &InvariantChecker{
-		now: time.Now, at: map[string][]string{}, starts: map[string][]*begun{}, ends: map[string][]*doneEnd{}, shown: map[string]time.Time{},
+		now: time.Now, at: map[string][]string{}, starts: map[string][]*begun{}, ends: map[string][]*doneEnd{}, shown: map[string]time.Time{}, history: map[string][]string{},
 		stepOf: func(string) Step { return Step{} }, due: map[gangRun]map[string]func(){}, present: map[gangRun]map[string]bool{},
 	}
 }
@@ -126,4 +129,3 @@
 	}
 	return o.addEnd(k, worker)
 }
-
--- /dev/null
+++ b/internal/standin/users/late.go
@@ -0,0 +1,110 @@
+package users
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+)
+
+const (
+	// lateMin and lateMax bound how late an order is carried out that is held up.
+	lateMin = 2 * time.Second
+	lateMax = 12 * time.Second
+	// unansweredMax limits how long the connection of an order without an answer stays open.
+	unansweredMax = 3 * time.Second
+)
+
+// holdUps says which orders to a worker are held up on their way.
+type holdUps struct {
+	percent int
+	until   time.Time
+	r       *rand.Rand
+}
+
+// Late counts the orders that were held up on their way to workers.
+type Late struct {
+	// HeldUp is the number of all, Restarted that of those that an incarnation received which began
+	// after they were sent, Starts that of the runs that began by the latter.
+	HeldUp, Restarted, Starts int
+}
+
+// Late returns the numbers of orders that were held up so far.
+func (o *InvariantChecker) Late() Late {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.late
+}
+
+func (o *InvariantChecker) addLate(n Late) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.late.HeldUp += n.HeldUp
+	o.late.Restarted += n.Restarted
+	o.late.Starts += n.Starts
+}
+
+// HoldUpOrders lets a share of the orders of the next d get no answer. They are carried out seconds
+// later, by the incarnation that has the worker's ID by then. The caller does not use r any more.
+func (w *Worker) HoldUpOrders(percent int, d time.Duration, r *rand.Rand) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heldUp = holdUps{percent, time.Now().Add(d), r}
+}
+
+// holdUp decides whether an order is held up, and carries it out later if it is. The caller holds mu.
+func (w *Worker) holdUp(o order, f func(o order) (int, string)) bool {
+	if !time.Now().Before(w.heldUp.until) || w.heldUp.r.IntN(100) >= w.heldUp.percent {
+		return false
+	}
+	incarnation := w.incarnation
+	if o.Task != "" {
+		w.checker.note(o.Task, "order for run %d, token %d, is held up on its way to %s", o.Run, o.FencingToken, w.ID)
+	}
+	time.AfterFunc(lateMin+time.Duration(w.heldUp.r.Int64N(int64(lateMax-lateMin))), func() { w.carryOutLate(o, f, incarnation) })
+	return true
+}
+
+// obey notes that the worker obeys an order with the given fencing token. The caller holds mu.
+func (w *Worker) obey(token int64) {
+	w.fence = token
+	w.contacted = w.contacted || !w.late
+}
+
+// describeLateness returns how the order that is being carried out was held up, for the history.
+func (w *Worker) describeLateness() string {
+	switch {
+	case !w.late:
+		return ""
+	case !w.restarted:
+		return ", held up"
+	default:
+		return fmt.Sprintf(", held up until %s after a restart, called since: %t", time.Since(w.began).Round(time.Millisecond), w.contacted)
+	}
+}
+
+// carryOutLate carries out an order that was sent to the given incarnation and held up.
+func (w *Worker) carryOutLate(o order, f func(o order) (int, string), incarnation int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return
+	}
+	n, running := Late{HeldUp: 1}, len(w.runs)
+	w.late, w.restarted = true, w.incarnation != incarnation
+	f(o)
+	w.late = false
+	if w.restarted {
+		n.Restarted, n.Starts = 1, max(len(w.runs)-running, 0)
+	}
+	w.checker.addLate(n)
+}
+
+// leaveUnanswered ends a request without an answer, at the latest when the sender gives up.
+func leaveUnanswered(r *http.Request) {
+	select {
+	case <-r.Context().Done():
+	case <-time.After(unansweredMax):
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/internal/standin/users/restart.go
+++ b/internal/standin/users/restart.go
@@ -19,12 +19,14 @@
 	for k, timer := range w.runs {
 		timer.Stop()
 		w.checker.end(k, w.ID, false)
+		w.checker.note(k.task, "run %d ends as %s restarts", k.run, w.ID)
 	}
 	clear(w.runs)
 	clear(w.endedRuns)
 	if w.lapse != nil {
 		w.lapse.Stop()
 	}
+	w.incarnation, w.contacted = w.incarnation+1, false
 	// Two incarnations do not begin in the same millisecond.
 	w.born = max(time.Now().UnixMilli(), w.born+1)
 	w.began, w.fence, w.ends, w.number, w.deadline = time.Now(), 0, nil, 0, time.Time{}
--- a/internal/standin/users/steps_test.go
+++ b/internal/standin/users/steps_test.go
@@ -118,7 +118,7 @@
 			w.start(order{Task: fmt.Sprintf("a.0.0.%d", i), Run: 1, DeadlineMs: time.Hour.Milliseconds() * 2})
 		}
 		w.mu.Unlock()
-		w.endIfAlone(runKey{"a.0.0.0", 1}, 2)
+		w.endIfAlone(runKey{"a.0.0.0", 1}, 2, 0)
 		w.mu.Lock()
 		require.Len(t, w.ends, ends)
 		w.mu.Unlock()
--- a/internal/standin/users/twice.go
+++ b/internal/standin/users/twice.go
@@ -80,6 +80,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	e.acknowledged = o.now()
+	o.addNote(e.task, "end of run %d on %s is acknowledged", e.run, e.worker)
 	if e.lapsed || o.stepOf(e.task).AllowCopies {
 		return
 	}
@@ -96,4 +97,5 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	e.lapsed = true
+	o.addNote(e.task, "lease of %s lapsed after the end of run %d", e.worker, e.run)
 }
--- a/internal/standin/users/worker.go
+++ b/internal/standin/users/worker.go
@@ -65,6 +65,14 @@
 	// carried out.
 	drop    int
 	dropped bool
+	heldUp  holdUps
+	// late reports whether the order that is being carried out was held up, restarted whether it
+	// was sent to a former incarnation.
+	late, restarted bool
+	// incarnation numbers the incarnations under the worker's ID. contacted reports whether an order
+	// reached the present one in time, closed whether the worker has ended.
+	incarnation       int
+	contacted, closed bool
 }
 
 const (
@@ -94,6 +102,7 @@
 // Close stops the worker and all its tasks.
 func (w *Worker) Close() {
 	w.mu.Lock()
+	w.closed = true
 	for k, timer := range w.runs {
 		timer.Stop()
 		w.checker.end(k, w.ID, false)
@@ -188,6 +197,10 @@
 			return
 		}
 		w.mu.Lock()
+		if w.holdUp(o, f) {
+			w.mu.Unlock()
+			leaveUnanswered(r)
+		}
 		lost := w.drop > 0
 		if lost {
 			w.drop--
@@ -215,20 +228,22 @@
 	case w.endedRuns[o.Task] >= o.Run:
 		return http.StatusConflict, "old"
 	}
-	w.fence = o.FencingToken
+	w.obey(o.FencingToken)
 	k := runKey{o.Task, o.Run}
 	if w.runs[k] != nil {
 		return http.StatusOK, ""
 	}
-	w.checker.begin(o.Task, w.ID, false)
+	w.checker.begin(o.Task, w.ID, w.late)
+	w.checker.note(o.Task, "run %d begins on %s, token %d%s", o.Run, w.ID, o.FencingToken, w.describeLateness())
 	st := w.checker.step(o.Task)
 	if st.Label != "" && !slices.Contains(w.labels, st.Label) {
 		w.checker.addViolation("task %s was started on %s, which does not have the label %s", o.Task, w.ID, st.Label)
 	}
-	w.runs[k] = time.AfterFunc(cmp.Or(st.Work, w.work), func() { w.workDone(k, st.GangSize) })
+	incarnation := w.incarnation
+	w.runs[k] = time.AfterFunc(cmp.Or(st.Work, w.work), func() { w.workDone(k, st.GangSize, incarnation) })
 	if st.GangSize > 0 {
 		w.checker.memberBegan(k)
-		time.AfterFunc(gangTimeout, func() { w.endIfAlone(k, st.GangSize) })
+		time.AfterFunc(gangTimeout, func() { w.endIfAlone(k, st.GangSize, incarnation) })
 	}
 	if used := int64(len(w.runs)) * TaskCPU; used > w.bound() {
 		w.checker.addViolation("task %s was started on %s, which has %d milli-CPU, and raised its use to %d", o.Task, w.ID, w.cpu, used)
@@ -242,19 +257,21 @@
 	if o.FencingToken < w.fence {
 		return http.StatusConflict, "fence"
 	}
-	w.fence = o.FencingToken
+	w.obey(o.FencingToken)
 	w.endedRuns[o.Task] = max(w.endedRuns[o.Task], o.Run)
 	k := runKey{o.Task, o.Run}
+	w.checker.note(o.Task, "run %d is to stop on %s, token %d, is there: %t%s", o.Run, w.ID, o.FencingToken, w.runs[k] != nil, w.describeLateness())
 	if timer := w.runs[k]; timer != nil {
 		timer.Stop()
-		time.AfterFunc(w.stopTime, func() { w.finish(k, "stopped") })
+		incarnation := w.incarnation
+		time.AfterFunc(w.stopTime, func() { w.finish(k, "stopped", incarnation) })
 	}
 	return http.StatusOK, ""
 }
 
 // workDone ends a run as done, a member of a gang together with the others.
-func (w *Worker) workDone(k runKey, gangSize int) {
-	end := func() { w.finish(k, "done") }
+func (w *Worker) workDone(k runKey, gangSize, incarnation int) {
+	end := func() { w.finish(k, "done", incarnation) }
 	if gangSize == 0 {
 		end()
 		return
@@ -266,16 +283,17 @@
 
 // endIfAlone ends a member of a gang that is without one of the others. A leader that has inherited
 // a part of a gang learns from it that the gang has to start again.
-func (w *Worker) endIfAlone(k runKey, gangSize int) {
+func (w *Worker) endIfAlone(k runKey, gangSize, incarnation int) {
 	if w.checker.membersPresent(k) < gangSize {
-		w.finish(k, "alone")
+		w.finish(k, "alone", incarnation)
 	}
 }
 
-func (w *Worker) finish(k runKey, how string) {
+// finish ends a run of the given incarnation. The next one may have a run of the same name.
+func (w *Worker) finish(k runKey, how string, incarnation int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.runs[k] != nil {
+	if w.incarnation == incarnation && w.runs[k] != nil {
 		w.end(k, how)
 	}
 }
@@ -284,6 +302,7 @@
 func (w *Worker) end(k runKey, how string) {
 	delete(w.runs, k)
 	done := w.checker.end(k, w.ID, how == "done")
+	w.checker.note(k.task, "run %d ends as %s on %s", k.run, how, w.ID)
 	w.endedRuns[k.task] = max(w.endedRuns[k.task], k.run)
 	w.number++
 	w.ends = append(w.ends, ended{w.number, k.task, k.run, how, done})
@@ -331,20 +350,16 @@
 		return
 	}
 	w.mu.Lock()
-	if o.FencingToken < w.fence {
+	if w.holdUp(o, w.renew) {
+		w.mu.Unlock()
+		leaveUnanswered(r)
+	}
+	if code, reason := w.renew(o); code != http.StatusOK {
 		ms := w.clock().Milliseconds()
 		w.mu.Unlock()
-		writeJSON(rw, http.StatusConflict, map[string]any{"clockMs": ms, "reason": "fence"})
+		writeJSON(rw, code, map[string]any{"clockMs": ms, "reason": reason})
 		return
 	}
-	w.fence = o.FencingToken
-	for len(w.ends) > 0 && w.ends[0].n <= o.LastSeen {
-		if e := w.ends[0].done; e != nil {
-			w.checker.acknowledged(e)
-		}
-		w.ends = w.ends[1:]
-	}
-	w.extend(o.DeadlineMs)
 	changed, has := w.changed, len(w.ends) > 0
 	w.mu.Unlock()
 	if !has && o.WaitMs > 0 {
@@ -357,6 +372,22 @@
 	w.list(rw)
 }
 
+// renew carries out a hold order up to its answer. The caller holds mu.
+func (w *Worker) renew(o order) (int, string) {
+	if o.FencingToken < w.fence {
+		return http.StatusConflict, "fence"
+	}
+	w.obey(o.FencingToken)
+	for len(w.ends) > 0 && w.ends[0].n <= o.LastSeen {
+		if e := w.ends[0].done; e != nil {
+			w.checker.acknowledged(e)
+		}
+		w.ends = w.ends[1:]
+	}
+	w.extend(o.DeadlineMs)
+	return http.StatusOK, ""
+}
+
 func (w *Worker) list(rw http.ResponseWriter) {
 	w.mu.Lock()
 	running, ends := [][]any{}, [][]any{}
--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -83,6 +83,10 @@
 	// restarts reports whether workers restart under their IDs.
 	restarts bool
 	busy     sync.WaitGroup
+	// faultLog has one line for each fault, with the time since began at which it started.
+	began    time.Time
+	faultMu  sync.Mutex
+	faultLog []string
 }
 
 // host holds the process of one host and the proxies on its connections.
@@ -145,9 +149,24 @@
 		_ = os.RemoveAll(dir)
 	})
 	require.Eventually(t, c.served, time.Minute, 50*time.Millisecond)
+	c.began = time.Now()
 	return c
 }
 
+// logFault adds a line to the log of faults.
+func (c *cell) logFault(format string, args ...any) {
+	c.faultMu.Lock()
+	defer c.faultMu.Unlock()
+	c.faultLog = append(c.faultLog, fmt.Sprintf("%.3f s: ", time.Since(c.began).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// listFaults returns the log of faults.
+func (c *cell) listFaults() string {
+	c.faultMu.Lock()
+	defer c.faultMu.Unlock()
+	return strings.Join(c.faultLog, "\n")
+}
+
 func (c *cell) proxy(name, upstream string) *toxiproxy.Proxy {
 	p := toxiproxy.NewProxy(c.proxies, name, "127.0.0.1:0", upstream)
 	require.NoError(c.t, p.Start())
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -24,7 +24,7 @@
 	do   func(c *cell, r *rand.Rand, d time.Duration) func()
 }
 
-// faults lists the faults that may occur, in any order, repeatedly and at the same time.
+// faults lists the faults that may occur in every play, in any order, repeatedly and at the same time.
 var faults = []fault{
 	{"host is killed and comes back", func(c *cell, r *rand.Rand, d time.Duration) func() { return c.restart(c.host(r), syscall.SIGKILL, d) }},
 	{"host is stopped as planned and comes back", func(c *cell, r *rand.Rand, d time.Duration) func() {
@@ -171,20 +171,17 @@
 	return after(d, func() { _ = p.Toxics.RemoveToxic(context.Background(), name) })
 }
 
-// disturb starts a fault every few hundred milliseconds until ctx ends. It returns one line
-// for each fault, with the time at which the fault started.
-func (c *cell) disturb(ctx context.Context, r *rand.Rand) []string {
-	began := time.Now()
-	var faultLog []string
+// disturb starts one of the faults every few hundred milliseconds until ctx ends.
+func (c *cell) disturb(ctx context.Context, r *rand.Rand, faults []fault) {
 	for {
 		f, d := faults[r.IntN(len(faults))], time.Duration(300+r.IntN(4000))*time.Millisecond
 		pause := time.Duration(100+r.IntN(1500)) * time.Millisecond
 		select {
 		case <-ctx.Done():
-			return faultLog
+			return
 		case <-time.After(pause):
 		}
-		faultLog = append(faultLog, fmt.Sprintf("%.3f s: %s, for %s", time.Since(began).Seconds(), f.name, d))
+		c.logFault("%s, for %s", f.name, d)
 		end := f.do(c, r, d)
 		c.busy.Go(end)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -92,18 +92,19 @@
 	}
 	if restarts {
 		c.busy.Go(func() { c.restartSome(ctx, rand.New(rand.NewPCG(seed, 6))) })
+		c.busy.Go(func() { c.disturb(ctx, rand.New(rand.NewPCG(seed, 7)), orderFaults) })
 	}
-	faultLog := c.disturb(ctx, rand.New(rand.NewPCG(seed, 2)))
+	c.disturb(ctx, rand.New(rand.NewPCG(seed, 2)), faults)
 	c.busy.Wait()
 	<-done
 	c.endFaults()
-	require.Eventually(t, func() bool { return a.allJobsEnded(c.hosts[0]) }, quietPeriod, 200*time.Millisecond, "accepted jobs have not ended\n%s", strings.Join(faultLog, "\n"))
-	a.checkResults(t, faultLog)
+	require.Eventually(t, func() bool { return a.allJobsEnded(c.hosts[0]) }, quietPeriod, 200*time.Millisecond, "accepted jobs have not ended\n%s", c.listFaults())
+	a.checkResults(t)
 }
 
 // checkResults compares the tasks that ran with the answers that callers got and fails the test on
 // any violation.
-func (a *callers) checkResults(t *testing.T, faultLog []string) {
+func (a *callers) checkResults(t *testing.T) {
 	runs := a.c.invariants.Runs()
 	for _, j := range a.list() {
 		ran := runs[j.id+".0.0.0"] > 0
@@ -120,7 +121,9 @@
 			accepted++
 		}
 	}
-	t.Logf("%d jobs, %d accepted, %d faults", len(a.list()), accepted, len(faultLog))
-	require.Empty(t, append(a.violations, a.c.invariants.Violations()...), strings.Join(faultLog, "\n"))
-	require.Greater(t, accepted, 5, "too few jobs were accepted\n%s", strings.Join(faultLog, "\n"))
+	late, faultLog := a.c.invariants.Late(), a.c.listFaults()
+	t.Logf("%d jobs, %d accepted, %d faults, %d orders held up, %d of them until after a restart, of which %d began a run",
+		len(a.list()), accepted, strings.Count(faultLog, "\n")+1, late.HeldUp, late.Restarted, late.Starts)
+	require.Empty(t, append(a.violations, a.c.invariants.Violations()...), "%s\n%s", a.c.invariants.Histories(), faultLog)
+	require.Greater(t, accepted, 5, "too few jobs were accepted\n%s", faultLog)
 }
