standin/users: excuse late starts that no leader could prevent

A start that is held up across a restart under the same ID is carried out if no order has reached the new incarnation before: nothing else tells the worker that it is late. While no leader is at work or the worker cannot be reached, no leader can prevent it.

Any other late start is checked as before.

--- a/internal/standin/users/late.go
+++ b/internal/standin/users/late.go
@@ -11,10 +11,27 @@
 	// lateMin and lateMax bound how late an order is carried out that is held up.
 	lateMin = 2 * time.Second
 	lateMax = 12 * time.Second
+	// noticeRestart is how long a leader that reaches a worker may take to notice that it restarted,
+	// and maxSilence how long it may be silent towards all workers and still count as at work.
+	noticeRestart = 1200 * time.Millisecond
+	maxSilence    = 500 * time.Millisecond
 	// unansweredMax limits how long the connection of an order without an answer stays open.
 	unansweredMax = 3 * time.Second
 )
 
+// arrival says how a start reached its worker.
+type arrival int
+
+const (
+	inTime arrival = iota
+	// late starts were held up.
+	late
+	// unpreventable starts were held up until an incarnation received them that began after they were
+	// sent and that no leader had yet been able to call. Nothing in an order tells incarnations
+	// with the same ID apart but the fencing tokens of the orders before it.
+	unpreventable
+)
+
 // holdUps says which orders to a worker are held up on their way.
 type holdUps struct {
 	percent int
@@ -25,8 +42,9 @@
 // Late counts the orders that were held up on their way to workers.
 type Late struct {
 	// HeldUp is the number of all, Restarted that of those that an incarnation received which began
-	// after they were sent, Starts that of the runs that began by the latter.
-	HeldUp, Restarted, Starts int
+	// after they were sent, Starts that of the runs that began by the latter, Unpreventable that of
+	// those among them that no leader could prevent.
+	HeldUp, Restarted, Starts, Unpreventable int
 }
 
 // Late returns the numbers of orders that were held up so far.
@@ -44,6 +62,55 @@
 	o.late.Starts += n.Starts
 }
 
+// leaderSeen notes that an order reached a worker in time.
+func (o *InvariantChecker) leaderSeen() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.now()
+	if now.Sub(o.lastCall) > maxSilence {
+		o.callsSince = now
+	}
+	o.lastCall = now
+}
+
+// couldCall reports whether a leader has been at work for long enough, since a worker was reachable
+// again, to have noticed that the worker restarted.
+func (o *InvariantChecker) couldCall(reachable time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now, since := o.now(), o.callsSince
+	if reachable.After(since) {
+		since = reachable
+	}
+	return now.Sub(o.lastCall) <= maxSilence && now.Sub(since) > noticeRestart
+}
+
+// Cut notes that the worker cannot be reached for the time d.
+func (w *Worker) Cut(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unreachable(d)
+}
+
+// unreachable does the same. The caller holds mu.
+func (w *Worker) unreachable(d time.Duration) {
+	if until := time.Now().Add(d); until.After(w.reachable) {
+		w.reachable = until
+	}
+}
+
+// arrived returns how the start that is being carried out arrived. The caller holds mu.
+func (w *Worker) arrived() arrival {
+	switch {
+	case !w.late:
+		return inTime
+	case w.restarted && !w.contacted && !w.checker.couldCall(w.reachable):
+		return unpreventable
+	default:
+		return late
+	}
+}
+
 // HoldUpOrders lets a share of the orders of the next d get no answer. They are carried out seconds
 // later, by the incarnation that has the worker's ID by then. The caller does not use r any more.
 func (w *Worker) HoldUpOrders(percent int, d time.Duration, r *rand.Rand) {
@@ -57,6 +124,7 @@
 	if !time.Now().Before(w.heldUp.until) || w.heldUp.r.IntN(100) >= w.heldUp.percent {
 		return false
 	}
+	w.unreachable(0)
 	incarnation := w.incarnation
 	if o.Task != "" {
 		w.checker.note(o.Task, "order for run %d, token %d, is held up on its way to %s", o.Run, o.FencingToken, w.ID)
@@ -68,7 +136,10 @@
 // obey notes that the worker obeys an order with the given fencing token. The caller holds mu.
 func (w *Worker) obey(token int64) {
 	w.fence = token
-	w.contacted = w.contacted || !w.late
+	if !w.late {
+		w.contacted = true
+		w.checker.leaderSeen()
+	}
 }
 
 // describeLateness returns how the order that is being carried out was held up, for the history.
--- a/internal/standin/users/restart.go
+++ b/internal/standin/users/restart.go
@@ -27,6 +27,7 @@
 		w.lapse.Stop()
 	}
 	w.incarnation, w.contacted = w.incarnation+1, false
+	w.unreachable(0)
 	// Two incarnations do not begin in the same millisecond.
 	w.born = max(time.Now().UnixMilli(), w.born+1)
 	w.began, w.fence, w.ends, w.number, w.deadline = time.Now(), 0, nil, 0, time.Time{}
