soak: strike single workers in series

Faults struck workers independently of each other, so that orders to a worker were hardly ever held up while it was cut off and restarted.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -237,14 +236,7 @@
 		} else {
 			w.Restart()
 		}
-		c.busy.Go(func() {
-			time.Sleep(pause)
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			if slices.Contains(c.workers, w) {
-				c.listWorker(w)
-			}
-		})
+		c.busy.Go(func() { c.listLater(w, pause) })
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -93,6 +93,7 @@
 	if restarts {
 		c.busy.Go(func() { c.restartSome(ctx, rand.New(rand.NewPCG(seed, 6))) })
 		c.busy.Go(func() { c.disturb(ctx, rand.New(rand.NewPCG(seed, 7)), orderFaults) })
+		c.busy.Go(func() { c.strikeWorkers(ctx, rand.New(rand.NewPCG(seed, 8))) })
 	}
 	c.disturb(ctx, rand.New(rand.NewPCG(seed, 2)), faults)
 	c.busy.Wait()
