soak: strike the host that leads

Faults struck any host, and the more hosts a cell has, the more rarely the leader: a trial with 12 hosts had one leader from beginning to end.

The store stand-in now tells which host's fenced append it carried out last.

--- a/internal/standin/users/log.go
+++ b/internal/standin/users/log.go
@@ -73,11 +73,13 @@
 	slow      time.Duration
 	// calls counts the calls by operation.
 	calls map[store.Op]int
+	// writers holds the host of the last fenced append by topic.
+	writers map[string]string
 }
 
 // NewLog returns an empty log whose topics have the given number of partitions.
 func NewLog(parts int, now func() time.Time) *Log {
-	return &Log{parts: parts, now: now, logs: map[store.Share]*partition{}, group: map[string]*group{}, fault: map[string]Fault{}, unread: map[string]Fault{}, unwritten: map[string]Fault{}, down: map[store.Share]Fault{}, calls: map[store.Op]int{}}
+	return &Log{parts: parts, now: now, logs: map[store.Share]*partition{}, group: map[string]*group{}, fault: map[string]Fault{}, unread: map[string]Fault{}, unwritten: map[string]Fault{}, down: map[store.Share]Fault{}, calls: map[store.Op]int{}, writers: map[string]string{}}
 }
 
 // Break sets the fault for all calls of a host. An empty name stands for every host.
@@ -126,6 +128,14 @@
 	return l.calls[op]
 }
 
+// LastWriter returns the host whose fenced append to a topic was the last one that was carried out, or
+// an empty string.
+func (l *Log) LastWriter(topic string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.writers[topic]
+}
+
 // Put writes a record to the first partition of a topic on behalf of the platform.
 func (l *Log) Put(topic, key string, value []byte) {
 	l.mu.Lock()
@@ -176,16 +186,26 @@
 		<-ctx.Done()
 		return store.Answer{}, &store.UnansweredError{Op: c.Op, Cause: ctx.Err()}
 	case Lost:
-		_, _ = v.log.do(ctx, c)
+		_, _ = v.do(ctx, c)
 		return store.Answer{}, &store.UnansweredError{Op: c.Op, Cause: errLost}
 	}
-	a, err := v.log.do(ctx, c)
+	a, err := v.do(ctx, c)
 	if slow > 0 {
 		time.Sleep(slow)
 	}
 	return a, err
 }
 
+func (v view) do(ctx context.Context, c store.Call) (store.Answer, error) {
+	a, err := v.log.do(ctx, c)
+	if err == nil && c.Op == store.Append && c.Epoch > 0 {
+		v.log.mu.Lock()
+		v.log.writers[c.Topic] = v.host
+		v.log.mu.Unlock()
+	}
+	return a, err
+}
+
 func (l *Log) do(ctx context.Context, c store.Call) (store.Answer, error) {
 	if c.Op == store.Read && c.Wait > 0 {
 		l.await(ctx, c)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -41,14 +41,10 @@
 		return runAll(all...)
 	}},
 	{"host is paused", func(c *cell, r *rand.Rand, d time.Duration) func() {
-		h := c.host(r)
-		h.signal(syscall.SIGSTOP)
-		return after(d, func() { h.signal(syscall.SIGCONT) })
+		return c.host(r).pause(d)
 	}},
 	{"host is paused for longer than a lead is waited for", func(c *cell, r *rand.Rand, _ time.Duration) func() {
-		h := c.host(r)
-		h.signal(syscall.SIGSTOP)
-		return after(9*time.Second, func() { h.signal(syscall.SIGCONT) })
+		return c.host(r).pause(9 * time.Second)
 	}},
 	{"settings change", func(c *cell, r *rand.Rand, _ time.Duration) func() {
 		h := c.host(r)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -94,6 +94,7 @@
 		c.busy.Go(func() { c.restartSome(ctx, rand.New(rand.NewPCG(seed, 6))) })
 		c.busy.Go(func() { c.disturb(ctx, rand.New(rand.NewPCG(seed, 7)), orderFaults) })
 		c.busy.Go(func() { c.strikeWorkers(ctx, rand.New(rand.NewPCG(seed, 8))) })
+		c.busy.Go(func() { c.strikeLeader(ctx, rand.New(rand.NewPCG(seed, 9))) })
 	}
 	c.disturb(ctx, rand.New(rand.NewPCG(seed, 2)), faults)
 	c.busy.Wait()
