--- a/internal/standin/users/checker.go
+++ b/internal/standin/users/checker.go
@@ -16,12 +16,16 @@
 	violations []string
 	now        func() time.Time
 	// at holds the workers on which each task runs, one for each run, starts and ends the task's
-	// starts and its ends as done, in their order, shown when jobs were first reported as completed.
+	// starts and its ends as done, in their order, shown when jobs were first reported as completed,
+	// lost the tasks of which a run ended with its worker.
 	at     map[string][]present
 	starts map[string][]*begun
 	ends   map[string][]*doneEnd
 	shown  map[string]time.Time
+	lost   map[string]bool
 	late   Late
+	// excused describes each start that no leader could prevent.
+	excused []string
 	// lastCall is when an order last reached a worker in time, callsSince when such orders began to
 	// arrive without a long pause.
 	lastCall, callsSince time.Time
@@ -41,7 +45,7 @@
 // NewInvariantChecker returns a checker that has recorded nothing yet.
 func NewInvariantChecker() *InvariantChecker {
 	return &InvariantChecker{
-		now: time.Now, at: map[string][]present{}, starts: map[string][]*begun{}, ends: map[string][]*doneEnd{}, shown: map[string]time.Time{}, history: map[string][]string{},
+		now: time.Now, at: map[string][]present{}, starts: map[string][]*begun{}, ends: map[string][]*doneEnd{}, shown: map[string]time.Time{}, lost: map[string]bool{}, history: map[string][]string{},
 		stepOf: func(string) Step { return Step{} }, due: map[gangRun]map[string]func(){}, present: map[gangRun]map[string]bool{},
 	}
 }
@@ -157,3 +161,17 @@
 	}
 	return o.addEnd(k, worker)
 }
+
+// lose notes that a run ended with its worker.
+func (o *InvariantChecker) lose(k runKey, worker string) {
+	o.end(k, worker, false)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lost[k.task] = true
+}
+
+func (o *InvariantChecker) lostBefore(task string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lost[task]
+}
--- a/internal/standin/users/late.go
+++ b/internal/standin/users/late.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -54,6 +55,19 @@
 	return o.late
 }
 
+// Excused returns a line for each start that no leader could prevent.
+func (o *InvariantChecker) Excused() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.excused)
+}
+
+func (o *InvariantChecker) addExcused(line string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.excused = append(o.excused, line)
+}
+
 func (o *InvariantChecker) addLate(n Late) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -85,6 +99,14 @@
 	return now.Sub(o.lastCall) <= maxSilence && now.Sub(since) > noticeRestart
 }
 
+// describeCalls returns since when a leader could have called a worker, for the history.
+func (o *InvariantChecker) describeCalls(reachable time.Time) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ago := func(at time.Time) time.Duration { return o.now().Sub(at).Round(time.Millisecond) }
+	return fmt.Sprintf("reachable since %s, leader at work since %s, last call %s ago", ago(reachable), ago(o.callsSince), ago(o.lastCall))
+}
+
 // Cut notes that the worker cannot be reached for the time d.
 func (w *Worker) Cut(d time.Duration) {
 	w.mu.Lock()
@@ -150,7 +172,7 @@
 	case !w.restarted:
 		return ", held up"
 	default:
-		return fmt.Sprintf(", held up until %s after a restart, called since: %t", time.Since(w.began).Round(time.Millisecond), w.contacted)
+		return fmt.Sprintf(", held up until %s after a restart, called since: %t, %s", time.Since(w.began).Round(time.Millisecond), w.contacted, w.checker.describeCalls(w.reachable))
 	}
 }
 
