standin/users: excuse starts before a leader knew of an unpreventable run

A run that no leader could prevent may end as done on a worker that cannot be reached, while a leader starts the task elsewhere. The checker blamed that start once the end was acknowledged.

--- a/internal/standin/users/checker.go
+++ b/internal/standin/users/checker.go
@@ -119,7 +119,7 @@
 	st := o.stepOf(task)
 	if how == unpreventable {
 		o.late.Unpreventable++
-		o.starts[task] = append(o.starts[task], &begun{worker, true})
+		o.starts[task] = append(o.starts[task], &begun{worker: worker, reported: true})
 		o.at[task] = append(o.at[task], present{worker, o.now().Add(noticeRestart)})
 		return
 	}
@@ -147,7 +147,9 @@
 func (o *InvariantChecker) end(k runKey, worker string, done bool) *doneEnd {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	stray := false
 	if i := slices.IndexFunc(o.at[k.task], func(p present) bool { return p.worker == worker }); i >= 0 {
+		stray = !o.at[k.task][i].counts.IsZero()
 		o.at[k.task] = slices.Delete(o.at[k.task], i, i+1)
 	}
 	if len(o.at[k.task]) == 0 {
@@ -159,7 +161,7 @@
 	if !done {
 		return nil
 	}
-	return o.addEnd(k, worker)
+	return o.addEnd(k, worker, stray)
 }
 
 // lose notes that a run ended with its worker.
--- a/internal/standin/users/twice.go
+++ b/internal/standin/users/twice.go
@@ -13,6 +13,8 @@
 // begun is a start of a task.
 type begun struct {
 	worker string
+	at     time.Time
+	inTime bool
 	// reported reports whether the start is recorded as a violation because the task was done.
 	reported bool
 }
@@ -27,6 +29,10 @@
 	// worker's lease lapsed before that, so that starts up to the acknowledgement are allowed.
 	acknowledged time.Time
 	lapsed       bool
+	// stray reports whether no leader could prevent the run, listed is when a leader was first told
+	// of the end, or zero. A start that was sent before that cannot be prevented either.
+	stray  bool
+	listed time.Time
 }
 
 // ShownCompleted notes that a host reported the job as completed.
@@ -45,7 +51,7 @@
 	if why != "" {
 		o.violations = append(o.violations, fmt.Sprintf("task %s was started on %s %s", task, worker, why))
 	}
-	o.starts[task] = append(o.starts[task], &begun{worker, why != ""})
+	o.starts[task] = append(o.starts[task], &begun{worker, o.now(), !late, why != ""})
 }
 
 // doneBefore returns why the task must not start any more, or an empty string. mu is held.
@@ -68,8 +74,8 @@
 }
 
 // addEnd records the end of a run as done. mu is held.
-func (o *InvariantChecker) addEnd(k runKey, worker string) *doneEnd {
-	e := &doneEnd{task: k.task, run: k.run, worker: worker, before: len(o.starts[k.task])}
+func (o *InvariantChecker) addEnd(k runKey, worker string, stray bool) *doneEnd {
+	e := &doneEnd{task: k.task, run: k.run, worker: worker, before: len(o.starts[k.task]), stray: stray}
 	o.ends[k.task] = append(o.ends[k.task], e)
 	return e
 }
@@ -85,13 +91,27 @@
 		return
 	}
 	for _, s := range o.starts[e.task][e.before:] {
-		if !s.reported {
+		switch {
+		case s.reported:
+		case e.stray && s.inTime && (e.listed.IsZero() || s.at.Before(e.listed.Add(noticeTime))):
+			o.late.Unpreventable++
+			o.excused = append(o.excused, fmt.Sprintf("%s on %s after its unpreventable run %d was done on %s", e.task, s.worker, e.run, e.worker))
+		default:
 			s.reported = true
 			o.violations = append(o.violations, fmt.Sprintf("task %s was started on %s after its run %d was done on %s, and that end was acknowledged later", e.task, s.worker, e.run, e.worker))
 		}
 	}
 }
 
+// listed notes that a leader was told of an end.
+func (o *InvariantChecker) listed(e *doneEnd) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if e.listed.IsZero() {
+		e.listed = o.now()
+	}
+}
+
 // lapsed notes that the lease of the worker lapsed before the end was acknowledged.
 func (o *InvariantChecker) lapsed(e *doneEnd) {
 	o.mu.Lock()
--- a/internal/standin/users/twice_test.go
+++ b/internal/standin/users/twice_test.go
@@ -150,3 +150,33 @@
 		})
 	}
 }
+
+// Guards against a leader that is blamed for starts before it could know of a run that it could not
+// prevent, or not blamed for those after that.
+func TestStartsAfterAnUnpreventableRunCountOnceItsEndIsListed(t *testing.T) {
+	for name, tc := range map[string]struct {
+		lists bool
+		after time.Duration
+		how   arrival
+		found int
+	}{
+		"not listed":                   {false, time.Minute, inTime, 0},
+		"listed a moment ago":          {true, noticeTime - time.Millisecond, inTime, 0},
+		"listed long ago":              {true, noticeTime, inTime, 1},
+		"by an order carried out late": {false, time.Minute, late, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, pass := clocked()
+			o.begin("b.0.0.0", "w1", unpreventable)
+			e := o.end(runKey{"b.0.0.0", 1}, "w1", true)
+			if tc.lists {
+				o.listed(e)
+			}
+			pass(tc.after)
+			o.begin("b.0.0.0", "w2", tc.how)
+			o.listed(e)
+			o.acknowledged(e)
+			require.Len(t, o.Violations(), tc.found)
+		})
+	}
+}
--- a/internal/standin/users/worker.go
+++ b/internal/standin/users/worker.go
@@ -404,6 +404,9 @@
 	}
 	for _, e := range w.ends[:min(len(w.ends), maxListedEnds)] {
 		ends = append(ends, []any{e.n, e.task, e.run, e.how, ""})
+		if e.done != nil {
+			w.checker.listed(e.done)
+		}
 	}
 	lists := map[string]any{"clockMs": w.clock().Milliseconds(), "running": running, "ended": ends}
 	w.addBorn(lists)
