soak: log restarts and the histories of jobs that do not end

A play whose jobs did not end said neither which workers had restarted nor what became of the tasks, so that its failure could be traced in the hosts' logs only.

--- a/internal/standin/users/history.go
+++ b/internal/standin/users/history.go
@@ -19,14 +19,14 @@
 	o.history[task] = append(o.history[task], o.now().UTC().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
-// Histories returns what the workers did with the tasks that the violations name.
-func (o *InvariantChecker) Histories() string {
+// Histories returns what the workers did with the tasks, and the tasks of the jobs, that a text names.
+func (o *InvariantChecker) Histories(text string) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	all := strings.Join(o.violations, " ") + " "
 	var b strings.Builder
 	for _, task := range slices.Sorted(maps.Keys(o.history)) {
-		if strings.Contains(all, task+" ") {
+		job, _, _ := strings.Cut(task, ".")
+		if strings.Contains(text, task+" ") || strings.Contains(text, job+" ") {
 			fmt.Fprintf(&b, "%s\n\t%s\n", task, strings.Join(o.history[task], "\n\t"))
 		}
 	}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -232,6 +232,7 @@
 			}
 			c.log.Put("servers", id, []byte(foreignEntries[r.IntN(len(foreignEntries))]))
 		} else {
+			c.logFault("%s restarts", w.ID)
 			w.Restart()
 		}
 		c.busy.Go(func() { c.listLater(w, pause) })
--- a/soak/orders_test.go
+++ b/soak/orders_test.go
@@ -63,6 +63,7 @@
 			// A task whose workers restart again and again counts as one that crashes them, and
 			// its job fails.
 			if !w.LostBefore() {
+				c.logFault("%s restarts", w.ID)
 				w.Restart()
 				c.listLater(w, listAfter)
 			}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -109,7 +109,8 @@
 	<-done
 	c.endFaults()
 	if !assert.Eventually(t, func() bool { return a.allJobsEnded(c.hosts[0]) }, quietPeriod, 200*time.Millisecond, "accepted jobs have not ended") {
-		t.Fatalf("open jobs:%s\n%s", a.describeOpen(), c.listFaults())
+		open := a.describeOpen()
+		t.Fatalf("open jobs:%s\n%s\n%s", open, c.invariants.Histories(open+" "), c.listFaults())
 	}
 	a.checkResults(t)
 }
@@ -139,6 +140,7 @@
 	for _, line := range a.c.invariants.Excused() {
 		t.Log("no leader could prevent: " + line)
 	}
-	require.Empty(t, append(a.violations, a.c.invariants.Violations()...), "%s\n%s", a.c.invariants.Histories(), faultLog)
+	violations := append(a.violations, a.c.invariants.Violations()...)
+	require.Empty(t, violations, "%s\n%s", a.c.invariants.Histories(strings.Join(violations, " ")+" "), faultLog)
 	require.Greater(t, accepted, 5, "too few jobs were accepted\n%s", faultLog)
 }
