entry: let hosts advertise another peer address

The address on which a host listened for other hosts was the one that it told them, so nothing could stand between two hosts, neither a forwarded port nor a proxy that tests cut.

With the optional setting listen.advertise a host tells that address in its claims, its membership, its announcements and its messages. Without it all is as before.

--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -21,6 +21,9 @@
 	"pollencroft/platform"
 )
 
+// PeerAddr returns the address at which other hosts reach this one.
+func (s Settings) PeerAddr() netip.AddrPort { return s.peerAddr() }
+
 // Kill ends the host at once, like a signal that cannot be caught.
 func (h *Host) Kill() {
 	h.mu.Lock()
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -226,7 +226,7 @@
 // announce tells all hosts that this one leads. It is repeated until it is stored, because a host
 // that never receives it would ask the previous leader forever.
 func (h *Host) announce(t *term) {
-	l := leaderRecord{Name: h.cfg.Name, Addr: h.cfg.Listen.Peer, Term: t.number}
+	l := leaderRecord{Name: h.cfg.Name, Addr: h.cfg.peerAddr(), Term: t.number}
 	h.setLeader(l)
 	b, err := json.Marshal(l)
 	if err != nil {
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -45,7 +45,7 @@
 // memberName is the name of this incarnation of the host in its group: name, address, incarnation
 // and power.
 func (h *Host) memberName() string {
-	return h.cfg.Name + " " + h.cfg.Listen.Peer.String() + " " + h.incarnation() + " " + strconv.FormatFloat(h.cfg.Power, 'g', -1, 64)
+	return h.cfg.Name + " " + h.cfg.peerAddr().String() + " " + h.incarnation() + " " + strconv.FormatFloat(h.cfg.Power, 'g', -1, 64)
 }
 
 // parseMember parses a member's name. It returns false if the name does not have the format of
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -130,7 +130,7 @@
 	h := &Host{
 		cfg: cfg, log: log, now: now, startedAt: now(), workers: platform.NewWorkers(c),
 		peers: peer.NewClients(map[string]netip.AddrPort{}), metrics: metrics.NewRegistry(),
-		hosts: map[string]netip.AddrPort{cfg.Name: cfg.Listen.Peer}, pending: map[string]int{},
+		hosts: map[string]netip.AddrPort{cfg.Name: cfg.peerAddr()}, pending: map[string]int{},
 		accepted: map[string]acceptance{}, peersSeen: map[string]hostInfo{}, failedSince: map[string]time.Time{},
 		callers: newCallerConns(),
 	}
@@ -376,7 +376,7 @@
 
 // setHosts replaces the set of entry hosts.
 func (h *Host) setHosts(all map[string]netip.AddrPort) {
-	all[h.cfg.Name] = h.cfg.Listen.Peer
+	all[h.cfg.Name] = h.cfg.peerAddr()
 	h.mu.Lock()
 	// Cloned because setLeader adds to h.hosts, while the loop below ranges over all without the
 	// lock.
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -264,7 +264,7 @@
 	h.mu.Lock()
 	list := h.leaderHostList
 	h.mu.Unlock()
-	return peer.Sync{HostList: list, From: h.cfg.Name, Addr: h.cfg.Listen.Peer, Domain: h.cfg.Domain, Power: h.cfg.Power, Began: h.startedAt, Term: term, Endings: next}
+	return peer.Sync{HostList: list, From: h.cfg.Name, Addr: h.cfg.peerAddr(), Domain: h.cfg.Domain, Power: h.cfg.Power, Began: h.startedAt, Term: term, Endings: next}
 }
 
 // hostInfo describes a host that contacted this one. began is when its incarnation started, at
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -119,7 +119,7 @@
 	h := t.h
 	return agent.NewDispatcher(t.ctx, agent.Leader{
 		Name: h.cfg.Name, Power: h.cfg.Power, WorkersPerCore: cmp.Or(h.cfg.Agents.Workers, agent.DefaultWorkersPerCore), Timeout: latency.MaxTimeout, Direct: t.sendDirectly, Apply: t.apply, Count: h.incCounter, Now: h.now, Log: h.log,
-		Orders: func() peer.Orders { return peer.Orders{From: h.cfg.Name, Addr: h.cfg.Listen.Peer, Term: t.number} },
+		Orders: func() peer.Orders { return peer.Orders{From: h.cfg.Name, Addr: h.cfg.peerAddr(), Term: t.number} },
 		Ask:    func(ctx context.Context, name string, m peer.Orders) error { return h.peers.Ask(ctx, name, m, nil) },
 	}, &h.wg)
 }
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -18,12 +18,14 @@
 type Settings struct {
 	Name   string `toml:"name"`
 	Domain string `toml:"domain"`
-	// Listen holds the addresses on which the host listens.
+	// Listen holds the addresses on which the host listens. Advertise is the address at which other
+	// hosts reach Peer, if it is another one.
 	Listen struct {
-		Caller  netip.AddrPort `toml:"caller"`
-		Ready   netip.AddrPort `toml:"ready"`
-		Peer    netip.AddrPort `toml:"peer"`
-		Metrics netip.AddrPort `toml:"metrics"`
+		Caller    netip.AddrPort `toml:"caller"`
+		Ready     netip.AddrPort `toml:"ready"`
+		Peer      netip.AddrPort `toml:"peer"`
+		Advertise netip.AddrPort `toml:"advertise"`
+		Metrics   netip.AddrPort `toml:"metrics"`
 	} `toml:"listen"`
 	// Store is the address of the platform's store. Policy is the address of the service that
 	// decides which workers may run a step; it may be empty.
@@ -83,6 +85,14 @@
 	return fmt.Sprintf("%s: %s: %s", e.Path, e.Key, e.Reason)
 }
 
+// peerAddr returns the address at which other hosts reach this one.
+func (s Settings) peerAddr() netip.AddrPort {
+	if s.Listen.Advertise.IsValid() {
+		return s.Listen.Advertise
+	}
+	return s.Listen.Peer
+}
+
 // Load reads and checks a settings file.
 func Load(path string) (Settings, error) {
 	b, err := os.ReadFile(path)
--- a/internal/entry/settings_test.go
+++ b/internal/entry/settings_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -43,6 +44,17 @@
 	require.Equal(t, uint16(3), cfg.Listen.Peer.Port())
 }
 
+// Guards against a host behind a proxy that tells the others the address on which it listens.
+func TestAdvertisedAddressIsTold(t *testing.T) {
+	cfg, err := load(t, settingsText)
+	require.NoError(t, err)
+	require.Equal(t, cfg.Listen.Peer, cfg.PeerAddr())
+	cfg, err = load(t, strings.Replace(settingsText, "[listen]", "[listen]\nadvertise = \"10.2.0.1:4\"", 1))
+	require.NoError(t, err)
+	require.Equal(t, netip.MustParseAddrPort("10.2.0.1:4"), cfg.PeerAddr())
+	require.Equal(t, uint16(3), cfg.Listen.Peer.Port())
+}
+
 // A required key is missing or has an invalid value. Loading the settings fails with an error
 // that names the key, so that no host starts that accepts callers and can serve none.
 func TestMissingOrInvalidSettingIsNamed(t *testing.T) {
