--- a/internal/standin/users/checker.go
+++ b/internal/standin/users/checker.go
@@ -177,3 +177,15 @@
 	defer o.mu.Unlock()
 	return o.lost[task]
 }
+
+// LostBefore reports whether a task that runs on the worker has already lost a run with its worker.
+func (w *Worker) LostBefore() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for k := range w.runs {
+		if w.checker.lostBefore(k.task) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/standin/users/restart.go
+++ b/internal/standin/users/restart.go
@@ -35,18 +35,6 @@
 	w.server.CloseClientConnections()
 }
 
-// LostBefore reports whether a task that runs on the worker has already lost a run with its worker.
-func (w *Worker) LostBefore() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for k := range w.runs {
-		if w.checker.lostBefore(k.task) {
-			return true
-		}
-	}
-	return false
-}
-
 // addBorn adds the start of the incarnation to what the worker says about itself. The caller holds mu.
 func (w *Worker) addBorn(m map[string]any) {
 	if w.born > 0 {
