soak: cut hosts off from each other

Hosts were never cut off from each other, so no leader went on beside a successor that reached only a part of the hosts.

Each host now advertises the address of a proxy, which tells by the socket that a connection came from which host opened it.

--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -75,6 +76,8 @@
 	t            *testing.T
 	dir          string
 	proxies      *toxiproxy.ApiServer
+	peers        *peers
+	sockets      sockets
 	log          *users.Log
 	invariants   *users.InvariantChecker
 	hosts        []*host
@@ -123,6 +126,8 @@
 		t: t, dir: dir, keepsApart: keepsApart, restarts: restarts, log: users.NewLog(parts, time.Now), invariants: users.NewInvariantChecker(),
 		proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop()),
 	}
+	c.peers = newPeers(c.sender)
+	t.Cleanup(func() { close(c.peers.closed) })
 	c.invariants.LimitOrganisations(func(task string) string {
 		id, _, _ := strings.Cut(task, ".")
 		return organisationOf(id)
@@ -244,6 +249,7 @@
 	h := &host{name: name, file: filepath.Join(c.dir, name+".toml"), ready: freeAddr(c.t)}
 	h.caller = c.proxy("caller "+name, caller.String())
 	h.store = c.proxy("store "+name, strings.TrimPrefix(store.URL, "http://"))
+	peer := freeAddr(c.t)
 	text := fmt.Sprintf(`name = %q
 domain = %q
 store = %q
@@ -254,12 +260,12 @@
 caller = %q
 ready = %q
 peer = %q
-[times]
+%s[times]
 lease = "10s"
 stop = "900ms"
 grace = "6s"
 keep = "120s"
-`, name, zone, h.store.Listen, parts, caller, h.ready, freeAddr(c.t))
+`, name, zone, h.store.Listen, parts, caller, h.ready, peer, c.advertise(name, peer))
 	if agents {
 		text += "[agents]\nworkers = 2.0\n"
 	}
@@ -270,6 +276,20 @@
 	return h
 }
 
+// advertise returns the setting by which the other hosts reach a host through the proxy of its cell.
+// The hosts of regression seeds are reached directly, as they were.
+func (c *cell) advertise(name string, peer netip.AddrPort) string {
+	if !c.restarts {
+		return ""
+	}
+	var lc net.ListenConfig
+	ln, err := lc.Listen(c.t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(c.t, err)
+	c.t.Cleanup(func() { _ = ln.Close() })
+	go c.peers.listen(ln, name, peer.String())
+	return fmt.Sprintf("advertise = %q\n", ln.Addr())
+}
+
 // start starts a new process for the host.
 func (h *host) start(t *testing.T, path string) {
 	cmd := exec.Command(path, "entry", "--settings", h.file)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -100,6 +100,7 @@
 		c.busy.Go(func() { c.disturb(ctx, rand.New(rand.NewPCG(seed, 7)), orderFaults) })
 		c.busy.Go(func() { c.strikeWorkers(ctx, rand.New(rand.NewPCG(seed, 8))) })
 		c.busy.Go(func() { c.strikeLeader(ctx, rand.New(rand.NewPCG(seed, 9))) })
+		c.busy.Go(func() { c.disturb(ctx, rand.New(rand.NewPCG(seed, 11)), peerFaults) })
 	}
 	if n == large {
 		c.busy.Go(func() { a.runMore(ctx, rand.New(rand.NewPCG(seed, 10))) })
