entry, sched: wait for all former leaders, not only the previous one

Tasks ran twice on workers that only a former leader reached, all tasks of such a worker at once, in three ways:

- The leader was cut off from the store and the other hosts, its successor claimed and died or left within some seconds, and the third term waited for one lease only, as soon as the second one's leader was known to be over.
The first one's still renewed leases.
- The same where the second one's leader handed over, on workers that do not report when they began: of the bound that was handed over and one lease the earlier one counted.
- A host that was handed the lead and did not take it kept the bounds of that handover, and applied them when it led later: leases were over at once.

A host is now asked whether it has stopped if it made the claim before this term's own, as the first partition has it, and the leaders before that claim count as over StoreTimeout after it. Claims name their term, and bounds that are handed over count only if they are of that term. Claims of older builds don't: a term after them waits as if the previous leader did not answer. A host that is about to claim has not stopped.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -92,10 +92,16 @@
 		return nil, &LeaderExistsError{Host: other}
 	}
 	number := a.End + 1
-	mine := h.memberName() + " " + strconv.FormatInt(h.now().UnixNano(), 36)
-	if err := h.fence(ctx, number, mine); err != nil {
+	mine := h.newClaim(number)
+	at, err := h.fence(ctx, number, mine)
+	if err != nil {
 		return nil, errors.Wrap(err, "begin a term")
 	}
+	// What was stored since may be another claim.
+	var previous claim
+	if at == a.End {
+		previous = claimIn(a.Records)
+	}
 	// Records that are stored from here on may be missing in what is read.
 	read := h.now()
 	states, requests, next, err := h.readAll(ctx)
@@ -105,7 +111,7 @@
 	if !holdsNewestClaim(states[0], mine) {
 		return nil, &LostClaimError{Term: number}
 	}
-	return h.newTerm(number, slices.Concat(states...), requests, next, read), nil
+	return h.newTerm(number, previous, slices.Concat(states...), requests, next, read), nil
 }
 
 // stateParts lists the partitions of stateTopic. The first one decides who leads.
@@ -115,18 +121,23 @@
 // fenced, the previous leader could still store progress there afterwards, and a task would be
 // started a second time. Two hosts that claim at the same time may fence different partitions
 // first. The first partition decides which of them leads, and the other one's fence there does
-// not end a later term.
-func (h *Host) fence(ctx context.Context, number int64, mine string) error {
+// not end a later term. It returns the offset of the claim in the first partition.
+func (h *Host) fence(ctx context.Context, number int64, mine string) (at int64, err error) {
 	g, ctx := errgroup.WithContext(ctx)
-	for _, part := range h.stateParts() {
+	parts := h.stateParts()
+	for _, part := range parts {
 		g.Go(func() error {
-			_, err := h.store.Do(ctx, store.Call{
+			a, err := h.store.Do(ctx, store.Call{
 				Op: store.Append, Topic: stateTopic, Part: part, Keyed: true, Epoch: number, Records: []store.Record{{Key: claimKey, Value: []byte(mine)}},
 			})
+			if part == parts[0] {
+				at = a.Offset
+			}
 			return errors.Wrapf(err, "fence partition %d", part)
 		})
 	}
-	return g.Wait()
+	err = g.Wait()
+	return at, err
 }
 
 // LeaderExistsError is returned if another host leads or is about to.
--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -48,6 +48,13 @@
 	workersPerCore float64
 	// deadline is the deadline that callers send; if it is zero, they send none.
 	deadline time.Duration
+	// network, if set, connects the hosts, and paths lead to the workers.
+	network *network
+	paths   []*path
+	// born means that the workers report that they began an hour ago.
+	born bool
+	// lease, if set, is the longest lease of the workers.
+	lease time.Duration
 }
 
 type testHost struct {
@@ -91,8 +98,16 @@
 	for i := range workers {
 		w := users.NewWorker(fmt.Sprintf("w%d", i), work, c.checker)
 		t.Cleanup(w.Close)
+		if c.born {
+			w.ReportBornAt(time.Now().Add(-time.Hour))
+		}
 		c.workers = append(c.workers, w)
-		c.log.Put("servers", w.ID, w.Entry("pass", fmt.Sprintf("zone%d", i%3)))
+		addr := w.Address()
+		if c.network != nil {
+			c.paths = append(c.paths, newPath(t, addr))
+			addr = addrOf(t, c.paths[i].server).String()
+		}
+		c.log.Put("servers", w.ID, w.EntryAt(addr, "pass", fmt.Sprintf("zone%d", i%3)))
 	}
 	c.log.Put("op", "config", fmt.Appendf(nil, tableText, 1, ""))
 	for i := range hosts {
@@ -131,6 +146,9 @@
 		r.cfg.Listen.Metrics = freePort(c.t)
 		r.cfg.Times.Lease, r.cfg.Times.Stop = entry.Duration(10*time.Second), entry.Duration(900*time.Millisecond)
 		r.cfg.Times.Grace, r.cfg.Times.Keep = entry.Duration(3*time.Second), entry.Duration(2*time.Minute)
+		if c.lease > 0 {
+			r.cfg.Times.Lease = entry.Duration(c.lease)
+		}
 		r.cfg.Power, r.cfg.Agents.Workers = 1, c.workersPerCore
 		for _, f := range change {
 			f(&r.cfg)
@@ -143,6 +161,9 @@
 	}
 	h, err := entry.New(r.cfg, log, time.Now)
 	require.NoError(c.t, err)
+	if c.network != nil {
+		h.SetDialer(c.network.dialer(name, r.cfg.Listen.Peer))
+	}
 	require.NoError(c.t, h.Start())
 	r.Host = h
 	return r
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -40,6 +40,14 @@
 	h.wg.Wait()
 }
 
+// SetDialer sets how the host connects to others.
+func (h *Host) SetDialer(dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)) {
+	h.peers.SetDialer(dial)
+}
+
+// Term returns the number of the term that the host knows.
+func (h *Host) Term() int64 { return h.currentTerm() }
+
 // Leading reports whether the host leads.
 func (h *Host) Leading() bool {
 	_, leading := h.currentLeader()
@@ -132,7 +140,7 @@
 // BeginTerm begins a term without any jobs, as if the reading of the store had started at the
 // given time.
 func (h *Host) BeginTerm(number int64, read time.Time) {
-	h.newTerm(number, nil, nil, make([]int64, h.cfg.Parts), read)
+	h.newTerm(number, claim{}, nil, nil, make([]int64, h.cfg.Parts), read)
 }
 
 // IsUncertain reports whether the leader cannot tell whether the job exists.
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -67,8 +67,10 @@
 	leader         string
 	term           int64
 	// previousLeader is the last known leader before the current one. handoverBounds are the
-	// lease bounds that it sent when it stepped down, received at handoverBoundsAt.
+	// lease bounds that the leader of handoverTerm sent when it stepped down, received at
+	// handoverBoundsAt.
 	previousLeader   string
+	handoverTerm     int64
 	handoverBounds   map[string]time.Duration
 	handoverBoundsAt time.Time
 	// pending is the number of waiting jobs by queue, as last reported by the leader.
--- /dev/null
+++ b/internal/entry/predecessor.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"pollencroft/internal/peer"
+	"pollencroft/internal/sched"
+	"pollencroft/internal/store"
+)
+
+// A new leader waits for the leases on workers that it does not reach, which a former leader may
+// still renew. The shorter that wait is, the sooner their tasks run elsewhere. The host of the
+// claim before the leader's own can be asked whether it has stopped. That says nothing about the
+// leaders before that claim: they stop in time after it.
+
+// claim is the record that begins a term. The zero value is a claim of which nothing is known.
+type claim struct {
+	// none means that no claim was ever made.
+	none bool
+	host string
+	info hostInfo
+	// at is the time of day of the claim, and term its number; both are zero for claims of older
+	// builds.
+	at   time.Time
+	term int64
+}
+
+// newClaim returns the text of this host's claim to a term. It differs from all others.
+func (h *Host) newClaim(number int64) string {
+	return h.memberName() + " " + strconv.FormatInt(h.now().UnixNano(), incarnationBase) + " " + strconv.FormatInt(number, 10)
+}
+
+// claimIn returns the claim among the records of a partition.
+func claimIn(records []store.Record) claim {
+	for _, r := range records {
+		if r.Key == claimKey {
+			return parseClaim(string(r.Value))
+		}
+	}
+	return claim{none: true}
+}
+
+func parseClaim(s string) claim {
+	name, info, ok := parseMember(s)
+	fields := strings.Fields(s)
+	if !ok || len(fields) < 6 {
+		return claim{}
+	}
+	at, err := strconv.ParseInt(fields[4], incarnationBase, 64)
+	if err != nil {
+		return claim{}
+	}
+	term, err := strconv.ParseInt(fields[5], 10, 64)
+	if err != nil {
+		return claim{}
+	}
+	return claim{host: name, info: info, at: time.Unix(0, at), term: term}
+}
+
+// awaitPreviousLeader waits until the previous leader certainly holds no leases: it has handed over,
+// it has answered that it does not lead, or it was this host.
+func (t *term) awaitPreviousLeader(previous claim) {
+	t.h.mu.Lock()
+	over := sched.PredecessorStopped{Since: t.h.handoverBoundsAt, ClaimedAt: previous.at}
+	if previous.term != 0 && previous.term == t.h.handoverTerm {
+		over.LeaseBounds = t.h.handoverBounds
+	}
+	known := t.h.previousLeader
+	t.h.handoverBounds = nil
+	t.h.mu.Unlock()
+	if known != previous.host {
+		// The host of the claim may never have led.
+		t.h.wg.Go(func() { t.awaitStopped(known) })
+	}
+	how := "it was this host"
+	switch {
+	case previous.none:
+		how = "there was none"
+	case over.LeaseBounds != nil:
+		how = "it has handed over"
+	case previous.host == "":
+		return
+	case previous.host != t.h.cfg.Name:
+		t.h.peers.SetAddr(previous.host, previous.info.addr)
+		if !t.awaitStopped(previous.host) {
+			return
+		}
+		how = "it says so"
+	}
+	t.h.log.Info("lead: previous leader has stopped.", "host", previous.host, "term", t.number, "before", previous.term, "claimed", previous.at, "detail", how)
+	t.step(over)
+}
+
+// awaitStopped waits until a host answers that it does not lead. The answer contains the ends that
+// it could not store. It returns false if this term ends before.
+func (t *term) awaitStopped(name string) bool {
+	if name == "" || name == t.h.cfg.Name {
+		return true
+	}
+	for {
+		ctx, cancel := context.WithTimeout(t.ctx, askTimeout)
+		var r peer.SyncReply
+		m := t.h.syncMessage()
+		m.Succeeds = true
+		err := t.h.peers.Ask(ctx, name, m, &r)
+		cancel()
+		if err == nil && !r.Leading && !r.Claiming {
+			t.step(decodeUnstoredEnds(r.UnstoredEnds))
+			return true
+		}
+		if !sleep(t.ctx, syncInterval) {
+			return false
+		}
+	}
+}
--- a/internal/entry/succession.go
+++ b/internal/entry/succession.go
@@ -42,7 +42,7 @@
 		bounds[incarnation] = d.Duration
 	}
 	h.mu.Lock()
-	h.handoverBounds, h.handoverBoundsAt = bounds, h.now()
+	h.handoverTerm, h.handoverBounds, h.handoverBoundsAt = m.Term, bounds, h.now()
 	h.mu.Unlock()
 	h.wg.Go(func() { h.claim("the lead leaves") })
 }
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -83,7 +83,7 @@
 )
 
 // newTerm starts a term with the state that the store contained when it was read.
-func (h *Host) newTerm(number int64, states []store.Record, requests [][]store.Record, next []int64, read time.Time) *term {
+func (h *Host) newTerm(number int64, previous claim, states []store.Record, requests [][]store.Record, next []int64, read time.Time) *term {
 	began := h.now()
 	r := h.restore(states, requests)
 	limits := sched.DefaultLimits
@@ -135,7 +135,7 @@
 	for _, c := range r.cancels {
 		t.step(c)
 	}
-	h.wg.Go(t.awaitPreviousLeader)
+	h.wg.Go(func() { t.awaitPreviousLeader(previous) })
 	h.wg.Go(t.followWorkers)
 	h.wg.Go(t.pollPeriodically)
 	h.wg.Go(t.tickPeriodically)
@@ -145,33 +145,6 @@
 	return t
 }
 
-// awaitPreviousLeader waits until the previous leader certainly holds no leases: it has answered
-// that it does not lead, or it was this host. The answer contains the ends that it could not store.
-func (t *term) awaitPreviousLeader() {
-	t.h.mu.Lock()
-	previous := t.h.previousLeader
-	over := sched.PredecessorStopped{Since: t.h.handoverBoundsAt, LeaseBounds: t.h.handoverBounds}
-	t.h.handoverBounds = nil
-	t.h.mu.Unlock()
-	// A leader that asked this host to succeed it has ended its term before that.
-	for over.LeaseBounds == nil && previous != "" && previous != t.h.cfg.Name {
-		ctx, cancel := context.WithTimeout(t.ctx, askTimeout)
-		var r peer.SyncReply
-		m := t.h.syncMessage()
-		m.Succeeds = true
-		err := t.h.peers.Ask(ctx, previous, m, &r)
-		cancel()
-		if err == nil && !r.Leading {
-			t.step(decodeUnstoredEnds(r.UnstoredEnds))
-			break
-		}
-		if !sleep(t.ctx, syncInterval) {
-			return
-		}
-	}
-	t.step(over)
-}
-
 // successionMessage is the message that a leader that steps down sends to its successor.
 func (t *term) successionMessage() peer.AnnounceSuccessor {
 	t.mu.Lock()
--- a/internal/sched/leases.go
+++ b/internal/sched/leases.go
@@ -12,15 +12,15 @@
 }
 
 // leaseBound returns when the leases on a silent worker have certainly expired. For a worker that
-// was never read under this term, the length of the previous leader's leases is unknown: that
-// leader gives up its term in time, and its last renewal lasts at most one lease.
+// was never read under this term, the length of the former leaders' leases is unknown: each of them
+// gives up its term in time, and its last renewal lasts at most one lease.
 func (s *Sched) leaseBound(w *worker) time.Time {
 	if w.fenced {
 		return latest(w.leaseEnd(), w.strayLeaseEnd())
 	}
 	at := s.termStart.Add(StoreTimeout + maxLeaseDuration(s.limits.Lease))
 	if !s.predecessorGone.IsZero() {
-		at = s.predecessorGone.Add(maxLeaseDuration(s.limits.Lease))
+		at = latest(s.predecessorGone, s.earlierGone).Add(maxLeaseDuration(s.limits.Lease))
 	}
 	if !w.predecessorLeaseEnd.IsZero() && (w.name.HasBorn || w.predecessorLeaseEnd.Before(at)) {
 		return latest(w.predecessorLeaseEnd, w.strayLeaseEnd())
@@ -28,6 +28,20 @@
 	return latest(at, w.strayLeaseEnd(), w.youngLeaseEnd())
 }
 
+// describeBound returns what leaseBound goes by, for the log.
+func (s *Sched) describeBound(w *worker) string {
+	switch {
+	case w.fenced:
+		return "read in this term"
+	case !w.predecessorLeaseEnd.IsZero():
+		return "not read in this term, bound handed over"
+	case !s.predecessorGone.IsZero():
+		return "not read in this term, previous leader has stopped"
+	default:
+		return "not read in this term, previous leader may have led on"
+	}
+}
+
 // LeaseBounds returns for each silent worker how much longer runs may go on there. Without it a
 // successor would have to wait for a whole lease again.
 func (s *Sched) LeaseBounds(now time.Time) map[string]time.Duration {
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -165,10 +165,12 @@
 }
 
 // PredecessorStopped reports that the previous leader no longer renews any leases. LeaseBounds is
-// what it reported about silent workers, as of Since.
+// what it reported about silent workers, as of Since. ClaimedAt is the time of day at which it claimed
+// leadership: leaders before it may still renew leases for StoreTimeout after that.
 type PredecessorStopped struct {
 	Since       time.Time
 	LeaseBounds map[string]time.Duration
+	ClaimedAt   time.Time
 }
 
 // PreviousEnds reports ends of runs that a previous leader has read and could not store.
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -234,7 +234,7 @@
 	if s.predecessorGone.IsZero() {
 		last = latest(last, s.termStart.Add(StoreTimeout))
 	}
-	return last.Add(maxOrderDelay)
+	return latest(last, s.earlierGone).Add(maxOrderDelay)
 }
 
 // mayMove reports whether a run of a former incarnation may be in the next one.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -24,10 +24,11 @@
 	term      int64
 	now       time.Time
 	termStart time.Time
-	// predecessorGone is when the previous leader had certainly stopped renewing leases.
-	predecessorGone time.Time
-	actions         []Action
-	queues          map[string]flow.Queue
+	// predecessorGone is when the previous leader had certainly stopped renewing leases, earlierGone
+	// when all leaders before it have.
+	predecessorGone, earlierGone time.Time
+	actions                      []Action
+	queues                       map[string]flow.Queue
 	// top is the rank of the most urgent queues. A table may have more than a thousand queues, and
 	// placement costs depend on it.
 	top        int
@@ -229,7 +230,10 @@
 
 // predecessorStopped applies what the previous leader reported when it left.
 func (s *Sched) predecessorStopped(ev PredecessorStopped) {
-	s.predecessorGone = s.now
+	s.predecessorGone, s.earlierGone = s.now, s.termStart.Add(StoreTimeout)
+	if left := ev.ClaimedAt.Add(StoreTimeout + maxClockSkew).Sub(s.now); left < s.earlierGone.Sub(s.now) {
+		s.earlierGone = s.now.Add(left)
+	}
 	for incarnation, left := range ev.LeaseBounds {
 		if w, ok := s.workers[incarnation]; ok {
 			w.predecessorLeaseEnd = ev.Since.Add(left)
--- a/internal/standin/users/restart.go
+++ b/internal/standin/users/restart.go
@@ -1,15 +1,22 @@
 package users
 
-import "time"
+import (
+	"time"
+
+	"pollencroft/internal/incarnation"
+)
 
 // longestLease is the longest lease that workers give, whatever an order asks for.
 const longestLease = 10 * time.Second
 
 // ReportBorn makes the worker report when it began.
-func (w *Worker) ReportBorn() {
+func (w *Worker) ReportBorn() { w.ReportBornAt(time.Now()) }
+
+// ReportBornAt makes the worker report that it began at a time.
+func (w *Worker) ReportBornAt(at time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.born = time.Now().UnixMilli()
+	w.born = at.UnixMilli()
 }
 
 // Restart ends the worker's incarnation with all its runs, and begins the next one under the same ID
@@ -32,6 +39,16 @@
 	w.server.CloseClientConnections()
 }
 
+// Name returns the name of the worker's incarnation.
+func (w *Worker) Name() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.born == 0 {
+		return w.ID
+	}
+	return incarnation.Name{ID: w.ID, Born: w.born, HasBorn: true}.String()
+}
+
 // addBorn adds the start of the incarnation to what the worker says about itself. The caller holds mu.
 func (w *Worker) addBorn(m map[string]any) {
 	if w.born > 0 {
