entry, store: end a leader's term by a clock that counts suspensions

Tasks ran twice after the leader's machine was suspended for 5.5 s, and woke without a way to the store and the other hosts: its steady clock had stood still, so it renewed leases for 8 s more on a worker that its successor did not reach, when that had stopped waiting. The same holds for an answer of the store that arrives after the suspension, or late for any other reason: the 8 s began when it arrived, not when the store gave it.

A leader now measures StoreTimeout by the time since the machine started, suspensions included (internal/uptime reads CLOCK_BOOTTIME at most ten times a second, and when the time of day and the steady clock disagree), from when the call began that was answered, and before each step of the core instead of at ticks only: the answer to a hold that was under way can't bring a new lease. Hosts log suspensions, once a second at most, and count them.

--- a/internal/commands/entry.go
+++ b/internal/commands/entry.go
@@ -13,6 +13,7 @@
 
 	"pollencroft/internal/entry"
 	"pollencroft/internal/logs"
+	"pollencroft/internal/uptime"
 )
 
 // settingsVariable is the environment variable that holds the path of the settings file
@@ -74,7 +75,7 @@
 	// pollencroft report tells hosts and failure domains apart by these attributes.
 	log := slog.New(handler).With("hostname", cfg.Name, "domain", cfg.Domain)
 	defer flushOmissions(log)
-	h, err := entry.New(cfg, log, time.Now)
+	h, err := entry.New(cfg, log, time.Now, uptime.New())
 	if err != nil {
 		return err
 	}
--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -20,6 +20,7 @@
 	"pollencroft/internal/logs"
 	"pollencroft/internal/standin/users"
 	"pollencroft/internal/store"
+	"pollencroft/internal/uptime"
 )
 
 // waitTimeout limits how long a test waits. It decides no result on a machine that works at all,
@@ -55,6 +56,8 @@
 	born bool
 	// lease, if set, is the longest lease of the workers.
 	lease time.Duration
+	// machines are hosts' machines that may be suspended, by host.
+	machines map[string]*machine
 }
 
 type testHost struct {
@@ -159,7 +162,11 @@
 	if c.jsonLogs != nil {
 		log = slog.New(logs.NewHandler(slog.NewJSONHandler(c.jsonLogs, nil), time.Now)).With("hostname", name, "domain", r.cfg.Domain)
 	}
-	h, err := entry.New(r.cfg, log, time.Now)
+	now, up := time.Now, uptime.New()
+	if m, ok := c.machines[name]; ok {
+		now, up = m.now, m.uptime()
+	}
+	h, err := entry.New(r.cfg, log, now, up)
 	require.NoError(c.t, err)
 	if c.network != nil {
 		h.SetDialer(c.network.dialer(name, r.cfg.Listen.Peer))
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -18,6 +18,7 @@
 	"pollencroft/internal/peer"
 	"pollencroft/internal/sched"
 	"pollencroft/internal/store"
+	"pollencroft/internal/uptime"
 	"pollencroft/platform"
 )
 
@@ -193,13 +194,13 @@
 // NewFollower returns a host that knows the other hosts and follows the host leader. Its direct
 // route to the store is direct, and through is its route through a peer.
 func NewFollower(t *testing.T, log *slog.Logger, name string, others []string, leader string, direct store.Log, through func(ctx context.Context, peer string, c store.Call) (store.Answer, error)) *Follower {
-	h, err := New(Settings{Name: name, Parts: 1}, log, time.Now)
+	h, err := New(Settings{Name: name, Parts: 1}, log, time.Now, uptime.NewSteady(time.Now))
 	require.NoError(t, err)
 	for _, n := range others {
 		h.hosts[n] = netip.AddrPort{}
 	}
 	h.leader = leader
-	h.store = store.NewRouted(direct, &throughPeers{h, through}, time.Now, h.storeChanged)
+	h.store = store.NewRouted(direct, &throughPeers{h, through}, time.Now, h.uptime, h.storeChanged)
 	return &Follower{h}
 }
 
@@ -269,11 +270,11 @@
 // to the store, and accepts connections from ln. before is called before each incoming message is
 // handled.
 func NewWithTransport(cfg Settings, log *slog.Logger, direct store.Log, dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error), ln net.Listener, before func(ctx context.Context)) (*Host, error) {
-	h, err := New(cfg, log, time.Now)
+	h, err := New(cfg, log, time.Now, uptime.NewSteady(time.Now))
 	if err != nil {
 		return nil, err
 	}
-	h.store = store.NewRouted(direct, relay{h}, time.Now, h.storeChanged)
+	h.store = store.NewRouted(direct, relay{h}, time.Now, h.uptime, h.storeChanged)
 	h.peers.SetDialer(dial)
 	srv := peer.NewServer(func(ctx context.Context, m peer.Message) (any, error) {
 		before(ctx)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -25,6 +25,7 @@
 	"pollencroft/internal/peer"
 	"pollencroft/internal/sched"
 	"pollencroft/internal/store"
+	"pollencroft/internal/uptime"
 	"pollencroft/platform"
 )
 
@@ -33,6 +34,10 @@
 	cfg Settings
 	log *slog.Logger
 	now func() time.Time
+	// uptime measures what others count on. suspended is how long the machine was suspended as far
+	// as that is logged.
+	uptime    *uptime.Clock
+	suspended time.Duration
 	// startedAt is when this process started. It identifies the incarnation of the host.
 	startedAt time.Time
 	store     *store.Routed
@@ -127,10 +132,10 @@
 }
 
 // New returns a host that has not been started.
-func New(cfg Settings, log *slog.Logger, now func() time.Time) (*Host, error) {
+func New(cfg Settings, log *slog.Logger, now func() time.Time, up *uptime.Clock) (*Host, error) {
 	c := platform.New()
 	h := &Host{
-		cfg: cfg, log: log, now: now, startedAt: now(), workers: platform.NewWorkers(c),
+		cfg: cfg, log: log, now: now, uptime: up, startedAt: now(), workers: platform.NewWorkers(c),
 		peers: peer.NewClients(map[string]netip.AddrPort{}), metrics: metrics.NewRegistry(),
 		hosts: map[string]netip.AddrPort{cfg.Name: cfg.Listen.Peer}, pending: map[string]int{},
 		accepted: map[string]acceptance{}, peersSeen: map[string]hostInfo{}, failedSince: map[string]time.Time{},
@@ -146,7 +151,7 @@
 	h.peers.OnDisconnect(h.onPeerLost)
 	h.lastSync = now()
 	h.ctx, h.cancel = context.WithCancel(context.Background())
-	h.store = store.NewRouted(platform.NewStore(platform.New(), cfg.Store), relay{h}, now, h.storeChanged)
+	h.store = store.NewRouted(platform.NewStore(platform.New(), cfg.Store), relay{h}, now, up, h.storeChanged)
 	h.loadGauges.registry = h.metrics
 	h.inbox = newInbox(h)
 	h.states = newStateCache(h)
--- a/internal/entry/journal_test.go
+++ b/internal/entry/journal_test.go
@@ -17,6 +17,7 @@
 	"pollencroft/internal/flow"
 	"pollencroft/internal/standin/users"
 	"pollencroft/internal/store"
+	"pollencroft/internal/uptime"
 )
 
 // appendTimeout is the timeout of the tests' appends. A partition that works answers at once.
@@ -136,7 +137,7 @@
 	for _, p := range parts {
 		claim(t, log, p, 7)
 	}
-	r := store.NewRouted(&unansweredOnce{Log: log.For("lead")}, noPeers{}, time.Now, func(store.Call, bool, error) {})
+	r := store.NewRouted(&unansweredOnce{Log: log.For("lead")}, noPeers{}, time.Now, uptime.NewSteady(time.Now), func(store.Call, bool, error) {})
 	join := store.Call{Op: store.Join, Group: "hosts", Member: "lead", TTL: time.Minute}
 	_, err := r.Do(t.Context(), join)
 	require.NoError(t, err)
--- a/internal/entry/succession_test.go
+++ b/internal/entry/succession_test.go
@@ -20,6 +20,7 @@
 	"pollencroft/internal/entry"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/standin/users"
+	"pollencroft/internal/uptime"
 )
 
 // Of 44 hosts 6 are strong, and hosts are restarted one after the other, the leader first. If a
@@ -153,7 +154,7 @@
 	leader := c.leader()
 	cfg := leader.cfg
 	cfg.Name, cfg.Listen.Peer = "new", freePort(t)
-	h, err := entry.New(cfg, slog.New(slog.DiscardHandler), time.Now)
+	h, err := entry.New(cfg, slog.New(slog.DiscardHandler), time.Now, uptime.NewSteady(time.Now))
 	require.NoError(t, err)
 	t.Cleanup(h.Kill)
 	require.Zero(t, leader.RecentHostCount())
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -181,6 +181,9 @@
 
 // step passes events to the scheduler core and executes the actions that the core returns.
 func (t *term) step(events ...sched.Event) {
+	if !t.mayGoOn() {
+		return
+	}
 	for _, ev := range events {
 		if !t.stepOne(ev) {
 			return
@@ -317,8 +320,19 @@
 	t.journal.drop(t.ctx, id)
 }
 
-// tickPeriodically steps the core when it is due. It ends the term if the store does not serve
-// this host, because a successor may have started by then and relies on that.
+// mayGoOn ends the term if the store has not served this host for StoreTimeout: a successor may have
+// started by then, and relies on it that this host renews no leases. It counts suspensions of the
+// machine, and orders that were sent before one name deadlines from before it.
+func (t *term) mayGoOn() bool {
+	if t.h.uptime.Now()-t.h.store.LastServed() <= sched.StoreTimeout {
+		return true
+	}
+	t.h.logSuspension()
+	t.end("the store does not answer")
+	return false
+}
+
+// tickPeriodically steps the core when it is due.
 func (t *term) tickPeriodically() {
 	for t.ctx.Err() == nil {
 		t.mu.Lock()
@@ -337,10 +351,6 @@
 			t.maxTickDelay = max(t.maxTickDelay, t.h.now().Sub(set)-pause)
 			t.mu.Unlock()
 		}
-		if t.h.now().Sub(t.h.store.LastAnswer()) > sched.StoreTimeout {
-			t.end("the store does not answer")
-			return
-		}
 		t.step(sched.Tick{})
 	}
 }
--- a/internal/entry/twoleaders_test.go
+++ b/internal/entry/twoleaders_test.go
@@ -16,27 +16,34 @@
 
 const longSteps = `{"spec":"text","steps":[{"count":8,"cpu":500,"memMb":256,"estimateMs":60000}]}`
 
-// isolateLeader starts long tasks and then cuts the leader off from the store and the other hosts.
-// From then on only it reaches the tasks' worker, and not even it does if closed is set.
-func isolateLeader(t *testing.T, lease time.Duration, closed, born bool) (*cluster, *testHost) {
-	c := &cluster{t: t, network: newNetwork(), lease: lease, born: born}
+// isolateLeader starts the cluster and long tasks, and then cuts the leader off from the store and the
+// other hosts. From then on only it reaches the tasks' worker. It returns both.
+func (c *cluster) isolateLeader() (old *testHost, worker int) {
+	t := c.t
 	c.startAll(3, 2, time.Minute)
-	old := c.leader()
+	old = c.leader()
 	require.Equal(t, http.StatusOK, c.call(old.cfg.Listen.Caller, http.MethodPost, prefix+jobID(0), longSteps).code)
-	at := func() int { return slices.IndexFunc(c.workers, func(w *users.Worker) bool { return w.Running() > 0 }) }
-	require.Eventually(t, func() bool { return at() >= 0 }, waitTimeout, 20*time.Millisecond)
+	require.Eventually(t, func() bool {
+		worker = slices.IndexFunc(c.workers, func(w *users.Worker) bool { return w.Running() > 0 })
+		return worker >= 0
+	}, waitTimeout, 20*time.Millisecond)
 	// All starts are confirmed by then.
 	time.Sleep(time.Second)
-	c.paths[at()].restrict(closed, old.Term())
-	c.log.Break(old.cfg.Name, users.Silent)
-	c.network.isolate(old.cfg.Name)
-	delete(c.hosts, old.cfg.Name)
-	t.Cleanup(func() {
-		old.Kill()
-		old.store.CloseClientConnections()
-		old.store.Close()
+	c.paths[worker].restrict(false, old.Term())
+	c.isolate(old)
+	return old, worker
+}
+
+// isolate cuts a host off from the store and the other hosts.
+func (c *cluster) isolate(h *testHost) {
+	c.log.Break(h.cfg.Name, users.Silent)
+	c.network.isolate(h.cfg.Name)
+	delete(c.hosts, h.cfg.Name)
+	c.t.Cleanup(func() {
+		h.Kill()
+		h.store.CloseClientConnections()
+		h.store.Close()
 	})
-	return c, old
 }
 
 // waitNextLeader waits until one of the other hosts leads.
@@ -56,6 +63,7 @@
 // Guards against a third term that waits only for the second one's leader to be over, while the first
 // one's still renews the leases on workers that no other host reaches.
 func TestLeadersBeforeThePreviousOneAreWaitedFor(t *testing.T) {
+	t.Parallel()
 	const lease = 3 * time.Second
 	for name, end := range map[string]func(c *cluster, second *testHost){
 		"the second one dies": func(c *cluster, second *testHost) {
@@ -70,7 +78,8 @@
 		for _, born := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, born %t", name, born), func(t *testing.T) {
 				t.Parallel()
-				c, old := isolateLeader(t, lease, false, born)
+				c := &cluster{t: t, network: newNetwork(), lease: lease, born: born}
+				old, _ := c.isolateLeader()
 				began := time.Now()
 				end(c, c.waitNextLeader())
 				c.requireNoSecondRun(12*time.Second + lease - time.Since(began))
@@ -83,11 +92,13 @@
 // Guards against a term that takes the bounds of an earlier handover, after which another host led, for
 // those of the previous leader.
 func TestBoundsOfAnEarlierHandoverDoNotCount(t *testing.T) {
+	t.Parallel()
 	const lease = 3 * time.Second
 	for _, born := range []bool{false, true} {
 		t.Run(fmt.Sprintf("born %t", born), func(t *testing.T) {
 			t.Parallel()
-			c, old := isolateLeader(t, lease, false, born)
+			c := &cluster{t: t, network: newNetwork(), lease: lease, born: born}
+			old, _ := c.isolateLeader()
 			m := peer.AnnounceSuccessor{Term: old.Term() - 1, Bounds: map[string]cell.Duration{}}
 			for _, w := range c.workers {
 				m.Bounds[w.ID], m.Bounds[w.Name()] = cell.Duration{}, cell.Duration{}
@@ -102,3 +113,54 @@
 		})
 	}
 }
+
+// suspendable returns the machines of hosts that may be suspended.
+func suspendable(hosts int) map[string]*machine {
+	all := map[string]*machine{}
+	for i := range hosts {
+		all[fmt.Sprintf("h%d", i)] = &machine{}
+	}
+	return all
+}
+
+// Guards against a leader that counts only the time that its machine was not suspended, and goes on
+// renewing leases when its successor does not wait for it any more.
+func TestSuspendedLeaderEndsItsTermInTime(t *testing.T) {
+	t.Parallel()
+	const (
+		lease     = 7 * time.Second
+		suspended = 5500 * time.Millisecond
+	)
+	c := &cluster{t: t, network: newNetwork(), lease: lease, born: true, machines: suspendable(3)}
+	old, worker := c.isolateLeader()
+	began := time.Now()
+	c.machines[old.cfg.Name].suspend()
+	c.paths[worker].restrict(true, old.Term())
+	time.Sleep(suspended)
+	c.machines[old.cfg.Name].wake()
+	c.paths[worker].restrict(false, old.Term())
+	c.requireNoSecondRun(10*time.Second + suspended + lease - time.Since(began))
+	require.False(t, old.Leading())
+	require.NotNil(t, c.leader())
+}
+
+// Guards against a leader that still renews a lease after it wakes.
+func TestLeaderThatWakesTooLateRenewsNoLease(t *testing.T) {
+	t.Parallel()
+	c := &cluster{t: t, network: newNetwork(), born: true, machines: suspendable(1)}
+	c.startAll(1, 1, time.Minute)
+	h := c.leader()
+	require.Equal(t, http.StatusOK, c.call(h.cfg.Listen.Caller, http.MethodPost, prefix+jobID(0), longSteps).code)
+	require.Eventually(t, func() bool { return c.workers[0].Running() > 0 }, waitTimeout, 20*time.Millisecond)
+	c.log.Break(h.cfg.Name, users.Silent)
+	// Calls that the store has answered are over.
+	time.Sleep(100 * time.Millisecond)
+	c.machines[h.cfg.Name].skip(9 * time.Second)
+	// A hold that was sent before has arrived.
+	time.Sleep(20 * time.Millisecond)
+	deadline := c.workers[0].Deadline()
+	require.Eventually(t, func() bool { return !h.Leading() }, 2*time.Second, 10*time.Millisecond)
+	require.Equal(t, deadline, c.workers[0].Deadline())
+	c.waitForLog("machine was suspended")
+	require.EqualValues(t, 1, h.Counter("host.suspended"))
+}
--- a/internal/standin/users/worker.go
+++ b/internal/standin/users/worker.go
@@ -269,6 +269,13 @@
 	return len(w.runs)
 }
 
+// Deadline returns when the leases of the worker's runs expire.
+func (w *Worker) Deadline() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.deadline
+}
+
 // Address returns the address on which the worker listens.
 func (w *Worker) Address() string { return strings.TrimPrefix(w.server.URL, "http://") }
 
--- a/internal/store/abandoned_test.go
+++ b/internal/store/abandoned_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pollencroft/internal/store"
+	"pollencroft/internal/uptime"
 )
 
 // refusesAfterSilence leaves calls unanswered until it recovers. After that it refuses appends and
@@ -31,7 +32,7 @@
 // refuses the repeated call.
 func callAcrossRecovery(t *testing.T, p store.Relay, do func(r *store.Routed) error) error {
 	direct := &refusesAfterSilence{}
-	r := store.NewRouted(direct, p, time.Now, func(store.Call, bool, error) {})
+	r := store.NewRouted(direct, p, time.Now, uptime.NewSteady(time.Now), func(store.Call, bool, error) {})
 	join := store.Call{Op: store.Join, Group: "hosts"}
 	_, err := r.Do(background, join)
 	require.NoError(t, err)
--- a/internal/store/bulk_test.go
+++ b/internal/store/bulk_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pollencroft/internal/store"
+	"pollencroft/internal/uptime"
 )
 
 // Many hosts read large pages over slow links, which takes longer than any usual answer. Each of
@@ -97,7 +98,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				link := &narrowLink{}
-				r := store.NewRouted(link, linkPeers{link}, time.Now, func(store.Call, bool, error) {})
+				r := store.NewRouted(link, linkPeers{link}, time.Now, uptime.NewSteady(time.Now), func(store.Call, bool, error) {})
 				began := time.Now()
 				_, err := r.Do(background, c)
 				require.NoError(t, err)
--- a/internal/store/routed.go
+++ b/internal/store/routed.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"pollencroft/internal/uptime"
 )
 
 // Timing of the routes to the store.
@@ -58,6 +60,7 @@
 	direct Log
 	relay  Relay
 	now    func() time.Time
+	uptime *uptime.Clock
 	// onChange is called when the direct route starts to fail for a call's target, and when it
 	// works again.
 	onChange func(c Call, ok bool, err error)
@@ -71,13 +74,15 @@
 	// most.
 	latency    time.Duration
 	lastAnswer time.Time
+	// lastServed is the uptime at which the newest call began that the store answered.
+	lastServed time.Duration
 	// lastDirect is when the direct route last answered.
 	lastDirect time.Time
 	// recovered is closed when the direct route answers after cutAfter without any answer.
 	recovered chan struct{}
-	// lastServed is the peer that the store served last. failedPeers holds, for each peer that
+	// servedPeer is the peer that the store served last. failedPeers holds, for each peer that
 	// the store does not serve, when that was seen last.
-	lastServed  string
+	servedPeer  string
 	failedPeers map[string]time.Time
 }
 
@@ -104,9 +109,9 @@
 
 // NewRouted returns a log that uses the direct route and peers. The function onChange must not
 // block.
-func NewRouted(direct Log, relay Relay, now func() time.Time, onChange func(c Call, ok bool, err error)) *Routed {
+func NewRouted(direct Log, relay Relay, now func() time.Time, up *uptime.Clock, onChange func(c Call, ok bool, err error)) *Routed {
 	return &Routed{
-		direct: direct, relay: relay, now: now, onChange: onChange,
+		direct: direct, relay: relay, now: now, uptime: up, onChange: onChange,
 		targets: map[string]*target{}, recovered: make(chan struct{}), failedPeers: map[string]time.Time{},
 	}
 }
@@ -132,6 +137,20 @@
 	return r.lastAnswer
 }
 
+// LastServed returns the uptime at which the newest call began that the store answered, on any route.
+// An answer may arrive long after the store gave it, and after what others have done there since.
+func (r *Routed) LastServed() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastServed
+}
+
+func (r *Routed) noteServed(began time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastServed = max(r.lastServed, began)
+}
+
 // RecentLatency returns an estimate of the store's recent latency in which the longest answer
 // weighs most.
 func (r *Routed) RecentLatency() time.Duration {
@@ -248,8 +267,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	slices.SortStableFunc(all, func(a, b string) int { return r.failedPeers[a].Compare(r.failedPeers[b]) })
-	if i := slices.Index(all, r.lastServed); i > 0 {
-		all = slices.Insert(slices.Delete(all, i, i+1), 0, r.lastServed)
+	if i := slices.Index(all, r.servedPeer); i > 0 {
+		all = slices.Insert(slices.Delete(all, i, i+1), 0, r.servedPeer)
 	}
 	return all[:min(len(all), maxPeers)]
 }
@@ -259,13 +278,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !IsUnavailable(err) {
-		r.lastServed = p
+		r.servedPeer = p
 		delete(r.failedPeers, p)
 		return
 	}
 	r.failedPeers[p] = r.now()
-	if r.lastServed == p {
-		r.lastServed = ""
+	if r.servedPeer == p {
+		r.servedPeer = ""
 	}
 }
 
@@ -277,9 +296,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	began := r.uptime.Now()
 	a, err := r.relay.Do(ctx, p, c)
 	r.recordPeer(p, err)
 	if !IsUnavailable(err) {
+		r.noteServed(began)
 		r.mu.Lock()
 		r.lastAnswer = r.now()
 		r.mu.Unlock()
@@ -380,7 +401,11 @@
 		attempt, cancel := context.WithCancel(ctx)
 		done := make(chan result, 1)
 		go func() {
+			began := r.uptime.Now()
 			a, err := r.direct.Do(attempt, call)
+			if !IsUnavailable(err) {
+				r.noteServed(began)
+			}
 			done <- result{a, err}
 		}()
 		select {
--- a/internal/store/routed_test.go
+++ b/internal/store/routed_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pollencroft/internal/store"
+	"pollencroft/internal/uptime"
 )
 
 // fixedLog answers every call with err, or successfully if err is nil.
@@ -34,7 +35,7 @@
 }
 
 func routed(direct store.Log, p peers) *store.Routed {
-	return store.NewRouted(direct, p, time.Now, func(store.Call, bool, error) {})
+	return store.NewRouted(direct, p, time.Now, uptime.NewSteady(time.Now), func(store.Call, bool, error) {})
 }
 
 var (
@@ -243,7 +244,7 @@
 func TestAPeerThatWasServedIsAskedFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cutOff := &slow{wait: time.Minute}
-		r := store.NewRouted(&slow{wait: time.Minute}, mixed{"a": cutOff, "b": &fixedLog{}}, time.Now, func(store.Call, bool, error) {})
+		r := store.NewRouted(&slow{wait: time.Minute}, mixed{"a": cutOff, "b": &fixedLog{}}, time.Now, uptime.NewSteady(time.Now), func(store.Call, bool, error) {})
 		for range 6 {
 			_, err := r.Do(background, appendCall)
 			require.NoError(t, err)
@@ -312,7 +313,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			c := tc.call
 			p := mixed{"a": &slow{wait: time.Hour}, "b": &slow{wait: time.Hour}, "c": &fixedLog{}}
-			r := store.NewRouted(&fixedLog{err: errRefused}, p, time.Now, func(store.Call, bool, error) {})
+			r := store.NewRouted(&fixedLog{err: errRefused}, p, time.Now, uptime.NewSteady(time.Now), func(store.Call, bool, error) {})
 			began := time.Now()
 			_, err := r.Do(background, c)
 			require.NoError(t, err)
@@ -346,7 +347,7 @@
 // callers for as long as the store refuses these peers as well.
 func TestRefusedPeersAreAskedLast(t *testing.T) {
 	p := &many{names: []string{"a", "b", "c", "d", "e", "f", "g"}, asked: map[string]int{}}
-	r := store.NewRouted(&fixedLog{err: errRefused}, p, time.Now, func(store.Call, bool, error) {})
+	r := store.NewRouted(&fixedLog{err: errRefused}, p, time.Now, uptime.NewSteady(time.Now), func(store.Call, bool, error) {})
 	refused := 0
 	for range 10 {
 		if _, err := r.Do(background, appendCall); err != nil {
@@ -365,7 +366,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		direct := &silentUntil{}
 		var changes []bool
-		r := store.NewRouted(direct, peers{}, time.Now, func(_ store.Call, ok bool, _ error) { changes = append(changes, ok) })
+		r := store.NewRouted(direct, peers{}, time.Now, uptime.NewSteady(time.Now), func(_ store.Call, ok bool, _ error) { changes = append(changes, ok) })
 		_, err := r.Do(background, appendCall)
 		require.NoError(t, err)
 		direct.at = time.Now().Add(300 * time.Millisecond)
@@ -381,7 +382,7 @@
 func TestCancelledCallIsNotAStoreFailure(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		lost := 0
-		r := store.NewRouted(&slow{wait: 800 * time.Millisecond}, peers{}, time.Now, func(store.Call, bool, error) { lost++ })
+		r := store.NewRouted(&slow{wait: 800 * time.Millisecond}, peers{}, time.Now, uptime.NewSteady(time.Now), func(store.Call, bool, error) { lost++ })
 		ctx, cancel := context.WithCancel(background)
 		time.AfterFunc(100*time.Millisecond, cancel)
 		_, err := r.Do(ctx, longRead)
