entry: play tasks of all kinds beside a former leader

A leader is cut off from the store and the other hosts while plain, gang, copied, lasting and long tasks start, reaches all workers or only one, and its successor reaches all but that one.

--- a/internal/entry/network_test.go
+++ b/internal/entry/network_test.go
@@ -71,12 +71,13 @@
 }
 
 // path is the way to a worker. It may be closed for all terms above a limit, so that only a former
-// leader reaches the worker.
+// leader reaches the worker, or for all below, so that only its successors do.
 type path struct {
 	server *httptest.Server
 	mu     sync.Mutex
 	closed bool
 	limit  int64
+	least  int64
 }
 
 func newPath(t *testing.T, worker string) *path {
@@ -102,7 +103,7 @@
 func (p *path) lets(term int64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.closed && (p.limit == 0 || term <= p.limit)
+	return !p.closed && (p.limit == 0 || term <= p.limit) && term >= p.least
 }
 
 // restrict closes the path for the orders of all terms, or of those above a limit.
@@ -111,3 +112,10 @@
 	defer p.mu.Unlock()
 	p.closed, p.limit = closed, limit
 }
+
+// restrictBelow closes the path for the orders of the terms below the given one.
+func (p *path) restrictBelow(least int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.least = least
+}
