--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -93,13 +93,13 @@
 	}
 	number := a.End + 1
 	mine := h.newClaim(number)
-	at, err := h.fence(ctx, number, mine)
+	first, err := h.fence(ctx, number, mine)
 	if err != nil {
 		return nil, errors.Wrap(err, "begin a term")
 	}
 	// What was stored since may be another claim.
 	var previous claim
-	if at == a.End {
+	if first.Offset == a.End {
 		previous = claimIn(a.Records)
 	}
 	// Records that are stored from here on may be missing in what is read.
@@ -111,7 +111,7 @@
 	if !holdsNewestClaim(states[0], mine) {
 		return nil, &LostClaimError{Term: number}
 	}
-	return h.newTerm(number, previous, slices.Concat(states...), requests, next, read), nil
+	return h.newTerm(newTermID(number, first), previous, slices.Concat(states...), requests, next, read), nil
 }
 
 // stateParts lists the partitions of stateTopic. The first one decides who leads.
@@ -121,23 +121,22 @@
 // fenced, the previous leader could still store progress there afterwards, and a task would be
 // started a second time. Two hosts that claim at the same time may fence different partitions
 // first. The first partition decides which of them leads, and the other one's fence there does
-// not end a later term. It returns the offset of the claim in the first partition.
-func (h *Host) fence(ctx context.Context, number int64, mine string) (at int64, err error) {
+// not end a later term. It returns the answer of the first partition.
+func (h *Host) fence(ctx context.Context, number int64, mine string) (first store.Answer, err error) {
 	g, ctx := errgroup.WithContext(ctx)
-	parts := h.stateParts()
-	for _, part := range parts {
+	for i, part := range h.stateParts() {
 		g.Go(func() error {
 			a, err := h.store.Do(ctx, store.Call{
 				Op: store.Append, Topic: stateTopic, Part: part, Keyed: true, Epoch: number, Records: []store.Record{{Key: claimKey, Value: []byte(mine)}},
 			})
-			if part == parts[0] {
-				at = a.Offset
+			if i == 0 {
+				first = a
 			}
 			return errors.Wrapf(err, "fence partition %d", part)
 		})
 	}
 	err = g.Wait()
-	return at, err
+	return first, err
 }
 
 // LeaderExistsError is returned if another host leads or is about to.
--- a/internal/entry/cutleader_test.go
+++ b/internal/entry/cutleader_test.go
@@ -67,10 +67,11 @@
 				old := c.leader()
 				jobs := c.submitKinds(old, 0)
 				time.Sleep(after)
-				c.paths[0].restrict(false, old.Term())
+				last := c.lastToken()
+				c.paths[0].restrict(false, last)
 				for _, p := range c.paths[1:] {
 					if one {
-						p.restrictBelow(old.Term() + 1)
+						p.restrictBelow(last + 1)
 					}
 				}
 				c.isolate(old)
--- a/internal/entry/twoleaders_test.go
+++ b/internal/entry/twoleaders_test.go
@@ -12,6 +12,7 @@
 	"pollencroft/internal/cell"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/standin/users"
+	"pollencroft/internal/store"
 )
 
 const longSteps = `{"spec":"text","steps":[{"count":8,"cpu":500,"memMb":256,"estimateMs":60000}]}`
@@ -29,11 +30,19 @@
 	}, waitTimeout, 20*time.Millisecond)
 	// All starts are confirmed by then.
 	time.Sleep(time.Second)
-	c.paths[worker].restrict(false, old.Term())
+	c.paths[worker].restrict(false, c.lastToken())
 	c.isolate(old)
 	return old, worker
 }
 
+// lastToken returns a fencing token that is not below those of the terms so far, and below those of
+// the next.
+func (c *cluster) lastToken() int64 {
+	a, err := c.log.For("").Do(c.t.Context(), store.Call{Op: store.Newest, Topic: "state"})
+	require.NoError(c.t, err)
+	return a.End
+}
+
 // isolate cuts a host off from the store and the other hosts.
 func (c *cluster) isolate(h *testHost) {
 	c.log.Break(h.cfg.Name, users.Silent)
@@ -135,10 +144,11 @@
 	old, worker := c.isolateLeader()
 	began := time.Now()
 	c.machines[old.cfg.Name].suspend()
-	c.paths[worker].restrict(true, old.Term())
+	last := c.lastToken()
+	c.paths[worker].restrict(true, 0)
 	time.Sleep(suspended)
 	c.machines[old.cfg.Name].wake()
-	c.paths[worker].restrict(false, old.Term())
+	c.paths[worker].restrict(false, last)
 	c.requireNoSecondRun(10*time.Second + suspended + lease - time.Since(began))
 	require.False(t, old.Leading())
 	require.NotNil(t, c.leader())
--- a/internal/sched/fakehold_test.go
+++ b/internal/sched/fakehold_test.go
@@ -19,7 +19,8 @@
 
 // serveHold carries out a hold.
 func (w *fakeWorker) serveHold(term int64, a sched.Hold, ev sched.HoldReply, sent time.Time) {
-	w.fence = a.Term
+	w.fence = a.Token
+	w.reached = w.reached || a.To.Incarnation == w.info.Incarnation
 	for len(w.ends) > 0 && w.ends[0].Number <= a.AckedEnd {
 		if w.ends[0].How == sched.EndDone && w.ends[0].Number > w.lapsedUpTo {
 			w.b.acknowledge(w, w.ends[0])
@@ -64,6 +65,9 @@
 // acknowledge records that an end as done was acknowledged, and a violation if the task was started
 // after it.
 func (b *simCell) acknowledge(w *fakeWorker, e sched.RunEnd) {
+	if !b.done[e.Task] {
+		b.after(time.Second, func() { b.doneSeq[e.Task] = b.seq })
+	}
 	b.done[e.Task] = true
 	mayRepeat := b.copies && w.spec(e.Task).AllowCopies
 	if b.lastStart[e.Task] > w.endOrder[e.Number] && !mayRepeat {
@@ -75,12 +79,13 @@
 func (w *fakeWorker) rejectHold(term int64, a sched.Hold, ev sched.HoldReply) bool {
 	switch {
 	case w.silent || w.dead && !w.replaced:
+		w.missed = w.missed || w.silent
 		ev.Outcome = sched.Unanswered
 		w.unanswered(term, ev)
 		return true
 	case w.replaced:
 		ev.Outcome = sched.OtherIncarnation
-	case a.Term < w.fence:
+	case a.Token < w.fence:
 		ev.Outcome = sched.Fenced
 	default:
 		return false
--- a/internal/sched/fakeworker_test.go
+++ b/internal/sched/fakeworker_test.go
@@ -167,13 +167,14 @@
 		return
 	}
 	if w.silent || w.dead {
+		w.missed = w.missed || w.silent
 		w.unanswered(term, sched.StartReply{Task: a.Task, Run: a.Run, Worker: a.To.Incarnation, Outcome: sched.Unanswered})
 		return
 	}
 	if late := w.startDelay; late > 0 {
 		w.unanswered(term, sched.StartReply{Task: a.Task, Run: a.Run, Worker: a.To.Incarnation, Outcome: sched.Unanswered})
 		w.b.after(late, func() {
-			if c := w.current(); !c.dead && !w.refusedBefore(a) {
+			if c := w.current(); !c.dead && !w.isUnpreventable(a) {
 				c.begin(a, sent)
 			}
 		})
@@ -184,14 +185,14 @@
 
 func (w *fakeWorker) begin(a sched.Start, sent int) sched.Outcome {
 	switch {
-	case a.Term < w.fence:
+	case a.Token < w.fence:
 		return sched.Fenced
 	case w.clock().After(a.Deadline):
 		return sched.Rejected
 	case w.tombstones[a.Task] >= a.Run:
 		return sched.Rejected
 	}
-	w.fence = a.Term
+	w.fence = a.Token
 	if r, ok := w.runs[a.Task]; ok && r.run == a.Run {
 		return sched.Accepted
 	}
@@ -204,7 +205,7 @@
 		w.b.lateStarts[a.Task]++
 	}
 	st := w.spec(a.Task)
-	r := &fakeRun{run: a.Run, term: a.Term, began: w.b.now, ends: w.b.now.Add(time.Duration(float64(st.EstimatedTime) * w.slowdown)), step: st}
+	r := &fakeRun{run: a.Run, term: a.Token, began: w.b.now, ends: w.b.now.Add(time.Duration(float64(st.EstimatedTime) * w.slowdown)), step: st}
 	w.runs[a.Task] = r
 	w.b.recordMember(a.Task, a.Run)
 	w.extendLease(a.Deadline)
@@ -263,6 +264,9 @@
 	if seq, ok := b.cancelledAt[a.Task.Job]; ok && sent >= seq {
 		b.violation("%s starts after the cancellation of its job", a.Task)
 	}
+	if seq, ok := b.doneSeq[a.Task]; ok && sent >= seq {
+		b.violation("%s is started over a second after its end as done was acknowledged", a.Task)
+	}
 	if b.copies && w.spec(a.Task).AllowCopies {
 		return
 	}
@@ -375,14 +379,15 @@
 		return
 	}
 	if w.silent || w.dead {
+		w.missed = w.missed || w.silent
 		w.unanswered(term, sched.StopReply{Task: a.Task, Run: a.Run, Worker: a.To.Incarnation, Outcome: sched.Unanswered})
 		return
 	}
 	out := sched.Accepted
-	if a.Term < w.fence {
+	if a.Token < w.fence {
 		out = sched.Fenced
 	} else {
-		w.fence = a.Term
+		w.fence = a.Token
 		w.tombstones[a.Task] = max(w.tombstones[a.Task], a.Run)
 		if r, ok := w.runs[a.Task]; ok && r.run == a.Run {
 			w.b.after(cmp.Or(w.stopTime, 100*time.Millisecond), func() {
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -89,6 +89,11 @@
 // Workers replaces the list of workers.
 type Workers struct{ All []Worker }
 
+// Tokens reports which fencing tokens the term may use: those from First on are greater than the tokens
+// of all earlier terms, those up to Last less than the tokens of all later ones. Until it is reported,
+// the term's number is its only token.
+type Tokens struct{ First, Last int64 }
+
 // Hosts replaces the entry hosts that can query the policy service.
 type Hosts struct{ Names []string }
 
@@ -190,6 +195,7 @@
 
 func (Queues) event()             {}
 func (Workers) event()            {}
+func (Tokens) event()             {}
 func (Hosts) event()              {}
 func (Submit) event()             {}
 func (Cancel) event()             {}
@@ -220,12 +226,14 @@
 	Changes []Change
 }
 
+// Orders carry a fencing token: a worker refuses those whose token is lower than one that it has seen.
+
 // Hold renews the leases on a worker until Deadline by the worker's clock, acknowledges ends up to
 // AckedEnd so that the worker can forget them, and reads the worker's lists. A Probe is answered at
 // once, even while another hold is waiting.
 type Hold struct {
 	To       Address
-	Term     int64
+	Token    int64
 	Deadline time.Time
 	AckedEnd int64
 	Wait     time.Duration
@@ -235,7 +243,7 @@
 // Start asks a worker to start a run. The worker ignores it after Deadline, by the worker's clock.
 type Start struct {
 	To         Address
-	Term       int64
+	Token      int64
 	Task       flow.Name
 	Run        int
 	Text       string
@@ -246,17 +254,17 @@
 
 // Stop asks a worker to stop a run, or never to begin it if it has not begun.
 type Stop struct {
-	To   Address
-	Term int64
-	Task flow.Name
-	Run  int
-	Why  string
+	To    Address
+	Token int64
+	Task  flow.Name
+	Run   int
+	Why   string
 }
 
 // Pace limits the processor time of a best-effort run.
 type Pace struct {
 	To      Address
-	Term    int64
+	Token   int64
 	Task    flow.Name
 	Run     int
 	Percent int
--- a/internal/standin/users/restart.go
+++ b/internal/standin/users/restart.go
@@ -49,6 +49,13 @@
 	return incarnation.Name{ID: w.ID, Born: w.born, HasBorn: true}.String()
 }
 
+// Fence returns the highest fencing token that this incarnation has seen.
+func (w *Worker) Fence() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fence
+}
+
 // addBorn adds the start of the incarnation to what the worker says about itself. The caller holds mu.
 func (w *Worker) addBorn(m map[string]any) {
 	if w.born > 0 {
