entry: date a leader's last poll by a clock that counts suspensions

A leader that had just woken told callers that a job did not exist which others had accepted while its machine was suspended: the age of its last poll of all partitions stood still with the steady clock. It is measured by the uptime now. With the steady clock, TestLeaderThatWakesIsNotSureOfJobs fails.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -103,7 +103,7 @@
 		previous = claimIn(a.Records)
 	}
 	// Records that are stored from here on may be missing in what is read.
-	read := h.now()
+	read := h.moment()
 	states, requests, next, err := h.readAll(ctx)
 	if err != nil {
 		return nil, errors.Wrap(err, "read what the former lead left")
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -156,7 +156,7 @@
 // BeginTerm begins a term without any jobs, as if the reading of the store had started at the
 // given time.
 func (h *Host) BeginTerm(number int64, read time.Time) {
-	h.newTerm(termID{number, number}, claim{}, nil, nil, make([]int64, h.cfg.Parts), read)
+	h.newTerm(termID{number, number}, claim{}, nil, nil, make([]int64, h.cfg.Parts), moment{read, h.uptime.Now() - h.now().Sub(read)})
 }
 
 // IsUncertain reports whether the leader cannot tell whether the job exists.
@@ -350,7 +350,7 @@
 	t := h.ownTerm
 	h.mu.Unlock()
 	t.mu.Lock()
-	t.lastPoll = h.now().Add(-maxPollAge)
+	t.lastPoll = h.uptime.Now() - maxPollAge
 	reported, read := make(chan peer.StateReply, 1), make(chan struct{})
 	go func() { reported <- h.localState(id) }()
 	go func() {
@@ -360,7 +360,7 @@
 		}
 		defer t.mu.Unlock()
 		t.core.Step(h.now(), sched.Submit{Spec: flow.Spec{ID: id, Steps: []flow.Step{{Tasks: 1}}}})
-		t.lastPoll = h.now()
+		t.lastPoll = h.uptime.Now()
 	}()
 	time.Sleep(time.Millisecond)
 	t.mu.Unlock()
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -192,20 +192,6 @@
 	}
 }
 
-// logSuspension logs for how long the machine was suspended since it last did.
-func (h *Host) logSuspension() {
-	h.uptime.Now()
-	total := h.uptime.Suspended()
-	h.mu.Lock()
-	d, leader, term := total-h.suspended, h.leader, h.term
-	h.suspended = total
-	h.mu.Unlock()
-	if d > 0 {
-		h.incCounter("host.suspended")
-		h.log.Warn("entry: machine was suspended.", "for", d, "lead", leader, "term", term)
-	}
-}
-
 // isLeaderless reports whether there has been no working leader for so long that this host should
 // try to lead, whichever host the candidate group names: that host may be unable to lead. Without
 // this check the hosts would wait for a leader that never comes. The hosts try one after the
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -72,7 +72,7 @@
 // jobs while this one took over.
 func (t *term) pollPeriodically() {
 	for pause := firstPollDelay; sleep(t.ctx, pause); pause = pollInterval {
-		began := t.h.now()
+		began := t.h.uptime.Now()
 		g, ctx := errgroup.WithContext(t.ctx)
 		g.SetLimit(maxConcurrentPolls)
 		for part := range t.nextOffset {
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -53,8 +53,8 @@
 	dispatcher *agent.Dispatcher
 	// nextOffset is, by partition, the first offset of jobsTopic that has not been read.
 	nextOffset []int64
-	// lastPoll is when the last successful poll of all partitions started.
-	lastPoll time.Time
+	// lastPoll is the uptime at which the last successful poll of all partitions started.
+	lastPoll time.Duration
 	// requestKeys holds, by job, the partitions and keys of the job's requests in the store.
 	requestKeys map[string]map[partKey]bool
 	workers     entries
@@ -94,7 +94,7 @@
 )
 
 // newTerm starts a term with the state that the store contained when it was read.
-func (h *Host) newTerm(id termID, previous claim, states []store.Record, requests [][]store.Record, next []int64, read time.Time) *term {
+func (h *Host) newTerm(id termID, previous claim, states []store.Record, requests [][]store.Record, next []int64, read moment) *term {
 	began := h.now()
 	r := h.restore(states, requests)
 	limits := sched.DefaultLimits
@@ -103,7 +103,7 @@
 	limits.Disabled = h.cfg.Off
 	limits.Retention = time.Duration(h.cfg.Times.Keep) * 5 / 4
 	t := &term{
-		h: h, termID: id, readAt: read, beganAt: began, lastPoll: read, jobs: len(r.jobs) + len(r.notStarted), open: len(r.notStarted),
+		h: h, termID: id, readAt: read.at, beganAt: began, lastPoll: read.uptime, jobs: len(r.jobs) + len(r.notStarted), open: len(r.notStarted),
 		kick: make(chan struct{}, 1), nextOffset: next, requestKeys: map[string]map[partKey]bool{}, workers: newEntries(), unreadable: map[string]bool{},
 		core: sched.New(limits, id.number, r.jobs), journal: newJournal(h.store, h.log, &h.wg, id.number, h.stateParts()),
 	}
@@ -375,7 +375,7 @@
 	defer t.mu.Unlock()
 	st.State, known = t.core.State(id)
 	st.Organisation = t.core.Organisation(id)
-	return st, known, known || !t.unreadable[id] && t.h.now().Sub(t.lastPoll) < maxPollAge
+	return st, known, known || !t.unreadable[id] && t.h.uptime.Now()-t.lastPoll < maxPollAge
 }
 
 // kindFactors returns what the term has learned of the kinds of workers.
--- a/internal/entry/twoleaders_test.go
+++ b/internal/entry/twoleaders_test.go
@@ -174,3 +174,19 @@
 	c.waitForLog("machine was suspended")
 	require.EqualValues(t, 1, h.Counter("host.suspended"))
 }
+
+// Guards against a leader that has just woken and reports that a job does not exist which others have
+// accepted meanwhile.
+func TestLeaderThatWakesIsNotSureOfJobs(t *testing.T) {
+	t.Parallel()
+	c := &cluster{t: t, network: newNetwork(), machines: suspendable(1)}
+	c.startAll(1, 1, time.Minute)
+	h := c.leader()
+	c.log.BreakReads("jobs", users.Busy)
+	require.False(t, h.IsUncertain(jobID(0)))
+	c.machines[h.cfg.Name].skip(5 * time.Second)
+	require.True(t, h.IsUncertain(jobID(0)))
+	require.True(t, h.Leading())
+	c.log.BreakReads("jobs", users.None)
+	require.Eventually(t, func() bool { return !h.IsUncertain(jobID(0)) }, waitTimeout, 20*time.Millisecond)
+}
