--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -92,13 +92,18 @@
 		return nil, &LeaderExistsError{Host: other}
 	}
 	number := a.End + 1
-	mine := h.memberName() + " " + strconv.FormatInt(h.now().UnixNano(), 36)
-	token, err := h.fence(ctx, number, mine)
+	mine := h.newClaim(number)
+	first, err := h.fence(ctx, number, mine)
 	if err != nil {
 		return nil, errors.Wrap(err, "begin a term")
 	}
+	// What was stored since may be another claim.
+	var previous claim
+	if first.Offset == a.End {
+		previous = claimIn(a.Records)
+	}
 	// Records that are stored from here on may be missing in what is read.
-	read := h.now()
+	read := h.moment()
 	states, requests, next, err := h.readAll(ctx)
 	if err != nil {
 		return nil, errors.Wrap(err, "read what the former lead left")
@@ -106,7 +111,7 @@
 	if !holdsNewestClaim(states[0], mine) {
 		return nil, &LostClaimError{Term: number}
 	}
-	return h.newTerm(termID{number, token}, slices.Concat(states...), requests, next, read), nil
+	return h.newTerm(newTermID(number, first), previous, slices.Concat(states...), requests, next, read), nil
 }
 
 // stateParts lists the partitions of stateTopic. The first one decides who leads.
@@ -116,12 +121,8 @@
 // fenced, the previous leader could still store progress there afterwards, and a task would be
 // started a second time. Two hosts that claim at the same time may fence different partitions
 // first. The first partition decides which of them leads, and the other one's fence there does
-// not end a later term.
-//
-// It returns the end of the first partition after the claim, which is the term's first fencing token.
-// Former leaders may have used higher tokens than the term's number, up to the end that their last
-// append there has reached, and all of those came before the claim.
-func (h *Host) fence(ctx context.Context, number int64, mine string) (token int64, err error) {
+// not end a later term. It returns the answer of the first partition.
+func (h *Host) fence(ctx context.Context, number int64, mine string) (first store.Answer, err error) {
 	g, ctx := errgroup.WithContext(ctx)
 	for i, part := range h.stateParts() {
 		g.Go(func() error {
@@ -129,13 +130,13 @@
 				Op: store.Append, Topic: stateTopic, Part: part, Keyed: true, Epoch: number, Records: []store.Record{{Key: claimKey, Value: []byte(mine)}},
 			})
 			if i == 0 {
-				token = a.End
+				first = a
 			}
 			return errors.Wrapf(err, "fence partition %d", part)
 		})
 	}
 	err = g.Wait()
-	return max(token, number), err
+	return first, err
 }
 
 // LeaderExistsError is returned if another host leads or is about to.
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -18,6 +18,7 @@
 	"pollencroft/internal/peer"
 	"pollencroft/internal/sched"
 	"pollencroft/internal/store"
+	"pollencroft/internal/uptime"
 	"pollencroft/platform"
 )
 
@@ -43,6 +44,14 @@
 	h.wg.Wait()
 }
 
+// SetDialer sets how the host connects to others.
+func (h *Host) SetDialer(dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)) {
+	h.peers.SetDialer(dial)
+}
+
+// Term returns the number of the term that the host knows.
+func (h *Host) Term() int64 { return h.currentTerm() }
+
 // Leading reports whether the host leads.
 func (h *Host) Leading() bool {
 	_, leading := h.currentLeader()
@@ -136,9 +145,9 @@
 		_, err := h.store.Do(t.Context(), store.Call{Op: store.Append, Topic: stateTopic, Keyed: true, Records: []store.Record{{Key: "job", Value: []byte("{}")}}})
 		require.NoError(t, err)
 	}
-	token, err = h.fence(t.Context(), number, "me")
+	first, err := h.fence(t.Context(), number, "me")
 	require.NoError(t, err)
-	return number, token
+	return number, newTermID(number, first).token
 }
 
 // JobsPart returns the partition to which the host appends jobs first.
@@ -150,7 +159,7 @@
 // BeginTerm begins a term without any jobs, as if the reading of the store had started at the
 // given time.
 func (h *Host) BeginTerm(number int64, read time.Time) {
-	h.newTerm(termID{number, number}, nil, nil, make([]int64, h.cfg.Parts), read)
+	h.newTerm(termID{number, number}, claim{}, nil, nil, make([]int64, h.cfg.Parts), moment{read, h.uptime.Now() - h.now().Sub(read)})
 }
 
 // IsUncertain reports whether the leader cannot tell whether the job exists.
@@ -203,13 +212,13 @@
 // NewFollower returns a host that knows the other hosts and follows the host leader. Its direct
 // route to the store is direct, and through is its route through a peer.
 func NewFollower(t *testing.T, log *slog.Logger, name string, others []string, leader string, direct store.Log, through func(ctx context.Context, peer string, c store.Call) (store.Answer, error)) *Follower {
-	h, err := New(Settings{Name: name, Parts: 1}, log, time.Now)
+	h, err := New(Settings{Name: name, Parts: 1}, log, time.Now, uptime.NewSteady(time.Now))
 	require.NoError(t, err)
 	for _, n := range others {
 		h.hosts[n] = netip.AddrPort{}
 	}
 	h.leader = leader
-	h.store = store.NewRouted(direct, &throughPeers{h, through}, time.Now, h.storeChanged)
+	h.store = store.NewRouted(direct, &throughPeers{h, through}, time.Now, h.uptime, h.storeChanged)
 	return &Follower{h}
 }
 
@@ -279,11 +288,11 @@
 // to the store, and accepts connections from ln. before is called before each incoming message is
 // handled.
 func NewWithTransport(cfg Settings, log *slog.Logger, direct store.Log, dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error), ln net.Listener, before func(ctx context.Context)) (*Host, error) {
-	h, err := New(cfg, log, time.Now)
+	h, err := New(cfg, log, time.Now, uptime.NewSteady(time.Now))
 	if err != nil {
 		return nil, err
 	}
-	h.store = store.NewRouted(direct, relay{h}, time.Now, h.storeChanged)
+	h.store = store.NewRouted(direct, relay{h}, time.Now, h.uptime, h.storeChanged)
 	h.peers.SetDialer(dial)
 	srv := peer.NewServer(func(ctx context.Context, m peer.Message) (any, error) {
 		before(ctx)
@@ -344,7 +353,7 @@
 	t := h.ownTerm
 	h.mu.Unlock()
 	t.mu.Lock()
-	t.lastPoll = h.now().Add(-maxPollAge)
+	t.lastPoll = h.uptime.Now() - maxPollAge
 	reported, read := make(chan peer.StateReply, 1), make(chan struct{})
 	go func() { reported <- h.localState(id) }()
 	go func() {
@@ -354,7 +363,7 @@
 		}
 		defer t.mu.Unlock()
 		t.core.Step(h.now(), sched.Submit{Spec: flow.Spec{ID: id, Steps: []flow.Step{{Tasks: 1}}}})
-		t.lastPoll = h.now()
+		t.lastPoll = h.uptime.Now()
 	}()
 	time.Sleep(time.Millisecond)
 	t.mu.Unlock()
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -171,6 +171,7 @@
 // leader's.
 func (h *Host) syncPeriodically() {
 	for sleep(h.ctx, syncInterval) {
+		h.logSuspension()
 		h.mu.Lock()
 		leader, leading, alone := h.leader, h.ownTerm != nil, len(h.hosts) < 2
 		h.mu.Unlock()
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -23,6 +23,13 @@
 // orders.
 type termID struct{ number, token int64 }
 
+// newTermID returns the ID of a term whose claim had that answer in the first partition. Former leaders
+// may have used higher tokens than the term's number, up to the end that their last append there has
+// reached, and all of those came before the claim.
+func newTermID(number int64, first store.Answer) termID {
+	return termID{number, max(first.End, number)}
+}
+
 // term is the period in which this host leads. It executes the scheduler core's actions on the
 // store and the workers, and feeds their answers back to the core.
 type term struct {
@@ -46,8 +53,8 @@
 	dispatcher *agent.Dispatcher
 	// nextOffset is, by partition, the first offset of jobsTopic that has not been read.
 	nextOffset []int64
-	// lastPoll is when the last successful poll of all partitions started.
-	lastPoll time.Time
+	// lastPoll is the uptime at which the last successful poll of all partitions started.
+	lastPoll time.Duration
 	// requestKeys holds, by job, the partitions and keys of the job's requests in the store.
 	requestKeys map[string]map[partKey]bool
 	workers     entries
@@ -87,7 +94,7 @@
 )
 
 // newTerm starts a term with the state that the store contained when it was read.
-func (h *Host) newTerm(id termID, states []store.Record, requests [][]store.Record, next []int64, read time.Time) *term {
+func (h *Host) newTerm(id termID, previous claim, states []store.Record, requests [][]store.Record, next []int64, read moment) *term {
 	began := h.now()
 	r := h.restore(states, requests)
 	limits := sched.DefaultLimits
@@ -96,7 +103,7 @@
 	limits.Disabled = h.cfg.Off
 	limits.Retention = time.Duration(h.cfg.Times.Keep) * 5 / 4
 	t := &term{
-		h: h, termID: id, readAt: read, beganAt: began, lastPoll: read, jobs: len(r.jobs) + len(r.notStarted), open: len(r.notStarted),
+		h: h, termID: id, readAt: read.at, beganAt: began, lastPoll: read.uptime, jobs: len(r.jobs) + len(r.notStarted), open: len(r.notStarted),
 		kick: make(chan struct{}, 1), nextOffset: next, requestKeys: map[string]map[partKey]bool{}, workers: newEntries(), unreadable: map[string]bool{},
 		core: sched.New(limits, id.number, r.jobs), journal: newJournal(h.store, h.log, &h.wg, id.number, h.stateParts()),
 	}
@@ -140,7 +147,7 @@
 	for _, c := range r.cancels {
 		t.step(c)
 	}
-	h.wg.Go(t.awaitPreviousLeader)
+	h.wg.Go(func() { t.awaitPreviousLeader(previous) })
 	h.wg.Go(t.followWorkers)
 	h.wg.Go(t.pollPeriodically)
 	h.wg.Go(t.tickPeriodically)
@@ -150,33 +157,6 @@
 	return t
 }
 
-// awaitPreviousLeader waits until the previous leader certainly holds no leases: it has answered
-// that it does not lead, or it was this host. The answer contains the ends that it could not store.
-func (t *term) awaitPreviousLeader() {
-	t.h.mu.Lock()
-	previous := t.h.previousLeader
-	over := sched.PredecessorStopped{Since: t.h.handoverBoundsAt, LeaseBounds: t.h.handoverBounds}
-	t.h.handoverBounds = nil
-	t.h.mu.Unlock()
-	// A leader that asked this host to succeed it has ended its term before that.
-	for over.LeaseBounds == nil && previous != "" && previous != t.h.cfg.Name {
-		ctx, cancel := context.WithTimeout(t.ctx, askTimeout)
-		var r peer.SyncReply
-		m := t.h.syncMessage()
-		m.Succeeds = true
-		err := t.h.peers.Ask(ctx, previous, m, &r)
-		cancel()
-		if err == nil && !r.Leading {
-			t.step(decodeUnstoredEnds(r.UnstoredEnds))
-			break
-		}
-		if !sleep(t.ctx, syncInterval) {
-			return
-		}
-	}
-	t.step(over)
-}
-
 // successionMessage is the message that a leader that steps down sends to its successor.
 func (t *term) successionMessage() peer.AnnounceSuccessor {
 	t.mu.Lock()
@@ -213,6 +193,9 @@
 
 // step passes events to the scheduler core and executes the actions that the core returns.
 func (t *term) step(events ...sched.Event) {
+	if !t.mayGoOn() {
+		return
+	}
 	for _, ev := range events {
 		if !t.stepOne(ev) {
 			return
@@ -349,8 +332,19 @@
 	t.journal.drop(t.ctx, id)
 }
 
-// tickPeriodically steps the core when it is due. It ends the term if the store does not serve
-// this host, because a successor may have started by then and relies on that.
+// mayGoOn ends the term if the store has not served this host for StoreTimeout: a successor may have
+// started by then, and relies on it that this host renews no leases. It counts suspensions of the
+// machine, and orders that were sent before one name deadlines from before it.
+func (t *term) mayGoOn() bool {
+	if t.h.uptime.Now()-t.h.store.LastServed() <= sched.StoreTimeout {
+		return true
+	}
+	t.h.logSuspension()
+	t.end("the store does not answer")
+	return false
+}
+
+// tickPeriodically steps the core when it is due.
 func (t *term) tickPeriodically() {
 	for t.ctx.Err() == nil {
 		t.mu.Lock()
@@ -369,10 +363,6 @@
 			t.maxTickDelay = max(t.maxTickDelay, t.h.now().Sub(set)-pause)
 			t.mu.Unlock()
 		}
-		if t.h.now().Sub(t.h.store.LastAnswer()) > sched.StoreTimeout {
-			t.end("the store does not answer")
-			return
-		}
 		t.step(sched.Tick{})
 	}
 }
@@ -385,7 +375,7 @@
 	defer t.mu.Unlock()
 	st.State, known = t.core.State(id)
 	st.Organisation = t.core.Organisation(id)
-	return st, known, known || !t.unreadable[id] && t.h.now().Sub(t.lastPoll) < maxPollAge
+	return st, known, known || !t.unreadable[id] && t.h.uptime.Now()-t.lastPoll < maxPollAge
 }
 
 // kindFactors returns what the term has learned of the kinds of workers.
