--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -204,8 +204,6 @@
 		s.setQueues(ev)
 	case Workers:
 		s.setWorkers(ev)
-	case Tokens:
-		s.setTokens(ev)
 	case Hosts:
 		s.hosts.Set(ev.Names)
 	case Submit:
@@ -222,27 +220,10 @@
 		s.stopReplied(ev)
 	case PolicyReply:
 		s.policyReplied(ev)
-	case PredecessorStopped:
-		s.predecessorStopped(ev)
-	case KnownSpeeds:
-		s.speeds.Adopt(ev.Kinds)
-	case PreviousEnds:
-		s.applyPreviousEnds(ev)
 	case Tick:
 		s.tick()
-	}
-}
-
-// predecessorStopped applies what the previous leader reported when it left.
-func (s *Sched) predecessorStopped(ev PredecessorStopped) {
-	s.predecessorGone, s.earlierGone = s.now, s.termStart.Add(StoreTimeout)
-	if left := ev.ClaimedAt.Add(StoreTimeout + maxClockSkew).Sub(s.now); left < s.earlierGone.Sub(s.now) {
-		s.earlierGone = s.now.Add(left)
-	}
-	for incarnation, left := range ev.LeaseBounds {
-		if w, ok := s.workers[incarnation]; ok {
-			w.predecessorLeaseEnd = ev.Since.Add(left)
-		}
+	default:
+		s.handleTerm(ev)
 	}
 }
 
