sched: acknowledge ends only right after a reply of the worker

Callers saw tasks run again after their end was confirmed, without any late order: while the store took long, or the leader stood still, nothing was sent to a worker that restarted under its ID, and the first order that reached the next incarnation was the acknowledgement of the former one's ends. It forgot ends of its own that nobody had read.

Ends are acknowledged within 0.2 s of a reply of the worker; else it is asked first, and the reply shows the restart. TestAcknowledgementDoesNotReachTheNextIncarnationFirst failed before.

--- a/internal/sched/lateorders_test.go
+++ b/internal/sched/lateorders_test.go
@@ -87,3 +87,25 @@
 		require.Positive(t, b.worker("w00").lastEnd)
 	}
 }
+
+// Guards against an acknowledgement that is the first order to reach the next incarnation, which forgets
+// an end of its own: nothing was sent to the worker while the store took long.
+func TestAcknowledgementDoesNotReachTheNextIncarnationFirst(t *testing.T) {
+	b := bornCellWithEnds(t, 1)
+	b.submit("first", "scan", scan(1))
+	b.advance(990 * time.Millisecond)
+	w := b.worker("w00")
+	w.startDelay = 150 * time.Millisecond
+	b.submit("a", "scan", flow.Step{Tasks: 1, Size: scan(1).Size, EstimatedTime: 50 * time.Millisecond})
+	b.advance(12 * time.Millisecond)
+	b.storeDown = true
+	b.advance(100 * time.Millisecond)
+	require.NotEmpty(t, w.ends, "the end of the first task is not acknowledged")
+	w.startDelay = 0
+	w.restart(10 * time.Second)
+	b.advance(110 * time.Millisecond)
+	require.Len(t, b.worker("w00").ends, 1, "the other one has ended in the next incarnation")
+	b.storeDown = false
+	b.requireCompletedWithin("a", 20*time.Second)
+	require.Equal(t, 1, b.starts[flow.Name{Job: "a"}])
+}
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -16,6 +16,8 @@
 	// deadlines of orders to a former incarnation are times of its clock, and say nothing on the
 	// clock of the next one, which starts again.
 	longestLease = 10 * time.Second
+	// maxAckAge is how long after a reply of a worker ends are acknowledged to it without asking again.
+	maxAckAge = 200 * time.Millisecond
 	// maxClockSkew bounds the difference between the time of day of a worker's start and that of a
 	// host: clocks may jump by 2 s either way.
 	maxClockSkew = 5 * time.Second
@@ -54,9 +56,10 @@
 
 // ackEnd returns the last end that a hold or a probe sent now acknowledges, and notes that it does. A
 // worker that may have restarted is told only what it needs to know, and nothing while it does not
-// answer: the next incarnation would forget ends of its own with the same numbers.
+// answer or has not done so recently: the next incarnation would forget ends of its own with the same
+// numbers.
 func (w *worker) ackEnd(probe bool, now time.Time) int64 {
-	if w.name.HasBorn && (w.lastEndAcked >= w.lastEndStored || !w.unansweredSince.IsZero()) {
+	if w.name.HasBorn && (w.lastEndAcked >= w.lastEndStored || !w.unansweredSince.IsZero() || now.Sub(w.readAt) > maxAckAge) {
 		return 0
 	}
 	if w.lastEndStored > 0 {
