--- a/internal/entry/predecessor.go
+++ b/internal/entry/predecessor.go
@@ -21,7 +21,6 @@
 	// none means that no claim was ever made.
 	none bool
 	host string
-	info hostInfo
 	// at is the time of day of the claim, and term its number; both are zero for claims of older
 	// builds.
 	at   time.Time
@@ -44,7 +43,7 @@
 }
 
 func parseClaim(s string) claim {
-	name, info, ok := parseMember(s)
+	name, _, ok := parseMember(s)
 	fields := strings.Fields(s)
 	if !ok || len(fields) < 6 {
 		return claim{}
@@ -57,7 +56,7 @@
 	if err != nil {
 		return claim{}
 	}
-	return claim{host: name, info: info, at: time.Unix(0, at), term: term}
+	return claim{host: name, at: time.Unix(0, at), term: term}
 }
 
 // awaitPreviousLeader waits until the previous leader certainly holds no leases: it has handed over,
@@ -84,7 +83,7 @@
 	case previous.host == "":
 		return
 	case previous.host != t.h.cfg.Name:
-		t.h.peers.SetAddr(previous.host, previous.info.addr)
+		// Its address is known since it was asked whether it leads.
 		if !t.awaitStopped(previous.host) {
 			return
 		}
