soak: know all hosts before connections between them are carried

A connection that reached the proxy of a host early, such as one of another cell to a port that was used before, read the list of hosts while it was written, or asked for a process that had not started. go test -race reported it on the first run of the whole soak.

--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -100,8 +100,11 @@
 	name   string
 	file   string
 	ready  netip.AddrPort
+	peer   netip.AddrPort
 	caller *toxiproxy.Proxy
 	store  *toxiproxy.Proxy
+	// ln is where the other hosts reach this one if that is not its peer address, otherwise nil.
+	ln     net.Listener
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
@@ -140,6 +143,7 @@
 	for i := range n.hosts {
 		c.hosts = append(c.hosts, c.newHost(fmt.Sprintf("h%d", i), fmt.Sprintf("zone%d", i%3), agents))
 	}
+	c.listenForPeers()
 	for _, h := range c.hosts {
 		h.start(t, path)
 	}
@@ -246,10 +250,9 @@
 		store.Close()
 	})
 	caller := freeAddr(c.t)
-	h := &host{name: name, file: filepath.Join(c.dir, name+".toml"), ready: freeAddr(c.t)}
+	h := &host{name: name, file: filepath.Join(c.dir, name+".toml"), ready: freeAddr(c.t), peer: freeAddr(c.t)}
 	h.caller = c.proxy("caller "+name, caller.String())
 	h.store = c.proxy("store "+name, strings.TrimPrefix(store.URL, "http://"))
-	peer := freeAddr(c.t)
 	text := fmt.Sprintf(`name = %q
 domain = %q
 store = %q
@@ -265,7 +268,7 @@
 stop = "900ms"
 grace = "6s"
 keep = "120s"
-`, name, zone, h.store.Listen, parts, caller, h.ready, peer, c.advertise(name, peer))
+`, name, zone, h.store.Listen, parts, caller, h.ready, h.peer, c.advertise(h))
 	if agents {
 		text += "[agents]\nworkers = 2.0\n"
 	}
@@ -278,7 +281,7 @@
 
 // advertise returns the setting by which the other hosts reach a host through the proxy of its cell.
 // The hosts of regression seeds are reached directly, as they were.
-func (c *cell) advertise(name string, peer netip.AddrPort) string {
+func (c *cell) advertise(h *host) string {
 	if !c.restarts {
 		return ""
 	}
@@ -286,7 +289,7 @@
 	ln, err := lc.Listen(c.t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(c.t, err)
 	c.t.Cleanup(func() { _ = ln.Close() })
-	go c.peers.listen(ln, name, peer.String())
+	h.ln = ln
 	return fmt.Sprintf("advertise = %q\n", ln.Addr())
 }
 
--- a/soak/peers_test.go
+++ b/soak/peers_test.go
@@ -201,6 +201,15 @@
 	return c.sockets.hosts[addr.Port()]
 }
 
+// listenForPeers carries the connections between the hosts. All hosts are known by then.
+func (c *cell) listenForPeers() {
+	for _, h := range c.hosts {
+		if h.ln != nil {
+			go c.peers.listen(h.ln, h.name, h.peer.String())
+		}
+	}
+}
+
 // scanSockets returns the host that has the connection from each local port.
 func (c *cell) scanSockets() map[uint16]string {
 	names := map[string]string{}
@@ -252,9 +261,12 @@
 	return all
 }
 
-// pid returns the id of the host's process.
+// pid returns the id of the host's process, or zero before its first start.
 func (h *host) pid() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.cmd == nil {
+		return 0
+	}
 	return h.cmd.Process.Pid
 }
