agent: log how long confirmations take and whether all agents are late

A leader that is short of processor and slow agents looked the same in the log: the line of a suspended agent told the timeout only, and late of lead: load. has the delay of timers, which fire in time on a host whose messages wait. lag is for how long no agent confirmed a newer message than before, ack the slowest confirmation.

--- a/internal/agent/dispatcher.go
+++ b/internal/agent/dispatcher.go
@@ -70,6 +70,7 @@
 	lastID int64
 	sent   map[int64]sentOrder
 	agents map[string]*agentState
+	acks   acks
 	hosts  []Host
 	// domains holds the failure domain of each worker, workers the number of workers of each
 	// domain, and chosen its agents.
@@ -105,7 +106,7 @@
 func NewDispatcher(ctx context.Context, leader Leader, wg *sync.WaitGroup) *Dispatcher {
 	return &Dispatcher{
 		leader: leader, ctx: ctx, wg: wg, sent: map[int64]sentOrder{}, agents: map[string]*agentState{},
-		domains: map[string]string{}, chosen: map[string][]string{},
+		acks: acks{open: map[*message]struct{}{}}, domains: map[string]string{}, chosen: map[string][]string{},
 	}
 }
 
@@ -288,9 +289,14 @@
 func (d *Dispatcher) sendBatch(name string, m peer.Orders) {
 	ctx, cancel := context.WithTimeout(d.ctx, maxAckWait)
 	got := make(chan error, 1)
+	d.mu.Lock()
+	sent := d.acks.send(name, d.leader.Now())
+	d.mu.Unlock()
 	d.wg.Go(func() {
 		defer cancel()
-		got <- d.leader.Ask(ctx, name, m)
+		err := d.leader.Ask(ctx, name, m)
+		d.answered(sent, err)
+		got <- err
 	})
 	err := d.awaitAck(name, got)
 	if d.ctx.Err() != nil {
@@ -328,6 +334,17 @@
 	}
 }
 
+// answered records how a message to an agent ended.
+func (d *Dispatcher) answered(m *message, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil {
+		d.acks.fail(m)
+		return
+	}
+	d.acks.confirm(m, d.leader.Now())
+}
+
 func (d *Dispatcher) confirmed(name string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -349,7 +366,7 @@
 	if !now.Before(g.suspendedUntil) {
 		g.suspension = min(max(2*g.suspension, minSuspension), maxSuspension)
 		g.suspendedUntil = now.Add(g.suspension)
-		d.leader.Log.Warn("agent: suspended.", "host", name, "term", m.Term, "for", g.suspension, "orders", len(m.All), "err", err)
+		d.leader.Log.Warn("agent: suspended.", "host", name, "term", m.Term, "for", g.suspension, "orders", len(m.All), "lag", d.acks.currentLag(now), "waiting", d.acks.waiting(), "err", err)
 		d.rechoose()
 	}
 	var again []sched.Action
--- a/internal/entry/load.go
+++ b/internal/entry/load.go
@@ -32,6 +32,9 @@
 		t.maxTickDelay = 0
 		t.mu.Unlock()
 		attrs := []any{"term", t.number, "for", now.Sub(at), "processor", used - cpu, "collector", collected - gc, "late", late, "peak-mib", peakMemory()}
+		for _, a := range t.dispatcher.TakeDelays() {
+			attrs = append(attrs, a)
+		}
 		for _, name := range slices.Sorted(maps.Keys(is)) {
 			if n := is[name] - was[name]; n > 0 {
 				attrs = append(attrs, slog.Int64(name, n))
