--- a/internal/flow/spec.go
+++ b/internal/flow/spec.go
@@ -122,6 +122,10 @@
 	maxSteps = 64
 	maxTasks = 10_000
 	maxText  = 4_000
+	// maxEvery bounds the time between the repetitions of a job, so that times stay in range.
+	maxEvery = 10 * 365 * 24 * time.Hour
+	// maxYear is the last year that times are stored of.
+	maxYear = 9999
 )
 
 // Check returns a cell.ValueError for the first field that is out of bounds.
@@ -145,6 +149,12 @@
 	if s.Repeat.Count < 0 || s.Repeat.Count > 0 && s.Repeat.Every < 0 {
 		return &cell.ValueError{Field: "repeat.count", Found: strconv.Itoa(s.Repeat.Count), Allowed: "0 or more"}
 	}
+	if s.Repeat.Every > maxEvery {
+		return &cell.ValueError{Field: "repeat.every", Found: s.Repeat.Every.String(), Allowed: "up to " + maxEvery.String()}
+	}
+	if y := s.Repeat.First.Year(); s.Repeat.Count > 0 && y > maxYear {
+		return &cell.ValueError{Field: "repeat.first", Found: strconv.Itoa(y), Allowed: fmt.Sprintf("a year up to %d", maxYear)}
+	}
 	return nil
 }
 
@@ -158,6 +168,9 @@
 	if s.Size.CPU < 0 || s.Size.Mem < 0 || s.Size.Accel < 0 {
 		return bad("size", min(s.Size.CPU, s.Size.Mem, s.Size.Accel), "0 or more")
 	}
+	if resource := s.Size.Exceeds(cell.MaxSize); resource != "" {
+		return bad("size", max(s.Size.CPU, s.Size.Mem, s.Size.Accel), "less "+resource+" than the largest worker that is accepted has")
+	}
 	if s.EstimatedTime < 0 || s.LatencyTarget < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
 		return bad("limits", -1, "0 or more")
 	}
