agent: judge agents against each other, not by the leader's clock alone

Callers of the large deployment saw urgent jobs late or failed for tens of seconds. A leader that is short of processor time sends and reads late; it gave its agents 250 ms to confirm orders by its own timers, which fire in time, suspended all of them one after the other, gave up their starts, stopped them, and sent all orders to 1,100 workers itself, which took more of its time.

An agent is now suspended if nothing was heard of it for 250 ms although it has unconfirmed messages, and another agent has confirmed a message that was sent 250 ms later, or no other message is unconfirmed; as before if it is not reached or confirms nothing for 2 s. Orders without a result expire by the same rule.

TestLateLeaderKeepsItsAgents and TestLateLeaderMayReadConfirmationsInAnyOrder fail without it (1,640 orders without an agent); TestSilentAgentOfALateLeaderIsReplaced failed at 600 ms. TestLeaderOfACutDomainReplacesTheAgentsOutsideAtOnce guards the other side.

--- a/internal/agent/acks.go
+++ b/internal/agent/acks.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"time"
 )
 
@@ -9,21 +10,29 @@
 // They tell its own delay from that of an agent. Its user holds a lock.
 type acks struct {
 	open map[*message]struct{}
-	// heard is when the newest message that was confirmed was sent.
-	heard time.Time
+	// heard is when the newest message that was confirmed was sent, and heardFrom when each agent
+	// was last heard.
+	heard     time.Time
+	heardFrom map[string]time.Time
 	// lag and slowest are the largest values since they were last reported: of the time since heard
 	// while messages were unconfirmed, and of the time to a confirmation.
 	lag, slowest time.Duration
 }
 
-// message is a message to an agent that is not confirmed yet.
+// message is a message to an agent that is not confirmed yet. The channel overdue is closed if the
+// agent takes too long to confirm it.
 type message struct {
-	agent string
-	sent  time.Time
+	agent   string
+	sent    time.Time
+	overdue chan struct{}
+}
+
+func newAcks() acks {
+	return acks{open: map[*message]struct{}{}, heardFrom: map[string]time.Time{}}
 }
 
 func (k *acks) send(agent string, now time.Time) *message {
-	m := &message{agent, now}
+	m := &message{agent, now, make(chan struct{})}
 	k.open[m] = struct{}{}
 	return m
 }
@@ -35,12 +44,45 @@
 	if m.sent.After(k.heard) {
 		k.heard = m.sent
 	}
+	k.heardFrom[m.agent] = now
 	delete(k.open, m)
 }
 
-// fail records that a message is not going to be confirmed.
+// fail records that a message is not going to be confirmed, and forget that none of an agent's is.
 func (k *acks) fail(m *message) { delete(k.open, m) }
 
+func (k *acks) forget(agent string) {
+	maps.DeleteFunc(k.open, func(m *message, _ struct{}) bool { return m.agent == agent })
+}
+
+// passed reports whether a time limit for an agent has run out. A host that is short of processor
+// time sends and reads everything late, so its own clock does not prove that: it has to have
+// confirmed what was sent at the limit, by any agent, unless it waits for no other one.
+func (k *acks) passed(limit time.Time, agent string, now time.Time) bool {
+	switch {
+	case now.Before(limit):
+		return false
+	case !k.heard.Before(limit) || now.Sub(limit) >= maxAckWait:
+		return true
+	}
+	for m := range k.open {
+		if m.agent != agent {
+			return false
+		}
+	}
+	return true
+}
+
+// markOverdue finds the messages of agents that are silent although they should have confirmed one.
+func (k *acks) markOverdue(now time.Time) {
+	for m := range k.open {
+		if now.Sub(k.heardFrom[m.agent]) >= ackTimeout && k.passed(m.sent.Add(ackTimeout), m.agent, now) {
+			delete(k.open, m)
+			close(m.overdue)
+		}
+	}
+}
+
 func (k *acks) noteLag(now time.Time) { k.lag = max(k.lag, k.currentLag(now)) }
 
 // currentLag returns for how long this host has waited for the confirmation of any newer message
--- a/internal/agent/acks_test.go
+++ b/internal/agent/acks_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -72,3 +73,136 @@
 		})
 	}
 }
+
+// delay makes the confirmations of all agents late by d, in their order, as they are for a leader that
+// is short of processor time, and those of some agents absent.
+func (f *fixture) delay(d time.Duration, silent ...string) {
+	f.with(func() {
+		f.answer = func(ctx context.Context, name string, m peer.Orders) error {
+			if slices.Contains(silent, name) {
+				<-ctx.Done()
+				return &peer.NoAnswerError{Name: name, Cause: ctx.Err()}
+			}
+			var wait time.Duration
+			f.with(func() {
+				if at := time.Now().Add(d); at.After(f.readUntil) {
+					f.readUntil = at
+				}
+				wait = time.Until(f.readUntil)
+			})
+			time.Sleep(wait)
+			if ctx.Err() == nil {
+				f.accept(m)
+			}
+			return ctx.Err()
+		}
+	})
+}
+
+// accept reports the starts of a message as accepted.
+func (f *fixture) accept(m peer.Orders) {
+	var r peer.OrderResults
+	for _, o := range m.All {
+		if o.Kind == peer.StartOrder {
+			r.All = append(r.All, peer.OrderResult{ID: o.ID, Outcome: int(sched.Accepted)})
+		}
+	}
+	f.Results(r)
+}
+
+// unanswered counts the starts that the core took for lost.
+func (f *fixture) unanswered() int {
+	n := 0
+	for _, ev := range f.applied() {
+		if r, ok := ev.(sched.StartReply); ok && r.Outcome == sched.Unanswered {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a leader that takes its own delay for that of its agents: it suspended all of them,
+// gave up their starts and sent all orders itself, for which it had even less time.
+func TestLateLeaderKeepsItsAgents(t *testing.T) {
+	for _, late := range []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond} {
+		t.Run(late.String(), func(t *testing.T) {
+			run(t, func(t *testing.T, f *fixture) {
+				f.addHall()
+				agents := f.Agents()
+				f.delay(0)
+				f.traffic(time.Second)
+				f.delay(late)
+				f.traffic(3 * time.Second)
+				f.delay(0)
+				f.traffic(time.Second)
+				require.Equal(t, agents, f.Agents())
+				require.Zero(t, len(f.sentDirectly()), "orders without an agent")
+				require.Zero(t, f.unanswered(), "starts that count as lost")
+			})
+		})
+	}
+}
+
+// Guards against a dead agent that is excused by the leader's own delay.
+func TestSilentAgentOfALateLeaderIsReplaced(t *testing.T) {
+	for _, late := range []time.Duration{0, 100 * time.Millisecond, 600 * time.Millisecond} {
+		t.Run(late.String(), func(t *testing.T) {
+			run(t, func(t *testing.T, f *fixture) {
+				f.addHall()
+				agents := f.Agents()
+				f.delay(late)
+				f.traffic(2 * time.Second)
+				f.delay(late, agents[0].Name)
+				f.traffic(late + 400*time.Millisecond)
+				require.NotContains(t, f.Agents(), agents[0])
+				require.Subset(t, f.Agents(), agents[1:])
+				require.Len(t, f.Agents(), 5)
+			})
+		})
+	}
+}
+
+// Guards against a cut that is taken for the leader's own delay: the agents of all other failure
+// domains are silent, and one that is not shows that the leader hears.
+func TestLeaderOfACutDomainReplacesTheAgentsOutsideAtOnce(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		f.addHall()
+		agents := f.Agents()
+		f.traffic(time.Second)
+		var outside []string
+		for _, h := range agents[1:] {
+			outside = append(outside, h.Name)
+		}
+		f.delay(time.Millisecond, outside...)
+		f.traffic(400 * time.Millisecond)
+		require.Contains(t, f.Agents(), agents[0])
+		for _, h := range agents[1:] {
+			require.NotContains(t, f.Agents(), h)
+		}
+	})
+}
+
+// Guards against suspended agents of a leader that is short of processor time and reads confirmations
+// in another order than that in which it has sent the messages.
+func TestLateLeaderMayReadConfirmationsInAnyOrder(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		f.addHall()
+		agents := f.Agents()
+		n := 0
+		f.answer = func(ctx context.Context, _ string, m peer.Orders) error {
+			var wait time.Duration
+			f.with(func() {
+				n++
+				wait = time.Duration(n*7919%600) * time.Millisecond
+			})
+			time.Sleep(wait)
+			if ctx.Err() == nil {
+				f.accept(m)
+			}
+			return ctx.Err()
+		}
+		f.traffic(5 * time.Second)
+		require.Equal(t, agents, f.Agents())
+		require.Zero(t, f.unanswered(), "starts that count as lost")
+	})
+}
--- a/internal/agent/dispatcher.go
+++ b/internal/agent/dispatcher.go
@@ -22,7 +22,8 @@
 	// of messages even if each is the start of another job.
 	maxBatch = 200
 	// ackTimeout is how long an agent may take to confirm that it has orders: as long as a host
-	// may stand still whose processor quota is used up, and a few round trips.
+	// may stand still whose processor quota is used up, and a few round trips. The leader's own
+	// delay is added to it.
 	ackTimeout = 250 * time.Millisecond
 	// lateTimer is the delay of this host's own timers from which its timeouts prove nothing.
 	lateTimer = 50 * time.Millisecond
@@ -106,7 +107,7 @@
 func NewDispatcher(ctx context.Context, leader Leader, wg *sync.WaitGroup) *Dispatcher {
 	return &Dispatcher{
 		leader: leader, ctx: ctx, wg: wg, sent: map[int64]sentOrder{}, agents: map[string]*agentState{},
-		acks: acks{open: map[*message]struct{}{}}, domains: map[string]string{}, chosen: map[string][]string{},
+		acks: newAcks(), domains: map[string]string{}, chosen: map[string][]string{},
 	}
 }
 
@@ -298,7 +299,7 @@
 		d.answered(sent, err)
 		got <- err
 	})
-	err := d.awaitAck(name, got)
+	err := d.awaitAck(sent, got)
 	if d.ctx.Err() != nil {
 		return
 	}
@@ -309,28 +310,18 @@
 	d.failed(name, m, err)
 }
 
-// awaitAck waits for an agent's confirmation. A leader that is short of processor time reads late
-// what arrived in time, and must not take its agents for dead.
-func (d *Dispatcher) awaitAck(name string, got <-chan error) error {
-	began := d.leader.Now()
-	for {
-		set := d.leader.Now()
-		t := time.NewTimer(ackTimeout)
-		select {
-		case err := <-got:
-			t.Stop()
-			return err
-		case <-t.C:
-		}
-		select {
-		case err := <-got:
-			return err
-		default:
-		}
-		now := d.leader.Now()
-		if now.Sub(set) < ackTimeout+lateTimer || now.Sub(began) > maxAckWait {
-			return &LateAgentError{Agent: name, After: now.Sub(began)}
-		}
+// awaitAck waits for the confirmation of a message.
+func (d *Dispatcher) awaitAck(m *message, got <-chan error) error {
+	select {
+	case err := <-got:
+		return err
+	case <-m.overdue:
+	}
+	select {
+	case err := <-got:
+		return err
+	default:
+		return &LateAgentError{Agent: m.agent, After: d.leader.Now().Sub(m.sent)}
 	}
 }
 
@@ -362,11 +353,13 @@
 	leaving, unsent := errors.As(err, &refused), errors.As(err, &unreached)
 	now := d.leader.Now()
 	d.mu.Lock()
+	lag, waiting := d.acks.currentLag(now), d.acks.waiting()
+	d.acks.forget(name)
 	g := d.agent(name)
 	if !now.Before(g.suspendedUntil) {
 		g.suspension = min(max(2*g.suspension, minSuspension), maxSuspension)
 		g.suspendedUntil = now.Add(g.suspension)
-		d.leader.Log.Warn("agent: suspended.", "host", name, "term", m.Term, "for", g.suspension, "orders", len(m.All), "lag", d.acks.currentLag(now), "waiting", d.acks.waiting(), "err", err)
+		d.leader.Log.Warn("agent: suspended.", "host", name, "term", m.Term, "for", g.suspension, "orders", len(m.All), "lag", lag, "waiting", waiting, "err", err)
 		d.rechoose()
 	}
 	var again []sched.Action
@@ -428,6 +421,7 @@
 			continue
 		}
 		delete(d.sent, r.ID)
+		d.acks.heardFrom[s.agent] = now
 		if ev := event(s.action, r, s.at, now); ev != nil {
 			events = append(events, ev)
 		}
@@ -436,12 +430,13 @@
 	d.leader.Apply(events...)
 }
 
-// Run reports orders without a result as lost until the dispatcher's context ends, and lets agents
-// return after their suspension.
+// Run reports orders without a result as lost until the dispatcher's context ends, gives up messages
+// that agents don't confirm, and lets agents return after their suspension.
 func (d *Dispatcher) Run() {
 	t := time.NewTicker(checkInterval)
 	defer t.Stop()
 	last := d.leader.Now()
+	var resumed time.Time
 	for {
 		select {
 		case <-d.ctx.Done():
@@ -452,6 +447,13 @@
 		// After a pause of this host, results may have arrived that it has not read yet.
 		if now.Sub(last) < checkInterval+lateTimer {
 			d.leader.Apply(d.expire(now)...)
+		} else {
+			resumed = now
+		}
+		if now.Sub(resumed) >= ackTimeout {
+			d.mu.Lock()
+			d.acks.markOverdue(now)
+			d.mu.Unlock()
 		}
 		last = now
 	}
@@ -464,7 +466,7 @@
 	d.rechoose()
 	var events []sched.Event
 	for id, s := range d.sent {
-		if now.Before(s.deadline) {
+		if now.Before(s.deadline) || !d.acks.passed(s.deadline, "", now) {
 			continue
 		}
 		delete(d.sent, id)
--- a/internal/agent/dispatcher_test.go
+++ b/internal/agent/dispatcher_test.go
@@ -35,6 +35,8 @@
 	answer func(ctx context.Context, name string, m peer.Orders) error
 	// skew is added to the clock.
 	skew time.Duration
+	// readUntil is when the leader has read all confirmations so far, see delay.
+	readUntil time.Time
 }
 
 // run calls play with a dispatcher of a leader with 0.8 of a core, in virtual time.
