sched: collect the pools of a pass with fewer map operations

Each pass looked up the pool of each of 1,100 workers by its service and iterated over its untracked runs, of which there are none: 4 % of the leader's processor time in a profile of the large deployment.

No test of its own: it decides the same.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -105,16 +105,21 @@
 
 func (s *Sched) pools() map[string]*pool {
 	all := map[string]*pool{}
+	// Most cells have one service.
+	var p *pool
+	service := ""
 	for _, w := range s.sortedWorkers() {
 		w.earmarked, w.reserved = cell.Size{}, cell.Size{}
 		w.crashSuspects, w.trialStep = 0, nil
 		if !w.usable(s.now) {
 			continue
 		}
-		p, ok := all[w.Service]
-		if !ok {
-			p = &pool{}
-			all[w.Service] = p
+		if p == nil || w.Service != service {
+			service = w.Service
+			if p = all[service]; p == nil {
+				p = &pool{}
+				all[service] = p
+			}
 		}
 		p.workers = append(p.workers, w)
 		p.totalCPU += w.Size.CPU
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -123,6 +123,9 @@
 // there.
 func (w *worker) free() cell.Size {
 	free := w.Size.Sub(w.used)
+	if len(w.untracked) == 0 {
+		return free
+	}
 	for _, l := range w.untracked {
 		if l.sizeUnknown {
 			return cell.Size{CPU: min(free.CPU, 0), Mem: min(free.Mem, 0), Accel: min(free.Accel, 0)}
