--- a/internal/agent/dispatcher.go
+++ b/internal/agent/dispatcher.go
@@ -74,10 +74,11 @@
 	acks   acks
 	hosts  []Host
 	// domains holds the failure domain of each worker, workers the number of workers of each
-	// domain, and chosen its agents.
-	domains map[string]string
-	workers map[string]int
-	chosen  map[string][]string
+	// domain, and chosen its agents. agentHosts holds the agents of all domains.
+	domains    map[string]string
+	workers    map[string]int
+	chosen     map[string][]string
+	agentHosts []Host
 }
 
 // sentOrder is an order that has no result yet.
@@ -143,6 +144,7 @@
 		return
 	}
 	d.chosen = chosen
+	d.agentHosts = slices.DeleteFunc(slices.Clone(d.hosts), func(h Host) bool { return !slices.Contains(chosen[h.Domain], h.Name) })
 	var all []string
 	for _, domain := range slices.Sorted(maps.Keys(d.workers)) {
 		all = append(all, domain+": "+strings.Join(chosen[domain], " "))
@@ -150,11 +152,11 @@
 	d.leader.Log.Info("agent: chosen.", "term", d.leader.Orders().Term, "agents", strings.Join(all, ", "), "workers", len(d.domains), "hosts", len(d.hosts))
 }
 
-// Agents returns the hosts that are agents now.
+// Agents returns the hosts that are agents now. The caller must not change the slice.
 func (d *Dispatcher) Agents() []Host {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(d.hosts), func(h Host) bool { return !slices.Contains(d.chosen[h.Domain], h.Name) })
+	return d.agentHosts
 }
 
 // Send queues an order for the agent of its worker. It returns false if the worker has none.
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -445,3 +445,16 @@
 	defer h.mu.Unlock()
 	return h.claiming
 }
+
+// ChooseStandby returns the standby that a leader chooses among these hosts, and how many allocations
+// that takes.
+func ChooseStandby(seen map[string]HostInfo) (name string, allocs float64) {
+	at := time.Unix(2000, 0)
+	h := &Host{cfg: Settings{Name: "leader"}, now: func() time.Time { return at }, peersSeen: map[string]hostInfo{
+		"leader": {power: 9, at: at}, "gone": {power: 9, at: at.Add(-time.Hour)},
+	}}
+	for n, s := range seen {
+		h.peersSeen[n] = hostInfo{power: s.Power, began: s.Began, at: at}
+	}
+	return h.chooseStandby(), testing.AllocsPerRun(10, func() { h.chooseStandby() })
+}
--- a/internal/entry/standby.go
+++ b/internal/entry/standby.go
@@ -76,12 +76,18 @@
 }
 
 // chooseStandby returns the host that is to take over if this leader dies: the strongest host,
-// and among equally strong ones the one that started last.
+// and among equally strong ones the one that started last. Each host asks for it every second or more
+// often.
 func (h *Host) chooseStandby() string {
-	if all := h.successors(); len(all) > 0 {
-		return all[0]
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now, best := h.now(), ""
+	for n, s := range h.peersSeen {
+		if n != h.cfg.Name && now.Sub(s.at) < hostExpiry && (best == "" || compareHosts(n, s, best, h.peersSeen[best]) < 0) {
+			best = n
+		}
 	}
-	return ""
+	return best
 }
 
 // leaderOfOthers returns the host that other hosts follow instead of this one, if that host leads
--- a/internal/entry/succession.go
+++ b/internal/entry/succession.go
@@ -205,15 +205,18 @@
 	return byPower(lately)
 }
 
-// byPower orders hosts by how suitable they are to lead. The strongest come first: a weak host
-// with a narrow link takes a second or two to read the state that it takes over, no task starts
+// byPower orders hosts by how suitable they are to lead.
+func byPower(seen map[string]hostInfo) []string {
+	return slices.SortedFunc(maps.Keys(seen), func(a, b string) int { return compareHosts(a, seen[a], b, seen[b]) })
+}
+
+// compareHosts orders two hosts by how suitable they are to lead. The stronger one comes first: a weak
+// host with a narrow link takes a second or two to read the state that it takes over, no task starts
 // in that time, and it hands over leadership to a stronger host soon after. Among equally strong
 // hosts the one that started last comes first: when hosts are restarted one after the other, it
 // has already been restarted.
-func byPower(seen map[string]hostInfo) []string {
-	return slices.SortedFunc(maps.Keys(seen), func(a, b string) int {
-		return cmp.Or(cmp.Compare(seen[b].power, seen[a].power), seen[b].began.Compare(seen[a].began), cmp.Compare(a, b))
-	})
+func compareHosts(a string, infoA hostInfo, b string, infoB hostInfo) int {
+	return cmp.Or(cmp.Compare(infoB.power, infoA.power), infoB.began.Compare(infoA.began), cmp.Compare(a, b))
 }
 
 // cedeToStronger hands leadership over to a host with much more power, if there is one.
--- a/internal/entry/succession_test.go
+++ b/internal/entry/succession_test.go
@@ -37,6 +37,22 @@
 		"also old":  {Power: 0.8, Began: at},
 	}
 	require.Equal(t, []string{"restarted", "also old", "old", "weak"}, entry.ByPower(seen))
+	standby, _ := entry.ChooseStandby(seen)
+	require.Equal(t, "restarted", standby)
+}
+
+// Guards against replies to hosts, each of which asks every second, that cost a leader of many hosts a
+// list of all of them.
+func TestStandbyIsChosenWithoutAListOfAllHosts(t *testing.T) {
+	seen := map[string]entry.HostInfo{}
+	for i := range 150 {
+		seen[fmt.Sprintf("h%03d", i)] = entry.HostInfo{Power: float64(i % 7)}
+	}
+	standby, allocs := entry.ChooseStandby(seen)
+	require.Equal(t, entry.ByPower(seen)[0], standby)
+	require.Zero(t, allocs)
+	standby, _ = entry.ChooseStandby(nil)
+	require.Empty(t, standby)
 }
 
 // The leader of a cluster of unequal hosts is stopped. The strongest of the others leads next,
