--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -236,16 +236,18 @@
 	}
 }
 
-// Other writers store worker entries too: undecodable bytes, fields of a wrong type, unknown
-// states and services. Such entries are ignored, and the valid ones are used.
+// Other writers store worker entries too: undecodable bytes, fields of a wrong type, values that are
+// nested too deeply or out of range, unknown states and services. Such entries are ignored, and the valid ones are used.
 func TestUndecodableWorkerEntryIsIgnored(t *testing.T) {
 	c := newCluster(t, 1, 1, 50*time.Millisecond)
 	for i, text := range []string{"\x00\xff", `{}`, `[]`, `{"service":5}`, `{"service":"pass","address":"nowhere","state":"ready"}`,
 		`{"service":"pass","address":"127.0.0.1:1","state":"asleep","capacity":{"cpu":1,"memMb":1}}`,
-		`{"service":"pass","address":"127.0.0.1:1","state":"ready"}`} {
+		`{"service":"pass","address":"127.0.0.1:1","state":"ready"}`,
+		strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000), `{"service":"pass","address":"127.0.0.1:70000","state":"ready","capacity":{"cpu":1,"memMb":1}}`,
+		`{"service":"pass","address":"127.0.0.1:1","state":"ready","capacity":{"cpu":1e400,"memMb":1}}`} {
 		c.log.Put("servers", fmt.Sprintf("bad%d", i), []byte(text))
 	}
-	require.Eventually(t, func() bool { return strings.Count(c.logs.String(), "entry passed over") == 7 }, waitTimeout, 20*time.Millisecond)
+	require.Eventually(t, func() bool { return strings.Count(c.logs.String(), "entry passed over") == 10 }, waitTimeout, 20*time.Millisecond)
 	require.Equal(t, http.StatusOK, c.submit(c.leader(), 0).code)
 	c.waitCompleted(c.leader(), 1)
 }
