--- a/internal/agent/acks_test.go
+++ b/internal/agent/acks_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -206,3 +207,31 @@
 		require.Zero(t, f.unanswered(), "starts that count as lost")
 	})
 }
+
+// Guards against agents that are suspended for the leader's delay, whatever its course, and against a dead
+// agent that is kept because of it.
+func TestOnlyTheDeadAgentIsReplacedHoweverLateTheLeaderIs(t *testing.T) {
+	for seed := range uint64(40) {
+		run(t, func(t *testing.T, f *fixture) {
+			rnd := rand.New(rand.NewPCG(seed, 0))
+			f.addHall()
+			agents := f.Agents()
+			dead := ""
+			for phase := range 8 {
+				if phase == 5 {
+					dead = agents[rnd.IntN(len(agents))].Name
+				}
+				f.delay(time.Duration(rnd.IntN(900))*time.Millisecond, dead)
+				f.traffic(time.Duration(100+rnd.IntN(900)) * time.Millisecond)
+				for _, h := range agents {
+					require.True(t, h.Name == dead || slices.Contains(f.Agents(), h), "seed %d phase %d: %s", seed, phase, h.Name)
+				}
+			}
+			f.delay(0, dead)
+			f.traffic(1500 * time.Millisecond)
+			for _, h := range agents {
+				require.Equal(t, h.Name != dead, slices.Contains(f.Agents(), h), "seed %d: %s", seed, h.Name)
+			}
+		})
+	}
+}
