--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -99,6 +99,7 @@
 	handler Handler
 	count   func(reason string)
 	wg      sync.WaitGroup
+	pool    pool
 }
 
 // NewServer returns a server that answers messages with a.
@@ -123,7 +124,9 @@
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
 	dial.SetLimits(conn)
-	c := jsonrpc2.NewConn(withSender(ctx, conn), stream(conn, s.count), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), discardLog)
+	s.pool.enter()
+	defer s.pool.leave()
+	c := jsonrpc2.NewConn(withSender(ctx, conn), stream(conn, s.count), pooled{&s.pool, jsonrpc2.HandlerWithError(s.handle)}, discardLog)
 	select {
 	case <-ctx.Done():
 		_ = c.Close()
