entry: end a term whose claim the store does not confirm

Callers saw tasks run twice: a leader that was cut off from the other hosts went on for good as long as the store answered any of its calls, though not its reads of the topic lead, and it had nothing to store. It renewed the leases of a worker that only it reached, while its successor started the tasks elsewhere.

A term now goes on only while its claim is proved: by an append under its fence, or, after two seconds without one, by a read of a partition that has the claim as its newest. Other calls that the store answers prove nothing.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -111,7 +111,7 @@
 	if !holdsNewestClaim(states[0], mine) {
 		return nil, &LostClaimError{Term: number}
 	}
-	return h.newTerm(newTermID(number, first), previous, slices.Concat(states...), requests, next, read), nil
+	return h.newTerm(newTermID(number, first), mine, previous, slices.Concat(states...), requests, next, read), nil
 }
 
 // stateParts lists the partitions of stateTopic. The first one decides who leads.
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -159,7 +159,7 @@
 // BeginTerm begins a term without any jobs, as if the reading of the store had started at the
 // given time.
 func (h *Host) BeginTerm(number int64, read time.Time) {
-	h.newTerm(termID{number, number}, claim{}, nil, nil, make([]int64, h.cfg.Parts), moment{read, h.uptime.Now() - h.now().Sub(read)})
+	h.newTerm(termID{number, number}, "", claim{}, nil, nil, make([]int64, h.cfg.Parts), moment{read, h.uptime.Now() - h.now().Sub(read)})
 }
 
 // IsUncertain reports whether the leader cannot tell whether the job exists.
--- a/internal/entry/servedinpart_test.go
+++ b/internal/entry/servedinpart_test.go
@@ -3,11 +3,13 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"pollencroft/internal/sched"
 	"pollencroft/internal/standin/users"
 )
 
@@ -40,3 +42,16 @@
 	c.waitNextLeader()
 	c.requireNoSecondRun(25 * time.Second)
 }
+
+// Guards against an idle leader that ends its term because a part of the store is down.
+func TestIdleLeaderGoesOnWhileAPartitionIsDown(t *testing.T) {
+	for _, part := range []int{0, 1} {
+		t.Run(strconv.Itoa(part), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 2, 2, 50*time.Millisecond)
+			h := c.leader()
+			c.log.BreakPart("state", part, users.Silent)
+			require.Never(t, func() bool { return !h.Leading() }, sched.StoreTimeout+4*time.Second, 50*time.Millisecond)
+		})
+	}
+}
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -35,6 +35,8 @@
 type term struct {
 	h *Host
 	termID
+	// claim is the value of the term's claim in the store.
+	claim string
 	// readAt is when the reading of the previous leader's state started, beganAt when it was
 	// finished.
 	readAt, beganAt time.Time
@@ -69,6 +71,8 @@
 	// snapshot is the load that was reported last, made at snapshotAt.
 	snapshot   *admission.Snapshot
 	snapshotAt time.Time
+	// provedAt is the uptime at which the term was last proved to go on.
+	provedAt time.Duration
 	// maxTickDelay is the longest delay of a tick since it was last logged.
 	maxTickDelay time.Duration
 }
@@ -94,7 +98,7 @@
 )
 
 // newTerm starts a term with the state that the store contained when it was read.
-func (h *Host) newTerm(id termID, previous claim, states []store.Record, requests [][]store.Record, next []int64, read moment) *term {
+func (h *Host) newTerm(id termID, mine string, previous claim, states []store.Record, requests [][]store.Record, next []int64, read moment) *term {
 	began := h.now()
 	r := h.restore(states, requests)
 	limits := sched.DefaultLimits
@@ -103,7 +107,7 @@
 	limits.Disabled = h.cfg.Off
 	limits.Retention = time.Duration(h.cfg.Times.Keep) * 5 / 4
 	t := &term{
-		h: h, termID: id, readAt: read.at, beganAt: began, lastPoll: read.uptime, jobs: len(r.jobs) + len(r.notStarted), open: len(r.notStarted),
+		h: h, termID: id, claim: mine, provedAt: read.uptime, readAt: read.at, beganAt: began, lastPoll: read.uptime, jobs: len(r.jobs) + len(r.notStarted), open: len(r.notStarted),
 		kick: make(chan struct{}, 1), nextOffset: next, requestKeys: map[string]map[partKey]bool{}, workers: newEntries(), unreadable: map[string]bool{},
 		core: sched.New(limits, id.number, r.jobs), journal: newJournal(h.store, h.log, &h.wg, id.number, h.stateParts()),
 	}
@@ -148,6 +152,7 @@
 		t.step(c)
 	}
 	h.wg.Go(func() { t.awaitPreviousLeader(previous) })
+	h.wg.Go(t.proveClaim)
 	h.wg.Go(t.followWorkers)
 	h.wg.Go(t.pollPeriodically)
 	h.wg.Go(t.tickPeriodically)
@@ -300,11 +305,12 @@
 	for i, ch := range a.Changes {
 		records[i] = store.Record{Key: ch.Key, Value: ch.Value}
 	}
-	began := t.h.now()
+	began, from := t.h.now(), t.h.uptime.Now()
 	err := t.journal.append(t.ctx, a.Number, records, t.h.store.SpreadTimeout())
 	t.h.observe("lead.append", t.h.now().Sub(began))
 	switch {
 	case err == nil:
+		t.noteProof(from)
 		t.step(sched.Appended{Number: a.Number}, sched.Tokens{Last: t.journal.firstEnd()})
 	case t.ctx.Err() == nil:
 		t.end("append: " + err.Error())
@@ -332,15 +338,15 @@
 	t.journal.drop(t.ctx, id)
 }
 
-// mayGoOn ends the term if the store has not served this host for StoreTimeout: a successor may have
+// mayGoOn ends the term if it was not proved to go on for StoreTimeout: a successor may have
 // started by then, and relies on it that this host renews no leases. It counts suspensions of the
 // machine, and orders that were sent before one name deadlines from before it.
 func (t *term) mayGoOn() bool {
-	if t.h.uptime.Now()-t.h.store.LastServed() <= sched.StoreTimeout {
+	if t.sinceProof() <= sched.StoreTimeout {
 		return true
 	}
 	t.h.logSuspension()
-	t.end("the store does not answer")
+	t.end("the store does not confirm the claim")
 	return false
 }
 
