agent: give up all messages to an agent that is suspended

Since agents are judged against each other, only the first overdue message ended; the others went on for their two seconds and then suspended the agent again, for two seconds, although it answered.

TestAgentThatReturnsIsNotSuspendedForOlderMessages failed before.

--- a/internal/agent/acks.go
+++ b/internal/agent/acks.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"maps"
 	"time"
 )
 
@@ -48,11 +47,21 @@
 	delete(k.open, m)
 }
 
-// fail records that a message is not going to be confirmed, and forget that none of an agent's is.
+// fail records that a message is not going to be confirmed.
 func (k *acks) fail(m *message) { delete(k.open, m) }
 
-func (k *acks) forget(agent string) {
-	maps.DeleteFunc(k.open, func(m *message, _ struct{}) bool { return m.agent == agent })
+// giveUp makes all messages to an agent overdue.
+func (k *acks) giveUp(agent string) {
+	for m := range k.open {
+		if m.agent == agent {
+			k.makeOverdue(m)
+		}
+	}
+}
+
+func (k *acks) makeOverdue(m *message) {
+	delete(k.open, m)
+	close(m.overdue)
 }
 
 // passed reports whether a time limit for an agent has run out. A host that is short of processor
@@ -77,8 +86,7 @@
 func (k *acks) markOverdue(now time.Time) {
 	for m := range k.open {
 		if now.Sub(k.heardFrom[m.agent]) >= ackTimeout && k.passed(m.sent.Add(ackTimeout), m.agent, now) {
-			delete(k.open, m)
-			close(m.overdue)
+			k.makeOverdue(m)
 		}
 	}
 }
--- a/internal/agent/acks_test.go
+++ b/internal/agent/acks_test.go
@@ -235,3 +235,21 @@
 		})
 	}
 }
+
+// Guards against a second suspension of an agent that answers again, for messages from before the first one.
+func TestAgentThatReturnsIsNotSuspendedForOlderMessages(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		f.addHall()
+		agents := f.Agents()
+		f.delay(time.Millisecond, agents[0].Name)
+		f.traffic(300 * time.Millisecond)
+		require.NotContains(t, f.Agents(), agents[0])
+		f.delay(time.Millisecond)
+		f.traffic(1100 * time.Millisecond)
+		require.Contains(t, f.Agents(), agents[0])
+		for range 20 {
+			f.traffic(100 * time.Millisecond)
+			require.Contains(t, f.Agents(), agents[0])
+		}
+	})
+}
--- a/internal/agent/dispatcher.go
+++ b/internal/agent/dispatcher.go
@@ -356,7 +356,7 @@
 	now := d.leader.Now()
 	d.mu.Lock()
 	lag, waiting := d.acks.currentLag(now), d.acks.waiting()
-	d.acks.forget(name)
+	d.acks.giveUp(name)
 	g := d.agent(name)
 	if !now.Before(g.suspendedUntil) {
 		g.suspension = min(max(2*g.suspension, minSuspension), maxSuspension)
