entry: test the next leader beside a record that is nested too deeply

The whole way from the store to the workers, which the test of the page alone did not show. With the second reading of the page taken out the jobs wait until the test's time is over. The stand-in of the store writes pages as text, since the JSON encoder refuses such a field.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -252,6 +252,19 @@
 	c.waitCompleted(c.leader(), 1)
 }
 
+// Guards against a list of workers that the next leader can't read for one record that is nested too deeply.
+func TestLeaderReadsAListWithADeeplyNestedRecord(t *testing.T) {
+	c := newCluster(t, 2, 2, 50*time.Millisecond)
+	c.log.Put("servers", "w0a", []byte(`{}`))
+	c.log.AddField("w0a", strings.Repeat("[", 100_000)+strings.Repeat("]", 100_000))
+	old := c.leader()
+	delete(c.hosts, old.cfg.Name)
+	old.Kill()
+	require.Eventually(t, func() bool { return c.follower() == nil }, waitTimeout, 10*time.Millisecond)
+	require.Equal(t, http.StatusOK, c.submit(c.leader(), 0).code)
+	c.waitCompleted(c.leader(), 1)
+}
+
 // Guards against tasks that are started beyond the capacity of a worker that has shrunk.
 func TestAWorkerThatShrinksIsNotOverfilled(t *testing.T) {
 	c := newCluster(t, 1, 1, time.Second)
--- a/internal/standin/users/log.go
+++ b/internal/standin/users/log.go
@@ -71,6 +71,8 @@
 	unwritten map[string]Fault
 	down      map[store.Share]Fault
 	slow      time.Duration
+	// fields holds the raw JSON of an additional field of records in pages, by key.
+	fields map[string]string
 	// calls counts the calls by operation.
 	calls map[store.Op]int
 	// writers holds the host of the last fenced append by topic.
@@ -79,7 +81,7 @@
 
 // NewLog returns an empty log whose topics have the given number of partitions.
 func NewLog(parts int, now func() time.Time) *Log {
-	return &Log{parts: parts, now: now, logs: map[store.Share]*partition{}, group: map[string]*group{}, fault: map[string]Fault{}, unread: map[string]Fault{}, unwritten: map[string]Fault{}, down: map[store.Share]Fault{}, calls: map[store.Op]int{}, writers: map[string]string{}}
+	return &Log{parts: parts, now: now, logs: map[store.Share]*partition{}, group: map[string]*group{}, fault: map[string]Fault{}, unread: map[string]Fault{}, unwritten: map[string]Fault{}, down: map[store.Share]Fault{}, fields: map[string]string{}, calls: map[store.Op]int{}, writers: map[string]string{}}
 }
 
 // Break sets the fault for all calls of a host. An empty name stands for every host.
@@ -114,6 +116,13 @@
 	l.unwritten[topic] = f
 }
 
+// AddField gives the records with that key an additional field in pages.
+func (l *Log) AddField(key, raw string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fields[key] = raw
+}
+
 // Slow delays every answer by d. Calls still take effect immediately.
 func (l *Log) Slow(d time.Duration) {
 	l.mu.Lock()
--- a/internal/standin/users/store.go
+++ b/internal/standin/users/store.go
@@ -4,9 +4,11 @@
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +20,28 @@
 // hostOf returns the name of the host that made a request. Faults are set for single hosts.
 type hostOf func(r *http.Request) string
 
+// writePage writes a page as text, because a record may have a field that the JSON encoder refuses.
+func (l *Log) writePage(w http.ResponseWriter, a store.Answer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	items := make([]string, len(a.Records))
+	for i, r := range a.Records {
+		items[i] = fmt.Sprintf(`{"key":%s,"value":%q,"offset":%d`, quoted(r.Key), base64.StdEncoding.EncodeToString(r.Value), r.Offset)
+		if raw, ok := l.fields[r.Key]; ok {
+			items[i] += `,"extra":` + raw
+		}
+		items[i] += "}"
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, `{"items":[%s],"more":%t,"end":%d}`, strings.Join(items, ","), a.More, a.End)
+}
+
+// quoted returns a string in JSON.
+func quoted(s string) []byte {
+	b, _ := json.Marshal(s)
+	return b
+}
+
 // keyed is the prefix of the topics that retain the newest record of each key.
 const keyed = "keyed."
 
@@ -52,7 +76,7 @@
 		refuse(w, err)
 		return
 	}
-	answer(w, c, a)
+	l.answer(w, c, a)
 }
 
 func refuse(w http.ResponseWriter, err error) {
@@ -156,7 +180,7 @@
 	}
 }
 
-func answer(w http.ResponseWriter, c store.Call, a store.Answer) {
+func (l *Log) answer(w http.ResponseWriter, c store.Call, a store.Answer) {
 	switch c.Op {
 	case store.Append:
 		writeJSON(w, http.StatusOK, map[string]any{"offset": a.Offset, "end": a.End})
@@ -170,11 +194,7 @@
 		}
 		_, _ = w.Write(b)
 	case store.Newest:
-		items := make([]map[string]any, 0, len(a.Records))
-		for _, r := range a.Records {
-			items = append(items, map[string]any{"key": r.Key, "value": base64.StdEncoding.EncodeToString(r.Value), "offset": r.Offset})
-		}
-		writeJSON(w, http.StatusOK, map[string]any{"items": items, "more": a.More, "end": a.End})
+		l.writePage(w, a)
 	default:
 		rows := make([][]any, 0, len(a.Shares))
 		for _, s := range a.Shares {
