sched: report how long nothing of a lost task ran, and why

Callers saw long-running tasks that did not run again in time. The log named neither how long the run of such a task was not given up after its worker fell silent, nor what the worker's leases allowed, nor how long the task waited after that, so a wait for a former leader's leases, a wait for room and a task held for suspected crashes could not be told apart.

New: `left` of "worker does not answer", `silent` of "leases have lapsed" and "gone", the lines "task runs again" and "held until its lost runs are judged", and the timers run.restart.held, .waited and .lasting.

--- a/internal/entry/summary.go
+++ b/internal/entry/summary.go
@@ -41,6 +41,12 @@
 	if a.Reason != "" {
 		attrs = append(attrs, "reason", a.Reason)
 	}
+	if a.Silent > 0 {
+		attrs = append(attrs, "silent", a.Silent)
+	}
+	if a.Left > 0 {
+		attrs = append(attrs, "left", a.Left)
+	}
 	switch a.What {
 	case "stop":
 		t.h.incCounter("run.stopped")
@@ -50,6 +56,18 @@
 	t.h.log.Info("sched: "+a.What+".", attrs...)
 }
 
+// observeRestart counts how long nothing of a task ran, and logs it for long-running tasks: they are
+// to run all the time.
+func (t *term) observeRestart(a sched.Restarted) {
+	t.h.observe("run.restart.held", a.Held)
+	t.h.observe("run.restart.waited", a.Waited)
+	if !a.LongRunning {
+		return
+	}
+	t.h.observe("run.restart.lasting", a.Held+a.Waited)
+	t.h.log.Info("sched: task runs again.", "id", a.Task.String(), "worker", a.Worker, "run", a.Run, "term", t.number, "held", a.Held, "waited", a.Waited)
+}
+
 // logEnded logs and counts a final state. A record that is stored again is not counted again.
 func (t *term) logEnded(a sched.JobEnded) {
 	attrs := []any{
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -262,6 +262,8 @@
 		t.h.observeWait(a)
 	case sched.JobStarted:
 		t.h.observe(fmt.Sprintf("job.start.rank%d", a.Rank), a.After)
+	case sched.Restarted:
+		t.observeRestart(a)
 	case sched.JobQueued:
 		t.h.log.Info("sched: queued.", "id", a.ID, "term", t.number, "detail", a.Queue, "queue", a.Queue, "organisation", a.Organisation, "rank", a.Rank)
 	case sched.Selected:
--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -67,6 +67,9 @@
 	Checkpoint string
 	// Since is when the task entered its current state.
 	Since time.Time
+	// LostAt is when the last sign was missed of a run that did not end as done, RequeuedAt when that
+	// run was given up. They are zero once the task runs again.
+	LostAt, RequeuedAt time.Time
 	// MeasuredFrom is when the leader learned that the current run had begun. It is zero if the run
 	// does not show how long the task takes: a former leader started it, so that its beginning is
 	// not known, or it resumed from a checkpoint.
--- a/internal/sched/crash.go
+++ b/internal/sched/crash.go
@@ -42,6 +42,9 @@
 	w.lostRuns[t.Name] = lostRun{t, t.Run, s.now}
 	s.suspects[t] = true
 	s.markDirty(t.Job)
+	if t.CrashSuspicions() >= maxCrashes {
+		s.noteTask(t, "held until its lost runs are judged", strings.Join(slices.Concat(t.Crashed, t.Lost), ", "))
+	}
 }
 
 // countCrash counts an incarnation that ended while a run of the task was, or may have been, on it.
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -107,7 +107,7 @@
 			// answers, ends of its runs are not known.
 			w.unansweredSince = s.now
 			s.recordOutage(w)
-			s.emit(Note{ID: w.Incarnation, What: "worker does not answer", Worker: w.Incarnation, Detail: ev.Outcome.String()})
+			s.emit(Note{ID: w.Incarnation, What: "worker does not answer", Worker: w.Incarnation, Detail: ev.Outcome.String(), Left: s.leaseBound(w).Sub(s.now)})
 			break
 		}
 		w.nextHold = s.now.Add(retryDelay)
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -111,7 +111,7 @@
 	if t.State == flow.Waiting || !t.MayBeRunning() {
 		return
 	}
-	s.noteTask(t, "gone", why)
+	s.noteLoss(t, why)
 	s.releaseTask(t)
 	s.markDirty(t.Job)
 	if t.Job.State.Final() {
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -291,6 +291,17 @@
 	Times WaitTimes
 }
 
+// Restarted reports that a task runs again after a run that did not end as done. Held is how long
+// after the first missed answer that run was given up; it begins with the term if a former leader
+// missed the answer. Waited is how long the task waited after that.
+type Restarted struct {
+	Task         flow.Name
+	Worker       string
+	Run          int
+	LongRunning  bool
+	Held, Waited time.Duration
+}
+
 // JobStarted reports how long after its acceptance a job's first task began.
 type JobStarted struct {
 	Rank  int
@@ -364,6 +375,9 @@
 	Detail   string
 
 	Queue, Organisation, Reason string
+	// Silent is how long a worker has not answered, and Left how long its leases may last from now on;
+	// zero if neither matters.
+	Silent, Left time.Duration
 }
 
 func (QueueTimes) action()    {}
@@ -377,6 +391,7 @@
 func (StepDown) action()      {}
 func (StepWaited) action()    {}
 func (JobStarted) action()    {}
+func (Restarted) action()     {}
 func (JobQueued) action()     {}
 func (JobEnded) action()      {}
 func (Selected) action()      {}
--- a/internal/sched/simcell_test.go
+++ b/internal/sched/simcell_test.go
@@ -61,6 +61,8 @@
 	stepWaits []sched.StepWaited
 	jobStarts []sched.JobStarted
 	longWaits []sched.Note
+	// restarts are the reports of tasks that run again.
+	restarts []sched.Restarted
 	// pageNotes are the notes about workers that list their ends in pages.
 	pageNotes []sched.Note
 	// resizeNotes are the notes about size changes.
@@ -315,6 +317,8 @@
 		b.jobStarts = append(b.jobStarts, a)
 	case sched.LoadSummary, sched.JobQueued, sched.JobEnded:
 		b.reports = append(b.reports, a)
+	case sched.Restarted:
+		b.restarts = append(b.restarts, a)
 	case sched.Note:
 		b.recordNote(a)
 	}
--- a/internal/sched/start.go
+++ b/internal/sched/start.go
@@ -137,6 +137,7 @@
 	if !t.Transition(flow.Confirm, s.now) {
 		return
 	}
+	s.noteRestart(t)
 	if t.Job.State == flow.Queued {
 		t.Job.State = flow.Active
 		s.jobStarted(t.Job)
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -268,7 +268,7 @@
 		s.copySilentTasks(w)
 	}
 	if s.leasesLapsed(w) {
-		s.emit(Note{ID: w.Incarnation, What: "leases have lapsed", Worker: w.Incarnation, Detail: s.describeBound(w)})
+		s.emit(Note{ID: w.Incarnation, What: "leases have lapsed", Worker: w.Incarnation, Detail: s.describeBound(w), Silent: s.silence(w)})
 		s.loseTasks(w)
 	}
 	if (!w.fenced || w.silent(s.now)) && s.now.After(s.leaseBound(w)) {
