--- a/internal/sched/fakehold_test.go
+++ b/internal/sched/fakehold_test.go
@@ -78,7 +78,7 @@
 // rejectHold reports whether a hold is not carried out, and answers it in that case.
 func (w *fakeWorker) rejectHold(term int64, a sched.Hold, ev sched.HoldReply) bool {
 	switch {
-	case w.silent || w.dead && !w.replaced:
+	case w.hidden(term) || w.dead && !w.replaced:
 		w.missed = w.missed || w.silent
 		ev.Outcome = sched.Unanswered
 		w.unanswered(term, ev)
@@ -95,7 +95,7 @@
 }
 
 func (w *fakeWorker) list(term int64, ev sched.HoldReply) {
-	if w.silent {
+	if w.hidden(term) {
 		ev.Outcome = sched.Unanswered
 		w.unanswered(term, ev)
 		return
--- a/internal/sched/fakeworker_test.go
+++ b/internal/sched/fakeworker_test.go
@@ -16,6 +16,8 @@
 	info sched.Worker
 	// A silent worker ignores all requests while its runs go on; a dead one has ended.
 	silent, dead bool
+	// cutOff reports whether the leader of a term does not reach the worker; nil means that all do.
+	cutOff func(term int64) bool
 	// slowSince is when the worker's clock began to be slow by 2%; zero if it is not.
 	slowSince time.Time
 	// slowdown is a factor on the duration of all runs. A stalled worker makes no progress; one
@@ -147,12 +149,15 @@
 func (w *fakeWorker) spec(n flow.Name) flow.Step { return w.b.specs[n.Job].Steps[n.Step] }
 
 func (w *fakeWorker) reply(term int64, ev sched.Event) {
-	if w.silent {
+	if w.hidden(term) {
 		return
 	}
 	w.b.after(networkDelay, func() { w.b.deliver(term, ev) })
 }
 
+// hidden reports whether the leader of a term does not reach the worker.
+func (w *fakeWorker) hidden(term int64) bool { return w.silent || w.cutOff != nil && w.cutOff(term) }
+
 // unanswered reports to the sender after its timeout that there was no reply.
 func (w *fakeWorker) unanswered(term int64, ev sched.Event) {
 	w.b.after(500*time.Millisecond, func() { w.b.deliver(term, ev) })
@@ -162,11 +167,11 @@
 	answer := func(o sched.Outcome) {
 		w.reply(term, sched.StartReply{Task: a.Task, Run: a.Run, Worker: a.To.Incarnation, Outcome: o})
 	}
-	if w.replaced && !w.silent {
+	if w.replaced && !w.hidden(term) {
 		answer(sched.OtherIncarnation)
 		return
 	}
-	if w.silent || w.dead {
+	if w.hidden(term) || w.dead {
 		w.missed = w.missed || w.silent
 		w.unanswered(term, sched.StartReply{Task: a.Task, Run: a.Run, Worker: a.To.Incarnation, Outcome: sched.Unanswered})
 		return
@@ -374,11 +379,11 @@
 }
 
 func (w *fakeWorker) stop(term int64, a sched.Stop) {
-	if w.replaced && !w.silent {
+	if w.replaced && !w.hidden(term) {
 		w.reply(term, sched.StopReply{Task: a.Task, Run: a.Run, Worker: a.To.Incarnation, Outcome: sched.OtherIncarnation})
 		return
 	}
-	if w.silent || w.dead {
+	if w.hidden(term) || w.dead {
 		w.missed = w.missed || w.silent
 		w.unanswered(term, sched.StopReply{Task: a.Task, Run: a.Run, Worker: a.To.Incarnation, Outcome: sched.Unanswered})
 		return
--- a/internal/sched/simcell_test.go
+++ b/internal/sched/simcell_test.go
@@ -57,6 +57,9 @@
 	queries     []sched.QueryPolicy
 	paces       []sched.Pace
 	steppedDown bool
+	// leaderless means that no host leads; formers are former leaders that go on, by term.
+	leaderless bool
+	formers    map[int64]*formerLeader
 	// stepWaits, jobStarts and longWaits are the waiting times that the core reported.
 	stepWaits []sched.StepWaited
 	jobStarts []sched.JobStarted
@@ -220,6 +223,9 @@
 	until := b.now.Add(d)
 	for {
 		next := b.core.Due().Add(-b.skew)
+		if b.leaderless {
+			next = until.Add(time.Nanosecond)
+		}
 		if len(b.events) > 0 && !b.events[0].at.After(next) {
 			ev := b.events[0]
 			if ev.at.After(until) {
@@ -246,6 +252,9 @@
 }
 
 func (b *simCell) step(ev sched.Event) {
+	if b.leaderless {
+		return
+	}
 	term := b.term
 	began := time.Now()
 	placed := b.core.LastPass()
@@ -275,7 +284,9 @@
 
 // deliver passes a reply to the core, unless the term that asked has ended.
 func (b *simCell) deliver(term int64, ev sched.Event) {
-	if term == b.term {
+	if f, ok := b.formers[term]; ok {
+		b.stepFormer(f, ev)
+	} else if term == b.term {
 		b.step(ev)
 	}
 }
@@ -310,7 +321,8 @@
 		}
 		b.after(took, func() { b.answerQuery(term, a) })
 	case sched.StepDown:
-		b.steppedDown = true
+		b.steppedDown = b.steppedDown || term == b.term
+		delete(b.formers, term)
 	case sched.StepWaited:
 		b.stepWaits = append(b.stepWaits, a)
 	case sched.JobStarted:
