sched, entry: end leases a fixed time after the last proof of the leader's claim

Callers saw long-running tasks of which nothing ran for 18 s after their workers and the leader were lost. A new leader waited for a former one to give up its term (8 s) and then for the lease that it may have renewed last (8.7 s), although nobody was left to renew any.

Leases now end 7 s after the last proof that the leader's term goes on, whenever and by whom the order is sent and however late it arrives. A former leader's proofs came before its successor's term, so all leases of all former leaders have expired 7.3 s after a term begins, instead of 16.7 s. Claims name the lease; leaders of builds whose claims don't are waited for as before, and so are those before them.

The tests of bounds in formerleaders_test.go are about leaders of older builds.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -92,15 +92,15 @@
 		return nil, &LeaderExistsError{Host: other}
 	}
 	number := a.End + 1
-	mine := h.newClaim(number)
+	before := claimIn(a.Records)
+	mine := h.newClaim(number, before)
 	first, err := h.fence(ctx, number, mine)
 	if err != nil {
 		return nil, errors.Wrap(err, "begin a term")
 	}
-	// What was stored since may be another claim.
-	var previous claim
-	if first.Offset == a.End {
-		previous = claimIn(a.Records)
+	if first.Offset != a.End {
+		// What was stored since may be another claim.
+		before = h.lastClaim(ctx, before, a.End, first.Offset)
 	}
 	// Records that are stored from here on may be missing in what is read.
 	read := h.moment()
@@ -111,7 +111,7 @@
 	if !holdsNewestClaim(states[0], mine) {
 		return nil, &LostClaimError{Term: number}
 	}
-	return h.newTerm(newTermID(number, first), mine, previous, slices.Concat(states...), requests, next, read), nil
+	return h.newTerm(newTermID(number, first), mine, before, slices.Concat(states...), requests, next, read), nil
 }
 
 // stateParts lists the partitions of stateTopic. The first one decides who leads.
--- a/internal/entry/predecessor.go
+++ b/internal/entry/predecessor.go
@@ -25,11 +25,67 @@
 	// builds.
 	at   time.Time
 	term int64
+	// lease is how long leases last after the last proof of the term; zero for claims of older builds,
+	// whose leases do not end with it. olderUntil is the time of day until which leases may last that
+	// leaders of older builds have given before; zero if there are none.
+	lease      time.Duration
+	olderUntil time.Time
 }
 
-// newClaim returns the text of this host's claim to a term. It differs from all others.
-func (h *Host) newClaim(number int64) string {
-	return h.memberName() + " " + strconv.FormatInt(h.now().UnixNano(), incarnationBase) + " " + strconv.FormatInt(number, 10)
+// newClaim returns the text of this host's claim to a term, which follows another one. It differs from
+// all others.
+func (h *Host) newClaim(number int64, before claim) string {
+	now := h.now()
+	older := int64(0)
+	if until := before.olderLeases(now); until.After(now) {
+		older = until.UnixNano()
+	}
+	return strings.Join([]string{
+		h.memberName(), strconv.FormatInt(now.UnixNano(), incarnationBase), strconv.FormatInt(number, 10),
+		strconv.FormatInt(h.limits().Lease.Milliseconds(), 10), strconv.FormatInt(older, incarnationBase),
+	}, " ")
+}
+
+// olderLeases returns until when leases may last that leaders of older builds gave before a claim that is
+// made after this one, by the time of day.
+func (c claim) olderLeases(now time.Time) time.Time {
+	if c.none || c.lease > 0 {
+		return c.olderUntil
+	}
+	return now.Add(claimTimeout + sched.OlderLeases)
+}
+
+// formerLeases returns what is known about the leases of former leaders, given the claim before this
+// host's own. It returns false if that is nothing.
+func (h *Host) formerLeases(before claim) (sched.FormerLeases, bool) {
+	lease := h.limits().Lease
+	switch {
+	case before.none:
+		return sched.FormerLeases{Lease: lease}, true
+	case before.lease == 0:
+		return sched.FormerLeases{}, false
+	}
+	l := sched.FormerLeases{Lease: max(before.lease, lease)}
+	if !before.olderUntil.IsZero() {
+		l.Older = max(before.olderUntil.Add(sched.MaxClockSkew).Sub(h.now()), 0)
+	}
+	return l, true
+}
+
+// lastClaim returns the last claim before an offset of the first partition, given the one before an earlier
+// offset.
+func (h *Host) lastClaim(ctx context.Context, before claim, from, until int64) claim {
+	a, err := h.store.Do(ctx, store.Call{Op: store.Read, Topic: stateTopic, Part: h.stateParts()[0], From: from})
+	if err != nil || from+int64(len(a.Records)) < until {
+		h.log.Warn("lead: records before the claim cannot be read.", "from", from, "until", until, "records", len(a.Records), "err", err)
+		return claim{}
+	}
+	for _, r := range a.Records[:until-from] {
+		if r.Key == claimKey {
+			before = parseClaim(string(r.Value))
+		}
+	}
+	return before
 }
 
 // claimIn returns the claim among the records of a partition.
@@ -56,9 +112,25 @@
 	if err != nil {
 		return claim{}
 	}
-	return claim{host: name, at: time.Unix(0, at), term: term}
+	c := claim{host: name, at: time.Unix(0, at), term: term}
+	if len(fields) < 8 {
+		return c
+	}
+	lease, err := strconv.ParseInt(fields[6], 10, 64)
+	older, olderErr := strconv.ParseInt(fields[7], incarnationBase, 64)
+	if err != nil || olderErr != nil || lease <= 0 || lease > maxClaimedLease.Milliseconds() {
+		return c
+	}
+	c.lease = time.Duration(lease) * time.Millisecond
+	if older > 0 {
+		c.olderUntil = time.Unix(0, older)
+	}
+	return c
 }
 
+// maxClaimedLease is the longest lease that a claim may name.
+const maxClaimedLease = time.Minute
+
 // awaitPreviousLeader waits until the previous leader certainly holds no leases: it has handed over,
 // it has answered that it does not lead, or it was this host.
 func (t *term) awaitPreviousLeader(previous claim) {
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -101,15 +101,10 @@
 func (h *Host) newTerm(id termID, mine string, previous claim, states []store.Record, requests [][]store.Record, next []int64, read moment) *term {
 	began := h.now()
 	r := h.restore(states, requests)
-	limits := sched.DefaultLimits
-	limits.Lease = min(limits.Lease, time.Duration(h.cfg.Times.Lease)*95/100)
-	limits.StopGrace = time.Duration(h.cfg.Times.Stop)
-	limits.Disabled = h.cfg.Off
-	limits.Retention = time.Duration(h.cfg.Times.Keep) * 5 / 4
 	t := &term{
 		h: h, termID: id, claim: mine, provedAt: read.uptime, readAt: read.at, beganAt: began, lastPoll: read.uptime, jobs: len(r.jobs) + len(r.notStarted), open: len(r.notStarted),
 		kick: make(chan struct{}, 1), nextOffset: next, requestKeys: map[string]map[partKey]bool{}, workers: newEntries(), unreadable: map[string]bool{},
-		core: sched.New(limits, id.number, r.jobs), journal: newJournal(h.store, h.log, &h.wg, id.number, h.stateParts()),
+		core: sched.New(h.limits(), id.number, r.jobs), journal: newJournal(h.store, h.log, &h.wg, id.number, h.stateParts()),
 	}
 	for _, id := range r.unreadable {
 		t.unreadable[id] = true
@@ -137,6 +132,9 @@
 	unstored, speeds := h.unstoredEnds, h.kindSpeeds
 	names := slices.Sorted(maps.Keys(h.hosts))
 	h.mu.Unlock()
+	if l, ok := h.formerLeases(previous); ok {
+		t.step(l)
+	}
 	t.step(sched.Tokens{First: id.token, Last: id.token})
 	if table != nil {
 		t.step(queuesOf(table))
@@ -162,6 +160,16 @@
 	return t
 }
 
+// limits returns the limits of this host's terms.
+func (h *Host) limits() sched.Limits {
+	l := sched.DefaultLimits
+	l.Lease = min(l.Lease, time.Duration(h.cfg.Times.Lease)*95/100)
+	l.StopGrace = time.Duration(h.cfg.Times.Stop)
+	l.Disabled = h.cfg.Off
+	l.Retention = time.Duration(h.cfg.Times.Keep) * 5 / 4
+	return l
+}
+
 // successionMessage is the message that a leader that steps down sends to its successor.
 func (t *term) successionMessage() peer.AnnounceSuccessor {
 	t.mu.Lock()
@@ -221,6 +229,8 @@
 		return false
 	}
 	placed, began := t.core.LastPass(), t.h.now()
+	// The uptime counts suspensions, which the steady clock does not.
+	t.core.SetProof(began.Add(t.provedAt - t.h.uptime.Now()))
 	acts := t.core.Step(began, ev)
 	if t.core.LastPass() != placed {
 		t.core.RecordPassDuration(t.h.now().Sub(began))
--- a/internal/sched/formerleader_test.go
+++ b/internal/sched/formerleader_test.go
@@ -98,6 +98,7 @@
 		r.Sent, r.Received = r.Sent.Add(f.skew), r.Received.Add(f.skew)
 		ev = r
 	}
+	f.core.SetProof(f.provedAt.Add(f.skew))
 	for _, a := range f.core.Step(b.now.Add(f.skew), ev) {
 		b.execute(f.term, a)
 	}
--- a/internal/sched/formerleaders_test.go
+++ b/internal/sched/formerleaders_test.go
@@ -10,7 +10,7 @@
 )
 
 // Guards against runs that are started again while a leader before the previous one may still renew
-// their leases.
+// their leases: those of older builds do so for as long as they may go on without the store.
 func TestLeasesOfLeadersBeforeThePreviousOneAreWaitedFor(t *testing.T) {
 	for _, tc := range []struct {
 		name string
@@ -25,6 +25,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			b := newSimCell(t, 2)
+			b.olderLeaders = true
 			b.submit("a", "print", bulk(8))
 			b.advance(time.Second)
 			w := b.workers["w00"]
@@ -45,6 +46,7 @@
 // end of one lease.
 func TestLeaseBoundsThatAreHandedOverAreObeyed(t *testing.T) {
 	b := newSimCell(t, 2)
+	b.olderLeaders = true
 	b.submit("a", "print", bulk(8))
 	b.advance(time.Second)
 	held := len(b.workers["w00"].runs)
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -25,7 +25,7 @@
 	if w.fenced && w.unansweredSince.IsZero() {
 		// An unanswered hold may still be carried out and extend the leases, so a silent worker is
 		// only polled without a deadline; otherwise the leases on a dead worker would never expire.
-		h.Deadline = w.clockAt(s.now).Add(s.limits.Lease)
+		h.Deadline = s.leaseDeadline(w)
 		w.extendDeadline(h.Deadline)
 		h.Wait = s.holdWait(w)
 	}
@@ -135,7 +135,7 @@
 	w.fenced = true
 	if first {
 		s.endStrays(w)
-		w.extendDeadline(ev.Clock.Add(s.limits.Lease))
+		w.extendDeadline(ev.Clock.Add(s.longestFormerLease()))
 	}
 	w.lastEndAcked = max(w.lastEndAcked, ev.AckedEnd)
 	// A list may arrive after a newer one, with runs whose ends were read since.
--- a/internal/sched/leases.go
+++ b/internal/sched/leases.go
@@ -11,23 +11,66 @@
 	return s.now.After(s.leaseBound(w))
 }
 
-// leaseBound returns when the leases on a silent worker have certainly expired. For a worker that
-// was never read under this term, the length of the former leaders' leases is unknown: each of them
-// gives up its term in time, and its last renewal lasts at most one lease.
+// SetProof tells the core when the term was last proved to go on: when a call to the store began by
+// which no later term had begun.
+func (s *Sched) SetProof(at time.Time) { s.provedAt = at }
+
+// leaseDeadline returns until when a worker may go on with its runs, on its clock. It follows from the
+// last proof of the term and not from when the order is sent or arrives, because that is all that a
+// successor knows: the proofs of former leaders came before its own term.
+func (s *Sched) leaseDeadline(w *worker) time.Time {
+	since := s.provedAt.Sub(w.readAt)
+	if since > 0 {
+		// The worker's clock may be slow since it was read.
+		since = time.Duration(float64(since) * (1 - maxClockDrift))
+	}
+	return w.clock.Add(since + s.limits.Lease)
+}
+
+// startDeadline returns until when a worker may begin a run whose start is sent now, on its clock.
+// Workers take it for a lease as well.
+func (s *Sched) startDeadline(w *worker) time.Time {
+	deadline := w.clockAt(s.now).Add(startTimeout)
+	if last := s.leaseDeadline(w); last.Before(deadline) {
+		return last
+	}
+	return deadline
+}
+
+// leaseBound returns when the leases on a silent worker have certainly expired.
 func (s *Sched) leaseBound(w *worker) time.Time {
 	if w.fenced {
 		return latest(w.leaseEnd(), w.strayLeaseEnd())
 	}
-	at := s.termStart.Add(StoreTimeout + maxLeaseDuration(s.limits.Lease))
-	if !s.predecessorGone.IsZero() {
-		at = latest(s.predecessorGone, s.earlierGone).Add(maxLeaseDuration(s.limits.Lease))
-	}
+	at := s.formerLeaseEnd()
 	if !w.predecessorLeaseEnd.IsZero() && (w.name.HasBorn || w.predecessorLeaseEnd.Before(at)) {
 		return latest(w.predecessorLeaseEnd, w.strayLeaseEnd())
 	}
 	return latest(at, w.strayLeaseEnd(), w.youngLeaseEnd())
 }
 
+// formerLeaseEnd returns when all leases of former leaders have certainly expired. Leaders of older
+// builds renew leases until they give up their terms.
+func (s *Sched) formerLeaseEnd() time.Time {
+	switch {
+	case s.formerLease > 0:
+		return latest(s.termStart.Add(onSlowClock(s.formerLease)+leaseMargin), s.olderLeaseEnd)
+	case !s.predecessorGone.IsZero():
+		return latest(s.predecessorGone, s.earlierGone).Add(maxLeaseDuration(olderLease))
+	default:
+		return s.termStart.Add(StoreTimeout + maxLeaseDuration(olderLease))
+	}
+}
+
+// longestFormerLease returns how long leases of former leaders last at most on a worker that is read
+// for the first time.
+func (s *Sched) longestFormerLease() time.Duration {
+	if s.formerLease > 0 && s.olderLeaseEnd.IsZero() {
+		return max(s.formerLease, s.limits.Lease)
+	}
+	return max(olderLease, s.limits.Lease)
+}
+
 // describeBound returns what leaseBound goes by, for the log.
 func (s *Sched) describeBound(w *worker) string {
 	switch {
@@ -35,6 +78,8 @@
 		return "read in this term"
 	case !w.predecessorLeaseEnd.IsZero():
 		return "not read in this term, bound handed over"
+	case s.formerLease > 0:
+		return "not read in this term, leases of former leaders have expired"
 	case !s.predecessorGone.IsZero():
 		return "not read in this term, previous leader has stopped"
 	default:
@@ -54,8 +99,15 @@
 	return all
 }
 
+// OlderLeases is how long leases of older builds may last after the last answer of the store to the
+// leader that gave them.
+var OlderLeases = StoreTimeout + maxLeaseDuration(olderLease)
+
 // maxLeaseDuration returns how long a lease may last from the time of the request, on a slow clock
 // and with the time that the request is in transit.
-func maxLeaseDuration(lease time.Duration) time.Duration {
-	return time.Duration(float64(lease)/(1-maxClockDrift)) + maxTransit
+func maxLeaseDuration(lease time.Duration) time.Duration { return onSlowClock(lease) + maxTransit }
+
+// onSlowClock returns how long a time of a worker's clock may take.
+func onSlowClock(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / (1 - maxClockDrift))
 }
--- a/internal/sched/limits.go
+++ b/internal/sched/limits.go
@@ -5,8 +5,9 @@
 // Limits holds the bounds that the platform sets, and the policy settings that are not in the
 // table.
 type Limits struct {
-	// Lease is how long runs continue without a renewal by the leader. A longer lease lets more
-	// work survive a network cut, but delays the restart of a silent worker's tasks elsewhere.
+	// Lease is how long runs continue after the last proof that the term of the leader that renewed
+	// them went on. A longer lease lets more work survive an outage, but delays the restart of a silent
+	// worker's tasks elsewhere.
 	Lease time.Duration
 	// StopGrace is how long a run may take to stop.
 	StopGrace time.Duration
@@ -23,9 +24,11 @@
 }
 
 // DefaultLimits suit the platform's longest lease of 10 s and its longest hold wait of 2 s: a run
-// survives a network cut of 5.5 s, the usual length, plus the wait of one hold.
+// survives a network cut of 5.5 s, the usual length, plus the wait of one hold. A long-running task
+// whose worker and leader are lost runs again within the platform's 9 s: a successor begins, waits for
+// the lease, and starts it.
 var DefaultLimits = Limits{
-	Lease:         8 * time.Second,
+	Lease:         7 * time.Second,
 	StopGrace:     time.Second,
 	Retention:     150 * time.Second,
 	BatchInterval: 20 * time.Millisecond,
@@ -58,9 +61,14 @@
 	// sends the next one beside it: five times what the store usually takes.
 	maxAppendsInFlight = 3
 	appendOverlapDelay = 40 * time.Millisecond
-	// StoreTimeout is how long a leader keeps renewing leases after the last answer of the store.
-	// After that a successor may have begun.
+	// StoreTimeout is how long a leader goes on after the last proof that its term does. Leases end
+	// before that.
 	StoreTimeout = 8 * time.Second
+	// olderLease is how long the leases of older builds last after a renewal. Their leaders renew them
+	// until StoreTimeout after the last answer of the store.
+	olderLease = 8 * time.Second
+	// leaseMargin is how long a worker may take to end its runs once their leases have expired.
+	leaseMargin = 100 * time.Millisecond
 	// maxTransit bounds the time from sending a hold until it is carried out or dropped, apart from
 	// requests that the platform delays.
 	maxTransit = 500 * time.Millisecond
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -169,6 +169,10 @@
 	Failed     bool
 }
 
+// FormerLeases tells that leases of former leaders end Lease after the last proof of their terms. Older is
+// how much longer leases may last that leaders of older builds have given, which do not.
+type FormerLeases struct{ Lease, Older time.Duration }
+
 // PredecessorStopped reports that the previous leader no longer renews any leases. LeaseBounds is
 // what it reported about silent workers, as of Since. ClaimedAt is the time of day at which it claimed
 // leadership: leaders before it may still renew leases for StoreTimeout after that.
@@ -204,6 +208,7 @@
 func (StartReply) event()         {}
 func (StopReply) event()          {}
 func (PolicyReply) event()        {}
+func (FormerLeases) event()       {}
 func (PredecessorStopped) event() {}
 func (PreviousEnds) event()       {}
 func (KnownSpeeds) event()        {}
--- a/internal/sched/predecessor.go
+++ b/internal/sched/predecessor.go
@@ -5,6 +5,11 @@
 	switch ev := ev.(type) {
 	case Tokens:
 		s.setTokens(ev)
+	case FormerLeases:
+		s.formerLease = ev.Lease
+		if ev.Older > 0 {
+			s.olderLeaseEnd = s.now.Add(ev.Older)
+		}
 	case PredecessorStopped:
 		s.predecessorStopped(ev)
 	case KnownSpeeds:
@@ -17,7 +22,7 @@
 // predecessorStopped applies what the previous leader reported when it left.
 func (s *Sched) predecessorStopped(ev PredecessorStopped) {
 	s.predecessorGone, s.earlierGone = s.now, s.termStart.Add(StoreTimeout)
-	if left := ev.ClaimedAt.Add(StoreTimeout + maxClockSkew).Sub(s.now); left < s.earlierGone.Sub(s.now) {
+	if left := ev.ClaimedAt.Add(StoreTimeout + MaxClockSkew).Sub(s.now); left < s.earlierGone.Sub(s.now) {
 		s.earlierGone = s.now.Add(left)
 	}
 	for incarnation, left := range ev.LeaseBounds {
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -18,9 +18,9 @@
 	longestLease = 10 * time.Second
 	// maxAckAge is how long after a reply of a worker ends are acknowledged to it without asking again.
 	maxAckAge = 200 * time.Millisecond
-	// maxClockSkew bounds the difference between the time of day of a worker's start and that of a
+	// MaxClockSkew bounds the difference between the time of day of a worker's start and that of a
 	// host: clocks may jump by 2 s either way.
-	maxClockSkew = 5 * time.Second
+	MaxClockSkew = 5 * time.Second
 )
 
 // restart is what the leader has to know about a worker that may restart, or has restarted, under
@@ -119,7 +119,7 @@
 	if !w.name.HasBorn {
 		return time.Time{}
 	}
-	return time.UnixMilli(w.name.Born).Add(maxClockSkew + StoreTimeout + maxOrderDelay + maxLeaseDuration(longestLease))
+	return time.UnixMilli(w.name.Born).Add(MaxClockSkew + StoreTimeout + maxOrderDelay + maxLeaseDuration(longestLease))
 }
 
 // addWorker adds a worker, and notes which incarnation of its ID has ended if it is not the only one.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -25,6 +25,12 @@
 	tokens    tokens
 	now       time.Time
 	termStart time.Time
+	// provedAt is when this term was last proved to go on. formerLease is how long the leases of former
+	// leaders last after the last proof of their terms; zero if it is not known. olderLeaseEnd is when the
+	// leases of older builds have expired.
+	provedAt      time.Time
+	formerLease   time.Duration
+	olderLeaseEnd time.Time
 	// predecessorGone is when the previous leader had certainly stopped renewing leases, earlierGone
 	// when all leaders before it have.
 	predecessorGone, earlierGone time.Time
@@ -187,6 +193,9 @@
 	s.now, s.actions = now, nil
 	if s.termStart.IsZero() {
 		s.termStart = now
+		if s.provedAt.IsZero() {
+			s.provedAt = now
+		}
 		s.noteInherited()
 	}
 	s.handle(ev)
--- a/internal/sched/simcell_test.go
+++ b/internal/sched/simcell_test.go
@@ -60,6 +60,10 @@
 	// leaderless means that no host leads; formers are former leaders that go on, by term.
 	leaderless bool
 	formers    map[int64]*formerLeader
+	// olderLeaders means that former leaders are of older builds, whose leases do not end with the
+	// proofs of their terms. provedAt is when the leader's term was proved last.
+	olderLeaders bool
+	provedAt     time.Time
 	// stepWaits, jobStarts and longWaits are the waiting times that the core reported.
 	stepWaits []sched.StepWaited
 	jobStarts []sched.JobStarted
@@ -215,6 +219,12 @@
 	return ev
 }
 
+// proofDelay is how old the last proof of the term is, slowProofDelay the same while the store is slow.
+const (
+	proofDelay     = 100 * time.Millisecond
+	slowProofDelay = 700 * time.Millisecond
+)
+
 // networkDelay is the one-way delay to a worker or to the store.
 const networkDelay = 500 * time.Microsecond
 
@@ -262,6 +272,7 @@
 		r.Sent, r.Received = r.Sent.Add(b.skew), r.Received.Add(b.skew)
 		ev = r
 	}
+	b.prove()
 	acts := b.core.Step(b.now.Add(b.skew), ev)
 	took := time.Since(began)
 	b.coreTime += took
@@ -282,6 +293,17 @@
 	}
 }
 
+// prove tells the core when the store has confirmed its claim last.
+func (b *simCell) prove() {
+	if !b.storeDown || b.provedAt.IsZero() {
+		b.provedAt = b.now.Add(-proofDelay)
+		if b.storeTime != nil {
+			b.provedAt = b.now.Add(-slowProofDelay)
+		}
+	}
+	b.core.SetProof(b.provedAt.Add(b.skew))
+}
+
 // deliver passes a reply to the core, unless the term that asked has ended.
 func (b *simCell) deliver(term int64, ev sched.Event) {
 	if f, ok := b.formers[term]; ok {
@@ -428,6 +450,11 @@
 		jobs = append(jobs, j)
 	}
 	b.core = sched.New(sched.DefaultLimits, b.term, jobs)
+	// The claim is stored now.
+	b.provedAt = b.now
+	if !b.olderLeaders {
+		b.step(sched.FormerLeases{Lease: sched.DefaultLimits.Lease})
+	}
 	b.step(sched.Queues{Version: 1, All: b.queues, Quotas: b.quotas, Weights: b.weights})
 	b.step(sched.Hosts{Names: []string{"h1", "h2", "h3", "h4"}})
 	for _, s := range fresh {
--- a/internal/sched/start.go
+++ b/internal/sched/start.go
@@ -60,7 +60,7 @@
 	}
 	t.Transition(flow.Send, s.now)
 	w.unlisted[k] = s.now
-	deadline := w.clockAt(s.now).Add(startTimeout)
+	deadline := s.startDeadline(w)
 	w.extendDeadline(deadline)
 	if deadline.After(w.startDeadline) {
 		w.startDeadline = deadline
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -175,7 +175,7 @@
 	if !w.leaseDeadline.After(w.clock) {
 		return w.readAt
 	}
-	return w.readAt.Add(time.Duration(float64(w.leaseDeadline.Sub(w.clock)) / (1 - maxClockDrift)))
+	return w.readAt.Add(onSlowClock(w.leaseDeadline.Sub(w.clock)))
 }
 
 // evacuate stops tasks on a draining worker: long-running ones at once, and others that save their
