sched: don't fail jobs for crashes that many workers had at once, or for one run twice

Callers saw jobs shown as failed, long-running ones among them, although no run of them had ended as failed: three incarnations of workers had ended while a run was, or may have been, there, whatever the cause and whether the run had begun.

A worker is taken to have gone down for another cause if the run had been going for 2 s, if its start had no answer, or if it was a former leader's, and two other workers and a tenth of those with less suspicious tasks went down within 3 s of it; the last two only until a crash has counted. This is decided when the run is lost, where possible, so that a successor does not count it. A long-running task that has run for 10 s is not suspected at all. A run counts once, whichever incarnations its start may have reached and under however many leaders; the job's record keeps the newest run that has counted.

All tests of tasks that crash each worker that starts them hold unchanged.

--- a/internal/flow/crash.go
+++ b/internal/flow/crash.go
@@ -2,13 +2,14 @@
 
 import "slices"
 
-// MarkLost records that a run of the task was lost on a worker incarnation that no longer
-// answers. It returns false if the incarnation is already recorded as lost or crashed.
+// MarkLost records that the newest run of the task was lost on a worker incarnation that no longer
+// answers. It returns false if that run or that incarnation is already recorded: a run begins once at most,
+// so it has ended one incarnation at most, although its start may reach several.
 func (t *Task) MarkLost(incarnation string) bool {
-	if slices.Contains(t.Crashed, incarnation) || slices.Contains(t.Lost, incarnation) {
+	if t.Run <= t.SuspectedRun || slices.Contains(t.Crashed, incarnation) || slices.Contains(t.Lost, incarnation) {
 		return false
 	}
-	t.Lost = append(t.Lost, incarnation)
+	t.Lost, t.SuspectedRun = append(t.Lost, incarnation), t.Run
 	t.Step.updateSuspicions()
 	return true
 }
@@ -16,7 +17,7 @@
 // MarkCrashed records that a worker incarnation ended while a run of the task was, or may
 // have been, on it. It returns false if that is already recorded.
 func (t *Task) MarkCrashed(incarnation string) bool {
-	t.UnmarkLost(incarnation)
+	t.removeLost(incarnation)
 	if slices.Contains(t.Crashed, incarnation) {
 		return false
 	}
@@ -28,6 +29,14 @@
 // UnmarkLost removes an incarnation from the lost ones, because it is still alive or ended
 // for another reason. It returns false if no run was lost on it.
 func (t *Task) UnmarkLost(incarnation string) bool {
+	if !t.removeLost(incarnation) {
+		return false
+	}
+	t.SuspectedRun = 0
+	return true
+}
+
+func (t *Task) removeLost(incarnation string) bool {
 	i := slices.Index(t.Lost, incarnation)
 	if i < 0 {
 		return false
@@ -39,7 +48,7 @@
 
 // ClearCrashes forgets all incarnations that crashed or were lost while they ran the task.
 func (t *Task) ClearCrashes() {
-	t.Crashed, t.Lost = nil, nil
+	t.Crashed, t.Lost, t.SuspectedRun = nil, nil, 0
 	t.Step.updateSuspicions()
 }
 
--- a/internal/flow/crash_test.go
+++ b/internal/flow/crash_test.go
@@ -24,6 +24,8 @@
 	require.True(t, first.MarkCrashed("w1"))
 	require.False(t, first.MarkCrashed("w1"))
 	require.False(t, first.MarkLost("w1"))
+	require.False(t, first.MarkLost("w2"), "the same run")
+	first.Run++
 	require.True(t, first.MarkLost("w2"))
 	require.True(t, second.MarkLost("w3"))
 	require.Equal(t, 2, second.CrashSuspicions(), "a gang has the highest count of its members")
@@ -34,6 +36,7 @@
 	require.Equal(t, []string{"w1"}, task.Crashed)
 	require.Equal(t, []string{"w2"}, task.Lost)
 	require.Equal(t, 2, got.Task(second.Name).CrashSuspicions())
+	require.False(t, task.MarkLost("w4"), "the same run")
 	require.True(t, task.UnmarkLost("w2"))
 	require.False(t, task.UnmarkLost("w2"))
 	require.Equal(t, 1, task.CrashSuspicions())
--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -63,6 +63,8 @@
 	// have been, on them. Lost lists those on which a run was lost and of which it is not
 	// known whether they ended.
 	Crashed, Lost []string
+	// SuspectedRun is the newest run that counts among them.
+	SuspectedRun int
 	// Checkpoint is the newest checkpoint, or empty if there is none.
 	Checkpoint string
 	// Since is when the task entered its current state.
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -71,6 +71,8 @@
 	// ran the task.
 	Crashed []string `json:"x,omitempty"`
 	Lost    []string `json:"l,omitempty"`
+	// SuspectedRun is the newest run that counts among them.
+	SuspectedRun int `json:"y,omitempty"`
 	// Avoid holds the end of the avoidance of each worker, in Unix milliseconds.
 	Avoid map[string]int64 `json:"v,omitempty"`
 }
@@ -124,7 +126,7 @@
 		}
 		tr := taskRecord{Index: i, Done: t.State == Done, Run: t.Run, Failures: t.Failures}
 		if t.State != Done {
-			tr.Checkpoint, tr.Crashed, tr.Lost, tr.Avoid = t.Checkpoint, t.Crashed, t.Lost, t.avoidanceEnds()
+			tr.Checkpoint, tr.Crashed, tr.Lost, tr.SuspectedRun, tr.Avoid = t.Checkpoint, t.Crashed, t.Lost, t.SuspectedRun, t.avoidanceEnds()
 		}
 		if t.MayBeRunning() {
 			tr.Worker = t.Worker
@@ -203,7 +205,7 @@
 
 func (t *Task) restore(tr taskRecord, now time.Time) {
 	t.Run, t.Failures, t.Checkpoint = tr.Run, tr.Failures, tr.Checkpoint
-	t.Crashed, t.Lost = tr.Crashed, tr.Lost
+	t.Crashed, t.Lost, t.SuspectedRun = tr.Crashed, tr.Lost, min(tr.SuspectedRun, tr.Run)
 	t.Step.updateSuspicions()
 	t.restoreAvoidances(tr.Avoid, now)
 	switch {
--- a/internal/sched/crash.go
+++ b/internal/sched/crash.go
@@ -17,6 +17,8 @@
 	// longer count: over months every one of its hosts is replaced. From then on it doesn't count as
 	// a trial of its worker either.
 	provenAfter = 10 * time.Second
+	// crashesWithin is how soon after its start a task that crashes its workers does so.
+	crashesWithin = 2 * time.Second
 	// unlistedHoldInterval is how often an incarnation is polled that is not listed and on which
 	// runs were lost.
 	unlistedHoldInterval = time.Second
@@ -28,6 +30,9 @@
 	task *flow.Task
 	run  int
 	at   time.Time
+	// bystander means that the run had begun long before, or may never have begun, so that the worker
+	// may have gone down for another cause.
+	bystander bool
 }
 
 // markLost records that a run may have crashed a worker that stopped answering. A run that was carried
@@ -36,10 +41,19 @@
 	if _, carried := w.carried[runKey{t.Name, t.Run}]; carried {
 		return
 	}
-	if t.State == flow.Assigned || w.draining || t.Job.State.Final() || !t.MarkLost(w.Incarnation) {
+	if t.State == flow.Assigned || w.draining || t.Job.State.Final() || s.isProven(t, w) {
 		return
 	}
-	w.lostRuns[t.Name] = lostRun{t, t.Run, s.now}
+	l := lostRun{t, t.Run, s.now, s.maybeBystander(t, w)}
+	if l.bystander && s.isSharedOutage(w, t, t.CrashSuspicions()) {
+		// A successor would not know of the other workers that went down.
+		s.noteTask(t, "crash ruled out", "other workers went down with it")
+		return
+	}
+	if !t.MarkLost(w.Incarnation) {
+		return
+	}
+	w.lostRuns[t.Name] = l
 	s.suspects[t] = true
 	s.markDirty(t.Job)
 	if t.CrashSuspicions() >= maxCrashes {
@@ -47,14 +61,36 @@
 	}
 }
 
+// isProven reports whether a long-running task had run for long when its worker went down.
+func (s *Sched) isProven(t *flow.Task, w *worker) bool {
+	return t.Spec().LongRunning && t.State == flow.Running && s.outageBegin(w).Sub(t.Since) >= provenAfter
+}
+
+// maybeBystander reports whether a lost run may have nothing to do with the end of its worker, if other
+// workers went down with it: a task that crashes its workers does so soon after its start.
+func (s *Sched) maybeBystander(t *flow.Task, w *worker) bool {
+	switch t.State {
+	case flow.Running:
+		return s.outageBegin(w).Sub(t.Since) >= crashesWithin
+	case flow.Starting, flow.Inherited:
+		// When it began is not known, so that this excuses no task under which a worker has crashed.
+		return len(t.Crashed) == 0
+	case flow.Stopping:
+		_, unlisted := w.unlisted[runKey{t.Name, t.Run}]
+		return unlisted && len(t.Crashed) == 0
+	default:
+		return false
+	}
+}
+
 // countCrash counts an incarnation that ended while a run of the task was, or may have been, on it.
 // After too many crashes the job fails.
-func (s *Sched) countCrash(t *flow.Task, w *worker) {
-	j := t.Job
+func (s *Sched) countCrash(l lostRun, w *worker) {
+	t, j := l.task, l.task.Job
 	switch {
 	case j.State.Final() || t.State == flow.Done:
 		return
-	case w.draining, t.CrashSuspicions() > 1 && s.isRackOutage(w, t):
+	case s.endedForOtherCause(w, l):
 		s.clearSuspicion(t, w)
 		return
 	case !t.MarkCrashed(w.Incarnation):
@@ -70,6 +106,11 @@
 	s.endJob(j, flow.Failed)
 }
 
+// endedForOtherCause reports whether a worker certainly did not go down because of a run that was lost on it.
+func (s *Sched) endedForOtherCause(w *worker, l lostRun) bool {
+	return w.draining || l.bystander && s.isSharedOutage(w, l.task, l.task.CrashSuspicions()-1) || l.task.CrashSuspicions() > 1 && s.isRackOutage(w, l.task)
+}
+
 // clearSuspicion withdraws the suspicion that a task crashed a worker.
 func (s *Sched) clearSuspicion(t *flow.Task, w *worker) {
 	if t.UnmarkLost(w.Incarnation) {
@@ -78,13 +119,13 @@
 	}
 }
 
-// takeLostRuns removes and returns the tasks of runs that were lost on the worker before the given
+// takeLostRuns removes and returns the runs that were lost on the worker before the given
 // time.
-func (w *worker) takeLostRuns(before time.Time) []*flow.Task {
-	var all []*flow.Task
+func (w *worker) takeLostRuns(before time.Time) []lostRun {
+	var all []lostRun
 	for _, n := range slices.SortedFunc(maps.Keys(w.lostRuns), compareNames) {
 		if l := w.lostRuns[n]; l.at.Before(before) {
-			all = append(all, l.task)
+			all = append(all, l)
 			delete(w.lostRuns, n)
 		}
 	}
@@ -93,15 +134,15 @@
 
 // clearLostRuns clears the runs lost on a worker that has answered a request sent after the loss.
 func (s *Sched) clearLostRuns(w *worker, sent time.Time) {
-	for _, t := range w.takeLostRuns(sent) {
-		s.clearSuspicion(t, w)
+	for _, l := range w.takeLostRuns(sent) {
+		s.clearSuspicion(l.task, w)
 	}
 }
 
 // countLostRuns counts an ended incarnation against all runs that were lost on it.
 func (s *Sched) countLostRuns(w *worker) {
-	for _, t := range w.takeLostRuns(s.now.Add(time.Nanosecond)) {
-		s.countCrash(t, w)
+	for _, l := range w.takeLostRuns(s.now.Add(time.Nanosecond)) {
+		s.countCrash(l, w)
 	}
 }
 
--- a/internal/sched/rack.go
+++ b/internal/sched/rack.go
@@ -14,32 +14,36 @@
 	// crashJudgeDelay is how long the scheduler waits before it judges the end of an incarnation,
 	// so that the other workers of its rack can be probed.
 	crashJudgeDelay = time.Second
-	// minOtherWorkers is how many other workers of the rack must be down.
+	// minOtherWorkers is how many other workers of the rack, or of the cell, must be down.
 	minOtherWorkers = 2
+	// minSharedOutage is the share of the workers without suspects that must be down for an outage to
+	// have a cause other than its suspects.
+	minSharedOutage = 0.1
 )
 
 // outage is a worker that stopped answering, or whose incarnation ended.
 type outage struct {
 	at                time.Time
 	incarnation, rack string
-	// steps are the steps that had tasks on the worker.
-	steps map[*flow.Stage]bool
+	// steps are the steps that had tasks on the worker, suspicions is the highest number of crash
+	// suspicions of these.
+	steps      map[*flow.Stage]bool
+	suspicions int
 }
 
 // recordOutage records that a worker stopped answering or that its incarnation ended. If it had a
 // task under which an incarnation may have ended before, the idle workers of its rack are probed.
 func (s *Sched) recordOutage(w *worker) {
-	if w.Rack == "" || slices.ContainsFunc(s.outages, func(f outage) bool { return f.incarnation == w.Incarnation }) {
+	if s.outageOf(w) >= 0 {
 		return
 	}
 	f := outage{at: s.now, incarnation: w.Incarnation, rack: w.Rack, steps: map[*flow.Stage]bool{}}
-	suspect := false
 	for _, t := range w.tasks {
 		f.steps[t.Step] = true
-		suspect = suspect || t.CrashSuspicions() > 0
 	}
+	f.suspicions = w.suspicions()
 	s.outages = append(s.outages, f)
-	if !suspect {
+	if f.suspicions == 0 || w.Rack == "" {
 		return
 	}
 	for _, o := range s.sortedWorkers() {
@@ -49,6 +53,27 @@
 	}
 }
 
+// suspicions returns the highest number of crash suspicions of the worker's tasks.
+func (w *worker) suspicions() int {
+	most := 0
+	for _, t := range w.tasks {
+		most = max(most, t.CrashSuspicions())
+	}
+	return most
+}
+
+// outageBegin returns when a worker stopped answering, or when its end became known.
+func (s *Sched) outageBegin(w *worker) time.Time {
+	if i := s.outageOf(w); i >= 0 {
+		return s.outages[i].at
+	}
+	return s.now
+}
+
+func (s *Sched) outageOf(w *worker) int {
+	return slices.IndexFunc(s.outages, func(f outage) bool { return f.incarnation == w.Incarnation })
+}
+
 // clearOutage removes the outage of a worker that answers again.
 func (s *Sched) clearOutage(w *worker) {
 	s.outages = slices.DeleteFunc(s.outages, func(f outage) bool { return f.incarnation == w.Incarnation })
@@ -58,8 +83,8 @@
 // task of this step. Crashing tasks that start together also end several incarnations at once, so
 // at least one idle worker must be among them.
 func (s *Sched) isRackOutage(w *worker, t *flow.Task) bool {
-	i := slices.IndexFunc(s.outages, func(f outage) bool { return f.incarnation == w.Incarnation })
-	if i < 0 {
+	i := s.outageOf(w)
+	if i < 0 || w.Rack == "" {
 		return false
 	}
 	at := s.outages[i].at
@@ -76,6 +101,34 @@
 	return len(down) > minOtherWorkers && idle && !everywhere && !s.anyUp(w.Rack, at, down)
 }
 
+// isSharedOutage reports whether so many workers went down together with one that the task is not the
+// cause, which has earlier suspicions. Workers with tasks as suspect as this one don't count, since crashing tasks that start together end
+// several incarnations at once, and neither do those with tasks of the same step.
+func (s *Sched) isSharedOutage(w *worker, t *flow.Task, earlier int) bool {
+	i := s.outageOf(w)
+	if i < 0 {
+		return false
+	}
+	before := max(earlier, 1)
+	starting := t.State == flow.Starting
+	down := map[string]bool{}
+	for _, f := range s.outages {
+		if f.incarnation != w.Incarnation && f.suspicions < before && !(starting && f.steps[t.Step]) && f.at.Sub(s.outages[i].at).Abs() <= sameOutageWithin {
+			down[f.incarnation] = true
+		}
+	}
+	if len(down) < minOtherWorkers {
+		return false
+	}
+	up := 0
+	for _, o := range s.workers {
+		if o.listed && !o.dead && !down[o.Incarnation] && o.suspicions() < before {
+			up++
+		}
+	}
+	return float64(len(down)) >= minSharedOutage*float64(len(down)+up)
+}
+
 // anyUp reports whether any worker of a rack that was known before the given time is not down.
 func (s *Sched) anyUp(rack string, by time.Time, down map[string]bool) bool {
 	for _, w := range s.workers {
--- a/internal/sched/restart.go
+++ b/internal/sched/restart.go
@@ -231,8 +231,8 @@
 	s.repeatStops(old, next)
 	if !old.name.HasBorn {
 		// It may be the same incarnation: records of older builds name only the ID.
-		for _, t := range old.takeLostRuns(s.now.Add(time.Nanosecond)) {
-			s.clearSuspicion(t, old)
+		for _, l := range old.takeLostRuns(s.now.Add(time.Nanosecond)) {
+			s.clearSuspicion(l.task, old)
 		}
 	}
 }
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -227,6 +227,11 @@
 func (s *Sched) loseTasks(w *worker) {
 	for _, t := range w.sortedTasks() {
 		s.markLost(t, w)
+		if l, ok := w.lostRuns[t.Name]; ok && s.endedForOtherCause(w, l) {
+			// Whether the worker has ended may never be known.
+			s.clearSuspicion(t, w)
+			delete(w.lostRuns, t.Name)
+		}
 		s.requeueTask(t, "lapsed at a silent worker")
 	}
 }
@@ -238,6 +243,10 @@
 		if w.draining && !w.dead {
 			s.evacuate(w)
 		}
+		if !w.fenced && !w.listed && len(w.tasks) > 0 && s.now.Sub(s.termStart) > silentAfter {
+			// It went down before this term, together with the others of which that is true.
+			s.recordOutage(w)
+		}
 		switch {
 		case !w.dead:
 			s.checkLeases(w)
