--- a/internal/sched/crash.go
+++ b/internal/sched/crash.go
@@ -72,8 +72,8 @@
 	switch t.State {
 	case flow.Running:
 		return s.outageBegin(w).Sub(t.Since) >= crashesWithin
-	case flow.Starting, flow.Inherited:
-		// When it began is not known, so that this excuses no task under which a worker has crashed.
+	case flow.Starting:
+		// Whether it began is not known, so that this excuses no task under which a worker has crashed.
 		return len(t.Crashed) == 0
 	case flow.Stopping:
 		_, unlisted := w.unlisted[runKey{t.Name, t.Run}]
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -243,10 +243,6 @@
 		if w.draining && !w.dead {
 			s.evacuate(w)
 		}
-		if !w.fenced && !w.listed && len(w.tasks) > 0 && s.now.Sub(s.termStart) > silentAfter {
-			// It went down before this term, together with the others of which that is true.
-			s.recordOutage(w)
-		}
 		switch {
 		case !w.dead:
 			s.checkLeases(w)
