sched, entry: store until when leases may last on workers that do not answer

Callers saw that nothing of a long-running task ran for as long as leaders changed: 36 to 39 s in the users' plays. The wait for the leases of former leaders began anew with each term, since a new leader cannot know what the one before it has renewed.

While workers with runs do not answer, a leader stores four times a second how long their leases may last, and renews none there until a later record without them is stored. Its successor counts from these bounds. A record of any other term than the one before is ignored.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -241,7 +241,7 @@
 	// A job that was submitted to several hosts is stored in several partitions.
 	had := map[string]bool{}
 	for _, s := range states {
-		if s.Key != claimKey && len(s.Value) > 0 {
+		if s.Key != claimKey && s.Key != sched.BoundsKey && len(s.Value) > 0 {
 			progress[s.Key] = flow.NewerRecord(progress[s.Key], s.Value)
 		}
 	}
--- a/internal/entry/predecessor.go
+++ b/internal/entry/predecessor.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"pollencroft/internal/flow"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/sched"
 	"pollencroft/internal/store"
@@ -56,8 +57,8 @@
 }
 
 // formerLeases returns what is known about the leases of former leaders, given the claim before this
-// host's own. It returns false if that is nothing.
-func (h *Host) formerLeases(before claim) (sched.FormerLeases, bool) {
+// host's own and what the topic of the jobs' progress has. It returns false if that is nothing.
+func (h *Host) formerLeases(before claim, states []store.Record) (sched.FormerLeases, bool) {
 	lease := h.limits().Lease
 	switch {
 	case before.none:
@@ -65,13 +66,24 @@
 	case before.lease == 0:
 		return sched.FormerLeases{}, false
 	}
-	l := sched.FormerLeases{Lease: max(before.lease, lease)}
+	l := sched.FormerLeases{Lease: max(before.lease, lease), Bounds: sched.DecodeBounds(newestBounds(states), before.term)}
 	if !before.olderUntil.IsZero() {
 		l.Older = max(before.olderUntil.Add(sched.MaxClockSkew).Sub(h.now()), 0)
 	}
 	return l, true
 }
 
+// newestBounds returns the newest record of the bounds of leases, or nil if there is none.
+func newestBounds(states []store.Record) []byte {
+	var newest []byte
+	for _, r := range states {
+		if r.Key == sched.BoundsKey && len(r.Value) > 0 {
+			newest = flow.NewerRecord(newest, r.Value)
+		}
+	}
+	return newest
+}
+
 // lastClaim returns the last claim before an offset of the first partition, given the one before an earlier
 // offset.
 func (h *Host) lastClaim(ctx context.Context, before claim, from, until int64) claim {
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -132,7 +132,7 @@
 	unstored, speeds := h.unstoredEnds, h.kindSpeeds
 	names := slices.Sorted(maps.Keys(h.hosts))
 	h.mu.Unlock()
-	if l, ok := h.formerLeases(previous); ok {
+	if l, ok := h.formerLeases(previous, states); ok {
 		t.step(l)
 	}
 	t.step(sched.Tokens{First: id.token, Last: id.token})
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -22,7 +22,7 @@
 	}
 	w.holding, w.lastHold = true, s.now
 	h := Hold{To: w.Address, Token: s.tokenFor(w), AckedEnd: w.ackEnd(false, s.now)}
-	if w.fenced && w.unansweredSince.IsZero() {
+	if w.fenced && w.unansweredSince.IsZero() && w.recordedIn == 0 {
 		// An unanswered hold may still be carried out and extend the leases, so a silent worker is
 		// only polled without a deadline; otherwise the leases on a dead worker would never expire.
 		h.Deadline = s.leaseDeadline(w)
@@ -127,6 +127,7 @@
 		s.emit(Note{ID: w.Incarnation, What: "worker answers again", Worker: w.Incarnation})
 	}
 	w.unansweredSince = time.Time{}
+	s.boundsDue = s.boundsDue || w.recordedIn > 0 && !s.clearing
 	if ev.Received.After(w.readAt) {
 		w.clock, w.readAt = ev.Clock, ev.Received
 	}
--- a/internal/sched/leases.go
+++ b/internal/sched/leases.go
@@ -46,7 +46,11 @@
 	if !w.predecessorLeaseEnd.IsZero() && (w.name.HasBorn || w.predecessorLeaseEnd.Before(at)) {
 		return latest(w.predecessorLeaseEnd, w.strayLeaseEnd())
 	}
-	return latest(at, w.strayLeaseEnd(), w.youngLeaseEnd())
+	at = latest(at, w.strayLeaseEnd(), w.youngLeaseEnd())
+	if end := latest(w.recordedLeaseEnd, w.strayLeaseEnd()); !w.recordedLeaseEnd.IsZero() && end.Before(at) {
+		return end
+	}
+	return at
 }
 
 // formerLeaseEnd returns when all leases of former leaders have certainly expired. Leaders of older
@@ -78,6 +82,8 @@
 		return "read in this term"
 	case !w.predecessorLeaseEnd.IsZero():
 		return "not read in this term, bound handed over"
+	case !w.recordedLeaseEnd.IsZero() && w.recordedLeaseEnd.Before(s.formerLeaseEnd()):
+		return "not read in this term, bound stored by the previous leader"
 	case s.formerLease > 0:
 		return "not read in this term, leases of former leaders have expired"
 	case !s.predecessorGone.IsZero():
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -170,8 +170,12 @@
 }
 
 // FormerLeases tells that leases of former leaders end Lease after the last proof of their terms. Older is
-// how much longer leases may last that leaders of older builds have given, which do not.
-type FormerLeases struct{ Lease, Older time.Duration }
+// how much longer leases may last that leaders of older builds have given, which do not. Bounds is what the
+// previous leader has stored, by worker, of how long leases last there.
+type FormerLeases struct {
+	Lease, Older time.Duration
+	Bounds       map[string]time.Duration
+}
 
 // PredecessorStopped reports that the previous leader no longer renews any leases. LeaseBounds is
 // what it reported about silent workers, as of Since. ClaimedAt is the time of day at which it claimed
--- a/internal/sched/predecessor.go
+++ b/internal/sched/predecessor.go
@@ -10,6 +10,7 @@
 		if ev.Older > 0 {
 			s.olderLeaseEnd = s.now.Add(ev.Older)
 		}
+		s.adoptBounds(ev.Bounds)
 	case PredecessorStopped:
 		s.predecessorStopped(ev)
 	case KnownSpeeds:
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -31,6 +31,10 @@
 	provedAt      time.Time
 	formerLease   time.Duration
 	olderLeaseEnd time.Time
+	// boundsDue means that the bounds of leases have to be stored, boundsAt is when they were last, and
+	// clearing means that an append with them is in flight.
+	boundsDue, clearing bool
+	boundsAt            time.Time
 	// predecessorGone is when the previous leader had certainly stopped renewing leases, earlierGone
 	// when all leaders before it have.
 	predecessorGone, earlierGone time.Time
@@ -118,8 +122,10 @@
 // once, since each record holds everything about its job. Workers may forget ends only when all
 // earlier appends are stored too, since those hold the jobs of earlier ends.
 type batch struct {
-	number    int64
-	stored    bool
+	number int64
+	stored bool
+	// bounds means that the append has the bounds of leases.
+	bounds    bool
 	starts    []runKey
 	states    map[*flow.Job]flow.State
 	ackedEnds map[*worker]int64
@@ -284,6 +290,7 @@
 	}
 	s.beginRounds()
 	s.checkWorkers()
+	s.checkBounds()
 	s.pruneSuspects()
 	s.pruneOutages()
 	s.retryStops()
@@ -334,6 +341,9 @@
 		b.states[j] = j.State
 	}
 	clear(s.dirty)
+	if c := s.takeBounds(version); c != nil {
+		changes, b.bounds = append(changes, *c), true
+	}
 	if len(changes) == 0 {
 		s.appended(b.number)
 		return
@@ -343,7 +353,7 @@
 
 // canAppend reports whether there is anything to store and a partition to store it in.
 func (s *Sched) canAppend() bool {
-	return len(s.inFlight) < maxAppendsInFlight && (len(s.dirty) > 0 || len(s.nextBatch.ackedEnds) > 0)
+	return len(s.inFlight) < maxAppendsInFlight && (len(s.dirty) > 0 || len(s.nextBatch.ackedEnds) > 0 || s.boundsDue)
 }
 
 // nextAppendAt returns when the next append may be sent. If an append has no answer for long, the
@@ -395,6 +405,9 @@
 	}
 	b := s.inFlight[i]
 	b.stored = true
+	if b.bounds {
+		s.boundsStored(b.number)
+	}
 	for _, j := range slices.SortedFunc(maps.Keys(b.states), func(x, y *flow.Job) int { return cmp.Compare(x.Spec.ID, y.Spec.ID) }) {
 		s.publishState(j, b)
 	}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -76,7 +76,12 @@
 	// predecessorLeaseEnd is when the previous leader's leases have expired, if that leader
 	// reported it.
 	predecessorLeaseEnd time.Time
-	health              quarantine.Record
+	// recordedLeaseEnd is the same if it follows from what that leader has stored. recordedIn is the
+	// number of the last append that names the worker among those that do not answer, until a later one
+	// without it is stored; no leases are renewed there until then.
+	recordedLeaseEnd time.Time
+	recordedIn       int64
+	health           quarantine.Record
 	// speed is how fast its runs progress, relative to their estimates.
 	speed float64
 	pace  pacing
@@ -152,7 +157,7 @@
 		since = w.backSince
 	}
 	listed := w.listed || now.Sub(since) < unlistedGrace && w.readAt.After(w.unlistedSince)
-	return listed && w.fenced && !w.dead && !w.draining && w.unansweredSince.IsZero() && !now.Before(w.startsFrom) && w.Size != (cell.Size{})
+	return listed && w.fenced && w.recordedIn == 0 && !w.dead && !w.draining && w.unansweredSince.IsZero() && !now.Before(w.startsFrom) && w.Size != (cell.Size{})
 }
 
 // mayReturn reports whether the worker gets no work only because it has just missed a reply.
