sched: shorten leases so that a lost task runs again in time in the worst case

A worker that falls silent 1.1 s before the leader is lost is not in a stored record yet, and its task ran again 9.1 to 9.3 s after its end. Leases last 6.7 s instead of 7 s after the last proof.

--- a/internal/sched/limits.go
+++ b/internal/sched/limits.go
@@ -28,7 +28,7 @@
 // whose worker and leader are lost runs again within the platform's 9 s: a successor begins, waits for
 // the lease, and starts it.
 var DefaultLimits = Limits{
-	Lease:         7 * time.Second,
+	Lease:         6700 * time.Millisecond,
 	StopGrace:     time.Second,
 	Retention:     150 * time.Second,
 	BatchInterval: 20 * time.Millisecond,
