--- a/internal/sched/rack.go
+++ b/internal/sched/rack.go
@@ -101,19 +101,17 @@
 	return len(down) > minOtherWorkers && idle && !everywhere && !s.anyUp(w.Rack, at, down)
 }
 
-// isSharedOutage reports whether so many workers went down together with one that the task is not the
-// cause, which has earlier suspicions. Workers with tasks as suspect as this one don't count, since crashing tasks that start together end
-// several incarnations at once, and neither do those with tasks of the same step.
+// isSharedOutage reports whether so many workers went down together with one that a task with earlier
+// suspicions is not the cause.
 func (s *Sched) isSharedOutage(w *worker, t *flow.Task, earlier int) bool {
 	i := s.outageOf(w)
 	if i < 0 {
 		return false
 	}
 	before := max(earlier, 1)
-	starting := t.State == flow.Starting
 	down := map[string]bool{}
 	for _, f := range s.outages {
-		if f.incarnation != w.Incarnation && f.suspicions < before && !(starting && f.steps[t.Step]) && f.at.Sub(s.outages[i].at).Abs() <= sameOutageWithin {
+		if f.at.Sub(s.outages[i].at).Abs() <= sameOutageWithin && f.isIndependent(w, t, before) {
 			down[f.incarnation] = true
 		}
 	}
@@ -129,6 +127,16 @@
 	return float64(len(down)) >= minSharedOutage*float64(len(down)+up)
 }
 
+// isIndependent reports whether an outage is not that of w and has no cause like t, which has so many
+// suspicions. Crashing tasks that start together end several incarnations at once, so workers with tasks as
+// suspect as t don't count. Neither do those with tasks of its step if t may have just begun.
+func (f outage) isIndependent(w *worker, t *flow.Task, suspicions int) bool {
+	if f.incarnation == w.Incarnation || f.suspicions >= suspicions {
+		return false
+	}
+	return t.State != flow.Starting || !f.steps[t.Step]
+}
+
 // anyUp reports whether any worker of a rack that was known before the given time is not down.
 func (s *Sched) anyUp(rack string, by time.Time, down map[string]bool) bool {
 	for _, w := range s.workers {
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -150,64 +150,49 @@
 	}
 }
 
+// requireInheritedRunsWait checks that the tasks of a worker that the next leader cannot reach start elsewhere
+// after wait, and until then after that. The leader is told of the events given.
+func requireInheritedRunsWait(t *testing.T, older bool, wait, until time.Duration, events ...sched.Event) {
+	t.Helper()
+	b := newSimCell(t, 2)
+	b.olderLeaders = older
+	b.submit("a", "print", bulk(8))
+	b.advance(time.Second)
+	w := b.workers["w00"]
+	held := len(w.runs)
+	require.NotZero(t, held)
+	w.dead = true
+	b.takeover()
+	for _, ev := range events {
+		b.step(ev)
+	}
+	before := total(b.starts)
+	b.advance(wait)
+	require.Equal(t, before, total(b.starts))
+	b.advance(until)
+	require.Equal(t, before+held, total(b.starts))
+}
+
 // The next leader cannot reach a worker that the records name. The previous leader may have renewed the
 // leases there until its last proof, and one of an older build may go on renewing them for a while: none of
 // the worker's tasks may start elsewhere before these leases have expired.
 func TestInheritedRunsOfSilentWorkerWaitForPreviousLeaderAndLease(t *testing.T) {
-	for _, tc := range []struct {
-		name        string
-		older       bool
-		wait, until time.Duration
-	}{
-		{"this build", false, sched.DefaultLimits.Lease, 500 * time.Millisecond},
-		{"an older build", true, 15 * time.Second, 4 * time.Second},
-	} {
-		t.Run(tc.name, func(t *testing.T) {
-			b := newSimCell(t, 2)
-			b.olderLeaders = tc.older
-			b.submit("a", "print", bulk(8))
-			b.advance(time.Second)
-			w := b.workers["w00"]
-			held := len(w.runs)
-			require.NotZero(t, held)
-			w.dead = true
-			b.takeover()
-			before := total(b.starts)
-			b.advance(tc.wait)
-			require.Equal(t, before, total(b.starts))
-			b.advance(tc.until)
-			require.Equal(t, before+held, total(b.starts))
-		})
-	}
+	t.Run("this build", func(t *testing.T) {
+		requireInheritedRunsWait(t, false, sched.DefaultLimits.Lease, 500*time.Millisecond)
+	})
+	t.Run("an older build", func(t *testing.T) {
+		requireInheritedRunsWait(t, true, 15*time.Second, 4*time.Second)
+	})
 }
 
 // The same, but the previous leader is known to have stopped: one lease is enough.
 func TestInheritedRunsWaitOneLeaseAfterPreviousLeaderStopped(t *testing.T) {
-	for _, tc := range []struct {
-		name        string
-		older       bool
-		wait, until time.Duration
-	}{
-		{"this build", false, sched.DefaultLimits.Lease, 500 * time.Millisecond},
-		{"an older build", true, 8 * time.Second, 2 * time.Second},
-	} {
-		t.Run(tc.name, func(t *testing.T) {
-			b := newSimCell(t, 2)
-			b.olderLeaders = tc.older
-			b.submit("a", "print", bulk(8))
-			b.advance(time.Second)
-			w := b.workers["w00"]
-			held := len(w.runs)
-			w.dead = true
-			b.takeover()
-			b.step(sched.PredecessorStopped{})
-			before := total(b.starts)
-			b.advance(tc.wait)
-			require.Equal(t, before, total(b.starts))
-			b.advance(tc.until)
-			require.Equal(t, before+held, total(b.starts))
-		})
-	}
+	t.Run("this build", func(t *testing.T) {
+		requireInheritedRunsWait(t, false, sched.DefaultLimits.Lease, 500*time.Millisecond, sched.PredecessorStopped{})
+	})
+	t.Run("an older build", func(t *testing.T) {
+		requireInheritedRunsWait(t, true, 8*time.Second, 2*time.Second, sched.PredecessorStopped{})
+	})
 }
 
 // A leader leaves while a worker is silent. If each of several successive leaders waited for a
--- a/internal/sched/simcell_test.go
+++ b/internal/sched/simcell_test.go
@@ -348,6 +348,14 @@
 	case sched.StepDown:
 		b.steppedDown = b.steppedDown || term == b.term
 		delete(b.formers, term)
+	default:
+		b.recordReport(a)
+	}
+}
+
+// recordReport records what the core reports.
+func (b *simCell) recordReport(a sched.Action) {
+	switch a := a.(type) {
 	case sched.StepWaited:
 		b.stepWaits = append(b.stepWaits, a)
 	case sched.JobStarted:
