entry: let a test of replaced entries wait for the leader's first read

Its log: the leader began to lead, and its first read of the entries came after all four odd entries were stored, so that it saw only the newest of each key and passed over one. The test stored them as soon as a host led.

--- a/internal/entry/restart_test.go
+++ b/internal/entry/restart_test.go
@@ -64,6 +64,8 @@
 func TestEntriesThatMustNotReplaceAWorkersOwn(t *testing.T) {
 	c := newCluster(t, 1, 1, 50*time.Millisecond)
 	w, h := c.workers[0], c.leader()
+	// The leader's first read would skip entries that are replaced before it.
+	require.Eventually(t, func() bool { return strings.Contains(c.logs.String(), "worker listed") }, waitTimeout, 5*time.Millisecond, c.logs)
 	plain := w.Entry("pass", "zone0")
 	w.ReportBorn()
 	own := w.Entry("pass", "zone0")
