sched: let reserved processors hold back no best-effort task

Cause: a best-effort task's demand has no processors, and Size.Fits compares them nevertheless. Where more are reserved for wide tasks, or set aside for queries, than are free, what is left is negative and the demand does not fit. The reserve of the most urgent queue held back all steps of other queues, also those that take none of it; on a full cell that lasts.

Change: fitsBeside compares what is free as before, and what is left beside reservations only in the resources that the demand takes. keepsReserve lets steps without processors start.

--- a/internal/sched/besteffort_test.go
+++ b/internal/sched/besteffort_test.go
@@ -118,3 +118,39 @@
 		require.Len(t, w.runs, 2, name)
 	}
 }
+
+// Guards against best-effort tasks that wait for processors that are held free for other tasks.
+func TestBestEffortTasksDoNotWaitForReservedProcessors(t *testing.T) {
+	wide := flow.Step{Tasks: 4, Size: cell.Size{CPU: 50_000, Mem: 8 << 30}, EstimatedTime: time.Second}
+	for name, prepare := range map[string]func(*simCell){
+		"for_the_most_urgent_queue": func(b *simCell) { b.useProcessors(63_000, false) },
+		"for_wide_tasks": func(b *simCell) {
+			b.useProcessors(10_000, false)
+			st := bulk(4)
+			st.Size.CPU, st.MaxPerWorker, st.EstimatedTime, st.Checkpoints = 30_000, 1, 20*time.Second, false
+			b.submit("bulk", "print", st)
+			b.advance(300 * time.Millisecond)
+			b.submit("wide", "scan", wide)
+		},
+	} {
+		for _, gang := range []bool{false, true} {
+			for _, advised := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/gang_%t/advised_%t", name, gang, advised), func(t *testing.T) {
+					b := newSimCell(t, 4)
+					prepare(b)
+					b.advance(300 * time.Millisecond)
+					if advised {
+						b.queues[1].Advice = &flow.Advice{Base: 24 * time.Millisecond, PerWorker: 340 * time.Microsecond, Valid: 2500 * time.Millisecond}
+						b.step(sched.Queues{Version: 2, All: b.queues})
+					}
+					st := bestEffort(5_000)
+					st.Gang = gang
+					b.submit("a", "print", st)
+					b.advance(time.Second)
+					b.requireStarted("a")
+					require.Zero(t, b.starts[flow.Name{Job: "wide"}])
+				})
+			}
+		}
+	}
+}
--- a/internal/sched/candidates.go
+++ b/internal/sched/candidates.go
@@ -91,7 +91,7 @@
 	demand, some := r.stage.Spec.Demand(), false
 	best := policy.Best{Most: n}
 	s.examine(r, p.open, examinedPerNamed*n, func(w *worker) bool {
-		if !demand.Fits(w.available().Sub(w.earmarked)) {
+		if !w.hasRoom(demand, w.reserved.Add(w.earmarked)) {
 			return false
 		}
 		some = true
@@ -121,7 +121,7 @@
 	demand := r.stage.Spec.Demand()
 	s.examine(r, p.workers, examinedPerNamed*n, func(w *worker) bool {
 		_, known := a.tickets[w.Incarnation]
-		if known || a.denied[w.Incarnation] || !demand.Fits(w.Size) || demand.Fits(w.available().Sub(w.earmarked)) || !s.suitsAny(r, w) {
+		if known || a.denied[w.Incarnation] || !demand.Fits(w.Size) || w.hasRoom(demand, w.reserved.Add(w.earmarked)) || !s.suitsAny(r, w) {
 			return false
 		}
 		best.Add(policy.Candidate{Worker: w.Incarnation, Cost: s.cost(r, w)})
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -20,7 +20,7 @@
 	if !s.quotaAllows(r) {
 		return
 	}
-	if reservedCPU > 0 && need > p.freeCPU-reservedCPU {
+	if !p.keepsReserve(need, reservedCPU) {
 		return
 	}
 	var placed []*worker
@@ -81,7 +81,7 @@
 			slices.SortStableFunc(able, func(a, b *worker) int { return int(unclaimed[b] - unclaimed[a]) })
 		}
 		i := slices.IndexFunc(able, func(w *worker) bool {
-			return st.Demand().Fits(freeCapacity[w]) && (st.MaxPerWorker == 0 || w.runsOf(r.stage)+count[w] < st.MaxPerWorker)
+			return st.Demand().FitCount(freeCapacity[w]) > 0 && (st.MaxPerWorker == 0 || w.runsOf(r.stage)+count[w] < st.MaxPerWorker)
 		})
 		if i < 0 {
 			return nil
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -103,6 +103,12 @@
 	return slices.ContainsFunc(p.unfit, func(n cell.Size) bool { return n.Fits(demand) })
 }
 
+// keepsReserve reports whether the reserve of the most urgent queue stays free beside tasks that take
+// that many processors.
+func (p *pool) keepsReserve(cpu, reservedCPU int64) bool {
+	return cpu == 0 || reservedCPU == 0 || p.freeCPU >= reservedCPU+cpu
+}
+
 func (s *Sched) pools() map[string]*pool {
 	all := map[string]*pool{}
 	// Most cells have one service.
@@ -210,7 +216,7 @@
 	}
 	// Without a ticket no worker may run the step: a backlog of such steps is skipped without
 	// checking a single worker.
-	for len(left) > 0 && (reservedCPU == 0 || p.freeCPU >= reservedCPU+need) && s.quotaAllows(r) {
+	for len(left) > 0 && p.keepsReserve(need, reservedCPU) && s.quotaAllows(r) {
 		w := s.bestWorker(r, left[0], allowed)
 		if w == nil && (left[0].CrashSuspicions() >= aloneAfter || s.avoidsFreeWorker(left[0], allowed)) {
 			skipped, left = append(skipped, left[0]), left[1:]
@@ -231,7 +237,7 @@
 
 // seekCapacity looks for capacity for n tasks of a step that could not start.
 func (s *Sched) seekCapacity(r readyStep, p *pool, n int, reservedCPU int64) {
-	if r.queue.Advice != nil && p.freeCPU-reservedCPU >= r.stage.Spec.Demand().CPU {
+	if cpu := r.stage.Spec.Demand().CPU; r.queue.Advice != nil && (cpu == 0 || p.freeCPU-reservedCPU >= cpu) {
 		s.maybeQuery(r, p, n)
 	}
 	s.preempt(r, p, n)
@@ -262,7 +268,7 @@
 
 // fits reports whether a worker has capacity for a task and may run it, apart from tickets.
 func (s *Sched) fits(r readyStep, t *flow.Task, w *worker) bool {
-	return r.stage.Spec.Demand().Fits(w.available()) && s.suits(r, t, w)
+	return w.hasRoom(r.stage.Spec.Demand(), w.reserved) && s.suits(r, t, w)
 }
 
 // suits reports whether a worker may run a task once it has capacity, apart from tickets.
@@ -284,7 +290,7 @@
 // avoidsFreeWorker reports whether a task avoids a worker that has capacity for it.
 func (s *Sched) avoidsFreeWorker(t *flow.Task, workers []*worker) bool {
 	return t.AvoidsAny(s.now) && slices.ContainsFunc(workers, func(w *worker) bool {
-		return t.Avoids(w.Incarnation, s.now) && t.Spec().Demand().Fits(w.available())
+		return t.Avoids(w.Incarnation, s.now) && w.hasRoom(t.Spec().Demand(), w.reserved)
 	})
 }
 
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -81,8 +81,8 @@
 // victims returns the tasks to stop on a worker, or false if stopping them doesn't free enough
 // capacity. Tasks that began last come first, since they have the least to restore.
 func (s *Sched) victims(r readyStep, w *worker) ([]*flow.Task, bool) {
-	demand, open := r.stage.Spec.Demand(), w.available()
-	if !demand.Fits(w.Size.Sub(w.reserved)) {
+	demand, free := r.stage.Spec.Demand(), w.free()
+	if !fitsBeside(demand, w.Size, w.reserved) {
 		return nil, false
 	}
 	var all []*flow.Task
@@ -93,12 +93,12 @@
 	}
 	slices.SortStableFunc(all, func(a, b *flow.Task) int { return b.Since.Compare(a.Since) })
 	for i, t := range all {
-		if demand.Fits(open) {
+		if fitsBeside(demand, free, w.reserved) {
 			return all[:i], true
 		}
-		open = open.Add(t.Spec().Demand())
+		free = free.Add(t.Spec().Demand())
 	}
-	return all, demand.Fits(open)
+	return all, fitsBeside(demand, free, w.reserved)
 }
 
 // preemptible reports whether a task may be stopped in favour of a step: it is less urgent, saves
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -41,7 +41,7 @@
 		if demand.DominantShare(w.Size) < wideShare || !s.suitsAny(r, w) {
 			continue
 		}
-		if at, ok := s.fitsAt(w, demand.Add(w.reserved)); ok {
+		if at, ok := s.fitsAt(w, demand); ok {
 			all = append(all, option{w, at})
 		}
 	}
@@ -115,11 +115,11 @@
 	return max(n, 0)
 }
 
-// fitsAt returns when a worker will have that much free capacity if nothing else is started there,
-// or false if it never will.
+// fitsAt returns when a worker will have capacity for a demand beside what is reserved there if
+// nothing else is started there, or false if it never will.
 func (s *Sched) fitsAt(w *worker, demand cell.Size) (time.Time, bool) {
 	free := w.free()
-	if demand.Fits(free) {
+	if fitsBeside(demand, free, w.reserved) {
 		return s.now, true
 	}
 	type end struct {
@@ -134,7 +134,7 @@
 	}
 	slices.SortStableFunc(ends, func(a, b end) int { return a.at.Compare(b.at) })
 	for _, e := range ends {
-		if free = free.Add(e.size); demand.Fits(free) {
+		if free = free.Add(e.size); fitsBeside(demand, free, w.reserved) {
 			return e.at, true
 		}
 	}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -142,6 +142,15 @@
 // available returns the capacity that is free and not reserved for a wide task.
 func (w *worker) available() cell.Size { return w.free().Sub(w.reserved) }
 
+// hasRoom reports whether the worker has capacity for a demand beside what is held free there.
+func (w *worker) hasRoom(demand, held cell.Size) bool { return fitsBeside(demand, w.free(), held) }
+
+// fitsBeside reports whether a demand fits into what is free beside what is held for others. Of that
+// only the resources count that the demand takes: best-effort tasks take no processors.
+func fitsBeside(demand, free, held cell.Size) bool {
+	return demand.Fits(free) && demand.FitCount(free.Sub(held)) > 0
+}
+
 // unclaimedCPU is the unused processors that no best-effort task has asked for. It is negative where
 // such tasks share what is unused.
 func (w *worker) unclaimedCPU() int64 { return w.free().CPU - w.bestEffortCPU }
