sched: speed up best-effort tasks that a former leader paused

Callers would see a best-effort job that runs and never ends.

Cause: the pace of runs is not stored. A new leader takes each to run at 100 percent and sends only changes, so a task that the former leader had paused stayed paused until the response times beside it rose again. A copy on a worker that returned, too.

Change: the pace of a run that was taken over counts as not known, so the first reply of its worker sets it. It begins slow and rises step by step where tasks serve, and is 100 at once where none do.

--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -151,6 +151,7 @@
 	t.Transition(flow.Assign, s.now)
 	t.Transition(flow.Send, s.now)
 	s.track(w, t)
+	w.adoptPace(t)
 	s.confirm(t)
 	t.MeasuredFrom = time.Time{}
 	s.markDirty(j)
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -78,17 +78,7 @@
 	b.submit("fill", "print", fill)
 	b.advance(time.Second)
 	require.Len(t, b.workers["w00"].runs, 3)
-	tail := func(ms int64) {
-		ev := sched.HoldReply{Worker: "w00", Probe: true, Sent: b.now, Received: b.now, Clock: b.now}
-		for n, r := range b.workers["w00"].runs {
-			l := sched.RunStatus{Task: n, Run: r.run, Percent: 100}
-			if r.step.LatencyTarget > 0 {
-				l.Metric = ms
-			}
-			ev.Running = append(ev.Running, l)
-		}
-		b.step(ev)
-	}
+	tail := func(ms int64) { b.reportTail("w00", ms) }
 	tail(95)
 	require.Len(t, b.paces, 2)
 	require.Zero(t, b.paces[0].Percent)
@@ -99,6 +89,53 @@
 	require.Positive(t, b.paces[0].Percent)
 }
 
+// reportTail reports the response-time tail of all serving tasks on a worker, in milliseconds.
+func (b *simCell) reportTail(worker string, ms int64) {
+	ev := sched.HoldReply{Worker: worker, Probe: true, Sent: b.now, Received: b.now, Clock: b.now}
+	for n, r := range b.workers[worker].runs {
+		l := sched.RunStatus{Task: n, Run: r.run, Percent: 100}
+		if r.step.LatencyTarget > 0 {
+			l.Metric = ms
+		}
+		ev.Running = append(ev.Running, l)
+	}
+	b.step(ev)
+}
+
+// Guards against best-effort tasks that stay paused for good under the next leader, and against those
+// that go on at full pace at once beside a task that serves.
+func TestPausedBestEffortTasksSpeedUpUnderTheNextLeader(t *testing.T) {
+	for _, serves := range []bool{true, false} {
+		t.Run(fmt.Sprintf("serves_%t", serves), func(t *testing.T) {
+			b := newSimCell(t, 1)
+			b.submit("serve", "scan", flow.Step{Tasks: 1, Size: cell.Size{CPU: 20_000, Mem: 8 << 30}, LongRunning: true, LatencyTarget: 100 * time.Millisecond})
+			b.submit("fill", "print", flow.Step{Tasks: 1, Size: cell.Size{CPU: 10_000, Mem: 8 << 30}, EstimatedTime: time.Minute, BestEffort: true})
+			b.advance(time.Second)
+			require.Len(t, b.workers["w00"].runs, 2)
+			b.reportTail("w00", 95)
+			require.Zero(t, b.paces[len(b.paces)-1].Percent)
+			if !serves {
+				b.cancel("serve")
+				b.advance(time.Millisecond)
+			}
+			b.paces = nil
+			b.takeover()
+			b.step(sched.PredecessorStopped{Since: b.now})
+			b.advance(700 * time.Millisecond)
+			if serves {
+				require.NotEmpty(t, b.paces)
+				require.Less(t, b.paces[0].Percent, 50)
+			}
+			for range 10 {
+				b.advance(500 * time.Millisecond)
+				b.reportTail("w00", 20)
+			}
+			require.NotEmpty(t, b.paces)
+			require.Equal(t, 100, b.paces[len(b.paces)-1].Percent)
+		})
+	}
+}
+
 // The store is down and a worker falls silent. Tasks that allow copies still start. The first copy
 // that is done counts, and the job completes once.
 func TestCopiesNeitherWaitForTheStoreNorForASilentWorker(t *testing.T) {
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -20,6 +20,9 @@
 	speedUpBelow    = 0.55
 	speedUpStep     = 20
 	speedUpInterval = time.Second
+	// unknownPercent stands for the percent of a run that this leader has not paced yet and that
+	// another one may have.
+	unknownPercent = -1
 )
 
 // pacing is the share of the processor time that best-effort tasks on a worker may use, in percent.
@@ -30,6 +33,14 @@
 
 func newPacing() pacing { return pacing{level: 100} }
 
+// adoptPace notes that the pace of a run on the worker is not known. Best-effort tasks beside tasks that
+// serve go faster step by step from a slow pace on.
+func (w *worker) adoptPace(t *flow.Task) {
+	if t.Spec().BestEffort {
+		t.CPUPercent, w.pace.level = unknownPercent, speedUpStep
+	}
+}
+
 // worstLatency returns the highest response-time tail of the serving tasks, as a share of the
 // target.
 func (w *worker) worstLatency(running []RunStatus) float64 {
@@ -56,6 +67,8 @@
 		level = 0
 	case worst >= slowFrom:
 		level = min(level, level/2)
+	case !w.runsServing():
+		level = 100
 	case worst < speedUpBelow && s.now.Sub(w.pace.changed) >= speedUpInterval:
 		level = min(level+speedUpStep, 100)
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -178,6 +178,7 @@
 		if t.State == flow.Inherited {
 			w := s.ensureWorker(t.Worker)
 			w.add(t)
+			w.adoptPace(t)
 			w.unlisted[runKey{t.Name, t.Run}] = time.Time{}
 		}
 	})
