sched: log which workers do not run a waiting step, and why

A step that waits was logged with the reason "room", whatever keeps it from starting: a full cell, a label, a worker that it avoids, capacity that is reserved.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -271,22 +271,6 @@
 	return w.hasRoom(r.stage.Spec.Demand(), w.reserved) && s.suits(r, t, w)
 }
 
-// suits reports whether a worker may run a task once it has capacity, apart from tickets.
-func (s *Sched) suits(r readyStep, t *flow.Task, w *worker) bool {
-	st := r.stage.Spec
-	switch {
-	case s.now.Before(w.refusedUntil) || !w.accepts(s.now):
-		return false
-	case st.Label != "" && !slices.Contains(w.Labels, st.Label):
-		return false
-	case t.Avoids(w.Incarnation, s.now):
-		return false
-	case st.MaxPerWorker > 0 && w.runsOf(r.stage) >= st.MaxPerWorker, !s.mayShare(t, w):
-		return false
-	}
-	return true
-}
-
 // avoidsFreeWorker reports whether a task avoids a worker that has capacity for it.
 func (s *Sched) avoidsFreeWorker(t *flow.Task, workers []*worker) bool {
 	return t.AvoidsAny(s.now) && slices.ContainsFunc(workers, func(w *worker) bool {
--- a/internal/sched/waits.go
+++ b/internal/sched/waits.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -98,6 +99,9 @@
 		if reason == WaitForQuota {
 			detail += "; " + s.usage.Describe(r.job.Spec.Organisation)
 		}
+		if i := slices.IndexFunc(r.stage.Tasks, func(t *flow.Task) bool { return t.State == flow.Waiting }); i >= 0 {
+			detail += s.describeObstacles(r, r.stage.Tasks[i])
+		}
 		s.emit(Note{ID: r.stage.Tasks[0].Name.StepName(), What: "step waits", Detail: detail,
 			Queue: r.queue.Name, Organisation: r.job.Spec.Organisation, Reason: reason.String()})
 	}
