entry, sched: keep the cancellation of a job that is not known

Cause: a host that learned from the leader that there is no such job answered 410 and stored nothing, so nobody knew of the cancellation when the submission came. The scheduler keeps such cancellations, but got them only while no leader answered.

Change: the cancellation is stored before it is answered, with 410 as before. Its record has the time of the request, so that it is kept for the retention once and not anew under each leader; the leader then deletes the record, which stayed for good before. The scheduler finds them by job instead of searching all of them for each submission.

Why this works: whichever record a leader reads first, it has both; a submission that comes within the retention ends as cancelled, in any partition and under any leader.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -260,33 +260,6 @@
 	}
 }
 
-// cancelJob stores the cancellation of a job. While no leader answers, the cancellation is stored
-// without a check whether the job exists: cancelling an unknown job only means that it never
-// starts. The leader ignores the cancellation of another organisation's job.
-func (h *Host) cancelJob(ctx context.Context, w http.ResponseWriter, k requestKey) {
-	id := k.id
-	st, known, err := h.finalOrLeaderStatus(ctx, id)
-	gone := err == nil && (!known && !h.acceptedRecently(id) || known && !access.Owns(k.organisation, st.Organisation))
-	if gone || h.ownedByOther(id, k.organisation) {
-		h.refuse(w, http.StatusGone, id, "no such job")
-		return
-	}
-	if err == nil && known && st.State.Final() {
-		reply(w, http.StatusOK, []byte("{}"))
-		return
-	}
-	err = h.inbox.append(ctx, store.Record{Key: k.String(), Value: []byte("1")})
-	switch {
-	case err == nil:
-		h.log.Info("caller: cancelled.", "id", id)
-		reply(w, http.StatusOK, []byte("{}"))
-	case store.NotDone(err):
-		h.refuseUnstored(w, id, err)
-	default:
-		h.refuseUnsure(w, id, err)
-	}
-}
-
 // readyFreshness is how long ago the store may have answered a host that is ready. The store is
 // called at least every joinInterval. The load balancer needs two more seconds until the callers
 // of a failure domain that is cut off are served elsewhere.
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -251,7 +251,7 @@
 		}
 		k := parseRequestKey(a.Key)
 		if k.cancels {
-			r.cancels = append(r.cancels, sched.Cancel{ID: k.id, Organisation: k.organisation})
+			r.cancels = append(r.cancels, cancelEvent(k, a.Value))
 			continue
 		}
 		b, ok := progress[k.id]
--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -54,6 +54,8 @@
 	paths   []*path
 	// born means that the workers report that they began an hour ago.
 	born bool
+	// change, if set, changes the settings of all hosts.
+	change func(*entry.Settings)
 	// lease, if set, is the longest lease of the workers.
 	lease time.Duration
 	// machines are hosts' machines that may be suspended, by host.
@@ -153,6 +155,9 @@
 			r.cfg.Times.Lease = entry.Duration(c.lease)
 		}
 		r.cfg.Power, r.cfg.Agents.Workers = 1, c.workersPerCore
+		if c.change != nil {
+			c.change(&r.cfg)
+		}
 		for _, f := range change {
 			f(&r.cfg)
 		}
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -458,3 +459,29 @@
 	}
 	return h.chooseStandby(), testing.AllocsPerRun(10, func() { h.chooseStandby() })
 }
+
+// EarlyCancels are the cancellations of unknown jobs that a host has stored.
+type EarlyCancels struct{ *earlyCancels }
+
+// NewEarlyCancels returns an empty list of cancellations that are kept for that long.
+func NewEarlyCancels(keep time.Duration) EarlyCancels {
+	return EarlyCancels{newEarlyCancels(keep)}
+}
+
+// Take adds the cancellation of a job unless the limit is reached. It returns whether it is, and when
+// there is room again.
+func (e EarlyCancels) Take(now time.Time, limit int, id string) (wait time.Duration, full bool) {
+	k := requestKey{id: id, cancels: true}
+	if wait, full = e.full(now, limit, k); !full {
+		e.add(now, k)
+	}
+	return wait, full
+}
+
+// FillEarlyCancels makes the host believe that it has stored its share of cancellations of unknown
+// jobs.
+func (h *Host) FillEarlyCancels() {
+	for i := range h.maxEarlyCancels() {
+		h.early.add(h.now(), requestKey{id: strconv.Itoa(i), cancels: true})
+	}
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -123,6 +123,8 @@
 	// sent requests to this one.
 	accepted  map[string]acceptance
 	peersSeen map[string]hostInfo
+	// early are the cancellations of unknown jobs that this host stored lately.
+	early *earlyCancels
 	// wasReady is the last readiness reported to the load balancer.
 	wasReady bool
 	// loadGauges are the gauges of the load that this host reports while it leads.
@@ -153,7 +155,7 @@
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.store = store.NewRouted(platform.NewStore(platform.New(), cfg.Store), relay{h}, now, up, h.storeChanged)
 	h.loadGauges.registry = h.metrics
-	h.inbox = newInbox(h)
+	h.inbox, h.early = newInbox(h), newEarlyCancels(h.retention())
 	h.states = newStateCache(h)
 	h.agent = agent.New(h.ctx, newOrders(h, h.ctx), h.sendResults, log, &h.wg)
 	return h, nil
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -53,7 +53,7 @@
 		return
 	}
 	if k := parseRequestKey(r.Key); k.cancels {
-		t.step(sched.Cancel{ID: k.id, Organisation: k.organisation})
+		t.step(cancelEvent(k, r.Value))
 		return
 	}
 	var spec flow.Spec
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -166,10 +166,13 @@
 	l.Lease = min(l.Lease, time.Duration(h.cfg.Times.Lease)*95/100)
 	l.StopGrace = time.Duration(h.cfg.Times.Stop)
 	l.Disabled = h.cfg.Off
-	l.Retention = time.Duration(h.cfg.Times.Keep) * 5 / 4
+	l.Retention = h.retention()
 	return l
 }
 
+// retention is how long this host's terms keep ended jobs, and cancellations of jobs that never come.
+func (h *Host) retention() time.Duration { return time.Duration(h.cfg.Times.Keep) * 5 / 4 }
+
 // successionMessage is the message that a leader that steps down sends to its successor.
 func (t *term) successionMessage() peer.AnnounceSuccessor {
 	t.mu.Lock()
@@ -254,6 +257,8 @@
 		t.h.wg.Go(func() { t.step(t.h.askPolicyVia(t.ctx, a)) })
 	case sched.Forget:
 		t.h.wg.Go(func() { t.forget(a.ID) })
+	case sched.ForgetCancel:
+		t.h.wg.Go(func() { t.forgetCancel(a) })
 	case sched.StepDown:
 		t.end("worker " + a.Worker + " obeys a later term")
 	case sched.JobEnded:
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -19,11 +19,8 @@
 	j.BeginRounds(s.now)
 	s.markDirty(j)
 	s.emit(JobQueued{ID: spec.ID, Queue: spec.Queue.Name, Organisation: spec.Organisation, Rank: s.queue(j).Rank})
-	for c := range s.earlyCancels {
-		if c.ID == spec.ID && access.Owns(c.Organisation, spec.Organisation) {
-			delete(s.earlyCancels, c)
-			s.cancel(c)
-		}
+	if organisation, ok := s.earlyCancels.take(spec.ID, spec.Organisation); ok {
+		s.cancel(Cancel{ID: spec.ID, Organisation: organisation})
 	}
 }
 
@@ -34,8 +31,9 @@
 	j, ok := s.jobs[c.ID]
 	switch {
 	case !ok:
-		s.earlyCancels[c] = s.now
-		s.emit(Note{ID: c.ID, What: "cancelled before submission"})
+		if s.earlyCancels.add(c, s.now) {
+			s.emit(Note{ID: c.ID, What: "cancelled before submission"})
+		}
 		return
 	case j.State.Final():
 		return
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -101,8 +101,11 @@
 type Submit struct{ Spec flow.Spec }
 
 // Cancel stops a job on behalf of a caller of an organisation; the request to do so is already
-// stored.
-type Cancel struct{ ID, Organisation string }
+// stored. At is when the caller asked for it; zero means now.
+type Cancel struct {
+	ID, Organisation string
+	At               time.Time
+}
 
 // Appended reports that the Append with that number is stored. Appends may be stored in any order.
 type Appended struct{ Number int64 }
@@ -290,6 +293,9 @@
 // Forget deletes a job that ended long ago: first its spec, then its progress.
 type Forget struct{ ID string }
 
+// ForgetCancel deletes a cancellation of a job that never came.
+type ForgetCancel struct{ ID, Organisation string }
+
 // StepDown reports that a leader of a later term was seen, so this term has ended.
 type StepDown struct{ Worker string }
 
@@ -397,6 +403,7 @@
 func (Pace) action()          {}
 func (QueryPolicy) action()   {}
 func (Forget) action()        {}
+func (ForgetCancel) action()  {}
 func (StepDown) action()      {}
 func (StepWaited) action()    {}
 func (JobStarted) action()    {}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -77,8 +77,8 @@
 	summaryIdle bool
 	// preemptions is the capacity that other tasks were stopped for, by the step that it is for.
 	preemptions map[*flow.Stage][]preemption
-	// earlyCancels is when jobs that are not known yet were cancelled.
-	earlyCancels map[Cancel]time.Time
+	// earlyCancels are the cancellations of jobs that are not known.
+	earlyCancels earlyCancels
 	// usage is what the organisations have running.
 	usage *quota.Usage
 	// rates mark the jobs that organisations send beyond their rates. ratesKnown means that the
@@ -154,7 +154,7 @@
 		workers: map[string]*worker{}, latest: map[string]*worker{}, forgotten: map[string]formerOrders{}, hosts: policy.New(!slices.Contains(limits.Disabled, AdaptUrgentHosts)),
 		advice: map[*flow.Stage]*advice{}, queries: map[string]*flow.Stage{}, allowRates: map[string]float64{},
 		stops: map[runKey]*pendingStop{}, suspects: map[*flow.Task]bool{}, waits: map[*flow.Stage]*stepWait{}, jobWaits: map[string]WaitTimes{},
-		preemptions: map[*flow.Stage][]preemption{}, earlyCancels: map[Cancel]time.Time{},
+		preemptions: map[*flow.Stage][]preemption{}, earlyCancels: newEarlyCancels(),
 		usage: quota.New(), rates: rate.New(), backlogs: map[backlogKey]*backlog{}, wideHolds: map[string]time.Time{},
 		dirty: map[string]*flow.Job{}, nextBatch: newBatch(),
 		speeds: speed.New(nil), reportedSpeeds: map[string]float64{}, times: newRunTimes(),
@@ -452,7 +452,9 @@
 // leader, which would run it again. A job with untracked runs is kept, because a successor needs its
 // record to count them.
 func (s *Sched) forgetEndedJobs() {
-	maps.DeleteFunc(s.earlyCancels, func(_ Cancel, at time.Time) bool { return s.now.Sub(at) > s.limits.Retention })
+	for _, c := range s.earlyCancels.expire(s.now, s.limits.Retention) {
+		s.emit(ForgetCancel{ID: c.ID, Organisation: c.Organisation})
+	}
 	var expired []string
 	for id, j := range s.jobs {
 		if j.State.Final() && j.Published.Final() && s.now.Sub(j.Ended) > s.limits.Retention && s.settled(j) {
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -37,6 +37,7 @@
 	client     *http.Client
 	mu         sync.Mutex
 	jobs       []*job
+	givenUp    []givenUp
 	violations []string
 }
 
@@ -52,7 +53,12 @@
 
 // call sends a request and returns the status code and the body; code 0 means that there was no answer.
 func (a *callers) call(h *host, method, path string) (int, string) {
-	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	return a.callWithin(callerTimeout, h, method, path)
+}
+
+// callWithin is like call for a caller that leaves after the time patience.
+func (a *callers) callWithin(patience time.Duration, h *host, method, path string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	var text io.Reader
 	if method == http.MethodPost {
--- a/soak/kinds_test.go
+++ b/soak/kinds_test.go
@@ -55,6 +55,9 @@
 // stepsOf returns the steps of a job.
 func stepsOf(job string) []step {
 	kind, err := strconv.ParseUint(job[:1], 16, 8)
+	if kind == givenUpKind {
+		return givenUpSteps
+	}
 	if err != nil || int(kind) >= len(kinds) {
 		return nil
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -53,7 +53,8 @@
 // Random faults hit the hosts, their connections to the store and the workers, several at
 // once, while callers keep submitting jobs. The callers detect a job that is lost, reported
 // as completed too early, run although it was refused, or unknown after it was confirmed.
-// The workers detect a task that has already been given to the same or another worker, one that
+// Some callers leave before they have an answer and cancel their job at another host: it may not go on
+// after that. The workers detect a task that has already been given to the same or another worker, one that
 // is not kept apart from others of its step, and one on a worker without the label that it requires.
 func TestPromisesHoldOutside(t *testing.T) {
 	all := slices.Concat(regressionSeeds, apartRegressionSeeds)
@@ -101,6 +102,7 @@
 		c.busy.Go(func() { c.strikeWorkers(ctx, rand.New(rand.NewPCG(seed, 8))) })
 		c.busy.Go(func() { c.strikeLeader(ctx, rand.New(rand.NewPCG(seed, 9))) })
 		c.busy.Go(func() { c.disturb(ctx, rand.New(rand.NewPCG(seed, 11)), peerFaults) })
+		c.busy.Go(func() { a.runGivingUp(ctx, rand.New(rand.NewPCG(seed, 12))) })
 	}
 	if n == large {
 		c.busy.Go(func() { a.runMore(ctx, rand.New(rand.NewPCG(seed, 10))) })
@@ -113,6 +115,7 @@
 		open := a.describeOpen()
 		t.Fatalf("open jobs:%s\n%s\n%s", open, c.invariants.Histories(open+" "), c.listFaults())
 	}
+	a.checkGivenUp(t, c.hosts[0])
 	a.checkResults(t)
 }
 
