entry: do not report a job missing whose submission has no answer yet

Callers were told with 410 that there is no such job, by the host that had sent the job to the store a moment before; then the job came and ran.

Cause: the host asked the leader only. What it held itself, a submission without an answer of the store, did not count, nor did one that was stored after its caller had left: only the caller's handler noted it as accepted.

Change: GET answers 503 while the outcome of a submission at this host is not known, and a cancellation is confirmed. The inbox notes what is stored, whether its caller waits or not.

Measured: TestSubmissionWithoutAnAnswerIsNotReportedMissing failed before (410) and passes.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -199,7 +199,8 @@
 	h.observe("caller.store", h.now().Sub(began))
 	switch {
 	case err == nil:
-		h.noteAccepted(k)
+		h.incCounter("caller.accepted")
+		h.noteStored(k)
 		h.log.Info("caller: accepted.", "id", id, "queue", q.Name, "organisation", k.organisation)
 		reply(w, http.StatusOK, []byte("{}"))
 	case store.NotDone(err):
@@ -218,14 +219,14 @@
 	return defaultMaxBody
 }
 
-func (h *Host) noteAccepted(k requestKey) {
-	h.incCounter("caller.accepted")
+// noteStored notes that a submission is stored, also if its caller has left.
+func (h *Host) noteStored(k requestKey) {
 	h.mu.Lock()
 	h.accepted[k.id] = acceptance{at: h.now(), organisation: k.organisation}
 	h.mu.Unlock()
 }
 
-// acceptedRecently reports whether this host accepted the job recently.
+// acceptedRecently reports whether this host stored the job recently.
 func (h *Host) acceptedRecently(id string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -253,6 +254,8 @@
 		reply(w, http.StatusOK, platform.StateBody(flow.Queued))
 	case err != nil:
 		h.refuse(w, http.StatusServiceUnavailable, id, err.Error())
+	case !known && h.submissionUnsure(requestKey{id: id, organisation: organisation}):
+		h.refuse(w, http.StatusServiceUnavailable, id, "not known yet whether the job is stored")
 	case !known:
 		h.refuse(w, http.StatusGone, id, "no such job")
 	default:
--- a/internal/entry/cancel.go
+++ b/internal/entry/cancel.go
@@ -9,6 +9,7 @@
 
 	"pollencroft/internal/access"
 	"pollencroft/internal/admission"
+	"pollencroft/internal/attempts"
 	"pollencroft/internal/sched"
 	"pollencroft/internal/store"
 )
@@ -41,7 +42,7 @@
 	if missing && !store.NotDone(stored) {
 		h.early.add(h.now(), k)
 	}
-	h.replyCancelled(w, k, missing && err == nil, stored)
+	h.replyCancelled(w, k, missing && err == nil && !h.submissionUnsure(k), stored)
 }
 
 // replyCancelled answers the cancellation of a job, given whether there certainly is no such job yet and
@@ -62,6 +63,13 @@
 	}
 }
 
+// submissionUnsure reports whether this host got a submission of the job of which it is not known
+// whether it is stored or may still be.
+func (h *Host) submissionUnsure(k requestKey) bool {
+	k.cancels = false
+	return h.inbox.sent.Known(k.String()) == attempts.Unknown
+}
+
 // cancelValue returns the value of the record of a cancellation: when the caller asked for it.
 func cancelValue(at time.Time) []byte { return strconv.AppendInt(nil, at.UnixMilli(), 10) }
 
--- a/internal/entry/cancel_test.go
+++ b/internal/entry/cancel_test.go
@@ -15,6 +15,7 @@
 	"pollencroft/internal/cell"
 	"pollencroft/internal/entry"
 	"pollencroft/internal/flow"
+	"pollencroft/internal/standin/users"
 	"pollencroft/internal/store"
 )
 
@@ -205,3 +206,22 @@
 	}, waitTimeout, 20*time.Millisecond)
 	require.Len(t, c.checker.Runs(), 1)
 }
+
+// Guards against a host that reports a job as missing whose submission it has sent to the store without
+// an answer.
+func TestSubmissionWithoutAnAnswerIsNotReportedMissing(t *testing.T) {
+	c := newCluster(t, 2, 1, 20*time.Millisecond)
+	c.deadline = 500 * time.Millisecond
+	h := c.follower()
+	c.log.BreakAppends("jobs", users.Silent)
+	require.Equal(t, http.StatusGatewayTimeout, c.submit(h, 1).code)
+	require.Equal(t, unavailableReply, c.stateAt(h, 1))
+	require.Equal(t, missingReply, c.stateAt(h, 2))
+	c.log.BreakAppends("jobs", users.None)
+	codes := map[int]bool{}
+	for until := time.Now().Add(waitTimeout); !codes[http.StatusOK] && time.Now().Before(until); {
+		codes[c.cancelAt(h, 1).code] = true
+	}
+	require.True(t, codes[http.StatusOK])
+	require.NotContains(t, codes, http.StatusGone)
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -119,7 +119,7 @@
 	// standby is the host that is to take over if the leader's process dies, as designated by the
 	// leader.
 	standby string
-	// accepted holds the jobs that this host accepted recently. peersSeen holds the hosts that
+	// accepted holds the jobs that this host stored recently. peersSeen holds the hosts that
 	// sent requests to this one.
 	accepted  map[string]acceptance
 	peersSeen map[string]hostInfo
--- a/internal/entry/inbox.go
+++ b/internal/entry/inbox.go
@@ -190,6 +190,9 @@
 
 func (b *inbox) finish(all []appendRequest, o attempts.Outcome, err error) {
 	for _, a := range all {
+		if k := parseRequestKey(a.record.Key); o == attempts.Done && !k.cancels {
+			b.h.noteStored(k)
+		}
 		known := b.sent.End(a.record.Key, o)
 		if o == attempts.NotDone {
 			a.done <- afterRefusal(known, err)
