sched: describe all steps that wait beside each other in the log

Change: a budget of 20,000 workers a second in place of one step each 100 ms, so that a small cell describes each step.

Measured: TestWaitingStepNamesWhatKeepsItFromStarting with two such steps failed before.

--- a/internal/sched/obstacle.go
+++ b/internal/sched/obstacle.go
@@ -61,17 +61,24 @@
 	return s.obstacleOn(r, t, w) == noObstacle
 }
 
-// obstaclesInterval is the minimum time between two descriptions, each of which looks at all workers.
-const obstaclesInterval = 100 * time.Millisecond
+// A description looks at all workers. After obstaclesBudget of them, no step is described until
+// obstaclesInterval has passed.
+const (
+	obstaclesBudget   = 20_000
+	obstaclesInterval = time.Second
+)
 
 // describeObstacles counts the workers of a step's service by why they do not run a task of it, for
-// the log; it is empty if another step was described a moment ago. A worker with room may be kept
+// the log; it is empty if too many steps were described a moment ago. A worker with room may be kept
 // free for more urgent steps.
 func (s *Sched) describeObstacles(r readyStep, t *flow.Task) string {
-	if s.now.Sub(s.obstaclesAt) < obstaclesInterval {
+	if s.now.Sub(s.obstaclesSince) >= obstaclesInterval {
+		s.obstaclesSince, s.obstaclesSeen = s.now, 0
+	}
+	if s.obstaclesSeen >= obstaclesBudget {
 		return ""
 	}
-	s.obstaclesAt = s.now
+	s.obstaclesSeen += len(s.workers)
 	var counts [obstacleCount]int
 	demand := r.stage.Spec.Demand()
 	for _, w := range s.workers {
--- a/internal/sched/obstacle_test.go
+++ b/internal/sched/obstacle_test.go
@@ -28,8 +28,12 @@
 	b.list()
 	st := scan(1)
 	st.Label = "x"
-	b.submit("a", "scan", st)
+	for _, id := range []string{"a", "b"} {
+		b.submit(id, "scan", st)
+	}
 	b.advance(5 * time.Second)
-	require.Len(t, b.longWaits, 1)
-	require.Contains(t, b.longWaits[0].Detail, "workers: 1 not usable, 1 without the label, 3 full, 1 without a ticket")
+	require.Len(t, b.longWaits, 2)
+	for _, note := range b.longWaits {
+		require.Contains(t, note.Detail, "workers: 1 not usable, 1 without the label, 3 full, 1 without a ticket")
+	}
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -68,8 +68,10 @@
 	outages []outage
 	// waits are the waiting steps.
 	waits map[*flow.Stage]*stepWait
-	// obstaclesAt is when the obstacles of a waiting step were last described.
-	obstaclesAt time.Time
+	// obstaclesSeen is how many workers were looked at since obstaclesSince to describe what keeps steps
+	// waiting.
+	obstaclesSince time.Time
+	obstaclesSeen  int
 	// jobWaits is how long steps of a job waited that do not wait any more, by job.
 	jobWaits map[string]WaitTimes
 	// lastSummary is the time of the last load summary, summaryIdle whether it reported no load.
