sched: keep a repeated early cancellation from its last request on

A caller that repeats a cancellation was told 410 again, but the cancellation was forgotten a retention after the first request: a submission under way at the second one could outlive it.

Change: the time of the last request counts.

Measured: the kind "repeated" of TestEarlyCancellationIsKeptForTheRetention failed before.

--- a/internal/sched/earlycancel.go
+++ b/internal/sched/earlycancel.go
@@ -27,19 +27,22 @@
 
 func newEarlyCancels() earlyCancels { return earlyCancels{byID: map[string][]earlyCancel{}} }
 
-// add keeps a cancellation as of the time at which its caller asked for it, which may be by another
+// add keeps a cancellation as of the time at which its caller asked for it last, which may be by another
 // host's clock. It reports whether the cancellation is new.
 func (e *earlyCancels) add(c Cancel, now time.Time) bool {
-	all := e.byID[c.ID]
-	if slices.ContainsFunc(all, func(x earlyCancel) bool { return x.organisation == c.Organisation }) {
-		return false
-	}
-	at := now
+	all, at := e.byID[c.ID], now
 	if !c.At.IsZero() && c.At.Before(now) {
 		at = c.At
 	}
-	e.byID[c.ID] = append(all, earlyCancel{c.Organisation, at})
-	return true
+	i := slices.IndexFunc(all, func(x earlyCancel) bool { return x.organisation == c.Organisation })
+	if i < 0 {
+		e.byID[c.ID] = append(all, earlyCancel{c.Organisation, at})
+		return true
+	}
+	if at.After(all[i].at) {
+		all[i].at = at
+	}
+	return false
 }
 
 // take removes the cancellations of a job by callers that may cancel it, and returns one of them.
--- a/internal/sched/earlycancel_test.go
+++ b/internal/sched/earlycancel_test.go
@@ -78,15 +78,18 @@
 func TestEarlyCancellationIsKeptForTheRetention(t *testing.T) {
 	start, keep := time.Unix(1_000_000, 0), sched.DefaultLimits.Retention
 	for name, at := range map[string]time.Time{
-		"now": {}, "under_a_former_leader": start.Add(-keep / 2), "by_a_clock_that_is_ahead": start.Add(time.Hour),
+		"now": {}, "repeated": {}, "under_a_former_leader": start.Add(-keep / 2), "by_a_clock_that_is_ahead": start.Add(time.Hour),
 	} {
 		t.Run(name, func(t *testing.T) {
 			core := sched.New(sched.DefaultLimits, 1, nil)
 			core.Step(start, sched.Cancel{ID: "a", Organisation: "o", At: at})
-			core.Step(start.Add(time.Second), sched.Cancel{ID: "a", Organisation: "o"})
 			ends := start.Add(keep)
-			if name == "under_a_former_leader" {
+			switch name {
+			case "under_a_former_leader":
 				ends = at.Add(keep)
+			case "repeated":
+				core.Step(start.Add(keep/2), sched.Cancel{ID: "a", Organisation: "o", At: start.Add(keep / 2)})
+				ends = start.Add(keep / 2).Add(keep)
 			}
 			require.Empty(t, forgotten(core, ends.Add(-time.Second)))
 			require.Equal(t, []sched.ForgetCancel{{ID: "a", Organisation: "o"}}, forgotten(core, ends.Add(2*time.Second)))
