sched: test that best-effort tasks start in random cells

A property over random cells: tasks that last, bulk and wide urgent tasks use the processors, and a best-effort step of any kind, with or without a policy service, has started all of its tasks within two seconds, since there is memory for them.

--- a/internal/sched/besteffort_test.go
+++ b/internal/sched/besteffort_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -154,3 +156,57 @@
 		}
 	}
 }
+
+// randomLoad fills a cell with work that takes processors and little memory: tasks that last and may be
+// best-effort themselves, bulk, and wide urgent tasks that wait.
+func (b *simCell) randomLoad(r *rand.Rand) {
+	for name, w := range maps.All(b.workers) {
+		w.info.Labels = []string{name}
+	}
+	b.list()
+	for _, w := range b.sortedWorkers() {
+		name := w.info.Incarnation
+		st := lasting(cell.Size{CPU: 1000 * (1 + r.Int64N(64)), Mem: 8 << 30}, name)
+		st.BestEffort = r.IntN(3) == 0
+		if r.IntN(4) > 0 {
+			b.submit("lasting-"+name, "scan", st)
+		}
+	}
+	b.advance(300 * time.Millisecond)
+	for i := range r.IntN(8) {
+		st := bulk(1 + r.IntN(8))
+		st.Size.Mem, st.EstimatedTime = 1<<30, time.Duration(1+r.IntN(30))*time.Second
+		b.submit(fmt.Sprintf("bulk%d", i), "print", st)
+	}
+	b.advance(time.Duration(r.IntN(1000)) * time.Millisecond)
+	for i := range r.IntN(3) {
+		st := wholeWorker(1 + r.IntN(4))
+		st.Size = cell.Size{CPU: 1000 * (32 + r.Int64N(32)), Mem: 1 << 30}
+		b.submit(fmt.Sprintf("wide%d", i), "scan", st)
+	}
+}
+
+// Guards against best-effort tasks that wait for any reason beside workers with memory for them.
+func TestBestEffortTasksStartInRandomCells(t *testing.T) {
+	for i := range 5 * *histories {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 6))
+			b := newSimCell(t, 2+r.IntN(8))
+			if r.IntN(2) == 0 {
+				for i := range b.queues {
+					b.queues[i].Advice = &flow.Advice{Base: 24 * time.Millisecond, PerWorker: 340 * time.Microsecond, Valid: 2500 * time.Millisecond}
+				}
+				b.step(sched.Queues{Version: 2, All: b.queues})
+			}
+			b.randomLoad(r)
+			st := bestEffort(1000 * r.Int64N(100))
+			st.Tasks, st.LongRunning, st.Gang, st.AllowCopies = 1+r.IntN(len(b.workers)), r.IntN(3) == 0, r.IntN(3) == 0, r.IntN(4) == 0
+			st.Size.Mem = (1 + r.Int64N(16)) << 30
+			st.MaxPerWorker = r.IntN(3)
+			b.submit("a", "print", st)
+			b.advance(2 * time.Second)
+			b.requireStarted("a")
+		})
+	}
+}
