--- a/internal/attempts/attempts.go
+++ b/internal/attempts/attempts.go
@@ -35,8 +35,9 @@
 type request struct {
 	// open counts the attempts without an outcome, kept the entries in ended.
 	open, kept int
-	// outcome is that of the ended attempts.
-	outcome Outcome
+	// outcome is that of the ended attempts, unknownAt when the last one ended whose outcome is unknown.
+	outcome   Outcome
+	unknownAt time.Time
 }
 
 type endedAttempt struct {
@@ -69,6 +70,9 @@
 	r := t.reqs[key]
 	r.open--
 	r.outcome = max(r.outcome, o)
+	if o == Unknown {
+		r.unknownAt = t.now()
+	}
 	if o != NotDone {
 		r.kept++
 		t.ended = append(t.ended, endedAttempt{key: key, at: t.now()})
@@ -86,6 +90,21 @@
 	return t.known(key)
 }
 
+// Unresolved reports whether an attempt is open, or one ended with an unknown outcome less than within
+// ago and none was carried out.
+func (t *Tracker) Unresolved(key string, within time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire()
+	switch t.known(key) {
+	case Unknown:
+		r := t.reqs[key]
+		return r.open > 0 || t.now().Sub(r.unknownAt) < within
+	default:
+		return false
+	}
+}
+
 func (t *Tracker) known(key string) Outcome {
 	r, ok := t.reqs[key]
 	switch {
--- a/internal/attempts/attempts_test.go
+++ b/internal/attempts/attempts_test.go
@@ -84,3 +84,24 @@
 		require.Equal(t, i >= 15, tr.Known(fmt.Sprint(i)) == attempts.Unknown, i)
 	}
 }
+
+// Guards against a request that counts as unresolved long after its attempt could be carried out, or not
+// while one is open.
+func TestAttemptIsUnresolvedForAWhile(t *testing.T) {
+	const within = 10 * time.Second
+	c := &clock{now: time.Unix(1000, 0)}
+	a := attempts.New(time.Minute, 100, c.read)
+	require.False(t, a.Unresolved("a", within))
+	a.Begin("a")
+	c.now = c.now.Add(2 * within)
+	require.True(t, a.Unresolved("a", within), "open")
+	a.End("a", attempts.Unknown)
+	c.now = c.now.Add(within - time.Second)
+	require.True(t, a.Unresolved("a", within), "no answer")
+	c.now = c.now.Add(2 * time.Second)
+	require.False(t, a.Unresolved("a", within), "too long ago")
+	require.Equal(t, attempts.Unknown, a.Known("a"))
+	a.Begin("a")
+	a.End("a", attempts.Done)
+	require.False(t, a.Unresolved("a", within), "carried out")
+}
--- a/internal/entry/cancel.go
+++ b/internal/entry/cancel.go
@@ -9,7 +9,6 @@
 
 	"pollencroft/internal/access"
 	"pollencroft/internal/admission"
-	"pollencroft/internal/attempts"
 	"pollencroft/internal/sched"
 	"pollencroft/internal/store"
 )
@@ -63,11 +62,14 @@
 	}
 }
 
+// maxLateAppend is how long the store may take to carry out an append that had no answer.
+const maxLateAppend = 15 * time.Second
+
 // submissionUnsure reports whether this host got a submission of the job of which it is not known
 // whether it is stored or may still be.
 func (h *Host) submissionUnsure(k requestKey) bool {
 	k.cancels = false
-	return h.inbox.sent.Known(k.String()) == attempts.Unknown
+	return h.inbox.sent.Unresolved(k.String(), maxLateAppend)
 }
 
 // cancelValue returns the value of the record of a cancellation: when the caller asked for it.
