--- a/internal/standin/users/store.go
+++ b/internal/standin/users/store.go
@@ -121,6 +121,12 @@
 	return n
 }
 
+// maxRecordBytes is the largest record, maxCallBytes the largest append.
+const (
+	maxRecordBytes = 262_144
+	maxCallBytes   = 2_097_152
+)
+
 func appendCall(r *http.Request) (store.Call, error) {
 	c, err := topicOf(r)
 	if err != nil {
@@ -136,8 +142,14 @@
 	if err != nil {
 		return c, errors.Wrap(err, "read records")
 	}
+	if len(b) > maxCallBytes {
+		return c, &store.InvalidError{Op: store.Append, Reason: "call of " + strconv.Itoa(len(b)) + " bytes"}
+	}
 	for len(b) > 4 {
 		n := int(binary.BigEndian.Uint32(b))
+		if n > maxRecordBytes {
+			return c, &store.InvalidError{Op: store.Append, Reason: "record of " + strconv.Itoa(n) + " bytes"}
+		}
 		k := int(b[4])
 		c.Records = append(c.Records, store.Record{Key: string(b[5 : 5+k]), Value: append([]byte(nil), b[5+k:4+n]...)})
 		b = b[4+n:]
