http1, entry: limit what all clients of a host take together

Callers saw: clients that send large bodies or heads and stop short of their end, or only keep connections open, made a host use more memory or descriptors than its machine has, and it was killed.

Cause: each server of an entry host limits one request at most. net/http holds up to 1 MiB of a head, submit up to maxBodyBytes of a body, and the kernel up to some MiB of unread bytes for each connection, for as long as the client likes; connections, silent bodies and answers that nobody reads have no limit. memory is only the collector's goal, and maxFds and maxHeaderBytes are not read.

Change: http1 serves callers, readiness checks and metrics. Connections are limited by memory and descriptors; a new one replaces the one without progress for longest, never one that is being served. What requests hold beyond 8 KiB each is limited together; the one that holds most for longest without progress is ended with 503, so a silent body does not keep its part, and a small request is served however full the memory is. Bodies are read into segments as they arrive, whatever they declare, and large ones are decoded one at a time. Bodies end after 30 s and answers after 10 s without progress (4 KiB). Receive buffers are small. A refusal of a large body does not wait for it, and is not lost by a reset.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -23,6 +22,8 @@
 	deadlineHeader = "X-Deadline-Ms"
 	// defaultDeadline applies to callers that send no deadline.
 	defaultDeadline = 3 * time.Second
+	// maxDeadlineMs bounds how long a request may be served, in milliseconds.
+	maxDeadlineMs = 60_000
 	// replyMargin is the part of the deadline that is reserved for sending the reply.
 	replyMargin = 150 * time.Millisecond
 	// defaultMaxBody limits the request body until the table sets a limit.
@@ -124,7 +125,7 @@
 	if err != nil || ms <= 0 {
 		return defaultDeadline - replyMargin
 	}
-	return max(time.Duration(ms)*time.Millisecond-replyMargin, replyMargin)
+	return max(time.Duration(min(ms, maxDeadlineMs))*time.Millisecond-replyMargin, replyMargin)
 }
 
 func reply(w http.ResponseWriter, code int, body []byte) {
@@ -161,19 +162,10 @@
 
 // submit stores a job. It reports a refusal only if the store certainly did nothing.
 func (h *Host) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, t *platform.Table, q flow.Queue, k requestKey) {
-	id, most := k.id, h.maxBody()
-	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
+	id := k.id
+	spec, err := h.bodies.read(ctx, r, h.maxBody(), id, q)
 	if err != nil {
-		h.refuse(w, http.StatusBadRequest, id, "body ends too early")
-		return
-	}
-	if int64(len(body)) > most {
-		h.refuse(w, http.StatusRequestEntityTooLarge, id, "body is too large")
-		return
-	}
-	spec, err := platform.ParseJob(id, q, body)
-	if err != nil {
-		h.refuse(w, http.StatusBadRequest, id, err.Error())
+		h.refuseBody(w, id, err)
 		return
 	}
 	spec.Organisation = k.organisation
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -16,6 +16,7 @@
 
 	"pollencroft/internal/agent"
 	"pollencroft/internal/flow"
+	"pollencroft/internal/http1"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/sched"
 	"pollencroft/internal/store"
@@ -26,6 +27,9 @@
 // PeerAddr returns the address at which other hosts reach this one.
 func (s Settings) PeerAddr() netip.AddrPort { return s.peerAddr() }
 
+// CallerLimits returns the limits of callers' connections.
+func (s Settings) CallerLimits() http1.Limits { return s.callerLimits() }
+
 // Kill ends the host at once, like a signal that cannot be caught.
 func (h *Host) Kill() {
 	h.mu.Lock()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -22,6 +22,7 @@
 
 	"pollencroft/internal/admission"
 	"pollencroft/internal/agent"
+	"pollencroft/internal/http1"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/sched"
 	"pollencroft/internal/store"
@@ -51,11 +52,13 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
-	// servers serve callers, readiness checks and metrics. callers tracks the connections of
-	// callers, and closeCallers closes their listener.
-	servers      []*http.Server
-	callers      *callerConns
+	// servers serve callers, readiness checks and metrics. callers is the one of callers, and
+	// closeCallers closes its listener.
+	servers      []*http1.Server
+	callers      *http1.Server
 	closeCallers func() error
+	// bodies decodes the bodies of submissions.
+	bodies *bodies
 
 	mu    sync.Mutex
 	table *platform.Table
@@ -141,7 +144,7 @@
 		peers: peer.NewClients(map[string]netip.AddrPort{}), metrics: metrics.NewRegistry(),
 		hosts: map[string]netip.AddrPort{cfg.Name: cfg.peerAddr()}, pending: map[string]int{},
 		accepted: map[string]acceptance{}, peersSeen: map[string]hostInfo{}, failedSince: map[string]time.Time{},
-		callers: newCallerConns(),
+		bodies: newBodies(),
 	}
 	if cfg.Policy != "" {
 		addr, err := netip.ParseAddrPort(cfg.Policy)
@@ -197,17 +200,13 @@
 func (h *Host) Start() error {
 	h.log.Info("entry: starting.", "host", h.cfg.Name, "life", h.incarnation())
 	var lc net.ListenConfig
-	open := func(addr netip.AddrPort) (net.Listener, error) {
-		ln, err := lc.Listen(h.ctx, "tcp", addr.String())
-		return ln, errors.Wrapf(err, "listen on %s", addr)
-	}
-	lnPeer, err := open(h.cfg.Listen.Peer)
+	lnPeer, err := lc.Listen(h.ctx, "tcp", h.cfg.Listen.Peer.String())
 	if err != nil {
-		return err
+		return errors.Wrapf(err, "listen on %s", h.cfg.Listen.Peer)
 	}
 	srv := peer.NewServer(h.handleMessage)
 	h.wg.Go(func() { srv.Serve(h.ctx, lnPeer) })
-	if err := h.listen(open); err != nil {
+	if err := h.listen(); err != nil {
 		return err
 	}
 	h.wg.Go(func() { h.follow(platform.TableTopic, h.applyTable) })
@@ -218,27 +217,28 @@
 	return nil
 }
 
-func (h *Host) listen(open func(netip.AddrPort) (net.Listener, error)) error {
+func (h *Host) listen() error {
 	type listener struct {
 		addr    netip.AddrPort
+		name    string
 		handler http.Handler
+		limits  http1.Limits
+	}
+	all := []listener{
+		{h.cfg.Listen.Caller, "caller", h.callerHandler(), h.cfg.callerLimits()},
+		{h.cfg.Listen.Ready, "ready", h.readyHandler(), checkLimits},
 	}
-	all := []listener{{h.cfg.Listen.Caller, h.callerHandler()}, {h.cfg.Listen.Ready, h.readyHandler()}}
 	if h.cfg.Listen.Metrics.IsValid() {
-		all = append(all, listener{h.cfg.Listen.Metrics, h.metricsHandler()})
+		all = append(all, listener{h.cfg.Listen.Metrics, "scrape", h.metricsHandler(), checkLimits})
 	}
 	for _, l := range all {
-		ln, err := open(l.addr)
+		ln, err := http1.Listen(h.ctx, l.addr.String())
 		if err != nil {
 			return err
 		}
-		s := &http.Server{
-			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			ErrorLog: slog.NewLogLogger(h.log.Handler(), slog.LevelDebug),
-		}
+		s := http1.New(l.limits, http1.Deps{Handler: l.handler, MaxHeader: h.maxHeader, Name: l.name, Metrics: h.metrics, Log: h.log, Now: time.Now})
 		if l.addr == h.cfg.Listen.Caller {
-			s.ConnState, h.closeCallers = h.callers.stateChanged, ln.Close
-			ln = callerListener{ln, h.callers}
+			h.callers, h.closeCallers = s, ln.Close
 		}
 		h.servers = append(h.servers, s)
 		h.wg.Go(func() { _ = s.Serve(ln) })
@@ -246,14 +246,6 @@
 	return nil
 }
 
-// Timeouts of callers' connections.
-const (
-	// headerTimeout is the time that the table's limits allow for reading a request header.
-	headerTimeout = 3 * time.Second
-	// idleTimeout is longer than callers keep connections open between requests.
-	idleTimeout = 30 * time.Second
-)
-
 // Reload logs that the settings changed. Changed addresses take effect at the next start.
 func (h *Host) Reload(cfg Settings, err error) {
 	if err != nil {
@@ -305,7 +297,7 @@
 	if err := h.closeCallers(); err != nil {
 		h.log.Warn("entry: listener cannot be closed.", "err", err)
 	}
-	if left := h.callers.drain(ctx); left > 0 {
+	if left := h.callers.Drain(ctx); left > 0 {
 		h.log.Warn("entry: callers' requests were still open.", "connections", left)
 	}
 }
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -38,8 +38,10 @@
 	ReadRate float64 `toml:"readrate"`
 	// Power is the number of cores of the host. The strongest host leads.
 	Power float64 `toml:"power"`
-	// Memory is the maximum memory use of the process, in MiB.
+	// Memory is the maximum memory use of the process, in MiB. Zero means defaultMemory.
 	Memory int64 `toml:"memory"`
+	// Files is the maximum number of descriptors of the process. Zero means that it is not limited.
+	Files int `toml:"files"`
 	// Times holds time limits. Each is a duration such as "900ms".
 	Times struct {
 		// Lease is the longest lease that workers grant.
@@ -143,6 +145,12 @@
 			return &FieldError{Path: path, Key: key, Reason: "has to be 0 or more"}
 		}
 	}
+	if s.Memory < 0 {
+		return &FieldError{Path: path, Key: "memory", Reason: "has to be 0 or more"}
+	}
+	if s.Files != 0 && s.Files <= reservedFiles {
+		return &FieldError{Path: path, Key: "files", Reason: fmt.Sprintf("has to be 0 or more than %d", reservedFiles)}
+	}
 	if s.Times.Trust < 0 {
 		return &FieldError{Path: path, Key: "times.trust", Reason: "has to be 0s or more"}
 	}
--- a/internal/entry/settings_test.go
+++ b/internal/entry/settings_test.go
@@ -44,6 +44,19 @@
 	require.Equal(t, uint16(3), cfg.Listen.Peer.Port())
 }
 
+// Guards against limits of callers that ordinary ones meet, or that a machine cannot bear.
+func TestLimitsOfCallersFollowFromTheMachine(t *testing.T) {
+	for _, m := range []struct {
+		memory int64
+		files  int
+		conns  int
+	}{{0, 0, 3271}, {284, 4100, 3120}, {536, 8192, 6174}, {160, 1000, 640}, {284, 201, 1}} {
+		l := entry.Settings{Memory: m.memory, Files: m.files}.CallerLimits()
+		require.Equal(t, m.conns, l.Conns, "%d MiB, %d descriptors", m.memory, m.files)
+		require.GreaterOrEqual(t, l.Bytes, m.memory<<20/16)
+	}
+}
+
 // Guards against a host behind a proxy that tells the others the address on which it listens.
 func TestAdvertisedAddressIsTold(t *testing.T) {
 	cfg, err := load(t, settingsText)
@@ -67,7 +80,7 @@
 		require.ErrorAs(t, err, new(*entry.FieldError), key)
 		require.ErrorContains(t, err, key)
 	}
-	for _, bad := range []string{`policy = "nowhere"`, `store = "x"`, `parts = "many"`, `off = ["gravity"]`, `readrate = -1.0`} {
+	for _, bad := range []string{`policy = "nowhere"`, `store = "x"`, `parts = "many"`, `off = ["gravity"]`, `readrate = -1.0`, `memory = -1`, `files = 200`} {
 		key, _, _ := strings.Cut(bad, " ")
 		text := strings.Replace(settingsText, key+" = ", "#", 1)
 		_, err := load(t, bad+"\n"+text)
