--- a/internal/flow/spec.go
+++ b/internal/flow/spec.go
@@ -119,7 +119,8 @@
 
 // Bounds of a job, which keep a single caller from filling a host's memory.
 const (
-	maxSteps = 64
+	// MaxSteps is how many steps a job may have.
+	MaxSteps = 64
 	maxTasks = 10_000
 	maxText  = 4_000
 	// maxEvery bounds the time between the repetitions of a job, so that times stay in range.
@@ -133,8 +134,8 @@
 	if len(s.Text) > maxText {
 		return &cell.ValueError{Field: "text", Found: fmt.Sprintf("%d bytes", len(s.Text)), Allowed: fmt.Sprintf("up to %d", maxText)}
 	}
-	if n := len(s.Steps); n < 1 || n > maxSteps {
-		return &cell.ValueError{Field: "steps", Found: strconv.Itoa(n), Allowed: fmt.Sprintf("1 to %d", maxSteps)}
+	if n := len(s.Steps); n < 1 || n > MaxSteps {
+		return &cell.ValueError{Field: "steps", Found: strconv.Itoa(n), Allowed: fmt.Sprintf("1 to %d", MaxSteps)}
 	}
 	tasks := 0
 	for i, st := range s.Steps {
