flow: begin repetitions that are due only as others end

Callers saw: after a single job with repeatCount 1,000,000,000 and times in the past no host answered any more, and none would have after a restart, since the job is stored.

Cause: all repetitions that are due begin at once, each with its tasks in the leader's memory, and the leader does nothing else meanwhile. Found while reading what a legal body costs in the leader.

Change: a repetition begins while no other one is open, or as long as all open ones have at most as many tasks as one job may have. Times of repetitions that are out of range are late; they wrapped around and were due at once.

TestRoundsThatAreDueBeginAsOthersEnd runs out of memory without the change, TestDueTimesOutOfRangeAreLate fails.

--- a/crowd/clients_test.go
+++ b/crowd/clients_test.go
@@ -213,6 +213,8 @@
 	longSteps = jobOf(bytes.TrimSuffix(bytes.Repeat(fmt.Appendf(nil, `{"count":1,"cpu":500,"memMb":256,"image":%q},`, bytes.Repeat([]byte("i"), 4000)), 60), []byte(",")))
 	// manyTasks is a small legal body with 9,000 tasks.
 	manyTasks = []byte(`{"spec":"s","steps":[{"count":9000,"cpu":500,"memMb":256,"estimateMs":100}]}`)
+	// manyRounds is a small legal body of a job whose repetitions are all due.
+	manyRounds = []byte(`{"spec":"s","steps":[{"count":100,"cpu":500,"memMb":256,"estimateMs":100}],"repeatCount":1000000000,"firstMs":1000,"intervalMs":1}`)
 	// escaped is a legal body whose text takes six times its size when it is encoded for the web.
 	escaped = jobOf(fmt.Appendf(nil, `{"count":1,"cpu":500,"memMb":256,"image":%q}`, bytes.Repeat([]byte("<"), maxBody-100)))
 	// manyNumbers is a legal body whose last step lists 125,000 earlier steps.
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -88,6 +88,11 @@
 	requireHolds(t, crowdSize, false, abandons(func(n int64) []byte { return whole(n, longSteps) }))
 }
 
+// Guards against a single job whose repetitions are all due and fill the memory of every leader.
+func TestJobOfManyRounds(t *testing.T) {
+	requireHolds(t, 1, false, sends(func(n int64) []byte { return whole(n, manyRounds) }))
+}
+
 // Guards against jobs that the store refuses and that keep others from being stored.
 func TestJobsWhoseRecordsAreTooLarge(t *testing.T) {
 	requireHolds(t, crowdSize/3, false, repeats(func(n int64) []byte { return whole(n, escaped) }))
--- a/crowd/usage_test.go
+++ b/crowd/usage_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -31,6 +32,9 @@
 	files                   int
 }
 
+// lethal is the resident memory at which a process is killed, so that the machine of the test lives on.
+const lethal = 2 << 30
+
 // sampleInterval is the time between two measurements.
 const sampleInterval = 50 * time.Millisecond
 
@@ -73,6 +77,9 @@
 	if err != nil {
 		return
 	}
+	if resident > lethal {
+		_ = syscall.Kill(pid, syscall.SIGKILL)
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.peak.resident = max(u.peak.resident, resident)
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -146,3 +146,35 @@
 		require.Equal(t, pair[1], flow.NewerRecord(pair[1], pair[0]))
 	}
 }
+
+// Guards against a job whose repetitions are all due and fill the memory of every leader.
+func TestRoundsThatAreDueBeginAsOthersEnd(t *testing.T) {
+	const tasks, most = 100, 100
+	spec := flow.Spec{ID: "a", Steps: []flow.Step{{Tasks: tasks}}, Repeat: flow.Repeat{Count: 1_000_000_000, First: time.Unix(1, 0), Every: time.Millisecond}}
+	require.NoError(t, spec.Check())
+	now := time.Unix(1_000_000_000, 0)
+	j := flow.New(spec, 1, now)
+	require.Len(t, j.BeginRounds(now), most)
+	require.Empty(t, j.BeginRounds(now))
+	for _, n := range []int{3, 7} {
+		for _, task := range j.Rounds[n].Stages[0].Tasks {
+			require.True(t, task.Transition(flow.Finish, now))
+			task.Step.Done++
+		}
+	}
+	j.CloseRounds(now)
+	require.Len(t, j.BeginRounds(now), 2)
+	require.Equal(t, most+2, j.NextRound)
+}
+
+// Guards against a late repetition that begins at once because its time is out of range.
+func TestDueTimesOutOfRangeAreLate(t *testing.T) {
+	for _, every := range []time.Duration{time.Millisecond, time.Second, 9 * 365 * 24 * time.Hour} {
+		j := flow.New(flow.Spec{ID: "a", Steps: []flow.Step{{Tasks: 1}}, Repeat: flow.Repeat{Count: 1_000_000_000, First: time.Unix(1, 0), Every: every}}, 1, time.Unix(1, 0))
+		last := time.Time{}
+		for n := 1; n < 1_000_000_000; n *= 10 {
+			require.False(t, j.Due(n).Before(last), "%s, %d", every, n)
+			last = j.Due(n)
+		}
+	}
+}
--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -229,19 +230,33 @@
 	if j.Spec.Repeat.Count == 0 {
 		return time.Time{}
 	}
-	return j.Spec.Repeat.First.Add(time.Duration(n) * j.Spec.Repeat.Every)
+	every := j.Spec.Repeat.Every
+	if every > 0 && n > int(math.MaxInt64/every) {
+		return j.Spec.Repeat.First.Add(math.MaxInt64)
+	}
+	return j.Spec.Repeat.First.Add(time.Duration(n) * every)
 }
 
 // BeginRounds opens all rounds that are due and returns them.
 func (j *Job) BeginRounds(now time.Time) []*Round {
 	var begun []*Round
-	for !j.State.Final() && j.NextRound < j.rounds() && !j.Due(j.NextRound).After(now) {
+	for !j.State.Final() && j.NextRound < j.rounds() && !j.Due(j.NextRound).After(now) && j.hasRoom() {
 		begun = append(begun, j.openRound(j.NextRound, now))
 		j.NextRound++
 	}
 	return begun
 }
 
+// hasRoom reports whether another round may begin beside those that are open. However many are due, a
+// job takes no more memory than one with the most tasks.
+func (j *Job) hasRoom() bool {
+	tasks := 0
+	for _, st := range j.Spec.Steps {
+		tasks += st.Tasks
+	}
+	return len(j.Rounds) == 0 || (len(j.Rounds)+1)*tasks <= maxTasks
+}
+
 func (j *Job) openRound(n int, now time.Time) *Round {
 	r := &Round{Index: n, Due: j.Due(n)}
 	for i, st := range j.Spec.Steps {
