store: compress records that are larger than the store takes

Callers saw: while a few clients send legal jobs of 256 KiB whose record is larger, no ordinary job is accepted: each answer is 504.

Cause: a job's record can be up to six times its body, since < and > are escaped, and the store refuses an append with a record above 256 KiB as a whole. The other jobs of the append are refused with it, and the append is repeated until no caller waits.

Change: texts are not escaped, values above 192 KiB are compressed on the way to the store, and a job whose record is still too large gets 413 before it is queued.

--- a/internal/entry/bodies_test.go
+++ b/internal/entry/bodies_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"pollencroft/internal/entry"
 )
 
 // exchange sends text on a new connection and returns the answer and its body.
@@ -56,3 +58,32 @@
 	require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
 	require.True(t, resp.Close)
 }
+
+// largeCluster starts hosts whose table allows bodies of 256 KiB.
+func largeCluster(t *testing.T, hosts int, memory int64) *cluster {
+	c := &cluster{t: t, change: func(s *entry.Settings) { s.Memory = memory }}
+	c.startAll(hosts, 4, 20*time.Millisecond)
+	c.log.Put("op", "config", []byte(strings.Replace(fmt.Sprintf(tableText, 2, ""), `"maxBodyBytes":20000`, `"maxBodyBytes":262144`, 1)))
+	require.Eventually(t, func() bool { return strings.Count(c.logs.String(), "version=2 queues") == hosts }, waitTimeout, 20*time.Millisecond)
+	return c
+}
+
+// post submits a job with the given body.
+func (c *cluster) post(h *testHost, n int, body string) response {
+	return c.call(h.cfg.Listen.Caller, http.MethodPost, prefix+jobID(n), body)
+}
+
+// imageJob returns the body of a job whose only step names an image.
+func imageJob(image string) string {
+	return `{"spec":"s","steps":[{"count":1,"cpu":500,"memMb":256,"estimateMs":20,"image":"` + image + `"}]}`
+}
+
+// Guards against a legal job whose record the store refuses, and which keeps others from being stored.
+func TestJobsWithLargeRecordsRunBesideOthers(t *testing.T) {
+	c := largeCluster(t, 2, 0)
+	for n, image := range []string{strings.Repeat("<", 260_000), strings.Repeat("\xff", 260_000), "small"} {
+		a := c.post(c.follower(), n, imageJob(image))
+		require.Equal(t, http.StatusOK, a.code, a.body)
+	}
+	c.waitCompleted(c.follower(), 3)
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -181,13 +181,18 @@
 		h.refuseOverload(w, id, err)
 		return
 	}
-	b, err := json.Marshal(spec)
+	b, err := spec.Encode()
 	if err != nil {
 		h.refuse(w, http.StatusBadRequest, id, err.Error())
 		return
 	}
+	record := store.Record{Key: k.String(), Value: b}
+	if !store.Fits(record) {
+		h.refuse(w, http.StatusRequestEntityTooLarge, id, "job is too large to be stored")
+		return
+	}
 	began := h.now()
-	err = h.inbox.append(ctx, store.Record{Key: k.String(), Value: b})
+	err = h.inbox.append(ctx, record)
 	h.observe("caller.store", h.now().Sub(began))
 	switch {
 	case err == nil:
--- a/internal/flow/spec.go
+++ b/internal/flow/spec.go
@@ -4,11 +4,15 @@
 package flow
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"pollencroft/internal/cell"
 )
 
@@ -183,6 +187,41 @@
 	return nil
 }
 
+// Estimates of the memory that jobs take, in bytes.
+const (
+	jobMemory  = 2 << 10
+	stepMemory = 512
+	taskMemory = 768
+)
+
+// specMemory estimates the memory of a job without its tasks.
+func (s Spec) specMemory() int64 {
+	n := jobMemory + len(s.Text)
+	for _, st := range s.Steps {
+		n += stepMemory + len(st.Label) + len(st.NearRack) + len(st.Image)
+	}
+	return int64(n)
+}
+
+// Memory estimates the memory of a job all of whose tasks have begun.
+func (s Spec) Memory() int64 {
+	n := s.specMemory()
+	for _, st := range s.Steps {
+		n += int64(st.Tasks) * taskMemory
+	}
+	return n
+}
+
+// Encode returns the spec in JSON. Texts are not escaped for the web, which takes up to six times their
+// size.
+func (s Spec) Encode() ([]byte, error) {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	err := e.Encode(s)
+	return bytes.TrimSuffix(b.Bytes(), []byte("\n")), errors.Wrap(err, "encode job")
+}
+
 // Name identifies a task.
 type Name struct {
 	Job string
--- a/internal/store/routed.go
+++ b/internal/store/routed.go
@@ -182,6 +182,17 @@
 // Do makes the call. A read that waits for records uses the direct route. If that has no answer
 // in time or had none before, the read is made on all routes and without waiting for records.
 func (r *Routed) Do(ctx context.Context, c Call) (Answer, error) {
+	if c.Op == Append {
+		c.Records = packAll(c.Records)
+	}
+	a, err := r.do(ctx, c)
+	if c.Op.isRead() {
+		a.Records = unpackAll(a.Records)
+	}
+	return a, err
+}
+
+func (r *Routed) do(ctx context.Context, c Call) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout+c.Wait)
 	defer cancel()
 	if c.Wait > 0 && !r.isSuspect(c) {
