entry: store the changes of a term in as many appends as they need

Callers saw: beside jobs of thousands of tasks each leader ended its term within a second, and no other job got on.

Cause: all changes since the last append go into one, which the store refuses above 2 MiB, and the progress of a job of 9,000 tasks is a record of more than 256 KiB.

Change: an append of the core is written in parts of 1 MiB, one after the other. It counts as stored with the last one; what a refusal leaves is written to another partition as a whole, with the same versions.

--- a/internal/entry/bodies_test.go
+++ b/internal/entry/bodies_test.go
@@ -87,3 +87,13 @@
 	}
 	c.waitCompleted(c.follower(), 3)
 }
+
+// Guards against a job whose progress the store refuses, so that each leader ends its term.
+func TestJobOfManyTasksRunsBesideOthers(t *testing.T) {
+	c := largeCluster(t, 2, 0)
+	term := c.leader().Term()
+	require.Equal(t, http.StatusOK, c.post(c.follower(), 0, `{"spec":"s","steps":[{"count":9000,"cpu":1,"memMb":1,"estimateMs":20}]}`).code)
+	require.Equal(t, http.StatusOK, c.post(c.follower(), 1, imageJob("small")).code)
+	c.waitCompleted(c.follower(), 2)
+	require.Equal(t, term, c.leader().Term())
+}
--- a/internal/entry/journal.go
+++ b/internal/entry/journal.go
@@ -161,29 +161,52 @@
 	j.writers = slices.Insert(slices.Delete(j.writers, i, i+1), 0, w)
 }
 
-// write appends to one partition. An append without an answer is repeated under the same sequence
-// number, so that the store executes it only once. The partition is released after that.
+// write writes records to one partition, in as many appends as the store needs. The partition is
+// released after the last one, and after a refusal. If a part of the records is stored before a refusal,
+// they are written to another partition as well, and their versions are the same in both.
 func (j *journal) write(ctx context.Context, w *partWriter, number int64, records []store.Record) error {
-	c := store.Call{Op: store.Append, Topic: stateTopic, Part: w.part, Keyed: true, Epoch: j.term, Seq: w.seq, Records: w.notYetWritten(number, records)}
 	drops := j.takeDrops(w)
+	all := w.notYetWritten(number, records)
 	for _, id := range drops {
-		c.Records = append(c.Records, store.Record{Key: id})
+		all = append(all, store.Record{Key: id})
 	}
-	if len(c.Records) == 0 {
-		j.release(w)
-		return nil
+	for len(all) > 0 {
+		n := appendable(all)
+		if err := j.writeOnce(ctx, w, number, all[:n]); err != nil {
+			j.returnDrops(w, drops)
+			return err
+		}
+		all = all[n:]
+	}
+	j.release(w)
+	return nil
+}
+
+// appendable returns how many of the records one append may contain.
+func appendable(all []store.Record) int {
+	size := 0
+	for i, r := range all {
+		size += len(r.Key) + len(r.Value)
+		if i > 0 && size > maxAppendBytes {
+			return i
+		}
 	}
+	return len(all)
+}
+
+// writeOnce appends to one partition. An append without an answer is repeated under the same sequence
+// number, so that the store executes it only once. After a refusal the partition is released.
+func (j *journal) writeOnce(ctx context.Context, w *partWriter, number int64, records []store.Record) error {
+	c := store.Call{Op: store.Append, Topic: stateTopic, Part: w.part, Keyed: true, Epoch: j.term, Seq: w.seq, Records: records}
 	unsure := false
 	for {
 		a, err := j.log.Do(ctx, c)
 		switch {
 		case err == nil:
-			w.recordWritten(number, c.Records)
+			w.recordWritten(number, records)
 			j.noteEnd(w, a.End)
-			j.release(w)
 			return nil
 		case store.NotDone(err) && !unsure:
-			j.returnDrops(w, drops)
 			j.release(w)
 			return err
 		case !store.IsUnavailable(err):
--- a/internal/entry/journal_test.go
+++ b/internal/entry/journal_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -379,3 +380,50 @@
 		}
 	}
 }
+
+// sizedLog refuses appends that are too large, as the platform does, and those to a partition from the
+// nth on.
+type sizedLog struct {
+	store.Log
+	t *testing.T
+	// refusedPart refuses appends after allowed ones.
+	refusedPart int
+	allowed     atomic.Int64
+	appends     atomic.Int64
+}
+
+func (l *sizedLog) Do(ctx context.Context, c store.Call) (store.Answer, error) {
+	if c.Op == store.Append {
+		l.appends.Add(1)
+		size := 0
+		for _, r := range c.Records {
+			size += 5 + len(r.Key) + len(r.Value)
+		}
+		require.LessOrEqual(l.t, size, 2_097_152)
+		if c.Part == l.refusedPart && l.allowed.Add(-1) < 0 {
+			return store.Answer{}, &store.RefusedError{Op: c.Op}
+		}
+	}
+	return l.Log.Do(ctx, c)
+}
+
+// Guards against more changes at once than the store takes in one append, which would end the term.
+func TestManyLargeRecordsAreAppendedInParts(t *testing.T) {
+	const records, size = 40, 150 << 10
+	for allowed := range 4 {
+		log := users.NewLog(16, time.Now)
+		l := &sizedLog{Log: log.For("lead"), t: t}
+		l.allowed.Store(int64(allowed))
+		b := entry.NewJournal(t, l, 1, []int{0, 5, 10})
+		for _, p := range []int{0, 5, 10} {
+			claim(t, log, p, 1)
+		}
+		var all []store.Record
+		for i := range records {
+			all = append(all, store.Record{Key: jobID(i), Value: bytes.Repeat([]byte("x"), size)})
+		}
+		require.NoError(t, b.Append(t.Context(), nextNumber(), all, appendTimeout))
+		require.Len(t, newestRecords(t, log, 5), records, "after %d appends to the first partition", allowed)
+		require.NoError(t, b.Append(t.Context(), nextNumber(), oneRecord(jobID(0), "y"), appendTimeout))
+	}
+}
