admission, entry: reject large jobs while the leader has no memory for them

Callers saw: hosts that lead are killed when many large jobs are accepted, and so is each successor, which reads them all: 256 KiB of text, or 80 bytes that name 9,000 tasks, which take 7 MB in the leader.

Cause: accepted jobs are limited by nothing.

Change: the leader estimates the memory of its jobs and reports it with each sync. A job that does not fit is rejected with 429, unless it may be there already. Jobs may take 0.4 of the memory; the larger a job is, the less of that it may use, so that large jobs don't keep small ones out.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -13,6 +14,7 @@
 	"pollencroft/internal/cell"
 	"pollencroft/internal/flow"
 	"pollencroft/internal/peer"
+	"pollencroft/internal/store"
 )
 
 // snapshotInterval is how old the snapshot of the load may be that the leader reports: counting what
@@ -48,25 +50,85 @@
 // noteLoad keeps the leader's load from the reply to a sync that was sent at the given time. mu is
 // held.
 func (h *Host) noteLoad(r peer.SyncReply, sent time.Time) {
+	h.jobMemory = r.Memory
 	h.load = admission.View{Snapshot: r.Load}
 	if r.Load != nil {
 		h.load.At = sent.Add(-r.Load.Age.Duration)
 	}
 }
 
-// checkLoad returns an admission.OverloadError if a job certainly cannot end in time, and is
-// certainly not there yet: an earlier request for it may have been stored without an answer, and the
+// memory estimates the memory that the jobs take.
+func (t *term) memory() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.Memory(t.h.now())
+}
+
+// sentMemory is the memory of the jobs that a host has sent to the store lately: in the current period,
+// and in the one before.
+type sentMemory struct {
+	current, previous int64
+	since             time.Time
+}
+
+// sentPeriod is longer than the leader takes to count a job and to report it.
+const sentPeriod = 1500 * time.Millisecond
+
+// recent returns the memory of the jobs that were sent in the last period or two.
+func (m *sentMemory) recent(now time.Time) int64 {
+	switch age := now.Sub(m.since); {
+	case age >= 2*sentPeriod:
+		*m = sentMemory{since: now}
+	case age >= sentPeriod:
+		*m = sentMemory{previous: m.current, since: now}
+	}
+	return m.current + m.previous
+}
+
+// reserveMemory returns an admission.MemoryError if the leader has no memory for a job. Hosts learn once a
+// second how much is taken, and assume that all of them have sent as many jobs since as this one.
+func (h *Host) reserveMemory(spec flow.Spec) error {
+	held := int64(0)
+	now := h.now()
+	h.mu.Lock()
+	t := h.ownTerm
+	h.mu.Unlock()
+	if t != nil {
+		held = t.memory()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	recent := h.sentMemory.recent(now)
+	if t == nil {
+		held, recent = h.jobMemory, recent*int64(max(len(h.hosts), 1))
+	}
+	err := admission.CheckMemory(spec, held+recent, h.cfg.jobMemory())
+	if err == nil {
+		h.sentMemory.current += spec.Memory()
+	}
+	return err
+}
+
+// checkLoad returns an admission.OverloadError if a job certainly cannot end in time, or an
+// admission.MemoryError if the leader has no memory for it, and it is certainly not there yet: an earlier request for it may have been stored without an answer, and the
 // job may have run. While the store does not answer, callers are rejected for that reason, and return
 // by the age of the outage.
 func (h *Host) checkLoad(ctx context.Context, k requestKey, spec flow.Spec) error {
 	if h.acceptedRecently(spec.ID) || h.inbox.sent.Known(k.String()) != attempts.NotDone || !h.store.AnsweredWithin(storeFreshness) {
 		return nil
 	}
-	err := h.loadView().Check(h.now(), spec)
+	full := h.reserveMemory(spec)
+	err := cmp.Or(full, h.loadView().Check(h.now(), spec))
 	if err == nil {
 		return nil
 	}
-	if _, known, failed := h.finalOrLeaderStatus(ctx, spec.ID); known || failed != nil {
+	_, known, failed := h.finalOrLeaderStatus(ctx, spec.ID)
+	switch {
+	case known:
+		return nil
+	case failed != nil && full != nil:
+		return &store.UnansweredError{Op: store.Append, Cause: failed}
+	case failed != nil:
 		return nil
 	}
 	return err
@@ -90,13 +152,19 @@
 // refuseOverload answers a request for a job that checkLoad rejected. Nothing of it was stored.
 func (h *Host) refuseOverload(w http.ResponseWriter, id string, err error) {
 	var over *admission.OverloadError
-	if !errors.As(err, &over) {
-		h.refuse(w, http.StatusTooManyRequests, id, err.Error())
-		return
+	var full *admission.MemoryError
+	switch {
+	case errors.As(err, &over):
+		h.incCounter("caller.rejected.overload")
+		h.refuseFor(w, http.StatusTooManyRequests, id, err.Error(), over.RetryAfter,
+			"expected", over.Expected, "age", over.Age, "term", over.Term)
+	case errors.As(err, &full):
+		h.incCounter("caller.rejected.memory")
+		h.refuseFor(w, http.StatusTooManyRequests, id, err.Error(), admission.MinRetry,
+			"needed", full.Needed, "held", full.Held, "limit", full.Limit, "term", h.currentTerm())
+	default:
+		h.refuseUnsure(w, id, err)
 	}
-	h.incCounter("caller.rejected.overload")
-	h.refuseFor(w, http.StatusTooManyRequests, id, err.Error(), over.RetryAfter,
-		"expected", over.Expected, "age", over.Age, "term", over.Term)
 }
 
 // refuseUnstored answers a request that was not stored.
--- a/internal/entry/bodies_test.go
+++ b/internal/entry/bodies_test.go
@@ -97,3 +97,35 @@
 	c.waitCompleted(c.follower(), 2)
 	require.Equal(t, term, c.leader().Term())
 }
+
+// Guards against large jobs that wait and fill the memory of the leader, and against refusals of jobs
+// that are there or that are small.
+func TestLargeJobsAreRejectedWhileTheLeaderIsFull(t *testing.T) {
+	const memory = 16
+	c := largeCluster(t, 2, memory)
+	// No worker is large enough, so all jobs wait.
+	waiting := `{"spec":"s","steps":[{"count":1000,"cpu":100000,"memMb":1,"estimateMs":20}]}`
+	var accepted, rejected []int
+	for n := range 8 {
+		for _, h := range []*testHost{c.leader(), c.follower()} {
+			switch a := c.post(h, n, waiting); a.code {
+			case http.StatusOK:
+				accepted = append(accepted, n)
+			case http.StatusTooManyRequests:
+				require.NotEmpty(t, a.header.Get("Retry-After"))
+				rejected = append(rejected, n)
+			default:
+				require.Fail(t, "unexpected answer", "%d %s", a.code, a.body)
+			}
+		}
+	}
+	require.NotEmpty(t, accepted)
+	require.NotEmpty(t, rejected)
+	require.Equal(t, http.StatusOK, c.post(c.follower(), accepted[0], waiting).code, "the job is there")
+	require.Equal(t, http.StatusOK, c.post(c.follower(), 100, imageJob("small")).code)
+	for _, n := range accepted {
+		require.Equal(t, http.StatusOK, c.call(c.leader().cfg.Listen.Caller, http.MethodDelete, prefix+jobID(n), "").code)
+	}
+	last := rejected[len(rejected)-1]
+	require.Eventually(t, func() bool { return c.post(c.follower(), last, waiting).code == http.StatusOK }, waitTimeout, 50*time.Millisecond)
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -86,6 +86,10 @@
 	pendingAt time.Time
 	// load is the load of the queues, as last reported by the leader.
 	load admission.View
+	// jobMemory is the memory that jobs take in the leader, as last reported by it, and sentMemory
+	// that of the jobs that this host has sent to the store lately.
+	jobMemory  int64
+	sentMemory sentMemory
 	// agents are the hosts that send the leader's orders to workers, as last reported by it at
 	// agentsAt.
 	agents   []agent.Host
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -19,6 +19,8 @@
 	// callerBodyMemory the part that large requests may take in addition.
 	callerConnMemory = 0.45
 	callerBodyMemory = 1.0 / 16
+	// jobMemory is the part of a leader's memory that jobs may take.
+	jobMemory = 0.4
 )
 
 // Timeouts of callers' connections.
@@ -35,6 +37,9 @@
 // memory returns the memory of the process in bytes.
 func (s Settings) memory() int64 { return cmp.Or(s.Memory, defaultMemory) << 20 }
 
+// jobMemory returns how much memory jobs may take in a leader, in bytes.
+func (s Settings) jobMemory() int64 { return int64(jobMemory * float64(s.memory())) }
+
 // callerLimits returns the limits of callers' connections, which follow from the host's machine.
 func (s Settings) callerLimits() http1.Limits {
 	conns := int(callerConnMemory * float64(s.memory()) / http1.ConnCost)
--- a/internal/entry/messages.go
+++ b/internal/entry/messages.go
@@ -147,7 +147,7 @@
 	}
 	return peer.SyncReply{
 		Ended: ended, Endings: next, Leading: true, Lead: true, Leaving: leaving, Served: true, Standby: h.chooseStandby(), Follows: follows,
-		EnoughPower: enough, Term: t.number, Pending: pending, Load: t.load(), Hosts: hosts, HostList: list, Agents: t.agentHosts(), Speeds: t.kindFactors(),
+		EnoughPower: enough, Term: t.number, Pending: pending, Load: t.load(), Memory: t.memory(), Hosts: hosts, HostList: list, Agents: t.agentHosts(), Speeds: t.kindFactors(),
 	}
 }
 
--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -247,6 +247,12 @@
 	return begun
 }
 
+// Memory estimates the memory of the job with the tasks of its open rounds.
+func (j *Job) Memory() int64 {
+	spec := j.Spec.specMemory()
+	return spec + int64(len(j.Rounds))*(j.Spec.Memory()-spec)
+}
+
 // hasRoom reports whether another round may begin beside those that are open. However many are due, a
 // job takes no more memory than one with the most tasks.
 func (j *Job) hasRoom() bool {
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -261,6 +261,8 @@
 	Pending     map[string]int
 	// Load is what hosts reject jobs by; nil if no organisation has a rate.
 	Load *admission.Snapshot `json:",omitempty"`
+	// Memory estimates the memory that the jobs take in the leader, in bytes.
+	Memory int64 `json:",omitempty"`
 	// Hosts holds the addresses of all hosts, and HostList identifies that list. Hosts is left out
 	// if the sender of the question has the same list.
 	Hosts    map[string]string `json:",omitempty"`
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -17,6 +17,7 @@
 	s.markRate(j)
 	s.jobs[spec.ID], s.openJobs[spec.ID] = j, j
 	j.BeginRounds(s.now)
+	s.memory.jobs += j.Memory()
 	s.markDirty(j)
 	s.emit(JobQueued{ID: spec.ID, Queue: spec.Queue.Name, Organisation: spec.Organisation, Rank: s.queue(j).Rank})
 	if organisation, ok := s.earlyCancels.take(spec.ID, spec.Organisation); ok {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -118,6 +118,7 @@
 	// selection is which jobs are to be on time.
 	selection selection
 	times     *runTimes
+	memory    memory
 	// examined is the number of times that a worker was considered for a query to the policy service.
 	examined int64
 }
