entry: limit the large records that wait for the store

Callers saw: hosts whose callers send large jobs and leave at once use more memory than their machine has.

Cause: a record stays in the queue for the store when its caller has left, 512 of them, while the memory of the request counts as free.

Change: large records that wait are limited to the memory of large requests; further ones are refused, as when the queue is full.

--- a/internal/entry/bodies_test.go
+++ b/internal/entry/bodies_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pollencroft/internal/entry"
+	"pollencroft/internal/standin/users"
 )
 
 // exchange sends text on a new connection and returns the answer and its body.
@@ -129,3 +130,22 @@
 	last := rejected[len(rejected)-1]
 	require.Eventually(t, func() bool { return c.post(c.follower(), last, waiting).code == http.StatusOK }, waitTimeout, 50*time.Millisecond)
 }
+
+// Guards against large records whose callers have left and that fill the memory while the store is slow,
+// and against refusing small ones with them.
+func TestLargeRecordsThatWaitAreLimited(t *testing.T) {
+	c := largeCluster(t, 1, 16)
+	h := c.leader()
+	c.log.BreakAppends("jobs", users.Silent)
+	c.deadline = 400 * time.Millisecond
+	codes := map[int]int{}
+	for n := range 12 {
+		codes[c.post(h, n, imageJob(strings.Repeat("i", 200_000))).code]++
+	}
+	require.NotZero(t, codes[http.StatusGatewayTimeout], codes)
+	require.NotZero(t, codes[http.StatusServiceUnavailable], codes)
+	require.Equal(t, http.StatusGatewayTimeout, c.post(h, 100, imageJob("small")).code)
+	c.log.BreakAppends("jobs", users.None)
+	c.deadline = waitTimeout
+	require.Eventually(t, func() bool { return c.post(h, 101, imageJob(strings.Repeat("i", 200_000))).code == http.StatusOK }, waitTimeout, 50*time.Millisecond)
+}
--- a/internal/entry/inbox.go
+++ b/internal/entry/inbox.go
@@ -4,11 +4,13 @@
 	"context"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"pollencroft/internal/attempts"
+	"pollencroft/internal/http1"
 	"pollencroft/internal/peer"
 	"pollencroft/internal/store"
 )
@@ -60,6 +62,10 @@
 	// parts are the partitions that it may append to, its own one first.
 	parts []int
 	queue chan appendRequest
+	// waiting is the size of the large records that are not stored yet, maxWaiting the most of it. A
+	// record waits also if its caller has left.
+	waiting    atomic.Int64
+	maxWaiting int64
 	// sent tracks what is known of the requests that this host got lately, by the key of their record.
 	sent *attempts.Tracker
 }
@@ -88,7 +94,7 @@
 
 func newInbox(h *Host) *inbox {
 	own := int(xxhash.Sum64String(h.cfg.Name) % uint64(h.cfg.Parts))
-	return &inbox{h: h, parts: store.PartsFrom(own, h.cfg.Parts), queue: make(chan appendRequest, maxQueuedRequests), sent: attempts.New(sentExpiry, maxSent, h.now)}
+	return &inbox{h: h, parts: store.PartsFrom(own, h.cfg.Parts), queue: make(chan appendRequest, maxQueuedRequests), maxWaiting: h.cfg.callerLimits().Bytes, sent: attempts.New(sentExpiry, maxSent, h.now)}
 }
 
 // append stores a record. If it returns a store.RefusedError, the record is certainly not stored
@@ -103,9 +109,7 @@
 	}
 	a := appendRequest{ctx: ctx, record: r, done: make(chan error, 1)}
 	b.sent.Begin(r.Key)
-	select {
-	case b.queue <- a:
-	default:
+	if !b.enqueue(a) {
 		return afterRefusal(b.sent.End(r.Key, attempts.NotDone), &store.RefusedError{Op: store.Append, Reason: "too many wait"})
 	}
 	select {
@@ -116,6 +120,30 @@
 	}
 }
 
+// size is what a request counts towards maxWaiting.
+func (a appendRequest) size() int64 {
+	if n := len(a.record.Value); n > http1.FreeBytes {
+		return int64(n)
+	}
+	return 0
+}
+
+// enqueue reports whether a request was added to the queue.
+func (b *inbox) enqueue(a appendRequest) bool {
+	n := a.size()
+	if n > 0 && b.waiting.Add(n) > b.maxWaiting {
+		b.waiting.Add(-n)
+		return false
+	}
+	select {
+	case b.queue <- a:
+		return true
+	default:
+		b.waiting.Add(-n)
+		return false
+	}
+}
+
 // afterRefusal returns the result of a request that was refused, given what is known of all requests
 // with its key.
 func afterRefusal(known attempts.Outcome, refused error) error {
@@ -190,6 +218,7 @@
 
 func (b *inbox) finish(all []appendRequest, o attempts.Outcome, err error) {
 	for _, a := range all {
+		b.waiting.Add(-a.size())
 		if k := parseRequestKey(a.record.Key); o == attempts.Done && !k.cancels {
 			b.h.noteStored(k)
 		}
