entry: show at most 200 bytes of what a caller sent

Callers saw nothing; read while looking for what large bodies cost beside their memory.

Cause: refusals and log lines repeat ids, methods and numbers of a body whole, up to 256 KiB each, and 1,024 lines may wait for a slow reader.

Change: they are cut.

Measured: TestRefusalsShowLittleOfTheRequest failed before (an answer of 15,123 bytes).

--- a/internal/entry/authorize.go
+++ b/internal/entry/authorize.go
@@ -50,7 +50,7 @@
 		code, counter = http.StatusServiceUnavailable, "access.stale"
 	}
 	h.incCounter(counter)
-	h.log.Info("access: not authorized.", "method", r.Method, "queue", route.Queue.Name, "key", shown, "table", t.Version, "age", age, "err", err)
+	h.log.Info("access: not authorized.", "method", cut(r.Method), "queue", route.Queue.Name, "key", shown, "table", t.Version, "age", age, "err", err)
 	if code == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", "Bearer")
 	}
--- a/internal/entry/bodies_test.go
+++ b/internal/entry/bodies_test.go
@@ -149,3 +149,25 @@
 	c.deadline = waitTimeout
 	require.Eventually(t, func() bool { return c.post(h, 101, imageJob(strings.Repeat("i", 200_000))).code == http.StatusOK }, waitTimeout, 50*time.Millisecond)
 }
+
+// Guards against answers and log lines as large as what a caller sent, many of which may wait for their
+// readers.
+func TestRefusalsShowLittleOfTheRequest(t *testing.T) {
+	const size, most = 15_000, 1_000
+	c := newCluster(t, 1, 1, 20*time.Millisecond)
+	h := c.leader()
+	long := strings.Repeat("9", size)
+	for _, a := range []response{
+		c.post(h, 1, `{"spec":"s","steps":[{"count":`+long+`}]}`),
+		c.post(h, 1, `{"spec":"s","steps":[{"count":1,"after":[`+long+`]}]}`),
+		c.call(h.cfg.Listen.Caller, http.MethodGet, prefix+long, ""),
+		c.call(h.cfg.Listen.Caller, "M"+long, prefix+jobID(1), ""),
+		c.call(h.cfg.Listen.Caller, http.MethodGet, "/none/"+long, ""),
+	} {
+		require.GreaterOrEqual(t, a.code, http.StatusBadRequest)
+		require.Less(t, len(a.body), most)
+	}
+	for line := range strings.SplitSeq(c.logs.String(), "\n") {
+		require.Less(t, len(line), most, line[:min(len(line), most)])
+	}
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -58,14 +59,14 @@
 		return
 	}
 	q := route.Queue
-	w = &requestWriter{ResponseWriter: w, method: r.Method, queue: q.Name, organisation: organisation}
+	w = &requestWriter{ResponseWriter: w, method: cut(r.Method), queue: q.Name, organisation: organisation}
 	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
 	defer cancel()
 	began := h.now()
 	defer func() {
 		if r.Context().Err() != nil {
 			h.incCounter("caller.left")
-			h.log.Info("caller: disconnected before the reply.", "id", id, "method", r.Method, "after", h.now().Sub(began), "deadline", deadline(r))
+			h.log.Info("caller: disconnected before the reply.", "id", cut(id), "method", cut(r.Method), "after", h.now().Sub(began), "deadline", deadline(r))
 		}
 	}()
 	switch {
@@ -145,12 +146,24 @@
 	h.refuseFor(w, code, id, reason, after)
 }
 
+// maxShown is how many bytes of what a caller sent appear in an answer or a log line.
+const maxShown = 200
+
+// cut returns the beginning of a text.
+func cut(s string) string {
+	if len(s) <= maxShown {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxShown], "") + "…"
+}
+
 // refuseFor answers with the reason and when to retry; zero means that a retry makes no sense.
 func (h *Host) refuseFor(w http.ResponseWriter, code int, id, reason string, after time.Duration, attrs ...any) {
 	h.incCounter("caller.refused." + strconv.Itoa(code))
 	if after > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(after.Seconds())))
 	}
+	id, reason = cut(id), cut(reason)
 	line := append([]any{"id", id, "code", code, "reason", reason}, requestAttrs(w)...)
 	h.log.Info("caller: refused.", append(line, attrs...)...)
 	b, err := json.Marshal(map[string]string{"error": reason})
