--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -3,12 +3,13 @@
 package crowd_test
 
 import (
+	"net/netip"
 	"syscall"
 	"testing"
 	"time"
 )
 
-// require checks, for a crowd of one kind, that the process lives and stays within the limits of its
+// requireHolds checks, for a crowd of one kind, that the process lives and stays within the limits of its
 // machine, and that an ordinary caller is served beside the crowd and after it.
 func requireHolds(t *testing.T, size int, ready bool, do behaviour) {
 	h := startHost(t)
@@ -16,6 +17,10 @@
 	if ready {
 		addr = h.ready
 	}
+	requireProcessHolds(t, h, addr, size, do)
+}
+
+func requireProcessHolds(t *testing.T, h *host, addr netip.AddrPort, size int, do behaviour) {
 	c := gather(t, size, addr, do)
 	time.Sleep(stay)
 	h.requireServed(t)
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -69,6 +69,10 @@
 	exited                       chan struct{}
 	log                          *users.Log
 	usage                        *usage
+	// memory is the memory of the machine in MiB. served reports whether an ordinary caller is served;
+	// its requests are told apart by a number.
+	memory int64
+	served func(n int) bool
 }
 
 func freeAddr(t *testing.T) netip.AddrPort {
@@ -81,7 +85,8 @@
 func startHost(t *testing.T) *host {
 	path, err := binary()
 	require.NoError(t, err)
-	h := &host{caller: freeAddr(t), ready: freeAddr(t), metrics: freeAddr(t), peer: freeAddr(t), exited: make(chan struct{}), log: users.NewLog(parts, time.Now)}
+	h := &host{caller: freeAddr(t), ready: freeAddr(t), metrics: freeAddr(t), peer: freeAddr(t), exited: make(chan struct{}), log: users.NewLog(parts, time.Now), memory: memoryMiB}
+	h.served = h.servesJob
 	h.log.Put("op", "config", table(1, 16_384, maxBody))
 	w := users.NewWorker("w1", taskTime, users.NewInvariantChecker())
 	t.Cleanup(w.Close)
@@ -113,9 +118,18 @@
 keep = "120s"
 `, strings.TrimPrefix(store.URL, "http://"), parts, memoryMiB, files, h.caller, h.ready, h.peer, h.metrics)
 	require.NoError(t, os.WriteFile(h.file, []byte(text), 0o600))
-	out, err := os.Create(filepath.Join(dir, "host.log"))
+	h.start(t, exec.Command(path, "entry", "--settings", h.file))
+	require.Eventually(t, func() bool { return h.get(h.ready, "/pollencroft/ready") == http.StatusOK }, patience, 50*time.Millisecond)
+	require.Eventually(t, func() bool { return h.served(0) }, patience, 50*time.Millisecond)
+	h.usage = watch(t, h)
+	return h
+}
+
+// start starts the process. It is killed when the test ends.
+func (h *host) start(t *testing.T, cmd *exec.Cmd) {
+	out, err := os.Create(filepath.Join(t.TempDir(), "host.log"))
 	require.NoError(t, err)
-	h.cmd = exec.Command(path, "entry", "--settings", h.file)
+	h.cmd = cmd
 	h.cmd.Stdout, h.cmd.Stderr = out, out
 	require.NoError(t, h.cmd.Start())
 	go func() {
@@ -130,10 +144,6 @@
 			t.Log("end of the log of the host:\n" + lastLines(out.Name()))
 		}
 	})
-	require.Eventually(t, func() bool { return h.get(h.ready, "/pollencroft/ready") == http.StatusOK }, patience, 50*time.Millisecond)
-	require.Eventually(t, func() bool { return h.serves(0) }, patience, 50*time.Millisecond)
-	h.usage = watch(t, h)
-	return h
 }
 
 // lastLines returns the end of a file.
@@ -146,8 +156,8 @@
 	return string(b[max(len(b)-most, 0):])
 }
 
-// client uses each connection once, as callers that are new to the host do.
-var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+// oneUse uses each connection once, as callers that are new to the host do.
+var oneUse = &http.Transport{DisableKeepAlives: true}
 
 // call sends a request and returns the status code; zero means that there was no answer.
 func (h *host) call(ctx context.Context, method string, addr netip.AddrPort, path, body string) int {
@@ -156,7 +166,7 @@
 		return 0
 	}
 	req.Host = callerHost
-	resp, err := client.Do(req)
+	resp, err := (&http.Client{Transport: oneUse}).Do(req)
 	if err != nil {
 		return 0
 	}
@@ -174,8 +184,8 @@
 // callTimeout is how long an ordinary caller waits for an answer.
 const callTimeout = 3 * time.Second
 
-// serves reports whether an ordinary job is accepted and its state is known.
-func (h *host) serves(n int) bool {
+// servesJob reports whether an ordinary job is accepted and its state is known.
+func (h *host) servesJob(n int) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	path := fmt.Sprintf("%s%016x", prefix, n)
@@ -187,7 +197,7 @@
 // requireServed requires that an ordinary caller is served that sends its requests again.
 func (h *host) requireServed(t *testing.T) {
 	n := int(time.Now().UnixNano())
-	require.Eventually(t, func() bool { return h.serves(n) }, patience, 100*time.Millisecond, "an ordinary caller is served")
+	require.Eventually(t, func() bool { return h.served(n) }, patience, 100*time.Millisecond, "an ordinary caller is served")
 }
 
 // requireAlive requires that the process runs.
@@ -204,7 +214,7 @@
 	h.requireAlive(t)
 	u := h.usage.peaks()
 	t.Logf("peak: %d MiB with unread bytes, %d MiB resident, %d MiB unread, %d descriptors", u.total>>20, u.resident>>20, u.unread>>20, u.files)
-	require.LessOrEqual(t, u.total>>20, int64(memoryMiB), "memory with unread bytes, in MiB")
+	require.LessOrEqual(t, u.total>>20, h.memory, "memory with unread bytes, in MiB")
 	require.LessOrEqual(t, u.files, files, "descriptors")
 }
 
