--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -141,3 +141,28 @@
 		c.leave()
 	}
 }
+
+// Guards against jobs that are sent to one host and fill the memory of another one that leads, or of its
+// successor, which reads them all.
+func TestLeaderChangesBesideCrowd(t *testing.T) {
+	for _, body := range []struct {
+		name string
+		text []byte
+	}{{"many tasks", manyTasks}, {"long steps", longSteps}} {
+		t.Run(body.name, func(t *testing.T) {
+			p := newPlatform(t)
+			leader := p.startHost(t, "h0")
+			follower := p.startHost(t, "h1")
+			c := gather(t, crowdSize/3, follower.caller, repeats(func(n int64) []byte { return whole(n, body.text) }))
+			time.Sleep(stay)
+			follower.requireServed(t)
+			leader.requireWithinLimits(t)
+			leader.requireStops(t)
+			follower.requireServed(t)
+			time.Sleep(stay / 2)
+			c.leave()
+			follower.requireServed(t)
+			follower.requireWithinLimits(t)
+		})
+	}
+}
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -81,24 +81,35 @@
 	return addr
 }
 
+// platform is the platform of a cell: its log and a worker.
+type platform struct{ log *users.Log }
+
+func newPlatform(t *testing.T) *platform {
+	p := &platform{log: users.NewLog(parts, time.Now)}
+	p.log.Put("op", "config", table(1, 16_384, maxBody))
+	w := users.NewWorker("w1", taskTime, users.NewInvariantChecker())
+	t.Cleanup(w.Close)
+	p.log.Put("servers", w.ID, w.EntryAt(w.Address(), "pass", "zone0"))
+	return p
+}
+
 // startHost starts a host that serves callers. It leads, because there is no other.
-func startHost(t *testing.T) *host {
+func startHost(t *testing.T) *host { return newPlatform(t).startHost(t, "h0") }
+
+// startHost starts a host of the cell.
+func (p *platform) startHost(t *testing.T, name string) *host {
 	path, err := binary()
 	require.NoError(t, err)
-	h := &host{caller: freeAddr(t), ready: freeAddr(t), metrics: freeAddr(t), peer: freeAddr(t), exited: make(chan struct{}), log: users.NewLog(parts, time.Now), memory: memoryMiB}
+	h := &host{caller: freeAddr(t), ready: freeAddr(t), metrics: freeAddr(t), peer: freeAddr(t), exited: make(chan struct{}), log: p.log, memory: memoryMiB}
 	h.served = h.servesJob
-	h.log.Put("op", "config", table(1, 16_384, maxBody))
-	w := users.NewWorker("w1", taskTime, users.NewInvariantChecker())
-	t.Cleanup(w.Close)
-	h.log.Put("servers", w.ID, w.EntryAt(w.Address(), "pass", "zone0"))
-	store := httptest.NewServer(h.log.Handler(func(*http.Request) string { return "h0" }))
+	store := httptest.NewServer(p.log.Handler(func(*http.Request) string { return name }))
 	t.Cleanup(func() {
 		store.CloseClientConnections()
 		store.Close()
 	})
 	dir := t.TempDir()
 	h.file = filepath.Join(dir, "host.toml")
-	text := fmt.Sprintf(`name = "h0"
+	text := fmt.Sprintf(`name = %q
 domain = "zone0"
 store = %q
 parts = %d
@@ -116,11 +127,12 @@
 stop = "900ms"
 grace = "6s"
 keep = "120s"
-`, strings.TrimPrefix(store.URL, "http://"), parts, memoryMiB, files, h.caller, h.ready, h.peer, h.metrics)
+`, name, strings.TrimPrefix(store.URL, "http://"), parts, memoryMiB, files, h.caller, h.ready, h.peer, h.metrics)
 	require.NoError(t, os.WriteFile(h.file, []byte(text), 0o600))
 	h.start(t, exec.Command(path, "entry", "--settings", h.file))
 	require.Eventually(t, func() bool { return h.get(h.ready, "/pollencroft/ready") == http.StatusOK }, patience, 50*time.Millisecond)
-	require.Eventually(t, func() bool { return h.served(0) }, patience, 50*time.Millisecond)
+	first := int(time.Now().UnixNano())
+	require.Eventually(t, func() bool { return h.served(first) }, patience, 50*time.Millisecond)
 	h.usage = watch(t, h)
 	return h
 }
