http1: keep connections by a chart, and let a refusal end before it lingers

The answer to a large body that is not read was held open for half a second, unless its length was declared (callers' answers declare it). A connection whose handler has returned no longer counts as being served.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -236,7 +236,7 @@
 		all = append(all, listener{h.cfg.Listen.Metrics, "scrape", h.metricsHandler(), checkLimits})
 	}
 	for _, l := range all {
-		ln, err := http1.Listen(h.ctx, l.addr.String())
+		ln, err := http1.Listen(h.ctx, l.addr)
 		if err != nil {
 			return err
 		}
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -6,20 +6,26 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"pollencroft/internal/chart"
 )
 
-// phase is what a connection is used for.
-type phase int
+// life is the life cycle of a connection: waiting for a request, a request that is arriving or being
+// served, and closing after the last answer.
+var life = chart.MustLoad("connection")
 
+// States and events of the life cycle.
 const (
-	// waiting is a connection on which nothing of the next request has arrived.
-	waiting phase = iota
-	// arriving is one on which a part of a request has arrived.
-	arriving
-	// serving is one whose request has arrived and is not answered yet.
-	serving
-	// closing is one that was answered and waits for its client to notice that it is closed.
-	closing
+	arriving chart.State = "arriving"
+	serving  chart.State = "serving"
+	waiting  chart.State = "waiting"
+	closed   chart.State = "closed"
+
+	begin  chart.Event = "begin"
+	arrive chart.Event = "arrive"
+	idle   chart.Event = "idle"
+	answer chart.Event = "answer"
+	end    chart.Event = "close"
 )
 
 // conn is a connection of a client.
@@ -27,7 +33,7 @@
 	net.Conn
 	pool *pool
 	// The pool's mu guards the fields below.
-	phase phase
+	state chart.State
 	// handling means that a handler is at work on a request that has begun to arrive.
 	handling bool
 	// unanswered means that bytes have arrived since the last part of an answer was written.
@@ -40,7 +46,16 @@
 	// held is the number of bytes of the request that have arrived.
 	held int64
 	// evicted means that the connection has to end because others need the memory.
-	evicted, closed bool
+	evicted bool
+	// lingers means that the client may still be sending when the connection is closed.
+	lingers bool
+}
+
+// apply applies an event. What the life cycle does not allow has been overtaken by another event.
+func (c *conn) apply(ev chart.Event) {
+	if next, err := life.Next(c.state, ev); err == nil {
+		c.state = next
+	}
 }
 
 // farPast is a deadline that ends a read or write at once.
@@ -80,14 +95,22 @@
 // whose client may still be sending.
 func (c *conn) CloseWrite() error {
 	c.pool.answered(c)
+	return c.endWrites()
+}
+
+func (c *conn) endWrites() error {
 	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return tcp.CloseWrite()
+		return errors.Wrap(tcp.CloseWrite(), "close for writing")
 	}
 	return nil
 }
 
-// Close closes the connection and makes room for another.
+// Close closes the connection and makes room for another. A connection that is closed with unread bytes
+// is reset, and the client may lose the answer, so what it still sends is read first.
 func (c *conn) Close() error {
+	if c.pool.beginLinger(c) && c.endWrites() == nil {
+		c.linger()
+	}
 	c.pool.forget(c)
 	return c.Conn.Close()
 }
@@ -117,9 +140,9 @@
 		if err != nil {
 			return nil, err
 		}
-		c, closed := l.pool.open(raw)
-		if closed != nil {
-			_ = closed.Close()
+		c, replaced := l.pool.open(raw)
+		if replaced != nil {
+			_ = replaced.Conn.Close()
 		}
 		if c != nil {
 			return c, nil
--- a/internal/http1/evict.go
+++ b/internal/http1/evict.go
@@ -8,7 +8,7 @@
 	switch {
 	case !c.writingSince.IsZero():
 		return now.Sub(c.writingSince), true
-	case c.phase == serving:
+	case c.state == serving:
 		return 0, false
 	default:
 		return now.Sub(c.progressAt), true
@@ -33,7 +33,7 @@
 	var found *conn
 	most := -1.0
 	for c := range all {
-		if c.evicted || c.phase != arriving || counted(c.held) == 0 {
+		if c.evicted || c.state != arriving || counted(c.held) == 0 {
 			continue
 		}
 		if w := float64(counted(c.held)) * (now.Sub(c.progressAt) + minDelay).Seconds(); w > most {
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"strconv"
 	"syscall"
@@ -92,14 +93,14 @@
 type connKey struct{}
 
 // Listen opens a listener whose connections have small receive buffers.
-func Listen(ctx context.Context, addr string) (net.Listener, error) {
+func Listen(ctx context.Context, addr netip.AddrPort) (net.Listener, error) {
 	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		// A system that cannot change the size keeps its own, so the error does not matter.
 		return raw.Control(func(fd uintptr) {
 			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, ReceiveBuffer)
 		})
 	}}
-	ln, err := lc.Listen(ctx, "tcp", addr)
+	ln, err := lc.Listen(ctx, "tcp", addr.String())
 	return ln, errors.Wrapf(err, "listen on %s", addr)
 }
 
@@ -115,10 +116,17 @@
 // Drain closes the connections, each once it has no request that is arriving or being served. It
 // returns the number of connections that are left when ctx ends.
 func (s *Server) Drain(ctx context.Context) int {
+	poll := time.NewTicker(drainPoll)
+	defer poll.Stop()
 	for {
 		left := s.pool.closeUnused()
-		if left == 0 || !sleep(ctx, drainPoll) {
+		if left == 0 {
+			return 0
+		}
+		select {
+		case <-ctx.Done():
 			return left
+		case <-poll.C:
 		}
 	}
 }
@@ -126,17 +134,6 @@
 // drainPoll is the time between two checks of the connections that are being drained.
 const drainPoll = 10 * time.Millisecond
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // serve passes a request on, and notes when it has arrived and when it has been served.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	c, ok := r.Context().Value(connKey{}).(*conn)
@@ -144,7 +141,7 @@
 		s.deps.Handler.ServeHTTP(w, r)
 		return
 	}
-	a := &answer{ResponseWriter: w}
+	a := &responder{ResponseWriter: w}
 	if r.Body == nil || r.Body == http.NoBody {
 		s.pool.arrived(c)
 	} else {
@@ -160,10 +157,7 @@
 	}
 	s.pool.served(c)
 	if a.closes {
-		// A connection that is closed with unread bytes is reset, and the client may lose the answer.
-		_ = http.NewResponseController(w).Flush()
-		s.pool.answered(c)
-		c.linger()
+		s.pool.lingerOnClose(c)
 	}
 }
 
@@ -176,16 +170,16 @@
 	_, _ = io.WriteString(w, http.StatusText(code))
 }
 
-// answer is the answer to a request. An answer that is sent before a large body has arrived does not
+// responder writes the answer to a request. An answer that is sent before a large body has arrived does not
 // wait for the rest of the body; the connection cannot carry another request then.
-type answer struct {
+type responder struct {
 	http.ResponseWriter
 	body          *body
 	begun, closes bool
 }
 
 // WriteHeader writes the header of the answer.
-func (a *answer) WriteHeader(code int) {
+func (a *responder) WriteHeader(code int) {
 	if !a.begun && code >= http.StatusOK {
 		a.begun = true
 		if a.body != nil && a.body.large && !a.body.complete {
@@ -197,7 +191,7 @@
 }
 
 // Write writes a part of the answer.
-func (a *answer) Write(b []byte) (int, error) {
+func (a *responder) Write(b []byte) (int, error) {
 	if !a.begun {
 		a.WriteHeader(http.StatusOK)
 	}
@@ -205,7 +199,7 @@
 }
 
 // Unwrap returns the server's writer, for http.ResponseController.
-func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+func (a *responder) Unwrap() http.ResponseWriter { return a.ResponseWriter }
 
 // EvictedError means that a request was ended because the memory for all requests is used up.
 type EvictedError struct{ Held int64 }
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -41,7 +42,7 @@
 func newServer(t *testing.T, l http1.Limits) *server {
 	s := &server{t: t, metrics: metrics.NewRegistry(), block: make(chan struct{})}
 	s.maxHeader.Store(http1.MaxHeader)
-	ln, err := http1.Listen(t.Context(), "127.0.0.1:0")
+	ln, err := http1.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
 	require.NoError(t, err)
 	s.addr = ln.Addr().String()
 	if l.Conns == 0 {
@@ -105,6 +106,9 @@
 	return metrics.GetOrRegisterCounter(name, s.metrics).Count()
 }
 
+// conns returns the number of open connections.
+func (s *server) conns() int64 { return metrics.GetOrRegisterGauge("test.conns", s.metrics).Value() }
+
 func (s *server) dial() net.Conn {
 	conn, err := net.Dial("tcp", s.addr)
 	require.NoError(s.t, err)
@@ -212,9 +216,11 @@
 // Guards against connections without a request that keep new ones from being accepted.
 func TestNewConnectionReplacesTheOneWithoutProgress(t *testing.T) {
 	s := newServer(t, http1.Limits{Conns: 3})
-	first := s.send("GET / HT")
-	s.dial()
-	s.dial()
+	first := s.dial()
+	for range 2 {
+		s.dial()
+	}
+	require.Eventually(t, func() bool { return s.conns() == 3 }, testTimeout, time.Millisecond)
 	requireAnswer(t, s.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), http.StatusOK, "")
 	requireClosed(t, first)
 	require.Equal(t, int64(1), s.count("test.evicted"))
@@ -235,14 +241,17 @@
 // Guards against newcomers that wait for good while all connections are being served.
 func TestConnectionIsRefusedWhileAllOthersAreBeingServed(t *testing.T) {
 	s := newServer(t, http1.Limits{Conns: 2})
+	var waiting []net.Conn
 	for range 2 {
-		s.send("GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
+		waiting = append(waiting, s.send("GET /wait HTTP/1.1\r\nHost: x\r\n\r\n"))
 	}
 	require.Eventually(t, func() bool { return s.handling.Load() == 2 }, testTimeout, time.Millisecond)
 	requireClosed(t, s.dial())
 	require.Equal(t, int64(1), s.count("test.conns.refused"))
 	close(s.block)
-	require.Eventually(t, func() bool { return s.handling.Load() == 0 }, testTimeout, time.Millisecond)
+	for _, conn := range waiting {
+		requireAnswer(t, conn, http.StatusOK, "")
+	}
 	requireAnswer(t, s.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), http.StatusOK, "")
 }
 
@@ -298,10 +307,10 @@
 		}
 	}()
 	require.Eventually(t, func() bool {
-		return metrics.GetOrRegisterGauge("test.conns", s.metrics).Value() == 1
+		return s.conns() == 1
 	}, testTimeout, time.Millisecond)
 	require.Eventually(t, func() bool {
-		return metrics.GetOrRegisterGauge("test.conns", s.metrics).Value() == 0
+		return s.conns() == 0
 	}, testTimeout, time.Millisecond)
 }
 
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -54,7 +54,7 @@
 		p.Log.Info(p.Name+": closed a connection to accept another one.", "connections", len(p.conns), "idle", now.Sub(toClose.progressAt), "held", toClose.held)
 		p.remove(toClose)
 	}
-	c := &conn{Conn: raw, pool: p, progressAt: now}
+	c := &conn{Conn: raw, pool: p, state: life.Start(), progressAt: now}
 	p.conns[c] = struct{}{}
 	p.gauge.Update(int64(len(p.conns)))
 	return c, toClose
@@ -68,11 +68,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.unanswered = true
-	if c.evicted || c.closed {
+	if c.evicted || c.state == closed {
 		return &EvictedError{Held: c.held}
 	}
-	if c.phase == waiting {
-		c.phase, c.progressAt = arriving, now
+	if c.state == waiting {
+		c.apply(begin)
+		c.progressAt = now
 	}
 	if (c.held+int64(n))/progressStep > c.held/progressStep {
 		c.progressAt = now
@@ -123,10 +124,10 @@
 
 // remove forgets a connection. mu is held.
 func (p *pool) remove(c *conn) {
-	if c.closed {
+	if c.state == closed {
 		return
 	}
-	c.closed = true
+	c.apply(end)
 	p.release(c)
 	delete(p.conns, c)
 	p.gauge.Update(int64(len(p.conns)))
@@ -143,15 +144,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !c.evicted {
-		c.phase = serving
+		c.apply(arrive)
 	}
 }
 
 // served notes that the handler of a request has returned.
 func (p *pool) served(c *conn) {
+	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.release(c)
+	c.apply(idle)
+	c.progressAt = now
 }
 
 // answered notes that a connection was answered for the last time and is about to be closed.
@@ -159,7 +163,29 @@
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.phase, c.progressAt = closing, now
+	c.apply(answer)
+	c.progressAt = now
+}
+
+// lingerOnClose notes that a connection is closed while its client may still be sending.
+func (p *pool) lingerOnClose(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.lingers = true
+}
+
+// beginLinger reports whether a connection that is closed has to linger, once.
+func (p *pool) beginLinger(c *conn) bool {
+	now := p.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !c.lingers || c.state == closed {
+		return false
+	}
+	c.lingers = false
+	c.apply(answer)
+	c.progressAt = now
+	return true
 }
 
 func (p *pool) heldBy(c *conn) int64 {
@@ -204,7 +230,8 @@
 		c.handling = true
 	case http.StateIdle:
 		p.release(c)
-		c.handling, c.phase, c.progressAt = false, waiting, now
+		c.apply(idle)
+		c.handling, c.progressAt = false, now
 	case http.StateClosed, http.StateHijacked:
 		p.remove(c)
 	default:
