soak: tell connections of one local port apart

Cause: the sockets in /proc/net/tcp were kept by their local port, and one local port may have connections to several others, which thousands of connections make likely. A cut between hosts then took the wrong one.

Change: they are kept by both ports. The test opens three connections from one port.

--- a/soak/peerlink_test.go
+++ b/soak/peerlink_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -29,7 +30,7 @@
 	ln, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer ln.Close()
-	p := newPeers(func(netip.AddrPort) string { return "h0" })
+	p := newPeers(func(way) string { return "h0" })
 	defer close(p.closed)
 	go p.listen(ln, "h1", up.Addr().String())
 	dial := func() net.Conn {
@@ -58,19 +59,30 @@
 	require.True(t, answers(old))
 }
 
-// Guards against cuts that no connection belongs to.
+// Guards against cuts that no connection belongs to, or another one of the same local port.
 func TestSocketOfAConnectionIsFound(t *testing.T) {
-	var lc net.ListenConfig
-	ln, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer ln.Close()
-	var d net.Dialer
-	conn, err := d.DialContext(t.Context(), "tcp", ln.Addr().String())
-	require.NoError(t, err)
-	defer conn.Close()
-	addr, err := netip.ParseAddrPort(conn.LocalAddr().String())
-	require.NoError(t, err)
-	inode := connections()[addr.Port()]
-	require.NotEmpty(t, inode)
-	require.Contains(t, inodesOf(os.Getpid()), inode)
+	reuse := func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1) })
+	}
+	// All connections have the same local port.
+	d := net.Dialer{Control: reuse, LocalAddr: net.TCPAddrFromAddrPort(freeAddr(t))}
+	inodes := map[string]bool{}
+	for range 3 {
+		var lc net.ListenConfig
+		ln, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer ln.Close()
+		conn, err := d.DialContext(t.Context(), "tcp", ln.Addr().String())
+		require.NoError(t, err)
+		defer conn.Close()
+		from, err := netip.ParseAddrPort(conn.LocalAddr().String())
+		require.NoError(t, err)
+		to, err := netip.ParseAddrPort(conn.RemoteAddr().String())
+		require.NoError(t, err)
+		inode := connections()[way{from.Port(), to.Port()}]
+		require.NotEmpty(t, inode)
+		require.Contains(t, inodesOf(os.Getpid()), inode)
+		inodes[inode] = true
+	}
+	require.Len(t, inodes, 3)
 }
--- a/soak/peers_test.go
+++ b/soak/peers_test.go
@@ -22,7 +22,7 @@
 // each host, at the address that the host advertises.
 type peers struct {
 	// sender returns the host that opened a connection from an address, or an empty string.
-	sender func(netip.AddrPort) string
+	sender func(way) string
 	mu     sync.Mutex
 	// cuts counts the faults that cut each link, changed is closed when that changes.
 	cuts    map[link]int
@@ -30,7 +30,7 @@
 	closed  chan struct{}
 }
 
-func newPeers(sender func(netip.AddrPort) string) *peers {
+func newPeers(sender func(way) string) *peers {
 	return &peers{sender: sender, cuts: map[link]int{}, changed: make(chan struct{}), closed: make(chan struct{})}
 }
 
@@ -47,8 +47,9 @@
 
 func (p *peers) carry(conn net.Conn, name, upstream string) {
 	defer conn.Close()
-	addr, _ := netip.ParseAddrPort(conn.RemoteAddr().String())
-	l := link{p.sender(addr), name}
+	from, _ := netip.ParseAddrPort(conn.RemoteAddr().String())
+	to, _ := netip.ParseAddrPort(conn.LocalAddr().String())
+	l := link{p.sender(way{from.Port(), to.Port()}), name}
 	if !p.await(l) {
 		return
 	}
@@ -185,11 +186,14 @@
 type sockets struct {
 	mu    sync.Mutex
 	at    time.Time
-	hosts map[uint16]string
+	hosts map[way]string
 }
 
-// sender returns the host whose process has a connection from the address, or an empty string.
-func (c *cell) sender(addr netip.AddrPort) string {
+// way is the ports of a connection. One local port may have connections to several others.
+type way struct{ from, to uint16 }
+
+// sender returns the host whose process has that end of a connection, or an empty string.
+func (c *cell) sender(w way) string {
 	asked := time.Now()
 	c.sockets.mu.Lock()
 	defer c.sockets.mu.Unlock()
@@ -198,7 +202,7 @@
 		c.sockets.at = time.Now()
 		c.sockets.hosts = c.scanSockets()
 	}
-	return c.sockets.hosts[addr.Port()]
+	return c.sockets.hosts[w]
 }
 
 // listenForPeers carries the connections between the hosts. All hosts are known by then.
@@ -210,21 +214,21 @@
 	}
 }
 
-// scanSockets returns the host that has the connection from each local port.
-func (c *cell) scanSockets() map[uint16]string {
+// scanSockets returns the host that has each connection.
+func (c *cell) scanSockets() map[way]string {
 	names := map[string]string{}
 	for _, h := range c.hosts {
 		for _, inode := range inodesOf(h.pid()) {
 			names[inode] = h.name
 		}
 	}
-	byPort := map[uint16]string{}
-	for port, inode := range connections() {
+	all := map[way]string{}
+	for w, inode := range connections() {
 		if name, ok := names[inode]; ok {
-			byPort[port] = name
+			all[w] = name
 		}
 	}
-	return byPort
+	return all
 }
 
 // inodesOf returns the inodes of the sockets of a process.
@@ -244,23 +248,31 @@
 // established is the state of a connection in /proc/net/tcp.
 const established = "01"
 
-// connections returns the inodes of the established connections by their local ports.
-func connections() map[uint16]string {
-	all := map[uint16]string{}
+// connections returns the inodes of the established connections.
+func connections() map[way]string {
+	all := map[way]string{}
 	b, _ := os.ReadFile("/proc/net/tcp")
 	for line := range strings.Lines(string(b)) {
 		fields := strings.Fields(line)
 		if len(fields) < 10 || fields[3] != established {
 			continue
 		}
-		_, port, _ := strings.Cut(fields[1], ":")
-		if n, err := strconv.ParseUint(port, 16, 16); err == nil {
-			all[uint16(n)] = fields[9]
+		from, err := portOf(fields[1])
+		to, err2 := portOf(fields[2])
+		if err == nil && err2 == nil {
+			all[way{from, to}] = fields[9]
 		}
 	}
 	return all
 }
 
+// portOf returns the port of an address in /proc/net/tcp.
+func portOf(addr string) (uint16, error) {
+	_, port, _ := strings.Cut(addr, ":")
+	n, err := strconv.ParseUint(port, 16, 16)
+	return uint16(n), err
+}
+
 // pid returns the id of the host's process, or zero before its first start.
 func (h *host) pid() int {
 	h.mu.Lock()
