http1: count a request that was read with the one before as being served

Read: a request whose bytes had been read together with the one before did not count as being served, so that its connection could be closed for a newcomer.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -11,7 +11,8 @@
 )
 
 // life is the life cycle of a connection: waiting for a request, a request that is arriving or being
-// served, and closing after the last answer.
+// served, and closing after the last answer. A request that was read together with the one before
+// arrives as a whole.
 var life = chart.MustLoad("connection")
 
 // States and events of the life cycle.
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -238,6 +238,24 @@
 	requireAnswer(t, waiting[0], http.StatusOK, "")
 }
 
+// Guards against closing a connection while its second request is being served, which was read together
+// with the first.
+func TestConnectionWithRequestsInARowIsNotReplaced(t *testing.T) {
+	s := newServer(t, http1.Limits{Conns: 1})
+	conn := s.send("GET / HTTP/1.1\r\nHost: x\r\n\r\nGET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
+	r := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.handling.Load() == 1 }, testTimeout, time.Millisecond)
+	requireClosed(t, s.dial())
+	close(s.block)
+	resp, err = http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+}
+
 // Guards against newcomers that wait for good while all connections are being served.
 func TestConnectionIsRefusedWhileAllOthersAreBeingServed(t *testing.T) {
 	s := newServer(t, http1.Limits{Conns: 2})
