entry: answer 504 where a job may be stored that is sent again

Read: a large submission that is ended for want of memory was told 503, "never runs", also if an earlier one of the same job was accepted or had no answer. It is 504 then, as for refusals by the store. TestRepeatedSubmissionIsNotToldAsNotStored failed before (503).

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -109,12 +109,18 @@
 	return err
 }
 
+// mayBeStored reports whether this host knows that a job is stored, or does not know it of an earlier
+// request for it.
+func (h *Host) mayBeStored(k requestKey) bool {
+	return h.acceptedRecently(k.id) || h.inbox.sent.Known(k.String()) != attempts.NotDone
+}
+
 // checkLoad returns an admission.OverloadError if a job certainly cannot end in time, or an
-// admission.MemoryError if the leader has no memory for it, and it is certainly not there yet: an earlier request for it may have been stored without an answer, and the
-// job may have run. While the store does not answer, callers are rejected for that reason, and return
+// admission.MemoryError if the leader has no memory for it, and it is certainly not there yet: an
+// earlier request for it may have been stored without an answer, and the job may have run. While the store does not answer, callers are rejected for that reason, and return
 // by the age of the outage.
 func (h *Host) checkLoad(ctx context.Context, k requestKey, spec flow.Spec) error {
-	if h.acceptedRecently(spec.ID) || h.inbox.sent.Known(k.String()) != attempts.NotDone || !h.store.AnsweredWithin(storeFreshness) {
+	if h.mayBeStored(k) || !h.store.AnsweredWithin(storeFreshness) {
 		return nil
 	}
 	full := h.reserveMemory(spec)
--- a/internal/entry/bodies.go
+++ b/internal/entry/bodies.go
@@ -44,8 +44,9 @@
 	}
 }
 
-// refuseBody answers a submission that could not be read. Nothing of it was stored.
-func (h *Host) refuseBody(w http.ResponseWriter, id string, err error) {
+// refuseBody answers a submission that could not be read. Nothing of it was stored, but an earlier one of
+// the same job may have been.
+func (h *Host) refuseBody(w http.ResponseWriter, k requestKey, err error) {
 	var large *http1.TooLargeError
 	var evicted *http1.EvictedError
 	var invalid *platform.BodyError
@@ -53,6 +54,9 @@
 	switch {
 	case errors.As(err, &large):
 		code, reason = http.StatusRequestEntityTooLarge, "body is too large"
+	case errors.As(err, &evicted) && h.mayBeStored(k):
+		h.refuseUnsure(w, k.id, err)
+		return
 	case errors.As(err, &evicted):
 		code, reason = http.StatusServiceUnavailable, evicted.Error()
 	case errors.As(err, &invalid):
@@ -60,5 +64,5 @@
 	case http1.IsStalled(err):
 		code, reason = http.StatusRequestTimeout, "body does not arrive"
 	}
-	h.refuse(w, code, id, reason)
+	h.refuse(w, code, k.id, reason)
 }
--- a/internal/entry/bodies_test.go
+++ b/internal/entry/bodies_test.go
@@ -177,3 +177,14 @@
 		require.Less(t, len(line), most, line[:min(len(line), most)])
 	}
 }
+
+// Guards against telling a caller that a job never runs whose earlier submission was accepted, because
+// the repeated one is too large for the memory that is left.
+func TestRepeatedSubmissionIsNotToldAsNotStored(t *testing.T) {
+	c := largeCluster(t, 1, 1)
+	h := c.leader()
+	require.Equal(t, http.StatusOK, c.post(h, 1, imageJob("small")).code)
+	large := imageJob(strings.Repeat("i", 200_000))
+	require.Equal(t, http.StatusGatewayTimeout, c.post(h, 1, large).code)
+	require.Equal(t, http.StatusServiceUnavailable, c.post(h, 2, large).code)
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -178,7 +178,7 @@
 	id := k.id
 	spec, err := h.bodies.read(ctx, r, h.maxBody(), id, q)
 	if err != nil {
-		h.refuseBody(w, id, err)
+		h.refuseBody(w, k, err)
 		return
 	}
 	spec.Organisation = k.organisation
