entry: end a test only when its last job is in the leader's records

Traced: the test ended while the leader was handling the last forwarded record; its goroutine was added to the host's group while the test's Kill waited for that group. A host that stops as in production does not wait for it. Other tests that end while messages are under way may meet the same.

--- a/internal/entry/bodies_test.go
+++ b/internal/entry/bodies_test.go
@@ -135,6 +135,15 @@
 	}
 	last := rejected[len(rejected)-1]
 	require.Eventually(t, func() bool { return c.post(c.follower(), last, waiting).code == http.StatusOK }, waitTimeout, 50*time.Millisecond)
+	// A host that is killed while a peer's message begins work there would race with that.
+	require.Eventually(t, func() bool {
+		for part := range 16 {
+			if _, ok := newestRecords(t, c.log, part)[jobID(last)]; ok {
+				return true
+			}
+		}
+		return false
+	}, waitTimeout, 20*time.Millisecond)
 }
 
 // Guards against large records whose callers have left and that fill the memory while the store is slow,
